--- /dev/null
+++ b/protocol/upstreamapi/upstreamapi.go
@@ -0,0 +1,163 @@
+// Package upstreamapi holds the JSON messages between routers and upstreams.
+//
+// An upstream announces itself to any router with POST AnnouncePath, again
+// every AnnounceInterval, and says goodbye with POST LeavePath. A router calls
+// the upstream at the address it announced: CompletionsPath for chats, any
+// path for plain services, and the control paths below.
+package upstreamapi
+
+import (
+	"time"
+
+	"endiveplank/protocol"
+)
+
+// Paths on routers, called by upstreams.
+const (
+	AnnouncePath = "/v1/upstreams/announce"
+	LeavePath    = "/v1/upstreams/leave"
+)
+
+// Paths on engines, called by routers.
+const (
+	// CompletionsPath takes a chat request and streams its answer. Closing
+	// the connection cancels the request.
+	CompletionsPath = "/v1/chat/completions"
+	// CancelPath takes a CancelRequest.
+	CancelPath = "/v1/cancel"
+	// ExportPath takes a KVExport and answers with the cache blob.
+	ExportPath = "/v1/kv/export"
+	// ImportPath takes a cache blob from ExportPath as its body.
+	ImportPath = "/v1/kv/import"
+	// OrderPath takes an EngineOrder; 409 means an old fencing number.
+	OrderPath = "/v1/engine/orders"
+	// StatePath answers GET with an EngineState, to read an order back.
+	StatePath = "/v1/engine/state"
+)
+
+// AnnounceInterval is how often an upstream repeats its announcement. Three
+// missed announcements make it suspect.
+const AnnounceInterval = 500 * time.Millisecond
+
+// Kind tells a model engine from a server of a plain service.
+type Kind string
+
+const (
+	KindEngine  Kind = "engine"
+	KindService Kind = "service"
+)
+
+// Announcement is the body of POST AnnouncePath: who the upstream is, what it
+// serves, its load as it last counted it, and cache events since the last one.
+type Announcement struct {
+	ID protocol.UpstreamID `json:"id"`
+	// Incarnation grows at each start of the upstream; a lower one than the
+	// last seen is a late message and is ignored.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence grows with each announcement of one incarnation.
+	Sequence uint64 `json:"sequence"`
+	Kind     Kind   `json:"kind"`
+	// Address is host:port where routers reach the upstream, IP numbers only.
+	Address    string              `json:"address"`
+	DataCentre protocol.DataCentre `json:"data_centre"`
+	Models     []protocol.Model    `json:"models,omitempty"`
+	Service    protocol.Service    `json:"service,omitempty"`
+	Role       string              `json:"role,omitempty"`
+	// Capacity is the upstream's share of work relative to others: for an
+	// engine, tokens a second at full batch.
+	Capacity float64 `json:"capacity"`
+	// MaxConcurrent is the number of requests the upstream runs at once.
+	MaxConcurrent int `json:"max_concurrent"`
+	// ChecksFence says whether the upstream refuses an order that carries an
+	// old fencing number.
+	ChecksFence bool `json:"checks_fence"`
+	// Leaving says that the upstream finishes its work and takes no more.
+	Leaving bool        `json:"leaving,omitempty"`
+	Load    Load        `json:"load"`
+	Cache   *CacheBatch `json:"cache,omitempty"`
+}
+
+// Load is an upstream's own, late count of its work.
+type Load struct {
+	Running           int `json:"running"`
+	Waiting           int `json:"waiting"`
+	OutstandingTokens int `json:"outstanding_tokens"`
+}
+
+// CacheOp says what happened to a prefix in an engine's cache.
+type CacheOp string
+
+const (
+	CacheStored  CacheOp = "stored"
+	CacheEvicted CacheOp = "evicted"
+)
+
+// CacheEvent is one change of an engine's prompt cache.
+type CacheEvent struct {
+	Op CacheOp `json:"op"`
+	// Hash is a chat.ChainHash in hexadecimal, 16 digits.
+	Hash string `json:"hash"`
+}
+
+// CacheBatch is a run of cache events. Events are numbered without holes by
+// the engine, so a receiver that expected another First has missed some.
+type CacheBatch struct {
+	First  uint64       `json:"first"`
+	Events []CacheEvent `json:"events"`
+}
+
+// AnnounceReply answers an announcement.
+type AnnounceReply struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// Leave is the body of POST LeavePath.
+type Leave struct {
+	ID          protocol.UpstreamID `json:"id"`
+	Incarnation uint64              `json:"incarnation"`
+}
+
+// CancelRequest is the body of POST CancelPath.
+type CancelRequest struct {
+	Request protocol.RequestID `json:"request"`
+	Attempt int                `json:"attempt"`
+}
+
+// KVExport is the body of POST ExportPath.
+type KVExport struct {
+	Hash string `json:"hash"`
+}
+
+// EngineAction is what an engine order asks for.
+type EngineAction string
+
+const (
+	ActionLoad   EngineAction = "load"
+	ActionUnload EngineAction = "unload"
+	ActionRole   EngineAction = "role"
+)
+
+// EngineOrder is the body of POST OrderPath.
+type EngineOrder struct {
+	Fence  protocol.Fence `json:"fence"`
+	Action EngineAction   `json:"action"`
+	Model  protocol.Model `json:"model,omitempty"`
+	// Version selects weights or an adapter of the model.
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// EngineState answers GET StatePath.
+type EngineState struct {
+	Fence  protocol.Fence `json:"fence"`
+	Models []LoadedModel  `json:"models"`
+	Role   string         `json:"role"`
+}
+
+// LoadedModel is one model an engine holds or is loading.
+type LoadedModel struct {
+	Model   protocol.Model `json:"model"`
+	Version string         `json:"version"`
+	Ready   bool           `json:"ready"`
+}
