Settings, frames between processes, and the mesh that carries them

Cause: the thin path needs checked settings and messages between processes that survive a connection that goes silent. Ruled out: heartbeats on every connection (330 nodes in full mesh would spend tens of kilobytes a second idle); instead a frame that stays unacknowledged is what shows a silent connection. Change: settings reports all mistakes at once; protocol/wire frames msgpack with bounds; transport/peer dials on demand, acknowledges, resends, drops duplicates, reports lost peers, and checks router IDs against certificates.

--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = `{"router_id":"r1","data_centre":"dc1","voters":["r1"],"role":"voter","data_folder":"d",
+"listen":{"callers":"127.0.0.1:1","upstreams":"127.0.0.1:2","admin":"127.0.0.1:3","peers":"127.0.0.1:4"}}`
+
+func TestGoodDocumentGetsDefaults(t *testing.T) {
+	parsed, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, parsed.Load.Multiple, 1.25)
+}
+
+// An operator mistypes several fields. Reporting one a run would make the
+// operator start the process once for each, so all must come at once.
+func TestAllMistakesComeAtOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text  string
+		paths []string
+	}{
+		"shape":  {`{"rooter":1,"listen":{"callers":7,"calers":""},"peers":{}}`, []string{"listen.calers", "listen.callers", "peers", "rooter"}},
+		"values": {strings.Replace(good, `127.0.0.1:1"`, `host:1"`, 1), []string{"listen.callers"}},
+		"state":  {strings.Replace(strings.Replace(good, `"voter"`, `"router"`, 1), `["r1"]`, `["r1","r9"]`, 1), []string{"data_folder", "voters", "voters[1]"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(tc.text))
+			var problems Problems
+			assert.Assert(t, errors.As(err, &problems), "%v", err)
+			var paths []string
+			for _, problem := range problems {
+				paths = append(paths, problem.Path)
+			}
+			assert.DeepEqual(t, paths, tc.paths)
+		})
+	}
+}
--- /dev/null
+++ b/transport/peer/link.go
@@ -0,0 +1,352 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"endiveplank/protocol"
+	"endiveplank/protocol/wire"
+)
+
+// link is the outgoing side towards one peer: a queue that outlives the
+// connections it is sent over.
+type link struct {
+	mesh *Mesh
+	peer protocol.RouterID
+	wake chan struct{}
+	quit chan struct{}
+
+	mu sync.Mutex
+	// unacked holds the reliable frames that were sent on the current or an
+	// earlier connection, oldest first.
+	unacked []wire.Frame
+	// oldest is when the first of unacked was sent on this connection.
+	oldest time.Time
+	// queue holds the frames that were not sent yet.
+	queue       []queued
+	queuedBytes int
+	next        uint64
+	lastUse     time.Time
+	overflowed  bool
+	stopped     bool
+}
+
+// queued is a frame that waits to be sent.
+type queued struct {
+	frame    wire.Frame
+	reliable bool
+}
+
+// newLink starts a link whose numbers go on from an earlier one. The mesh's
+// lock is held.
+func newLink(mesh *Mesh, peer protocol.RouterID) *link {
+	return &link{
+		mesh:    mesh,
+		peer:    peer,
+		wake:    make(chan struct{}, 1),
+		quit:    make(chan struct{}),
+		next:    mesh.receptionOf(peer).sentNumber,
+		lastUse: time.Now(),
+	}
+}
+
+// push adds a frame to the queue.
+func (l *link) push(frame wire.Frame, reliable bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reliable {
+		l.next++
+		frame.Number = l.next
+	}
+	l.queue = append(l.queue, queued{frame, reliable})
+	l.queuedBytes += len(frame.Payload)
+	l.overflowed = l.overflowed || l.queuedBytes > maxQueued
+	l.lastUse = time.Now()
+	l.signal()
+}
+
+// signal wakes the sender.
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stopped {
+		l.stopped = true
+		close(l.quit)
+	}
+}
+
+// drained says whether nothing waits to be sent or acknowledged.
+func (l *link) drained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0 && len(l.unacked) == 0
+}
+
+// run dials, sends and redials until the link is idle, lost or stopped.
+func (l *link) run() {
+	defer l.mesh.done.Done()
+	unreachableSince := time.Now()
+	for {
+		connection, err := l.dial()
+		if err == nil {
+			progress := l.serve(connection)
+			_ = connection.Close()
+			if progress {
+				unreachableSince = time.Now()
+			}
+		}
+		if l.finish() {
+			return
+		}
+		if l.giveUp(unreachableSince) {
+			return
+		}
+		select {
+		case <-l.quit:
+			l.mesh.forget(l)
+			return
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// finish ends an idle link. It holds the mesh's lock so that no frame is
+// pushed to a link that nobody serves.
+func (l *link) finish() bool {
+	l.mesh.mu.Lock()
+	defer l.mesh.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	idle := len(l.queue) == 0 && len(l.unacked) == 0
+	if l.stopped || !idle || time.Since(l.lastUse) < IdleClose {
+		return l.stopped
+	}
+	// The numbers go on from here if the link is opened again, because the
+	// receiver remembers the highest it saw from this incarnation.
+	l.mesh.resumeNumber(l.peer, l.next)
+	delete(l.mesh.links, l.peer)
+	return true
+}
+
+// giveUp drops what waits and reports the peer lost once it has been
+// unreachable for too long or holds too much.
+func (l *link) giveUp(since time.Time) bool {
+	l.mu.Lock()
+	tooLong := time.Since(since) > l.mesh.options.LostAfter
+	lost := tooLong || l.overflowed
+	l.mu.Unlock()
+	if !lost {
+		return false
+	}
+	l.mesh.mu.Lock()
+	l.mu.Lock()
+	l.mesh.resumeNumber(l.peer, l.next)
+	l.mu.Unlock()
+	if l.mesh.links[l.peer] == l {
+		delete(l.mesh.links, l.peer)
+	}
+	l.mesh.mu.Unlock()
+	l.mesh.options.Handler.Lost(l.peer)
+	return true
+}
+
+// dial opens a connection and exchanges Hellos.
+func (l *link) dial() (net.Conn, error) {
+	l.mesh.mu.Lock()
+	address := l.mesh.address[l.peer]
+	l.mesh.mu.Unlock()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial peer")
+	}
+	_ = connection.SetDeadline(time.Now().Add(dialTimeout))
+	if l.mesh.options.ClientTLS != nil {
+		secured := tls.Client(connection, l.mesh.options.ClientTLS)
+		if err := secured.Handshake(); err != nil {
+			_ = connection.Close()
+			return nil, eris.Wrap(err, "secure the connection to a peer")
+		}
+		connection = secured
+	}
+	if err := l.greet(connection); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	_ = connection.SetDeadline(time.Time{})
+	return connection, nil
+}
+
+// greet sends our Hello and checks the peer's.
+func (l *link) greet(connection net.Conn) error {
+	if err := writeHello(connection, l.mesh.hello(l.peer)); err != nil {
+		return err
+	}
+	theirs, err := readHello(connection)
+	if err != nil {
+		return err
+	}
+	if theirs.From != l.peer {
+		return eris.Errorf("peer at this address is %q, not %q", theirs.From, l.peer)
+	}
+	return checkCertificate(connection, theirs.From)
+}
+
+// serve sends over one connection until it fails, stalls or is idle. It says
+// whether any acknowledgement came.
+func (l *link) serve(connection net.Conn) bool {
+	l.requeueUnacked()
+	acks := make(chan struct{})
+	progress := make(chan bool, 1)
+	go func() {
+		progress <- l.readAcks(connection)
+		close(acks)
+	}()
+	l.sendLoop(connection, acks)
+	_ = connection.Close()
+	<-acks
+	return <-progress
+}
+
+// requeueUnacked puts what the last connection may have lost in front again.
+func (l *link) requeueUnacked() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.unacked) == 0 {
+		return
+	}
+	again := make([]queued, 0, len(l.unacked)+len(l.queue))
+	for _, frame := range l.unacked {
+		again = append(again, queued{frame, true})
+		l.queuedBytes += len(frame.Payload)
+	}
+	l.queue = append(again, l.queue...)
+	l.unacked = nil
+	l.oldest = time.Time{}
+	l.signal()
+}
+
+// sendLoop writes frames as they come, and watches for a stall.
+func (l *link) sendLoop(connection net.Conn, acks <-chan struct{}) {
+	check := time.NewTicker(max(l.mesh.options.Stall/8, time.Millisecond))
+	defer check.Stop()
+	for {
+		if err := l.writeQueued(connection); err != nil {
+			return
+		}
+		select {
+		case <-l.wake:
+		case <-acks:
+			return
+		case <-l.quit:
+			return
+		case <-check.C:
+			if l.stalled() || l.idle() {
+				return
+			}
+		}
+	}
+}
+
+// writeQueued writes all queued frames with one write.
+func (l *link) writeQueued(connection net.Conn) error {
+	batch := l.take()
+	if len(batch) == 0 {
+		return nil
+	}
+	_ = connection.SetWriteDeadline(time.Now().Add(l.mesh.options.Stall))
+	_, err := connection.Write(batch)
+	return err
+}
+
+// take encodes the queue and moves its reliable frames to unacked.
+func (l *link) take() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var batch []byte
+	for _, item := range l.queue {
+		longer, err := wire.Append(batch, item.frame)
+		if err != nil {
+			panic("peer: frame over wire.MaxFrame was queued")
+		}
+		batch = longer
+		if item.reliable {
+			l.keep(item.frame)
+		}
+	}
+	l.queue = l.queue[:0]
+	l.queuedBytes = 0
+	return batch
+}
+
+func (l *link) keep(frame wire.Frame) {
+	if len(l.unacked) == 0 {
+		l.oldest = time.Now()
+	}
+	l.unacked = append(l.unacked, frame)
+}
+
+// stalled says whether the oldest unacknowledged frame has waited too long.
+func (l *link) stalled() bool {
+	l.mu.Lock()
+	waiting := len(l.unacked) > 0 && time.Since(l.oldest) > l.mesh.options.Stall
+	l.mu.Unlock()
+	if waiting {
+		l.mesh.count(func(c *Counts) { c.Stalled++ })
+		l.mesh.options.Log.Warn().Str("peer", string(l.peer)).Msg("peer: connection is silent, replaced")
+	}
+	return waiting
+}
+
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0 && len(l.unacked) == 0 && time.Since(l.lastUse) > IdleClose
+}
+
+// readAcks takes acknowledgements until the connection ends and says whether
+// any came.
+func (l *link) readAcks(connection net.Conn) bool {
+	reader := bufio.NewReader(connection)
+	progress := false
+	for {
+		frame, err := wire.Read(reader, wire.MaxHello)
+		if err != nil || frame.Kind != wire.KindAck {
+			return progress
+		}
+		var ack wire.Ack
+		if err := wire.Decode(frame.Payload, &ack); err != nil {
+			return progress
+		}
+		progress = true
+		l.acknowledged(ack.Number)
+	}
+}
+
+// acknowledged drops the frames up to number; the rest start a new wait,
+// because an acknowledgement is progress.
+func (l *link) acknowledged(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := 0
+	for kept < len(l.unacked) && l.unacked[kept].Number <= number {
+		kept++
+	}
+	if kept == 0 {
+		return
+	}
+	l.unacked = append([]wire.Frame(nil), l.unacked[kept:]...)
+	l.oldest = time.Now()
+}
