--- /dev/null
+++ b/coordination/node/inputs.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"time"
+
+	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// Input is something that happened. Each is a plain value, so that a recorded
+// list of them replays.
+type Input interface{ input() }
+
+// CallerRequest is a caller's request, its body read whole and its bearer key
+// hashed by the driver.
+type CallerRequest struct {
+	ID protocol.RequestID
+	// KeyHash is the SHA-256 of the bearer key; HasKey is false without one.
+	KeyHash [32]byte
+	HasKey  bool
+	Method  string
+	// Path is the path as called, with its query.
+	Path    string
+	Headers []fleet.Header
+	Body    []byte
+	// Chat is set when the path is the chat API and the body parsed.
+	Chat *chat.Request
+	// ChatError says why the body of a chat request did not parse.
+	ChatError string
+	// IdempotencyKey is empty when the caller sent none.
+	IdempotencyKey string
+	// BodyDigest identifies the body: the first 8 bytes of its SHA-256.
+	BodyDigest uint64
+}
+
+// CallerGone says that a caller closed its connection or is too slow to take
+// its answer.
+type CallerGone struct{ ID protocol.RequestID }
+
+// PeerPlace to PeerCancel are the data path's messages from a peer.
+type (
+	PeerPlace struct {
+		From  protocol.RouterID
+		Place fleet.Place
+	}
+	PeerPlaceReply struct {
+		From  protocol.RouterID
+		Reply fleet.PlaceReply
+	}
+	PeerChunk struct {
+		From  protocol.RouterID
+		Chunk fleet.Chunk
+	}
+	PeerEnd struct {
+		From protocol.RouterID
+		End  fleet.End
+	}
+	PeerCancel struct {
+		From   protocol.RouterID
+		Cancel fleet.Cancel
+	}
+)
+
+// PeerTotals carries the load of the upstreams another router owns.
+type PeerTotals struct {
+	From   protocol.RouterID
+	Totals Totals
+}
+
+// PeerLost says that a peer can't be reached.
+type PeerLost struct{ Peer protocol.RouterID }
+
+// UpstreamChunk is a piece of an upstream's answer.
+type UpstreamChunk struct{ Chunk fleet.Chunk }
+
+// UpstreamEnd closes an upstream call.
+type UpstreamEnd struct {
+	Attempt fleet.Attempt
+	// Complete means the answer ended as its protocol says.
+	Complete bool
+	// Sent is false only when no byte of the request can have reached the
+	// upstream.
+	Sent bool
+	// Status is the upstream's HTTP status, 0 without an answer.
+	Status int
+	// CachedTokens is what an engine said it reused.
+	CachedTokens int
+}
+
+// Announced is an upstream's announcement, from itself or through a peer.
+type Announced struct {
+	Announcement upstreamapi.Announcement
+	// Forwarded means a peer has received and passed it on.
+	Forwarded bool
+}
+
+// Leaving is an upstream's goodbye.
+type Leaving struct {
+	Leave     upstreamapi.Leave
+	Forwarded bool
+}
+
+// ViewChanged brings the configuration that is now in force here.
+type ViewChanged struct{ View *View }
+
+// LeaseGranted extends this router's lease.
+type LeaseGranted struct{ Until time.Duration }
+
+// JournalResult answers a Journal output.
+type JournalResult struct {
+	Request protocol.RequestID
+	// Failed means that no answer came, and the command may or may not take
+	// effect.
+	Failed bool
+	Result []byte
+}
+
+// Tick passes time. The driver sends one each TickInterval.
+type Tick struct{}
+
+// TickInterval is how often a driver sends Tick. Deadlines are met within it.
+const TickInterval = 50 * time.Millisecond
+
+// Drain begins a planned stop.
+type Drain struct{}
+
+func (CallerRequest) input()  {}
+func (CallerGone) input()     {}
+func (PeerPlace) input()      {}
+func (PeerPlaceReply) input() {}
+func (PeerChunk) input()      {}
+func (PeerEnd) input()        {}
+func (PeerCancel) input()     {}
+func (PeerTotals) input()     {}
+func (PeerLost) input()       {}
+func (UpstreamChunk) input()  {}
+func (UpstreamEnd) input()    {}
+func (Announced) input()      {}
+func (Leaving) input()        {}
+func (ViewChanged) input()    {}
+func (LeaseGranted) input()   {}
+func (JournalResult) input()  {}
+func (Tick) input()           {}
+func (Drain) input()          {}
--- /dev/null
+++ b/coordination/node/node.go
@@ -0,0 +1,217 @@
+// Package node is the deterministic core of one router: Step takes what
+// happened and returns what to do. It holds no goroutine, socket, file, clock
+// or random source of its own, so a recorded list of inputs replays byte for
+// byte, and tests and benchmarks drive it by passing values.
+//
+// A router has two sides. The entry side keeps callers: it checks who calls,
+// orders the upstreams that could serve the request, asks the owner of each
+// in turn, and puts the answer together from one or more attempts. The owner
+// side keeps upstreams: it alone admits work to the upstreams it owns, so it
+// counts their load exactly, queues, and relays answers to the entry. Both
+// sides of one router talk through the same messages as two routers do.
+//
+// Failures guarded here:
+//
+//   - This router can't be sure of its configuration or ownership (frozen, cut
+//     off): its lease runs out, and every admission checks the lease at that
+//     moment, so a thawed router admits nothing.
+//   - An owner or upstream fails in mid-answer: the entry starts a new attempt
+//     that resumes after the pieces the caller has, within the retry budget.
+//   - Messages of an abandoned attempt come late: they carry the attempt's
+//     number and are dropped.
+//   - The run of a request that may not be repeated becomes unknown: no
+//     attempt follows, and the caller is told so.
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"endiveplank/protocol"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/wire"
+)
+
+// Config holds a node's own settings.
+type Config struct {
+	Self       protocol.RouterID
+	DataCentre protocol.DataCentre
+	// Multiple bounds an upstream's load by this multiple of the fleet's mean.
+	Multiple float64
+	// ReuseWeight moves placement from skew first (0) to reuse first (1).
+	ReuseWeight float64
+	// QueueLimit is the most requests one upstream's queue holds.
+	QueueLimit int
+	// Stall is how long work may go without progress.
+	Stall time.Duration
+	// Deadline is the time a request has when its route names none.
+	Deadline time.Duration
+	// Random is seeded by the caller.
+	Random *rand.Rand
+}
+
+// Node is the core of one router.
+type Node struct {
+	config     Config
+	view       *View
+	leaseUntil time.Duration
+	draining   bool
+	entries    map[protocol.RequestID]*entry
+	owned      map[protocol.UpstreamID]*owned
+	// running finds the upstream of an attempt this router relays.
+	running map[fleet.Attempt]*owned
+	totals  *totalsBook
+	// local holds messages to itself until the current step has handled them.
+	local   []Input
+	outputs []Output
+}
+
+// New returns a node that serves nobody until it has a view and a lease.
+func New(config Config) *Node {
+	return &Node{
+		config:  config,
+		view:    &View{},
+		entries: map[protocol.RequestID]*entry{},
+		owned:   map[protocol.UpstreamID]*owned{},
+		running: map[fleet.Attempt]*owned{},
+		totals:  newTotalsBook(),
+	}
+}
+
+// Step takes one input at a moment, which never goes back, and returns what
+// to do, in order. The returned slice is valid until the next Step.
+func (n *Node) Step(now time.Duration, in Input) []Output {
+	n.outputs = n.outputs[:0]
+	n.handle(now, in)
+	for len(n.local) > 0 {
+		next := n.local[0]
+		n.local = n.local[1:]
+		n.handle(now, next)
+	}
+	n.local = nil
+	return n.outputs
+}
+
+// Ready says whether this router should be sent callers.
+func (n *Node) Ready(now time.Duration) bool {
+	return n.mayServe(now) && !n.draining
+}
+
+// InFlight returns the number of callers' requests and of relayed attempts.
+func (n *Node) InFlight() (entries, relayed int) {
+	return len(n.entries), len(n.running)
+}
+
+// Revision returns the revision of the configuration in force here.
+func (n *Node) Revision() uint64 { return n.view.Revision }
+
+// mayServe says whether the lease is valid at this moment. It is asked at
+// every admission: a process that was frozen for an hour would otherwise act
+// on an old configuration, or admit to an upstream that has another owner.
+func (n *Node) mayServe(now time.Duration) bool { return now < n.leaseUntil }
+
+func (n *Node) handle(now time.Duration, in Input) {
+	switch in := in.(type) {
+	case CallerRequest:
+		n.callerRequest(now, in)
+	case CallerGone:
+		n.callerGone(now, in)
+	case PeerPlace:
+		n.ownerPlace(now, in)
+	case PeerPlaceReply:
+		n.entryReply(now, in)
+	case PeerChunk:
+		n.entryChunk(now, in)
+	case PeerEnd:
+		n.entryEnd(now, in)
+	case PeerCancel:
+		n.ownerCancel(now, in)
+	case PeerTotals:
+		n.totals.learn(now, in.From, in.Totals)
+	case PeerLost:
+		n.peerLost(now, in.Peer)
+	case UpstreamChunk:
+		n.ownerChunk(now, in)
+	case UpstreamEnd:
+		n.ownerEnd(now, in)
+	case Announced:
+		n.announced(now, in)
+	case Leaving:
+		n.leaving(now, in)
+	case ViewChanged:
+		n.viewChanged(now, in.View)
+	case LeaseGranted:
+		n.leaseUntil = max(n.leaseUntil, in.Until)
+	case JournalResult:
+		n.journalResult(now, in)
+	case Tick:
+		n.tick(now)
+	case Drain:
+		n.draining = true
+	default:
+		panic("node: input of a type that Step doesn't know")
+	}
+}
+
+// tick meets deadlines.
+func (n *Node) tick(now time.Duration) {
+	n.tickEntries(now)
+	n.tickOwned(now)
+	n.shareTotals(now)
+}
+
+// peerLost repairs what hung on a peer that can't be reached.
+func (n *Node) peerLost(now time.Duration, peer protocol.RouterID) {
+	n.entriesLostOwner(now, peer)
+	n.ownedLostEntry(now, peer)
+}
+
+func (n *Node) emit(out Output) { n.outputs = append(n.outputs, out) }
+
+// send passes a data path message to a router, which may be this one.
+func (n *Node) send(to protocol.RouterID, message any) {
+	if to == n.config.Self {
+		n.local = append(n.local, n.loopback(message))
+		return
+	}
+	n.emit(Send{To: to, Kind: kindOf(message), Payload: message, Reliable: true})
+}
+
+// loopback is the input that a peer's message becomes.
+func (n *Node) loopback(message any) Input {
+	return MessageInput(n.config.Self, message)
+}
+
+// MessageInput turns a data path message from a peer into an input. A message
+// of another type is a broken invariant.
+func MessageInput(from protocol.RouterID, message any) Input {
+	switch message := message.(type) {
+	case fleet.Place:
+		return PeerPlace{From: from, Place: message}
+	case fleet.PlaceReply:
+		return PeerPlaceReply{From: from, Reply: message}
+	case fleet.Chunk:
+		return PeerChunk{From: from, Chunk: message}
+	case fleet.End:
+		return PeerEnd{From: from, End: message}
+	case fleet.Cancel:
+		return PeerCancel{From: from, Cancel: message}
+	}
+	panic("node: message of a type that isn't on the data path")
+}
+
+func kindOf(message any) wire.Kind {
+	switch message.(type) {
+	case fleet.Place:
+		return wire.KindPlace
+	case fleet.PlaceReply:
+		return wire.KindPlaceReply
+	case fleet.Chunk:
+		return wire.KindChunk
+	case fleet.End:
+		return wire.KindEnd
+	case fleet.Cancel:
+		return wire.KindCancel
+	}
+	panic("node: message of a type that isn't on the data path")
+}
--- /dev/null
+++ b/coordination/node/outputs.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"time"
+
+	"endiveplank/coordination/reason"
+	"endiveplank/protocol"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/upstreamapi"
+	"endiveplank/protocol/wire"
+)
+
+// Output is something the driver is to do.
+type Output interface{ output() }
+
+// Send sends a message to a peer. Messages of the data path are reliable.
+type Send struct {
+	To       protocol.RouterID
+	Kind     wire.Kind
+	Payload  any
+	Reliable bool
+}
+
+// CallUpstream starts an HTTP call. Its answer comes back as UpstreamChunk
+// and one UpstreamEnd.
+type CallUpstream struct {
+	Attempt fleet.Attempt
+	Address string
+	Place   fleet.Place
+}
+
+// CancelUpstream ends a call; no UpstreamEnd is needed for it any more.
+type CancelUpstream struct{ Attempt fleet.Attempt }
+
+// AnswerHead starts the answer to a caller.
+type AnswerHead struct {
+	Request protocol.RequestID
+	Status  int
+	Headers []fleet.Header
+	Outcome protocol.RunOutcome
+}
+
+// AnswerChunk adds to the answer.
+type AnswerChunk struct {
+	Request protocol.RequestID
+	Index   int
+	Data    []byte
+}
+
+// AnswerEnd closes the answer. Broken means that the answer had begun and
+// can't be finished; the driver makes that visible to the caller.
+type AnswerEnd struct {
+	Request protocol.RequestID
+	Broken  bool
+	Reason  reason.Code
+}
+
+// AnswerError answers a caller whose answer had not begun.
+type AnswerError struct {
+	Request protocol.RequestID
+	Status  int
+	Reason  reason.Code
+	// Detail is for people.
+	Detail     string
+	Outcome    protocol.RunOutcome
+	RetryAfter time.Duration
+}
+
+// Journal proposes a command to the replicated state for one request; its
+// answer comes back as JournalResult.
+type Journal struct {
+	Request protocol.RequestID
+	Command []byte
+}
+
+// RegisterUpstream proposes what an upstream announced as configuration.
+type RegisterUpstream struct{ Announcement upstreamapi.Announcement }
+
+// RemoveUpstream proposes that an upstream is gone.
+type RemoveUpstream struct {
+	Upstream    protocol.UpstreamID
+	Incarnation uint64
+	Reason      reason.Code
+}
+
+// Event explains a decision.
+type Event struct {
+	Request  protocol.RequestID
+	Attempt  uint32
+	Customer protocol.CustomerID
+	Upstream protocol.UpstreamID
+	Router   protocol.RouterID
+	// What names the decision: placed, spilled, queued, refused, retried,
+	// ended, answered, quarantined, removed.
+	What   string
+	Reason reason.Code
+	// Detail holds the figures behind the decision.
+	Detail string
+}
+
+func (Send) output()             {}
+func (CallUpstream) output()     {}
+func (CancelUpstream) output()   {}
+func (AnswerHead) output()       {}
+func (AnswerChunk) output()      {}
+func (AnswerEnd) output()        {}
+func (AnswerError) output()      {}
+func (Journal) output()          {}
+func (RegisterUpstream) output() {}
+func (RemoveUpstream) output()   {}
+func (Event) output()            {}
--- /dev/null
+++ b/coordination/node/view.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"endiveplank/protocol"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// View is the configuration in force on this router: what the replicated
+// state says at one revision, indexed for the decisions. It is never changed
+// once built.
+type View struct {
+	Revision uint64
+	// Customers is indexed by the SHA-256 of each bearer key. A lookup by
+	// digest tells a timing attacker nothing useful, because the digest of a
+	// guess says nothing about the digest of the key.
+	Customers map[[32]byte]*Customer
+	Routes    []Route
+	Upstreams map[protocol.UpstreamID]*Upstream
+	// Models and Services list the upstreams that serve each, sorted by ID.
+	Models   map[protocol.Model][]*Upstream
+	Services map[protocol.Service][]*Upstream
+}
+
+// Customer is one customer's row.
+type Customer struct {
+	ID       protocol.CustomerID
+	Disabled bool
+	// Class is the priority class, 0 the most urgent.
+	Class  int
+	Weight float64
+	// Limits over the whole fleet; 0 means none.
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+	Concurrent        int
+}
+
+// Route sends a path prefix to a plain service.
+type Route struct {
+	Prefix  string
+	Service protocol.Service
+	// Idempotent says that a request may be sent again.
+	Idempotent bool
+	Deadline   time.Duration
+}
+
+// Upstream is what the replicated state says about one upstream.
+type Upstream struct {
+	ID            protocol.UpstreamID
+	Kind          upstreamapi.Kind
+	Address       string
+	DataCentre    protocol.DataCentre
+	Models        []protocol.Model
+	Service       protocol.Service
+	Capacity      float64
+	MaxConcurrent int
+	ChecksFence   bool
+	// Owner is empty while the upstream has no owning router.
+	Owner protocol.RouterID
+	Fence protocol.Fence
+	// Index numbers the upstreams of a view from 0.
+	Index int
+}
+
+// route returns the longest route whose prefix the path has.
+func (v *View) route(path string) (Route, bool) {
+	best := Route{}
+	found := false
+	for _, candidate := range v.Routes {
+		if !matches(path, candidate.Prefix) {
+			continue
+		}
+		if !found || len(candidate.Prefix) > len(best.Prefix) {
+			best = candidate
+			found = true
+		}
+	}
+	return best, found
+}
+
+// matches says whether a path stands under a prefix, at a slash.
+func matches(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	rest := path[len(prefix):]
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/' || rest[0] == '?'
+}
--- /dev/null
+++ b/protocol/fleet/fleet.go
@@ -0,0 +1,126 @@
+// Package fleet holds the messages of the data path between an entry router,
+// which keeps the caller's connection, and an owning router, which counts an
+// upstream's load and talks to it.
+//
+// One request makes one or more attempts. The entry sends Place; the owner
+// answers with a PlaceReply, then, once the upstream answers, with Chunks in
+// order and one End. The entry may send Cancel at any time. An attempt number
+// is never used again for the same request, so a late message of an abandoned
+// attempt is recognised and dropped.
+package fleet
+
+import "endiveplank/protocol"
+
+// Attempt identifies one attempt of one request.
+type Attempt struct {
+	Request protocol.RequestID `msgpack:"r"`
+	Number  uint32             `msgpack:"n"`
+}
+
+// Header is one HTTP header that travels with a request or an answer.
+type Header struct {
+	Name  string `msgpack:"n"`
+	Value string `msgpack:"v"`
+}
+
+// Link is one prefix of the chat, see chat.Link.
+type Link struct {
+	Hash   uint64 `msgpack:"h"`
+	Tokens int    `msgpack:"t"`
+}
+
+// Place asks the owner of an upstream to run a request there.
+type Place struct {
+	Attempt  Attempt             `msgpack:"a"`
+	Upstream protocol.UpstreamID `msgpack:"u"`
+	// Fence is the owner's fencing number as the entry knows it. An owner
+	// with another number refuses, because the entry's view is old or its own
+	// is.
+	Fence    protocol.Fence      `msgpack:"f"`
+	Customer protocol.CustomerID `msgpack:"c"`
+	// Class is the priority class, 0 the most urgent.
+	Class int `msgpack:"p"`
+	// Weight is the customer's share within its class.
+	Weight float64 `msgpack:"w"`
+	// PromptTokens and OutputTokens estimate the work.
+	PromptTokens int    `msgpack:"pt"`
+	OutputTokens int    `msgpack:"ot"`
+	Chain        []Link `msgpack:"l,omitempty"`
+	// Model is empty for plain services.
+	Model    protocol.Model `msgpack:"m,omitempty"`
+	Method   string         `msgpack:"me"`
+	Path     string         `msgpack:"pa"`
+	Headers  []Header       `msgpack:"h,omitempty"`
+	Body     []byte         `msgpack:"b,omitempty"`
+	Streamed bool           `msgpack:"s,omitempty"`
+	// ResumeAt is the number of chunks the caller has already.
+	ResumeAt int `msgpack:"ra,omitempty"`
+	// Idempotent says that the request may be sent to an upstream again.
+	Idempotent bool `msgpack:"i,omitempty"`
+	// MayQueue says that the entry has tried other upstreams; the owner
+	// queues or refuses but does not spill.
+	MayQueue bool `msgpack:"q,omitempty"`
+	// RemainingMS is the time left until the request's deadline when the
+	// message was sent. Clocks of two VMs are never compared.
+	RemainingMS int64 `msgpack:"ms"`
+	// Digest identifies body and customer, for quarantine.
+	Digest uint64 `msgpack:"d,omitempty"`
+}
+
+// PlaceOutcome is an owner's decision.
+type PlaceOutcome uint8
+
+const (
+	// PlaceStarted means the request is on its way to the upstream.
+	PlaceStarted PlaceOutcome = 1
+	// PlaceQueued means the request waits at the owner.
+	PlaceQueued PlaceOutcome = 2
+	// PlaceSpilled means the upstream has no room and the entry should try
+	// the next one.
+	PlaceSpilled PlaceOutcome = 3
+	// PlaceRefused means the caller should be told to come back later.
+	PlaceRefused PlaceOutcome = 4
+	// PlaceNotOwner means the receiver may not admit work to the upstream
+	// now: it isn't the owner, or its lease ran out.
+	PlaceNotOwner PlaceOutcome = 5
+)
+
+// PlaceReply answers a Place.
+type PlaceReply struct {
+	Attempt Attempt      `msgpack:"a"`
+	Outcome PlaceOutcome `msgpack:"o"`
+	// Reason is a code of package reason.
+	Reason string `msgpack:"r,omitempty"`
+	// RetryAfterMS says when a refused caller should come back.
+	RetryAfterMS int64 `msgpack:"ms,omitempty"`
+	// Try names the upstream that last held this chat, if another one.
+	Try protocol.UpstreamID `msgpack:"t,omitempty"`
+}
+
+// Chunk is one piece of an answer.
+type Chunk struct {
+	Attempt Attempt `msgpack:"a"`
+	// Index counts the pieces of the whole answer from 0, over all attempts.
+	Index int    `msgpack:"i"`
+	Data  []byte `msgpack:"d"`
+	// Status and Headers are set on the first chunk of an attempt.
+	Status  int      `msgpack:"s,omitempty"`
+	Headers []Header `msgpack:"h,omitempty"`
+}
+
+// End closes an attempt.
+type End struct {
+	Attempt Attempt `msgpack:"a"`
+	// Complete means the whole answer was relayed.
+	Complete bool `msgpack:"c,omitempty"`
+	// Outcome says whether the attempt ran.
+	Outcome protocol.RunOutcome `msgpack:"o"`
+	Reason  string              `msgpack:"r,omitempty"`
+	// CachedTokens is what the engine said it reused.
+	CachedTokens int `msgpack:"ct,omitempty"`
+}
+
+// Cancel gives up an attempt.
+type Cancel struct {
+	Attempt Attempt `msgpack:"a"`
+}
