--- /dev/null
+++ b/standin/answer/answer.go
@@ -0,0 +1,91 @@
+// Package answer computes the text that a stand-in engine gives to a chat.
+//
+// The answer depends on the request's model, messages and token limit and on
+// nothing else: no clock, no engine, no random source. A checker can therefore
+// recompute the whole expected answer from the request alone and compare it
+// byte for byte. That is how the load tool finds an answer that was cut, mixed
+// with a neighbour's, repeated in part after a resumption, or simply belongs
+// to another caller.
+//
+// A token is one made-up word and a space. Token i is drawn from a hash of the
+// request and i, so an engine that resumes at token i needs no state from the
+// engine that began the answer.
+package answer
+
+import (
+	"strings"
+
+	"endiveplank/protocol/chat"
+)
+
+// Length of an answer whose request sets no max_tokens, in tokens.
+const (
+	minTokens    = 16
+	spreadTokens = 48
+)
+
+// Words are built of three syllables out of 16 consonants and 4 vowels:
+// 262,144 words, so that two answers agree by chance in one token in 262,144.
+const (
+	consonants = "bdfghjklmnprstvz"
+	vowels     = "aeio"
+	syllables  = 3
+)
+
+// Answer is the whole answer to one request.
+type Answer struct {
+	seed   uint64
+	tokens int
+}
+
+// For returns the answer to a request. Whether it is streamed does not matter.
+func For(request chat.Request) Answer {
+	links := chat.Chain(request.Model, request.Messages)
+	seed := uint64(0)
+	if len(links) > 0 {
+		seed = uint64(links[len(links)-1].Hash)
+	}
+	tokens := request.MaxTokens
+	if tokens <= 0 {
+		tokens = minTokens + int(mix(seed)%spreadTokens)
+	}
+	return Answer{seed: seed, tokens: tokens}
+}
+
+// Len returns the number of tokens.
+func (a Answer) Len() int { return a.tokens }
+
+// Token returns token i, counted from 0, with its trailing space.
+func (a Answer) Token(i int) string {
+	bits := mix(a.seed + uint64(i+1)*0x9e3779b97f4a7c15)
+	word := make([]byte, 0, 2*syllables+1)
+	for range syllables {
+		word = append(word, consonants[bits%16], vowels[bits/16%4])
+		bits /= 64
+	}
+	return string(append(word, ' '))
+}
+
+// Text returns the whole answer.
+func (a Answer) Text() string {
+	return a.From(0)
+}
+
+// From returns the rest of the answer from token i on, which is what an engine
+// sends when it resumes there.
+func (a Answer) From(i int) string {
+	var text strings.Builder
+	for ; i < a.tokens; i++ {
+		text.WriteString(a.Token(i))
+	}
+	return text.String()
+}
+
+// mix is the finaliser of splitmix64: every input bit affects every output bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
