--- /dev/null
+++ b/coordination/registry/registry.go
@@ -0,0 +1,163 @@
+// Package registry keeps what upstreams announced about themselves, as a part
+// of the replicated state: who they are, where they listen and what they
+// serve. Load and cache events are not in it; they change every second and
+// only the owning router needs them.
+//
+// There is no list of upstreams to configure. The first router that hears an
+// unknown or changed upstream proposes a Register; the owner proposes a Remove
+// when the upstream said goodbye or has been silent for long.
+//
+// Guards: a Register or Remove of an older incarnation than the known one is a
+// late message and changes nothing, so a restarted upstream isn't undone by
+// what routers said about its earlier life. An ID that comes back at another
+// address within the same incarnation is two upstreams under one name; the
+// first keeps it.
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"endiveplank/protocol"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// maxUpstreams bounds the state against a fault that announces ever new IDs.
+// It is far above 790 servers.
+const maxUpstreams = 20_000
+
+// Descriptor is what is known of one upstream.
+type Descriptor struct {
+	ID          protocol.UpstreamID `msgpack:"i" json:"id"`
+	Incarnation uint64              `msgpack:"n" json:"incarnation"`
+	Kind        upstreamapi.Kind    `msgpack:"k" json:"kind"`
+	Address     string              `msgpack:"a" json:"address"`
+	DataCentre  protocol.DataCentre `msgpack:"d" json:"data_centre"`
+	Models      []protocol.Model    `msgpack:"m,omitempty" json:"models,omitempty"`
+	Service     protocol.Service    `msgpack:"s,omitempty" json:"service,omitempty"`
+	// Capacity is in tokens a second for an engine.
+	Capacity      float64 `msgpack:"c" json:"capacity"`
+	MaxConcurrent int     `msgpack:"x" json:"max_concurrent"`
+	ChecksFence   bool    `msgpack:"f,omitempty" json:"checks_fence"`
+	// Revision is the log index of the command that last changed it.
+	Revision uint64 `msgpack:"v" json:"revision"`
+}
+
+// FromAnnouncement returns the descriptor that an announcement stands for.
+func FromAnnouncement(a upstreamapi.Announcement) Descriptor {
+	return Descriptor{
+		ID:            a.ID,
+		Incarnation:   a.Incarnation,
+		Kind:          a.Kind,
+		Address:       a.Address,
+		DataCentre:    a.DataCentre,
+		Models:        a.Models,
+		Service:       a.Service,
+		Capacity:      a.Capacity,
+		MaxConcurrent: a.MaxConcurrent,
+		ChecksFence:   a.ChecksFence,
+	}
+}
+
+// Same says whether two descriptors agree in all but revision.
+func (d Descriptor) Same(other Descriptor) bool {
+	return d.ID == other.ID && d.Incarnation == other.Incarnation && d.Kind == other.Kind &&
+		d.Address == other.Address && d.DataCentre == other.DataCentre && slices.Equal(d.Models, other.Models) &&
+		d.Service == other.Service && d.Capacity == other.Capacity &&
+		d.MaxConcurrent == other.MaxConcurrent && d.ChecksFence == other.ChecksFence
+}
+
+// Register adds or changes one upstream.
+type Register struct {
+	Descriptor Descriptor `msgpack:"d"`
+}
+
+// Remove takes one upstream out.
+type Remove struct {
+	ID          protocol.UpstreamID `msgpack:"i"`
+	Incarnation uint64              `msgpack:"n"`
+	// Why is a reason code, kept for the explained event.
+	Why string `msgpack:"w,omitempty"`
+}
+
+// Outcome says what became of a command.
+type Outcome string
+
+const (
+	// Done means that the command took effect, or had before.
+	Done Outcome = "done"
+	// Late means that a newer incarnation is known.
+	Late Outcome = "late"
+	// Taken means that another upstream has the ID.
+	Taken Outcome = "taken"
+	// Full means that the registry is at its bound.
+	Full Outcome = "full"
+)
+
+// Answer is the result of a command.
+type Answer struct {
+	Outcome Outcome `msgpack:"o"`
+}
+
+// State holds the descriptors. It isn't safe for concurrent use.
+type State struct {
+	descriptors map[protocol.UpstreamID]Descriptor
+}
+
+// NewState returns an empty registry.
+func NewState() *State {
+	return &State{descriptors: map[protocol.UpstreamID]Descriptor{}}
+}
+
+// Get returns one descriptor.
+func (s *State) Get(id protocol.UpstreamID) (Descriptor, bool) {
+	found, ok := s.descriptors[id]
+	return found, ok
+}
+
+// All returns the descriptors sorted by ID.
+func (s *State) All() []Descriptor {
+	return slices.SortedFunc(maps.Values(s.descriptors), func(a, b Descriptor) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Register runs a Register and says whether anything changed.
+func (s *State) Register(index uint64, command Register) (Answer, bool) {
+	fresh := command.Descriptor
+	known, exists := s.descriptors[fresh.ID]
+	switch {
+	case !exists && len(s.descriptors) >= maxUpstreams:
+		return Answer{Outcome: Full}, false
+	case exists && fresh.Incarnation < known.Incarnation:
+		return Answer{Outcome: Late}, false
+	case exists && fresh.Incarnation == known.Incarnation && fresh.Address != known.Address:
+		return Answer{Outcome: Taken}, false
+	case exists && fresh.Same(known):
+		return Answer{Outcome: Done}, false
+	}
+	fresh.Revision = index
+	s.descriptors[fresh.ID] = fresh
+	return Answer{Outcome: Done}, true
+}
+
+// Remove runs a Remove and says whether anything changed.
+func (s *State) Remove(command Remove) (Answer, bool) {
+	known, exists := s.descriptors[command.ID]
+	if !exists {
+		return Answer{Outcome: Done}, false
+	}
+	if command.Incarnation < known.Incarnation {
+		return Answer{Outcome: Late}, false
+	}
+	delete(s.descriptors, command.ID)
+	return Answer{Outcome: Done}, true
+}
+
+// FromSnapshot returns the registry that holds these descriptors.
+func FromSnapshot(descriptors []Descriptor) *State {
+	state := NewState()
+	for _, descriptor := range descriptors {
+		state.descriptors[descriptor.ID] = descriptor
+	}
+	return state
+}
