Add the replicated fleet state: table, orders, sessions, leases

Ruled out: a session that can be revived after its lease ran out. The leader's decision to close and its commit lie apart, and a grant between them would leave two owners. A closed session never comes back.

--- /dev/null
+++ b/coordination/fleetstate/command.go
@@ -0,0 +1,96 @@
+package fleetstate
+
+import (
+	"github.com/rotisserie/eris"
+
+	"endiveplank/coordination/codec"
+	"endiveplank/coordination/orders"
+	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/table"
+)
+
+// MaxCommand bounds one encoded command in bytes. It holds a change of 2,400
+// customer rows.
+const MaxCommand = 4 << 20
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	Change  *table.Change      `msgpack:"c,omitempty"`
+	Order   *orders.Command    `msgpack:"o,omitempty"`
+	Open    *ownership.Open    `msgpack:"p,omitempty"`
+	Stop    *ownership.Stop    `msgpack:"s,omitempty"`
+	Close   *ownership.Close   `msgpack:"x,omitempty"`
+	Assign  *ownership.Assign  `msgpack:"a,omitempty"`
+	Move    *ownership.Move    `msgpack:"m,omitempty"`
+	Release *ownership.Release `msgpack:"r,omitempty"`
+	Forget  *ownership.Forget  `msgpack:"f,omitempty"`
+}
+
+// Outcome says whether a command could be run at all. What it did is in the
+// part's own answer.
+type Outcome string
+
+const (
+	// Ran means that the part's answer is set.
+	Ran Outcome = "ran"
+	// Malformed means that the command could not be decoded or does not hold
+	// exactly one request. It changed nothing.
+	Malformed Outcome = "malformed"
+)
+
+// Result is the answer to a command.
+type Result struct {
+	Outcome Outcome `msgpack:"o"`
+	// Index is the log index of the command.
+	Index     uint64            `msgpack:"i"`
+	Change    *table.Answer     `msgpack:"c,omitempty"`
+	Order     *orders.Result    `msgpack:"r,omitempty"`
+	Ownership *ownership.Answer `msgpack:"w,omitempty"`
+}
+
+// Encode returns the bytes to propose to consensus.
+func (c Command) Encode() []byte {
+	return codec.Marshal(&c)
+}
+
+// DecodeCommand reads a command. An error means that Apply would give
+// Malformed.
+func DecodeCommand(encoded []byte) (Command, error) {
+	var command Command
+	if len(encoded) > MaxCommand {
+		return command, eris.Errorf("fleetstate: a command of %d bytes is over the limit", len(encoded))
+	}
+	if err := codec.Unmarshal(encoded, &command); err != nil {
+		return Command{}, eris.Wrap(err, "fleetstate: decode command")
+	}
+	if command.requests() != 1 {
+		return Command{}, eris.New("fleetstate: a command must hold exactly one request")
+	}
+	return command, nil
+}
+
+func (c Command) requests() int {
+	count := 0
+	for _, set := range []bool{
+		c.Change != nil, c.Order != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
+		c.Assign != nil, c.Move != nil, c.Release != nil, c.Forget != nil,
+	} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
+
+// DecodeResult reads the result that Apply returned.
+func DecodeResult(encoded []byte) (Result, error) {
+	var result Result
+	if err := codec.Unmarshal(encoded, &result); err != nil {
+		return Result{}, eris.Wrap(err, "fleetstate: decode result")
+	}
+	return result, nil
+}
+
+func (r Result) encode() []byte {
+	return codec.Marshal(&r)
+}
--- /dev/null
+++ b/coordination/fleetstate/machine.go
@@ -0,0 +1,251 @@
+// Package fleetstate is the fleet's one replicated state machine. Consensus
+// gives every voter the same commands in the same order; Machine applies them.
+//
+// It is put together from three parts: the operators' table (package table),
+// the journal of orders (package orders), and router sessions with the
+// ownership of upstreams (package ownership). Machine routes each command to
+// its part and notes which rows, sessions and assignments changed at which
+// revision. A revision is a log index.
+//
+// Routers do not vote. Each keeps a View: rows, sessions and assignments as of
+// one revision. It is fed by deltas (Machine.DeltaSince), which carry only
+// what changed, in chunks of bounded size, and View takes a delta in only when
+// it is whole, so it is never a mixture of two revisions and never goes back.
+//
+// What it guards against: a command that cannot be decoded (a bug, a newer
+// version, random bytes) gives a typed result on every voter alike and changes
+// nothing. Applying the same index twice would double orders and rows; it is a
+// broken invariant of consensus and stops the process with a message.
+//
+// Nothing here reads a clock or depends on the order of a map. Times come in
+// as data.
+package fleetstate
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"endiveplank/coordination/codec"
+	"endiveplank/coordination/orders"
+	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/revlog"
+	"endiveplank/coordination/table"
+	"endiveplank/protocol"
+)
+
+// maxTombstones bounds the remembered removals. Three days of 3,600 changes,
+// all deletions, still leave a router that was away for a weekend able to
+// catch up by delta.
+const maxTombstones = 10_000
+
+// Settings of the state machine. Every voter must run with the same ones.
+type Settings struct {
+	Orders orders.Settings
+}
+
+// DefaultSettings returns the settings of a deployment that gives none.
+func DefaultSettings() Settings {
+	return Settings{Orders: orders.DefaultSettings()}
+}
+
+// Machine is the state machine. It is not safe for concurrent use; its driver
+// applies, reads and snapshots from one goroutine.
+type Machine struct {
+	settings  Settings
+	index     uint64
+	table     *table.Table
+	journal   *orders.Journal
+	ownership *ownership.State
+	log       *revlog.Log[Item]
+}
+
+// New returns the empty state.
+func New(settings Settings) *Machine {
+	return &Machine{
+		settings:  settings,
+		table:     table.New(),
+		journal:   orders.NewJournal(settings.Orders),
+		ownership: ownership.NewState(),
+		log:       revlog.New(CompareItems, maxTombstones),
+	}
+}
+
+// Index returns the log index of the last applied command.
+func (m *Machine) Index() uint64 { return m.index }
+
+// Revision returns the log index of the last command that changed what
+// routers see.
+func (m *Machine) Revision() uint64 { return m.log.Revision() }
+
+// Table returns the operators' table, for reading.
+func (m *Machine) Table() *table.Table { return m.table }
+
+// Orders returns the journal, for reading.
+func (m *Machine) Orders() *orders.Journal { return m.journal }
+
+// Ownership returns sessions and assignments, for reading.
+func (m *Machine) Ownership() *ownership.State { return m.ownership }
+
+// Apply runs the command at a log index and returns its encoded Result.
+// Indexes must grow; consensus may leave some out (its own entries).
+func (m *Machine) Apply(index uint64, encoded []byte) []byte {
+	if index <= m.index {
+		panic(fmt.Sprintf("fleetstate: index %d applied after %d", index, m.index))
+	}
+	m.index = index
+	command, err := DecodeCommand(encoded)
+	if err != nil {
+		return Result{Outcome: Malformed, Index: index}.encode()
+	}
+	result := m.run(index, command)
+	result.Outcome = Ran
+	result.Index = index
+	return result.encode()
+}
+
+func (m *Machine) run(index uint64, command Command) Result {
+	switch {
+	case command.Change != nil:
+		answer, touched := m.table.Apply(index, *command.Change)
+		m.recordRows(index, touched)
+		return Result{Change: &answer}
+	case command.Order != nil:
+		result := m.journal.Apply(*command.Order, m.isOpen)
+		return Result{Order: &result}
+	}
+	answer, touched := m.runOwnership(index, command)
+	m.recordOwnership(index, touched)
+	return Result{Ownership: &answer}
+}
+
+func (m *Machine) runOwnership(index uint64, command Command) (ownership.Answer, []ownership.Touched) {
+	switch {
+	case command.Open != nil:
+		return m.ownership.Open(index, *command.Open)
+	case command.Stop != nil:
+		return m.ownership.Stop(index, *command.Stop)
+	case command.Close != nil:
+		m.journal.SessionClosed(command.Close.Session)
+		return m.ownership.Close(index, *command.Close)
+	case command.Assign != nil:
+		return m.ownership.Assign(index, *command.Assign)
+	case command.Move != nil:
+		return m.ownership.Move(index, *command.Move)
+	case command.Release != nil:
+		return m.ownership.Release(index, *command.Release)
+	case command.Forget != nil:
+		return m.ownership.Forget(*command.Forget)
+	}
+	panic("fleetstate: a decoded command holds no request")
+}
+
+func (m *Machine) isOpen(id ownership.SessionID) bool {
+	_, ok := m.ownership.Session(id)
+	return ok
+}
+
+func (m *Machine) recordRows(index uint64, touched []table.Touched) {
+	changes := make([]revlog.Entry[Item], 0, len(touched))
+	for _, row := range touched {
+		changes = append(changes, revlog.Entry[Item]{Revision: index, Item: rowItem(row.Ref), Gone: row.Gone})
+	}
+	m.log.Record(changes)
+}
+
+func (m *Machine) recordOwnership(index uint64, touched []ownership.Touched) {
+	changes := make([]revlog.Entry[Item], 0, len(touched))
+	for _, t := range touched {
+		item := upstreamItem(t.Upstream)
+		if t.Session != ownership.NoSession {
+			item = sessionItem(t.Session)
+		}
+		changes = append(changes, revlog.Entry[Item]{Revision: index, Item: item, Gone: t.Gone})
+	}
+	m.log.Record(changes)
+}
+
+// snapshotFormat is the version of the snapshot's encoding.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format    int                `msgpack:"f"`
+	Index     uint64             `msgpack:"i"`
+	Table     table.Snapshot     `msgpack:"t"`
+	Orders    orders.Snapshot    `msgpack:"o"`
+	Ownership ownership.Snapshot `msgpack:"w"`
+	Gone      []goneItem         `msgpack:"g"`
+	Floor     uint64             `msgpack:"l"`
+}
+
+type goneItem struct {
+	Revision uint64 `msgpack:"r"`
+	Item     Item   `msgpack:"i"`
+}
+
+// Snapshot returns the whole state. Machines that applied the same commands
+// give the same bytes.
+func (m *Machine) Snapshot() []byte {
+	s := snapshot{
+		Format:    snapshotFormat,
+		Index:     m.index,
+		Table:     m.table.Snapshot(),
+		Orders:    m.journal.Snapshot(),
+		Ownership: m.ownership.Snapshot(),
+		Floor:     m.log.Floor(),
+	}
+	for _, entry := range m.log.Tombstones() {
+		s.Gone = append(s.Gone, goneItem{entry.Revision, entry.Item})
+	}
+	return codec.Marshal(&s)
+}
+
+// Restore replaces the whole state by a snapshot. On an error the state is
+// unchanged.
+func (m *Machine) Restore(encoded []byte) error {
+	var s snapshot
+	if err := codec.Unmarshal(encoded, &s); err != nil {
+		return eris.Wrap(err, "fleetstate: decode snapshot")
+	}
+	if s.Format != snapshotFormat {
+		return eris.Errorf("fleetstate: snapshot format %d, this program reads %d", s.Format, snapshotFormat)
+	}
+	m.index = s.Index
+	m.table = table.FromSnapshot(s.Table)
+	m.journal = orders.FromSnapshot(m.settings.Orders, s.Orders)
+	m.ownership = ownership.FromSnapshot(s.Ownership)
+	m.log = revlog.New(CompareItems, maxTombstones)
+	m.log.Restore(s.Floor, m.logEntries(s.Gone))
+	return nil
+}
+
+// logEntries rebuilds the change log from what is there and what is gone.
+func (m *Machine) logEntries(gone []goneItem) []revlog.Entry[Item] {
+	entries := make([]revlog.Entry[Item], 0, m.table.Len()+len(gone))
+	for _, ref := range m.table.Refs() {
+		row, _ := m.table.Row(ref.Sheet, ref.Key)
+		entries = append(entries, revlog.Entry[Item]{Revision: row.Revision, Item: rowItem(ref)})
+	}
+	for _, session := range m.ownership.Sessions() {
+		entries = append(entries, revlog.Entry[Item]{Revision: session.Revision, Item: sessionItem(session.ID)})
+	}
+	for _, assignment := range m.ownership.Assignments() {
+		entries = append(entries, revlog.Entry[Item]{Revision: assignment.Revision, Item: upstreamItem(assignment.Upstream)})
+	}
+	for _, item := range gone {
+		entries = append(entries, revlog.Entry[Item]{Revision: item.Revision, Item: item.Item, Gone: true})
+	}
+	return entries
+}
+
+func rowItem(ref table.Ref) Item {
+	return Item{Kind: KindRow, Sheet: ref.Sheet, Key: ref.Key}
+}
+
+func sessionItem(id ownership.SessionID) Item {
+	return Item{Kind: KindSession, Session: id}
+}
+
+func upstreamItem(upstream protocol.UpstreamID) Item {
+	return Item{Kind: KindAssignment, Key: string(upstream)}
+}
--- /dev/null
+++ b/coordination/fleetstate/view.go
@@ -0,0 +1,227 @@
+package fleetstate
+
+import (
+	"maps"
+
+	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/table"
+	"endiveplank/protocol"
+)
+
+// View is a router's copy of what it needs of the state, as of one revision.
+// It is not safe for concurrent use.
+type View struct {
+	current content
+	// staged is the state that chunks are put into until the last one came;
+	// nil when no catch-up runs.
+	staged *content
+	// position is where the next delta has to begin.
+	position Position
+	revision uint64
+}
+
+type content struct {
+	rows        map[table.Ref]table.Row
+	customers   map[string]protocol.CustomerID
+	sessions    map[ownership.SessionID]ownership.Session
+	assignments map[protocol.UpstreamID]ownership.Assignment
+}
+
+func newContent() content {
+	return content{
+		rows:        map[table.Ref]table.Row{},
+		customers:   map[string]protocol.CustomerID{},
+		sessions:    map[ownership.SessionID]ownership.Session{},
+		assignments: map[protocol.UpstreamID]ownership.Assignment{},
+	}
+}
+
+func (c content) clone() content {
+	return content{
+		rows:        maps.Clone(c.rows),
+		customers:   maps.Clone(c.customers),
+		sessions:    maps.Clone(c.sessions),
+		assignments: maps.Clone(c.assignments),
+	}
+}
+
+// NewView returns an empty view at revision 0.
+func NewView() *View { return &View{current: newContent()} }
+
+// Revision returns the revision that the view shows. It never falls.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Position returns where the next delta has to begin. During a catch-up in
+// chunks it is ahead of Revision.
+func (v *View) Position() Position { return v.position }
+
+// Take applies a delta and reports whether it fitted. A delta that follows
+// another position (a duplicate, one overtaken by a newer, one of a former
+// leader) is ignored, so the view can neither skip a change nor go back.
+func (v *View) Take(delta Delta) bool {
+	if !samePosition(delta.From, v.position) || delta.To.Revision < v.position.Revision && !delta.Reset {
+		return false
+	}
+	target := v.target(delta)
+	for _, entry := range delta.Entries {
+		target.put(entry)
+	}
+	v.position = delta.To
+	if delta.More {
+		v.staged = target
+		return true
+	}
+	if delta.To.Revision < v.revision {
+		// A catch-up from empty with a leader that knows less than this view:
+		// not possible with a leader that holds its lease. Start again.
+		v.staged = nil
+		v.position = Position{Revision: v.revision}
+		return false
+	}
+	v.current = *target
+	v.staged = nil
+	v.revision = delta.To.Revision
+	return true
+}
+
+// target returns the content that a delta's entries go into. A delta that is
+// whole goes straight into the current content; chunks go into a copy.
+func (v *View) target(delta Delta) *content {
+	switch {
+	case delta.Reset:
+		fresh := newContent()
+		return &fresh
+	case v.staged != nil:
+		return v.staged
+	case delta.More:
+		copied := v.current.clone()
+		return &copied
+	}
+	return &v.current
+}
+
+func samePosition(a, b Position) bool {
+	if a.Revision != b.Revision || a.Base != b.Base {
+		return false
+	}
+	if a.Item == nil || b.Item == nil {
+		return a.Item == b.Item
+	}
+	return *a.Item == *b.Item
+}
+
+func (c *content) put(entry Entry) {
+	switch {
+	case entry.Row != nil:
+		c.putRow(*entry.Row)
+	case entry.Session != nil:
+		c.sessions[entry.Session.ID] = *entry.Session
+	case entry.Assignment != nil:
+		c.assignments[entry.Assignment.Upstream] = *entry.Assignment
+	case entry.Gone != nil:
+		c.remove(*entry.Gone)
+	}
+}
+
+func (c *content) putRow(row table.Row) {
+	ref := table.Ref{Sheet: row.Sheet, Key: row.Key}
+	c.dropHashes(ref)
+	c.rows[ref] = row
+	if row.Sheet != table.Customers {
+		return
+	}
+	for _, hash := range table.CustomerOf(row).KeyHashes {
+		c.customers[hash] = protocol.CustomerID(row.Key)
+	}
+}
+
+func (c *content) dropHashes(ref table.Ref) {
+	old, ok := c.rows[ref]
+	if !ok || ref.Sheet != table.Customers {
+		return
+	}
+	for _, hash := range table.CustomerOf(old).KeyHashes {
+		if c.customers[hash] == protocol.CustomerID(ref.Key) {
+			delete(c.customers, hash)
+		}
+	}
+}
+
+func (c *content) remove(item Item) {
+	switch item.Kind {
+	case KindRow:
+		ref := table.Ref{Sheet: item.Sheet, Key: item.Key}
+		c.dropHashes(ref)
+		delete(c.rows, ref)
+	case KindSession:
+		delete(c.sessions, item.Session)
+	case KindAssignment:
+		delete(c.assignments, protocol.UpstreamID(item.Key))
+	}
+}
+
+// Row returns a row.
+func (v *View) Row(sheet table.Sheet, key string) (table.Row, bool) {
+	row, ok := v.current.rows[table.Ref{Sheet: sheet, Key: key}]
+	return row, ok
+}
+
+// CustomerByKeyHash finds a customer by the SHA-256 of a bearer key, in lower
+// case hexadecimal.
+func (v *View) CustomerByKeyHash(hash string) (table.Customer, bool) {
+	id, ok := v.current.customers[hash]
+	if !ok {
+		return table.Customer{}, false
+	}
+	row, ok := v.Row(table.Customers, string(id))
+	return table.CustomerOf(row), ok
+}
+
+// RouteFor finds the route with the longest prefix of path. A prefix matches
+// whole path segments.
+func (v *View) RouteFor(path string) (table.Route, bool) {
+	for end := len(path); end > 0; end-- {
+		if end < len(path) && path[end] != '/' && path[end-1] != '/' {
+			continue
+		}
+		if row, ok := v.Row(table.Routes, path[:end]); ok {
+			return table.RouteOf(row), true
+		}
+	}
+	return table.Route{}, false
+}
+
+// Session returns an open session.
+func (v *View) Session(id ownership.SessionID) (ownership.Session, bool) {
+	session, ok := v.current.sessions[id]
+	return session, ok
+}
+
+// Assignment returns the assignment of an upstream.
+func (v *View) Assignment(upstream protocol.UpstreamID) (ownership.Assignment, bool) {
+	assignment, ok := v.current.assignments[upstream]
+	return assignment, ok
+}
+
+// Rows calls yield for each row of a sheet, in no order.
+func (v *View) Rows(sheet table.Sheet, yield func(table.Row)) {
+	for ref, row := range v.current.rows {
+		if ref.Sheet == sheet {
+			yield(row)
+		}
+	}
+}
+
+// Assignments calls yield for each assignment, in no order.
+func (v *View) Assignments(yield func(ownership.Assignment)) {
+	for _, assignment := range v.current.assignments {
+		yield(assignment)
+	}
+}
+
+// Sessions calls yield for each open session, in no order.
+func (v *View) Sessions(yield func(ownership.Session)) {
+	for _, session := range v.current.sessions {
+		yield(session)
+	}
+}
--- /dev/null
+++ b/coordination/lease/messages.go
@@ -0,0 +1,96 @@
+package lease
+
+import (
+	"time"
+
+	"endiveplank/coordination/fleetstate"
+	"endiveplank/coordination/ownership"
+)
+
+// Timing holds the lengths that routers and leaders agree on. All processes
+// of a fleet use the same.
+type Timing struct {
+	// Lease is how long a router acts on one answered renewal, counted from
+	// when it sent the renewal.
+	Lease time.Duration
+	// Wait is how long the leader waits after it received a renewal before it
+	// closes the session. It exceeds Lease by more than the clocks' drift over
+	// that time.
+	Wait time.Duration
+	// Renew is the time between renewals.
+	Renew time.Duration
+	// PushGap is the least time between two pushes to one router, so that a
+	// burst of changes goes out in few messages.
+	PushGap time.Duration
+	// Resend is how long a push may stay without acknowledgement before the
+	// reply to a renewal repeats its content.
+	Resend time.Duration
+	// Pause is the longest time between two calls of the leader's code that
+	// counts as running; after a longer one it takes all sessions as renewed.
+	Pause time.Duration
+}
+
+// DefaultTiming loses an owner's upstreams for 3.5 s and a commit at most, and
+// puts a change into force on a lost router in the same time, below the 4 s
+// asked for. Three renewals may be lost before a healthy router stops. The
+// half second between Lease and Wait allows for clocks that run one seventh
+// apart in speed, far more than real ones do.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:   3 * time.Second,
+		Wait:    3500 * time.Millisecond,
+		Renew:   time.Second,
+		PushGap: 50 * time.Millisecond,
+		Resend:  300 * time.Millisecond,
+		Pause:   500 * time.Millisecond,
+	}
+}
+
+// Renewal is what a router sends to the leader. It goes out each second from
+// each router: encode it with codec.MarshalArrays.
+type Renewal struct {
+	Session ownership.SessionID `msgpack:"s"`
+	// Seq tells the answers of one holder's renewals apart.
+	Seq uint32 `msgpack:"q"`
+	// Applied is the revision that the router acts on: its acknowledgement.
+	Applied uint64 `msgpack:"a"`
+	// At is the router's position while a catch-up in chunks runs, nil
+	// otherwise.
+	At *fleetstate.Position `msgpack:"p"`
+}
+
+// position returns where the next delta for the router has to begin.
+func (r Renewal) position() fleetstate.Position {
+	if r.At != nil {
+		return *r.At
+	}
+	return fleetstate.Position{Revision: r.Applied}
+}
+
+// Verdict says what became of a renewal.
+type Verdict uint8
+
+const (
+	// Granted means that the lease is renewed.
+	Granted Verdict = iota + 1
+	// SessionClosed means that the router needs a new session.
+	SessionClosed
+	// NotLeader means that this process does not hold the leader lease; the
+	// router asks another voter.
+	NotLeader
+)
+
+// Reply answers a renewal: encode it with codec.MarshalArrays.
+type Reply struct {
+	Verdict Verdict `msgpack:"v"`
+	Seq     uint32  `msgpack:"q"`
+	// Delta is what the router lacks, nil if nothing or if it is on its way.
+	Delta *fleetstate.Delta `msgpack:"d"`
+}
+
+// Push carries a delta to a router that did not ask. It grants nothing. Encode
+// it with codec.MarshalArrays.
+type Push struct {
+	Session ownership.SessionID `msgpack:"s"`
+	Delta   fleetstate.Delta    `msgpack:"d"`
+}
--- /dev/null
+++ b/coordination/ownership/state.go
@@ -0,0 +1,365 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"endiveplank/protocol"
+)
+
+// SessionID names a router session: the log index of the command that opened
+// it. It grows over the whole fleet and is never used twice.
+type SessionID uint64
+
+// NoSession is the owner of an upstream that nobody owns.
+const NoSession SessionID = 0
+
+// Limits of one command and of the state, against a router or a command gone
+// wrong. They are far above 1,000 routers and 790 servers.
+const (
+	maxSessions  = 10_000
+	maxUpstreams = 50_000
+	maxBatch     = 5_000
+	maxText      = 256
+)
+
+// Session is one run of a router between two losses of its lease.
+type Session struct {
+	ID     SessionID         `msgpack:"i"`
+	Router protocol.RouterID `msgpack:"r"`
+	// Incarnation grows with each start of the router's process.
+	Incarnation uint64              `msgpack:"n"`
+	DataCentre  protocol.DataCentre `msgpack:"d"`
+	// Address is host:port for the fleet's own messages.
+	Address string `msgpack:"a"`
+	// Capacity is the router's share of upstreams relative to others, 100 for
+	// an ordinary one.
+	Capacity uint32 `msgpack:"c"`
+	// Stopping routers get no more upstreams.
+	Stopping bool   `msgpack:"s,omitempty"`
+	Revision uint64 `msgpack:"v"`
+}
+
+// Assignment says which session owns an upstream.
+type Assignment struct {
+	Upstream protocol.UpstreamID `msgpack:"u"`
+	Owner    SessionID           `msgpack:"o"`
+	// Fence is the log index of the command that assigned the upstream, so it
+	// grows with every change of owner, also when an upstream was forgotten
+	// between.
+	Fence protocol.Fence `msgpack:"f"`
+	// Moving asks the owner to release the upstream, so that it can go to
+	// another router.
+	Moving   bool   `msgpack:"m,omitempty"`
+	Revision uint64 `msgpack:"v"`
+}
+
+// Open opens a session.
+type Open struct {
+	Router      protocol.RouterID   `msgpack:"r"`
+	Incarnation uint64              `msgpack:"n"`
+	DataCentre  protocol.DataCentre `msgpack:"d"`
+	Address     string              `msgpack:"a"`
+	Capacity    uint32              `msgpack:"c"`
+}
+
+// Stop marks a session as stopping at a planned stop.
+type Stop struct {
+	Session SessionID `msgpack:"s"`
+}
+
+// Close ends a session for ever and frees its upstreams. The leader proposes
+// it only after the session's lease ran out on the leader's clock, or at the
+// request of its router after that stopped admitting.
+type Close struct {
+	Session SessionID `msgpack:"s"`
+}
+
+// Target is one upstream and the session that is to own it.
+type Target struct {
+	Upstream protocol.UpstreamID `msgpack:"u"`
+	Owner    SessionID           `msgpack:"o"`
+}
+
+// Assign gives unowned upstreams to sessions.
+type Assign struct {
+	Targets []Target `msgpack:"t"`
+}
+
+// Move asks the owners of upstreams to release them.
+type Move struct {
+	Upstreams []protocol.UpstreamID `msgpack:"u"`
+}
+
+// Release frees upstreams, proposed by their owner after it stopped admitting
+// to them.
+type Release struct {
+	Session   SessionID             `msgpack:"s"`
+	Upstreams []protocol.UpstreamID `msgpack:"u"`
+}
+
+// Forget removes unowned upstreams that are gone for good.
+type Forget struct {
+	Upstreams []protocol.UpstreamID `msgpack:"u"`
+}
+
+// Outcome says what became of a command.
+type Outcome string
+
+const (
+	// Done means that the command took effect, wholly or for the upstreams
+	// listed in the answer.
+	Done Outcome = "done"
+	// Superseded means that a later incarnation of the router has a session.
+	Superseded Outcome = "superseded"
+	// NoSuchSession means that the session is closed or never was.
+	NoSuchSession Outcome = "no-such-session"
+	// Refused means that the command is malformed or beyond a limit.
+	Refused Outcome = "refused"
+)
+
+// Answer is the result of a command.
+type Answer struct {
+	Outcome Outcome   `msgpack:"o"`
+	Session SessionID `msgpack:"s,omitempty"`
+	// Assignments are those that the command changed.
+	Assignments []Assignment `msgpack:"a,omitempty"`
+}
+
+// Touched is a session or an assignment changed by a command.
+type Touched struct {
+	Session  SessionID
+	Upstream protocol.UpstreamID
+	Gone     bool
+}
+
+// State holds sessions and assignments. It is not safe for concurrent use.
+type State struct {
+	sessions    map[SessionID]Session
+	assignments map[protocol.UpstreamID]Assignment
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		sessions:    map[SessionID]Session{},
+		assignments: map[protocol.UpstreamID]Assignment{},
+	}
+}
+
+// Session returns an open session.
+func (s *State) Session(id SessionID) (Session, bool) {
+	session, ok := s.sessions[id]
+	return session, ok
+}
+
+// Sessions returns the open sessions by ID.
+func (s *State) Sessions() []Session {
+	return slices.SortedFunc(maps.Values(s.sessions), func(a, b Session) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Assignment returns the assignment of an upstream.
+func (s *State) Assignment(upstream protocol.UpstreamID) (Assignment, bool) {
+	assignment, ok := s.assignments[upstream]
+	return assignment, ok
+}
+
+// Assignments returns all assignments by upstream.
+func (s *State) Assignments() []Assignment {
+	return slices.SortedFunc(maps.Values(s.assignments), func(a, b Assignment) int {
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+}
+
+// Open opens a session. A resend of an incarnation that has a session gets
+// that one; an older incarnation than an open one is refused. An older open
+// session of the router is left to its lease: its process may be frozen, not
+// gone.
+func (s *State) Open(index uint64, open Open) (Answer, []Touched) {
+	if !open.valid() || len(s.sessions) >= maxSessions {
+		return Answer{Outcome: Refused}, nil
+	}
+	for _, session := range s.Sessions() {
+		if session.Router != open.Router || session.Incarnation < open.Incarnation {
+			continue
+		}
+		if session.Incarnation > open.Incarnation {
+			return Answer{Outcome: Superseded, Session: session.ID}, nil
+		}
+		return Answer{Outcome: Done, Session: session.ID}, nil
+	}
+	id := SessionID(index)
+	s.sessions[id] = Session{
+		ID: id, Router: open.Router, Incarnation: open.Incarnation,
+		DataCentre: open.DataCentre, Address: open.Address,
+		Capacity: open.Capacity, Revision: index,
+	}
+	return Answer{Outcome: Done, Session: id}, []Touched{{Session: id}}
+}
+
+func (o Open) valid() bool {
+	return o.Router != "" && len(o.Router) <= maxText && len(o.DataCentre) <= maxText &&
+		len(o.Address) <= maxText && o.Capacity > 0
+}
+
+// Stop marks a session as stopping.
+func (s *State) Stop(index uint64, stop Stop) (Answer, []Touched) {
+	session, ok := s.sessions[stop.Session]
+	if !ok {
+		return Answer{Outcome: NoSuchSession}, nil
+	}
+	if session.Stopping {
+		return Answer{Outcome: Done, Session: session.ID}, nil
+	}
+	session.Stopping = true
+	session.Revision = index
+	s.sessions[session.ID] = session
+	return Answer{Outcome: Done, Session: session.ID}, []Touched{{Session: session.ID}}
+}
+
+// Close ends a session and frees its upstreams.
+func (s *State) Close(index uint64, command Close) (Answer, []Touched) {
+	if _, ok := s.sessions[command.Session]; !ok {
+		return Answer{Outcome: NoSuchSession}, nil
+	}
+	delete(s.sessions, command.Session)
+	answer := Answer{Outcome: Done, Session: command.Session}
+	touched := []Touched{{Session: command.Session, Gone: true}}
+	for _, assignment := range s.Assignments() {
+		if assignment.Owner == command.Session {
+			s.free(index, assignment, &answer, &touched)
+		}
+	}
+	return answer, touched
+}
+
+// Assign gives upstreams to sessions. An upstream that has an owner is left
+// out, whatever the leader thought when it proposed: only a release or the end
+// of the owner's session frees an upstream, so that never two routers count
+// its load.
+func (s *State) Assign(index uint64, assign Assign) (Answer, []Touched) {
+	if len(assign.Targets) > maxBatch {
+		return Answer{Outcome: Refused}, nil
+	}
+	answer := Answer{Outcome: Done}
+	var touched []Touched
+	for _, target := range assign.Targets {
+		if !s.assignable(target) {
+			continue
+		}
+		assignment := Assignment{
+			Upstream: target.Upstream, Owner: target.Owner,
+			Fence: protocol.Fence(index), Revision: index,
+		}
+		s.assignments[target.Upstream] = assignment
+		answer.Assignments = append(answer.Assignments, assignment)
+		touched = append(touched, Touched{Upstream: target.Upstream})
+	}
+	return answer, touched
+}
+
+func (s *State) assignable(target Target) bool {
+	if target.Upstream == "" || len(target.Upstream) > maxText {
+		return false
+	}
+	owner, open := s.sessions[target.Owner]
+	if !open || owner.Stopping {
+		return false
+	}
+	current, known := s.assignments[target.Upstream]
+	if !known {
+		return len(s.assignments) < maxUpstreams
+	}
+	return current.Owner == NoSession
+}
+
+// Move asks owners to release upstreams.
+func (s *State) Move(index uint64, move Move) (Answer, []Touched) {
+	if len(move.Upstreams) > maxBatch {
+		return Answer{Outcome: Refused}, nil
+	}
+	answer := Answer{Outcome: Done}
+	var touched []Touched
+	for _, upstream := range move.Upstreams {
+		assignment, ok := s.assignments[upstream]
+		if !ok || assignment.Owner == NoSession || assignment.Moving {
+			continue
+		}
+		assignment.Moving = true
+		assignment.Revision = index
+		s.assignments[upstream] = assignment
+		answer.Assignments = append(answer.Assignments, assignment)
+		touched = append(touched, Touched{Upstream: upstream})
+	}
+	return answer, touched
+}
+
+// Release frees upstreams of a session.
+func (s *State) Release(index uint64, release Release) (Answer, []Touched) {
+	if _, ok := s.sessions[release.Session]; !ok {
+		return Answer{Outcome: NoSuchSession}, nil
+	}
+	if len(release.Upstreams) > maxBatch {
+		return Answer{Outcome: Refused}, nil
+	}
+	answer := Answer{Outcome: Done, Session: release.Session}
+	var touched []Touched
+	for _, upstream := range release.Upstreams {
+		assignment, ok := s.assignments[upstream]
+		if ok && assignment.Owner == release.Session {
+			s.free(index, assignment, &answer, &touched)
+		}
+	}
+	return answer, touched
+}
+
+func (s *State) free(index uint64, assignment Assignment, answer *Answer, touched *[]Touched) {
+	assignment.Owner = NoSession
+	assignment.Moving = false
+	assignment.Revision = index
+	s.assignments[assignment.Upstream] = assignment
+	answer.Assignments = append(answer.Assignments, assignment)
+	*touched = append(*touched, Touched{Upstream: assignment.Upstream})
+}
+
+// Forget removes upstreams that nobody owns.
+func (s *State) Forget(forget Forget) (Answer, []Touched) {
+	if len(forget.Upstreams) > maxBatch {
+		return Answer{Outcome: Refused}, nil
+	}
+	var touched []Touched
+	for _, upstream := range forget.Upstreams {
+		assignment, ok := s.assignments[upstream]
+		if !ok || assignment.Owner != NoSession {
+			continue
+		}
+		delete(s.assignments, upstream)
+		touched = append(touched, Touched{Upstream: upstream, Gone: true})
+	}
+	return Answer{Outcome: Done}, touched
+}
+
+// Snapshot is the state as a value with one fixed order.
+type Snapshot struct {
+	Sessions    []Session    `msgpack:"s"`
+	Assignments []Assignment `msgpack:"a"`
+}
+
+// Snapshot returns the state. Equal states give equal snapshots.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{Sessions: s.Sessions(), Assignments: s.Assignments()}
+}
+
+// FromSnapshot returns the state that a snapshot was taken of.
+func FromSnapshot(snapshot Snapshot) *State {
+	state := NewState()
+	for _, session := range snapshot.Sessions {
+		state.sessions[session.ID] = session
+	}
+	for _, assignment := range snapshot.Assignments {
+		state.assignments[assignment.Upstream] = assignment
+	}
+	return state
+}
--- /dev/null
+++ b/coordination/table/view.go
@@ -0,0 +1,161 @@
+package table
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"endiveplank/protocol"
+)
+
+// ErrNoChange means that the history does not hold the change asked for.
+var ErrNoChange = eris.New("table: the history does not hold this change")
+
+// Customer is a row of the customers sheet, typed.
+type Customer struct {
+	ID        protocol.CustomerID
+	KeyHashes []string
+	// Class is the priority class, 0 the most urgent.
+	Class  int
+	Weight int
+	// TokensPerSecond, RequestsPerSecond and Concurrent are limits over the
+	// whole fleet, 0 for none.
+	TokensPerSecond   int
+	RequestsPerSecond int
+	Concurrent        int
+	Home              string
+}
+
+// Model is a row of the models sheet, typed.
+type Model struct {
+	Name          protocol.Model
+	Version       string
+	MinReplicas   int
+	MaxReplicas   int
+	ContextTokens int
+}
+
+// Route is a row of the routes sheet, typed.
+type Route struct {
+	Prefix     string
+	Service    protocol.Service
+	Idempotent bool
+	DeadlineMS int
+}
+
+// Upstream is a row of the upstreams sheet, typed.
+type Upstream struct {
+	ID            protocol.UpstreamID
+	WeightPercent int
+	MaxConcurrent int
+	Drain         bool
+}
+
+// CustomerOf reads a row of the customers sheet.
+func CustomerOf(row Row) Customer {
+	return Customer{
+		ID:                protocol.CustomerID(row.Key),
+		KeyHashes:         strings.Fields(row.cell("key_hashes")),
+		Class:             row.number("class"),
+		Weight:            row.number("weight"),
+		TokensPerSecond:   row.number("tokens_per_s"),
+		RequestsPerSecond: row.number("requests_per_s"),
+		Concurrent:        row.number("concurrent"),
+		Home:              row.cell("home"),
+	}
+}
+
+// ModelOf reads a row of the models sheet.
+func ModelOf(row Row) Model {
+	return Model{
+		Name:          protocol.Model(row.Key),
+		Version:       row.cell("version"),
+		MinReplicas:   row.number("min_replicas"),
+		MaxReplicas:   row.number("max_replicas"),
+		ContextTokens: row.number("context_tokens"),
+	}
+}
+
+// RouteOf reads a row of the routes sheet.
+func RouteOf(row Row) Route {
+	return Route{
+		Prefix:     row.Key,
+		Service:    protocol.Service(row.cell("service")),
+		Idempotent: row.cell("idempotent") == "yes",
+		DeadlineMS: row.number("deadline_ms"),
+	}
+}
+
+// UpstreamOf reads a row of the upstreams sheet.
+func UpstreamOf(row Row) Upstream {
+	return Upstream{
+		ID:            protocol.UpstreamID(row.Key),
+		WeightPercent: row.number("weight_pct"),
+		MaxConcurrent: row.number("max_concurrent"),
+		Drain:         row.cell("drain") == "yes",
+	}
+}
+
+// cell returns a cell by its column; a row written before the column existed
+// has the default.
+func (r Row) cell(name string) string {
+	i := ColumnIndex(r.Sheet, name)
+	if i >= len(r.Cells) {
+		return columns[r.Sheet][i].Default
+	}
+	return r.Cells[i]
+}
+
+func (r Row) number(name string) int {
+	number, _ := strconv.Atoi(r.cell(name))
+	return number
+}
+
+// History returns the committed changes that the history still holds, newest
+// first, at most limit; an empty sheet or key matches all.
+func (t *Table) History(sheet Sheet, key string, limit int) []HistoryEntry {
+	var out []HistoryEntry
+	for _, entry := range slices.Backward(t.history.entries) {
+		if len(out) == limit {
+			break
+		}
+		if entry.touches(sheet, key) {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
+
+func (e HistoryEntry) touches(sheet Sheet, key string) bool {
+	return slices.ContainsFunc(e.Rows, func(row RowDiff) bool {
+		return (sheet == "" || row.Sheet == sheet) && (key == "" || row.Key == key)
+	})
+}
+
+// UndoOf returns the edits that take a committed change back. They expect the
+// revisions that the change left, so a row written since gives a conflict
+// instead of losing the later write.
+func (t *Table) UndoOf(changeID string) ([]Edit, error) {
+	i := slices.IndexFunc(t.history.entries, func(e HistoryEntry) bool { return e.ID == changeID })
+	if i < 0 {
+		return nil, ErrNoChange
+	}
+	entry := t.history.entries[i]
+	edits := make([]Edit, 0, len(entry.Rows))
+	for _, row := range entry.Rows {
+		edits = append(edits, row.undo(entry.Revision))
+	}
+	return edits, nil
+}
+
+func (d RowDiff) undo(revision uint64) Edit {
+	edit := Edit{Sheet: d.Sheet, Key: d.Key, Expect: revision, Delete: d.Before == nil}
+	for i, value := range d.Before {
+		if d.After == nil || d.After[i] != value {
+			edit.Cells = append(edit.Cells, Cell{Column: columns[d.Sheet][i].Name, Value: value})
+		}
+	}
+	return edit
+}
