Replicated state knows what upstreams announced

Cause: routers need address, models and capacity of each upstream, and have no list; ownership alone names only IDs. Ruled out: carrying descriptors in assignments (an announcement without an owner would have nowhere to stand). Change: fleetstate holds package registry; routers' views get descriptors by the same deltas; Hello names the sender's address so that a leader can answer a router it doesn't know yet. Conclusion: the daemon can now be put together.

--- a/coordination/fleetstate/command.go
+++ b/coordination/fleetstate/command.go
@@ -6,6 +6,7 @@
 	"endiveplank/coordination/codec"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
 	"endiveplank/coordination/table"
 )
 
@@ -24,6 +25,9 @@
 	Move    *ownership.Move    `msgpack:"m,omitempty"`
 	Release *ownership.Release `msgpack:"r,omitempty"`
 	Forget  *ownership.Forget  `msgpack:"f,omitempty"`
+	// Register and Remove change what is known of an upstream.
+	Register *registry.Register `msgpack:"g,omitempty"`
+	Remove   *registry.Remove   `msgpack:"d,omitempty"`
 }
 
 // Outcome says whether a command could be run at all. What it did is in the
@@ -46,6 +50,7 @@
 	Change    *table.Answer     `msgpack:"c,omitempty"`
 	Order     *orders.Result    `msgpack:"r,omitempty"`
 	Ownership *ownership.Answer `msgpack:"w,omitempty"`
+	Registry  *registry.Answer  `msgpack:"g,omitempty"`
 }
 
 // Encode returns the bytes to propose to consensus.
@@ -74,6 +79,7 @@
 	for _, set := range []bool{
 		c.Change != nil, c.Order != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
 		c.Assign != nil, c.Move != nil, c.Release != nil, c.Forget != nil,
+		c.Register != nil, c.Remove != nil,
 	} {
 		if set {
 			count++
--- a/coordination/fleetstate/delta.go
+++ b/coordination/fleetstate/delta.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
 	"endiveplank/coordination/revlog"
 	"endiveplank/coordination/table"
 	"endiveplank/protocol"
@@ -18,6 +19,7 @@
 	KindRow Kind = iota + 1
 	KindSession
 	KindAssignment
+	KindDescriptor
 	// kindEnd sorts after every item of a revision.
 	kindEnd Kind = 255
 )
@@ -50,6 +52,7 @@
 	Session    *ownership.Session    `msgpack:"s,omitempty"`
 	Assignment *ownership.Assignment `msgpack:"a,omitempty"`
 	Gone       *Item                 `msgpack:"g,omitempty"`
+	Descriptor *registry.Descriptor  `msgpack:"d,omitempty"`
 }
 
 // Position says how far a reader is.
@@ -140,6 +143,9 @@
 	case KindSession:
 		session, _ := m.ownership.Session(item.Session)
 		return Entry{Session: &session}
+	case KindDescriptor:
+		descriptor, _ := m.registry.Get(protocol.UpstreamID(item.Key))
+		return Entry{Descriptor: &descriptor}
 	}
 	assignment, _ := m.ownership.Assignment(protocol.UpstreamID(item.Key))
 	return Entry{Assignment: &assignment}
@@ -162,6 +168,8 @@
 		return entryOverhead + len(e.Session.Router) + len(e.Session.DataCentre) + len(e.Session.Address)
 	case e.Assignment != nil:
 		return entryOverhead + len(e.Assignment.Upstream)
+	case e.Descriptor != nil:
+		return 3*entryOverhead + len(e.Descriptor.ID) + len(e.Descriptor.Address) + 16*len(e.Descriptor.Models)
 	}
 	return entryOverhead + len(e.Gone.Key)
 }
--- a/coordination/fleetstate/machine.go
+++ b/coordination/fleetstate/machine.go
@@ -29,6 +29,7 @@
 	"endiveplank/coordination/codec"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
 	"endiveplank/coordination/revlog"
 	"endiveplank/coordination/table"
 	"endiveplank/protocol"
@@ -57,6 +58,7 @@
 	table     *table.Table
 	journal   *orders.Journal
 	ownership *ownership.State
+	registry  *registry.State
 	log       *revlog.Log[Item]
 }
 
@@ -67,6 +69,7 @@
 		table:     table.New(),
 		journal:   orders.NewJournal(settings.Orders),
 		ownership: ownership.NewState(),
+		registry:  registry.NewState(),
 		log:       revlog.New(CompareItems, maxTombstones),
 	}
 }
@@ -87,6 +90,9 @@
 // Ownership returns sessions and assignments, for reading.
 func (m *Machine) Ownership() *ownership.State { return m.ownership }
 
+// Registry returns what is known of the upstreams, for reading.
+func (m *Machine) Registry() *registry.State { return m.registry }
+
 // Apply runs the command at a log index and returns its encoded Result.
 // Indexes must grow; consensus may leave some out (its own entries).
 func (m *Machine) Apply(index uint64, encoded []byte) []byte {
@@ -113,6 +119,14 @@
 	case command.Order != nil:
 		result := m.journal.Apply(*command.Order, m.isOpen)
 		return Result{Order: &result}
+	case command.Register != nil:
+		answer, changed := m.registry.Register(index, *command.Register)
+		m.recordDescriptor(index, command.Register.Descriptor.ID, changed, false)
+		return Result{Registry: &answer}
+	case command.Remove != nil:
+		answer, changed := m.registry.Remove(*command.Remove)
+		m.recordDescriptor(index, command.Remove.ID, changed, true)
+		return Result{Registry: &answer}
 	}
 	answer, touched := m.runOwnership(index, command)
 	m.recordOwnership(index, touched)
@@ -145,6 +159,13 @@
 	return ok
 }
 
+func (m *Machine) recordDescriptor(index uint64, id protocol.UpstreamID, changed, gone bool) {
+	if !changed {
+		return
+	}
+	m.log.Record([]revlog.Entry[Item]{{Revision: index, Item: descriptorItem(id), Gone: gone}})
+}
+
 func (m *Machine) recordRows(index uint64, touched []table.Touched) {
 	changes := make([]revlog.Entry[Item], 0, len(touched))
 	for _, row := range touched {
@@ -169,13 +190,14 @@
 const snapshotFormat = 1
 
 type snapshot struct {
-	Format    int                `msgpack:"f"`
-	Index     uint64             `msgpack:"i"`
-	Table     table.Snapshot     `msgpack:"t"`
-	Orders    orders.Snapshot    `msgpack:"o"`
-	Ownership ownership.Snapshot `msgpack:"w"`
-	Gone      []goneItem         `msgpack:"g"`
-	Floor     uint64             `msgpack:"l"`
+	Format    int                   `msgpack:"f"`
+	Index     uint64                `msgpack:"i"`
+	Table     table.Snapshot        `msgpack:"t"`
+	Orders    orders.Snapshot       `msgpack:"o"`
+	Ownership ownership.Snapshot    `msgpack:"w"`
+	Gone      []goneItem            `msgpack:"g"`
+	Registry  []registry.Descriptor `msgpack:"r"`
+	Floor     uint64                `msgpack:"l"`
 }
 
 type goneItem struct {
@@ -192,6 +214,7 @@
 		Table:     m.table.Snapshot(),
 		Orders:    m.journal.Snapshot(),
 		Ownership: m.ownership.Snapshot(),
+		Registry:  m.registry.All(),
 		Floor:     m.log.Floor(),
 	}
 	for _, entry := range m.log.Tombstones() {
@@ -214,6 +237,7 @@
 	m.table = table.FromSnapshot(s.Table)
 	m.journal = orders.FromSnapshot(m.settings.Orders, s.Orders)
 	m.ownership = ownership.FromSnapshot(s.Ownership)
+	m.registry = registry.FromSnapshot(s.Registry)
 	m.log = revlog.New(CompareItems, maxTombstones)
 	m.log.Restore(s.Floor, m.logEntries(s.Gone))
 	return nil
@@ -232,6 +256,9 @@
 	for _, assignment := range m.ownership.Assignments() {
 		entries = append(entries, revlog.Entry[Item]{Revision: assignment.Revision, Item: upstreamItem(assignment.Upstream)})
 	}
+	for _, descriptor := range m.registry.All() {
+		entries = append(entries, revlog.Entry[Item]{Revision: descriptor.Revision, Item: descriptorItem(descriptor.ID)})
+	}
 	for _, item := range gone {
 		entries = append(entries, revlog.Entry[Item]{Revision: item.Revision, Item: item.Item, Gone: true})
 	}
@@ -249,3 +276,7 @@
 func upstreamItem(upstream protocol.UpstreamID) Item {
 	return Item{Kind: KindAssignment, Key: string(upstream)}
 }
+
+func descriptorItem(upstream protocol.UpstreamID) Item {
+	return Item{Kind: KindDescriptor, Key: string(upstream)}
+}
--- a/coordination/fleetstate/view.go
+++ b/coordination/fleetstate/view.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
 	"endiveplank/coordination/table"
 	"endiveplank/protocol"
 )
@@ -25,6 +26,7 @@
 	customers   map[string]protocol.CustomerID
 	sessions    map[ownership.SessionID]ownership.Session
 	assignments map[protocol.UpstreamID]ownership.Assignment
+	descriptors map[protocol.UpstreamID]registry.Descriptor
 }
 
 func newContent() content {
@@ -33,6 +35,7 @@
 		customers:   map[string]protocol.CustomerID{},
 		sessions:    map[ownership.SessionID]ownership.Session{},
 		assignments: map[protocol.UpstreamID]ownership.Assignment{},
+		descriptors: map[protocol.UpstreamID]registry.Descriptor{},
 	}
 }
 
@@ -42,6 +45,7 @@
 		customers:   maps.Clone(c.customers),
 		sessions:    maps.Clone(c.sessions),
 		assignments: maps.Clone(c.assignments),
+		descriptors: maps.Clone(c.descriptors),
 	}
 }
 
@@ -118,6 +122,8 @@
 		c.sessions[entry.Session.ID] = *entry.Session
 	case entry.Assignment != nil:
 		c.assignments[entry.Assignment.Upstream] = *entry.Assignment
+	case entry.Descriptor != nil:
+		c.descriptors[entry.Descriptor.ID] = *entry.Descriptor
 	case entry.Gone != nil:
 		c.remove(*entry.Gone)
 	}
@@ -157,6 +163,8 @@
 		delete(c.sessions, item.Session)
 	case KindAssignment:
 		delete(c.assignments, protocol.UpstreamID(item.Key))
+	case KindDescriptor:
+		delete(c.descriptors, protocol.UpstreamID(item.Key))
 	}
 }
 
@@ -225,3 +233,10 @@
 		yield(session)
 	}
 }
+
+// Descriptors calls yield for each known upstream, in no order.
+func (v *View) Descriptors(yield func(registry.Descriptor)) {
+	for _, descriptor := range v.current.descriptors {
+		yield(descriptor)
+	}
+}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
@@ -105,8 +106,12 @@
 // ViewChanged brings the configuration that is now in force here.
 type ViewChanged struct{ View *View }
 
-// LeaseGranted extends this router's lease.
-type LeaseGranted struct{ Until time.Duration }
+// LeaseChanged says how long this router may act. Until moves back to zero
+// when the session is closed.
+type LeaseChanged struct {
+	Until   time.Duration
+	Session ownership.SessionID
+}
 
 // JournalResult answers a Journal output.
 type JournalResult struct {
@@ -140,7 +145,7 @@
 func (Announced) input()      {}
 func (Leaving) input()        {}
 func (ViewChanged) input()    {}
-func (LeaseGranted) input()   {}
+func (LeaseChanged) input()   {}
 func (JournalResult) input()  {}
 func (Tick) input()           {}
 func (Drain) input()          {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -27,6 +27,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
@@ -55,9 +56,11 @@
 	config     Config
 	view       *View
 	leaseUntil time.Duration
-	draining   bool
-	entries    map[protocol.RequestID]*entry
-	owned      map[protocol.UpstreamID]*owned
+	// session names this router's lease in the journal of orders.
+	session  ownership.SessionID
+	draining bool
+	entries  map[protocol.RequestID]*entry
+	owned    map[protocol.UpstreamID]*owned
 	// running finds the upstream of an attempt this router relays.
 	running map[fleet.Attempt]*owned
 	totals  *totalsBook
@@ -140,8 +143,9 @@
 		n.leaving(now, in)
 	case ViewChanged:
 		n.viewChanged(now, in.View)
-	case LeaseGranted:
-		n.leaseUntil = max(n.leaseUntil, in.Until)
+	case LeaseChanged:
+		n.leaseUntil = in.Until
+		n.session = in.Session
 	case JournalResult:
 		n.journalResult(now, in)
 	case Tick:
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -76,6 +76,8 @@
 	KindTotals Kind = 18
 	// KindQuarantine carries a quarantined request digest.
 	KindQuarantine Kind = 19
+	// KindPush carries changes of the replicated state to a router.
+	KindPush Kind = 20
 )
 
 // Frame is one message.
@@ -92,6 +94,9 @@
 	From       protocol.RouterID   `msgpack:"f"`
 	To         protocol.RouterID   `msgpack:"t"`
 	DataCentre protocol.DataCentre `msgpack:"d"`
+	// Address is where the sender listens for peers, so that the receiver can
+	// answer before the replicated state names it.
+	Address string `msgpack:"a"`
 	// Incarnation differs between two starts of a process, so that a receiver
 	// starts counting frames anew.
 	Incarnation uint64 `msgpack:"i"`
--- a/transport/peer/accept.go
+++ b/transport/peer/accept.go
@@ -86,6 +86,9 @@
 	}
 	m.mu.Lock()
 	memory := m.receptionOf(hello.From)
+	if hello.Address != "" {
+		m.address[hello.From] = hello.Address
+	}
 	m.mu.Unlock()
 	acks := newAcker(connection)
 	defer acks.stop()
@@ -149,6 +152,7 @@
 		From:        m.options.Self,
 		To:          to,
 		DataCentre:  m.options.DataCentre,
+		Address:     m.options.Address,
 		Incarnation: m.options.Incarnation,
 	}
 }
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -66,6 +66,8 @@
 	Self        protocol.RouterID
 	DataCentre  protocol.DataCentre
 	Incarnation uint64
+	// Address is where peers reach this process.
+	Address string
 	// ServerTLS and ClientTLS are nil when peers talk in clear.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
