Daemon and orders in the node core, in progress

Ruled out: a copy of the order rules in the node core; it only carries out what orders.Entry and orders.Dispatcher decide.

--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -191,7 +191,7 @@
 	if in.IdempotencyKey == "" {
 		return refusal(in.ID, 400, reason.IdempotencyKeyMissing, "this route runs a request at most once; name it with the header Idempotency-Key", 0)
 	}
-	fresh.order = &order{key: in.IdempotencyKey}
+	fresh.order = n.newOrder(fresh)
 	return nil
 }
 
@@ -228,7 +228,7 @@
 	}
 	var ranked []scored
 	for _, upstream := range n.serving(e) {
-		if upstream.Owner == "" || slices.Contains(e.avoid, upstream.ID) {
+		if upstream.Owner == "" || upstream.Drain || slices.Contains(e.avoid, upstream.ID) {
 			continue
 		}
 		ranked = append(ranked, scored{upstream, rendezvous(key, upstream)})
@@ -316,6 +316,10 @@
 		e.phase = phaseWaiting
 		e.wakeAt = now + noOwnerRetry
 	case fleet.PlaceRefused:
+		if e.order != nil {
+			n.orderRefused(now, e)
+			return
+		}
 		n.placeRefused(now, e, in.Reply)
 	}
 }
@@ -337,10 +341,6 @@
 	}
 	e.phase = phaseRunning
 	e.progress = now
-	if e.order != nil {
-		n.orderChunk(e, in.Chunk)
-		return
-	}
 	if in.Chunk.Index < e.delivered {
 		return
 	}
@@ -358,10 +358,6 @@
 	if e == nil {
 		return
 	}
-	if e.order != nil {
-		n.orderEnd(now, e, in.End)
-		return
-	}
 	if in.End.Complete {
 		n.finish(e, reason.Completed)
 		return
@@ -428,7 +424,7 @@
 		return
 	}
 	if e.order != nil {
-		// An order goes on without its caller, who may ask for the outcome.
+		n.orderCallerGone(now, e)
 		return
 	}
 	n.abandon(e)
@@ -469,10 +465,13 @@
 }
 
 func (n *Node) isDue(now time.Duration, e *entry) bool {
+	if e.order != nil && n.orderIsDue(now, e) {
+		return true
+	}
 	if e.phase == phaseJournal {
 		return false
 	}
-	if now >= e.deadline+e.grace() {
+	if e.order == nil && now >= e.deadline+e.grace() {
 		return true
 	}
 	switch e.phase {
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
@@ -113,13 +114,29 @@
 	Session ownership.SessionID
 }
 
+// OrderReport is an owner's message about one attempt of an order.
+type OrderReport struct {
+	Attempt fleet.Attempt     `msgpack:"a"`
+	Kind    orders.ReportKind `msgpack:"k"`
+	Record  *orders.Record    `msgpack:"r,omitempty"`
+	// Body is the answer's body when it is larger than the journal keeps.
+	Body []byte `msgpack:"b,omitempty"`
+}
+
+// PeerOrderReport brings an OrderReport from a peer.
+type PeerOrderReport struct {
+	From   protocol.RouterID
+	Report OrderReport
+}
+
 // JournalResult answers a Journal output.
 type JournalResult struct {
-	Request protocol.RequestID
+	Caller JournalCaller
+	Op     orders.Op
 	// Failed means that no answer came, and the command may or may not take
 	// effect.
 	Failed bool
-	Result []byte
+	Result orders.Result
 }
 
 // Tick passes time. The driver sends one each TickInterval.
@@ -128,8 +145,9 @@
 // TickInterval is how often a driver sends Tick. Deadlines are met within it.
 const TickInterval = 50 * time.Millisecond
 
-// Drain begins a planned stop.
-type Drain struct{}
+// Drain begins a planned stop: this router reports unready. With Refuse it
+// also refuses new requests and takes no more work for its upstreams.
+type Drain struct{ Refuse bool }
 
 func (CallerRequest) input()  {}
 func (CallerGone) input()     {}
@@ -146,6 +164,7 @@
 func (Leaving) input()        {}
 func (ViewChanged) input()    {}
 func (LeaseChanged) input()   {}
+func (PeerOrderReport) input() {}
 func (JournalResult) input()  {}
 func (Tick) input()           {}
 func (Drain) input()          {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -97,7 +97,7 @@
 
 // Ready says whether this router should be sent callers.
 func (n *Node) Ready(now time.Duration) bool {
-	return n.mayServe(now) && !n.draining
+	return n.mayServe(now) && !n.unready
 }
 
 // InFlight returns the number of callers' requests and of relayed attempts.
@@ -148,15 +148,29 @@
 		n.session = in.Session
 	case JournalResult:
 		n.journalResult(now, in)
+	case PeerOrderReport:
+		n.orderReport(now, in)
 	case Tick:
 		n.tick(now)
 	case Drain:
-		n.draining = true
+		n.drain(in)
 	default:
 		panic("node: input of a type that Step doesn't know")
 	}
 }
 
+// drain begins a planned stop, or its second part.
+func (n *Node) drain(in Drain) {
+	n.unready = true
+	if !in.Refuse {
+		return
+	}
+	n.draining = true
+	for _, target := range n.ownedInOrder() {
+		n.handBack(target)
+	}
+}
+
 // tick meets deadlines.
 func (n *Node) tick(now time.Duration) {
 	n.tickEntries(now)
@@ -200,6 +214,8 @@
 		return PeerEnd{From: from, End: message}
 	case fleet.Cancel:
 		return PeerCancel{From: from, Cancel: message}
+	case OrderReport:
+		return PeerOrderReport{From: from, Report: message}
 	}
 	panic("node: message of a type that isn't on the data path")
 }
@@ -216,6 +232,8 @@
 		return wire.KindEnd
 	case fleet.Cancel:
 		return wire.KindCancel
+	case OrderReport:
+		return wire.KindOrderReport
 	}
 	panic("node: message of a type that isn't on the data path")
 }
--- a/coordination/node/outputs.go
+++ b/coordination/node/outputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/orders"
 	"endiveplank/coordination/reason"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
@@ -66,11 +67,18 @@
 	RetryAfter time.Duration
 }
 
-// Journal proposes a command to the replicated state for one request; its
-// answer comes back as JournalResult.
+// JournalCaller names the flow that a journal command belongs to.
+type JournalCaller struct {
+	Attempt fleet.Attempt
+	// Owner tells the owner's flow of an attempt from the entry's.
+	Owner bool
+}
+
+// Journal proposes a command to the journal of orders; its answer comes back
+// as JournalResult.
 type Journal struct {
-	Request protocol.RequestID
-	Command []byte
+	Caller  JournalCaller
+	Command orders.Command
 }
 
 // RegisterUpstream proposes what an upstream announced as configuration.
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -48,7 +48,8 @@
 	deadline time.Duration
 	// progress is when the upstream last sent something.
 	progress time.Duration
-	started  bool
+	// dispatch is set for an order.
+	dispatch *dispatch
 }
 
 // ownerPlace decides on a request for an upstream: start, queue, spill or
@@ -88,7 +89,7 @@
 
 // usable says whether an upstream may get new work at all.
 func (n *Node) usable(now time.Duration, target *owned) (reason.Code, bool) {
-	if target.leaving || n.draining {
+	if target.leaving || target.config.Drain || n.draining {
 		return reason.UpstreamLeaving, false
 	}
 	if now-target.announced > silentAfter {
@@ -114,13 +115,16 @@
 
 // start sends a request to its upstream.
 func (n *Node) start(now time.Duration, target *owned, r *relay) {
-	r.started = true
 	r.progress = now
 	target.running[r.place.Attempt] = r
 	target.load += r.cost
 	n.running[r.place.Attempt] = target
 	n.replyPlace(PeerPlace{From: r.from, Place: r.place}, fleet.PlaceStarted, reason.FirstChoice, 0)
-	n.emit(CallUpstream{Attempt: r.place.Attempt, Address: target.config.Address, Place: r.place})
+	if r.place.Order != nil {
+		n.startDispatch(now, r)
+	} else {
+		n.emit(CallUpstream{Attempt: r.place.Attempt, Address: target.config.Address, Place: r.place})
+	}
 	n.emit(Event{
 		Request: r.place.Attempt.Request, Attempt: r.place.Attempt.Number, Customer: r.place.Customer,
 		Upstream: target.id, Router: r.from, What: "placed", Reason: reason.FirstChoice,
@@ -145,6 +149,10 @@
 	}
 	r := target.running[in.Chunk.Attempt]
 	r.progress = now
+	if r.dispatch != nil {
+		r.dispatch.take(in.Chunk)
+		return
+	}
 	n.send(r.from, in.Chunk)
 }
 
@@ -154,6 +162,10 @@
 	if target == nil {
 		return
 	}
+	if r := target.running[in.Attempt]; r.dispatch != nil {
+		n.dispatchEnded(now, target, r, in)
+		return
+	}
 	r := n.drop(target, in.Attempt)
 	end := fleet.End{Attempt: in.Attempt, Complete: in.Complete, Outcome: protocol.Ran, CachedTokens: in.CachedTokens}
 	if !in.Complete {
@@ -245,6 +257,10 @@
 func (n *Node) failStalled(now time.Duration, target *owned) {
 	var stalled []fleet.Attempt
 	for attempt, r := range target.running {
+		if r.dispatch != nil {
+			n.tickDispatch(now, target, r)
+			continue
+		}
 		if now-r.progress > n.config.Stall {
 			stalled = append(stalled, attempt)
 		}
@@ -282,7 +298,7 @@
 	for _, target := range n.ownedInOrder() {
 		var orphaned []fleet.Attempt
 		for attempt, r := range target.running {
-			if r.from == peer {
+			if r.from == peer && r.dispatch == nil {
 				orphaned = append(orphaned, attempt)
 			}
 		}
--- a/coordination/node/upstreams.go
+++ b/coordination/node/upstreams.go
@@ -36,7 +36,7 @@
 // differs says whether an announcement changes what is configured.
 func (u *Upstream) differs(a upstreamapi.Announcement) bool {
 	return u.Address != a.Address || u.Kind != a.Kind || u.DataCentre != a.DataCentre ||
-		u.Service != a.Service || u.Capacity != a.Capacity || u.MaxConcurrent != a.MaxConcurrent ||
+		u.Service != a.Service || u.Announced != a.Capacity || u.AnnouncedMax != a.MaxConcurrent ||
 		u.ChecksFence != a.ChecksFence || !slices.Equal(u.Models, a.Models)
 }
 
@@ -115,11 +115,11 @@
 		n.reviewOwned(target)
 	}
 	for _, upstream := range view.Upstreams {
-		if upstream.Owner == n.config.Self && n.owned[upstream.ID] == nil {
+		if upstream.Mine && n.owned[upstream.ID] == nil {
 			n.owned[upstream.ID] = &owned{
 				id:        upstream.ID,
 				config:    upstream,
-				holds:     true,
+				holds:     !upstream.Moving,
 				running:   map[fleet.Attempt]*relay{},
 				announced: now,
 			}
@@ -130,7 +130,7 @@
 // reviewOwned compares an upstream this router knows with the new view.
 func (n *Node) reviewOwned(target *owned) {
 	configured := n.view.Upstreams[target.id]
-	target.holds = configured != nil && configured.Owner == n.config.Self
+	target.holds = configured != nil && configured.Mine && !configured.Moving
 	if configured != nil {
 		target.config = configured
 	}
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -54,12 +54,23 @@
 	DataCentre    protocol.DataCentre
 	Models        []protocol.Model
 	Service       protocol.Service
+	// Announced and AnnouncedMax are capacity and concurrency as announced;
+	// Capacity and MaxConcurrent are what operators made of them.
+	Announced     float64
+	AnnouncedMax  int
 	Capacity      float64
 	MaxConcurrent int
 	ChecksFence   bool
+	// Drain means that an operator wants no new work on it.
+	Drain bool
 	// Owner is empty while the upstream has no owning router.
 	Owner protocol.RouterID
 	Fence protocol.Fence
+	// Moving means that the owner was asked to give it up.
+	Moving bool
+	// Mine means that this router's own session is the owner. An earlier
+	// session of the same router doesn't count.
+	Mine bool
 	// Index numbers the upstreams of a view from 0.
 	Index int
 }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,299 @@
+// Package daemon puts one endiveplankd process together from its parts and
+// runs it: the node core with its runner, the mesh to the other processes, the
+// listeners for callers, upstreams and operators, and on VMs with a disk the
+// consensus member with the replicated state.
+//
+// Each part has a lifecycle of its own. New provisions them all and returns
+// the first error; Start begins; Stop ends the process as planned: unready
+// first, then ownership handed over, then requests in flight finished, then
+// listeners and connections closed.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/explain"
+	"endiveplank/coordination/node"
+	"endiveplank/coordination/ownership"
+	"endiveplank/protocol"
+	"endiveplank/protocol/wire"
+	"endiveplank/settings"
+	"endiveplank/state/disk"
+	"endiveplank/state/replica"
+	"endiveplank/transport/announce"
+	"endiveplank/transport/callers"
+	"endiveplank/transport/peer"
+	"endiveplank/transport/upstream"
+)
+
+// lostAfter is how long a peer may be unreachable before its work is moved.
+const lostAfter = 2 * time.Second
+
+// Daemon is one running process.
+type Daemon struct {
+	settings settings.Settings
+	log      zerolog.Logger
+	epoch    time.Time
+	counters *counters
+	runner   *runner
+	mesh     *peer.Mesh
+	member   *member
+	host     *stateHost
+	replica  *replica.Replica
+	servers  []*http.Server
+	quit     chan struct{}
+}
+
+// New provisions a process. It opens the data folder and listens nowhere yet.
+func New(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		log:      log.With().Str("router", string(s.RouterID)).Logger(),
+		epoch:    time.Now(),
+		counters: newCounters(),
+		quit:     make(chan struct{}),
+	}
+	incarnation := uint64(time.Now().UnixMilli())
+	if err := d.provisionMesh(incarnation); err != nil {
+		return nil, err
+	}
+	d.provisionRunner()
+	d.provisionMember(incarnation)
+	if s.KeepsState() {
+		if err := d.provisionState(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// now is the monotonic time that all parts share.
+func (d *Daemon) now() time.Duration { return time.Since(d.epoch) }
+
+func (d *Daemon) provisionMesh(incarnation uint64) error {
+	server, client, err := peer.LoadTLS(d.settings.TLS)
+	if err != nil {
+		return err
+	}
+	d.mesh = peer.New(peer.Options{
+		Self:        d.settings.RouterID,
+		DataCentre:  d.settings.DataCentre,
+		Address:     d.settings.Listen.Peers,
+		Incarnation: incarnation,
+		ServerTLS:   server,
+		ClientTLS:   client,
+		Stall:       d.settings.Timing.Stall() / 2,
+		LostAfter:   lostAfter,
+		Handler:     d,
+		Log:         d.log,
+	})
+	for _, known := range d.settings.Peers {
+		if known.RouterID != d.settings.RouterID {
+			d.mesh.SetAddress(known.RouterID, known.Address)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) provisionRunner() {
+	d.runner = &runner{
+		epoch:    d.epoch,
+		mesh:     d.mesh,
+		log:      d.log,
+		self:     d.settings.RouterID,
+		counters: d.counters,
+		answers:  map[protocol.RequestID]*callers.Answer{},
+		events:   explain.NewRing(eventRingSize),
+		core: node.New(node.Config{
+			Self:        d.settings.RouterID,
+			DataCentre:  d.settings.DataCentre,
+			Multiple:    d.settings.Load.Multiple,
+			ReuseWeight: d.settings.Load.ReuseWeight,
+			QueueLimit:  d.settings.Load.QueueLimit,
+			Stall:       d.settings.Timing.Stall(),
+			Deadline:    time.Duration(d.settings.Callers.DeadlineMS) * time.Millisecond,
+			Random:      newRandom(),
+		}),
+	}
+	d.runner.client = upstream.New(d.runner)
+}
+
+// newRandom returns a random source with a seed of its own.
+func newRandom() *randv2.Rand {
+	var seed [16]byte
+	_, _ = rand.Read(seed[:])
+	return randv2.New(randv2.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+func (d *Daemon) provisionMember(incarnation uint64) {
+	d.member = &member{
+		identity: ownership.Open{
+			Router:      d.settings.RouterID,
+			Incarnation: incarnation,
+			DataCentre:  d.settings.DataCentre,
+			Address:     d.settings.Listen.Peers,
+			Capacity:    ordinaryCapacity,
+		},
+		voters: d.settings.Voters,
+		send:   d.mesh.Send,
+		input:  d.runner.Input,
+		learn:  d.mesh.SetAddress,
+		now:    d.now,
+		log:    d.log,
+		quit:   d.quit,
+	}
+	d.runner.proposer = d.member
+}
+
+// provisionState opens the data folder and the consensus member in it.
+func (d *Daemon) provisionState() error {
+	folder, err := disk.Open(d.settings.DataFolder)
+	if err != nil {
+		return eris.Wrap(err, "open data folder")
+	}
+	d.host = newStateHost(d.now, d.log, d.sendPush)
+	d.replica, err = replica.New(replica.Config{
+		Self:          d.settings.RouterID,
+		Peers:         d.stateKeepers(),
+		InitialVoters: d.settings.Voters,
+		Disk:          folder,
+		Transport:     consensusTransport{d.mesh},
+		Machine:       d.host,
+		Random:        newRandom(),
+		Now:           d.now,
+		OnFailed: func(err error) {
+			d.log.Error().Err(err).Msg("state: voter stopped")
+		},
+	})
+	if err != nil {
+		return eris.Wrap(err, "open replicated state")
+	}
+	d.host.log = d.replica
+	d.member.local = d.host
+	return nil
+}
+
+// stateKeepers lists all processes that may keep state: the first voters and
+// this one.
+func (d *Daemon) stateKeepers() []protocol.RouterID {
+	keepers := append([]protocol.RouterID(nil), d.settings.Voters...)
+	for _, keeper := range keepers {
+		if keeper == d.settings.RouterID {
+			return keepers
+		}
+	}
+	return append(keepers, d.settings.RouterID)
+}
+
+// Start listens and begins to serve. On an error the process can't run.
+func (d *Daemon) Start() error {
+	if err := d.mesh.Listen(d.settings.Listen.Peers); err != nil {
+		return err
+	}
+	if d.replica != nil {
+		d.replica.Start()
+		d.host.start()
+	}
+	d.member.start()
+	go d.runner.tick(d.quit)
+	return d.listenAll()
+}
+
+// listenAll opens the HTTP listeners.
+func (d *Daemon) listenAll() error {
+	prefix := string(d.settings.RouterID) + "-" + strconv.FormatInt(d.epoch.UnixMilli(), 36)
+	callersServer := callers.New(d.runner, d.settings.Callers, prefix).Server()
+	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: askTimeout * 5}
+	adminServer := &http.Server{Handler: d.adminHandler(), ReadTimeout: askTimeout * 30}
+	for _, item := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{d.settings.Listen.Callers, callersServer},
+		{d.settings.Listen.Upstreams, upstreamsServer},
+		{d.settings.Listen.Admin, adminServer},
+	} {
+		if err := d.listen(item.address, item.server); err != nil {
+			return err
+		}
+	}
+	d.log.Info().Str("callers", d.settings.Listen.Callers).Msg("daemon: listening")
+	return nil
+}
+
+func (d *Daemon) listen(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	d.servers = append(d.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error().Err(err).Msg("daemon: listener failed")
+		}
+	}()
+	return nil
+}
+
+// Stop ends the process as planned. It returns false when requests in flight
+// were cut because the patience of the settings ran out.
+func (d *Daemon) Stop(ctx context.Context) bool {
+	d.log.Info().Msg("daemon: draining")
+	d.runner.Input(node.Drain{})
+	d.member.leave(ctx)
+	whole := d.awaitIdle(ctx)
+	d.member.closeSession(ctx)
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.mesh.Flush(askTimeout)
+	close(d.quit)
+	d.member.done.Wait()
+	if d.replica != nil {
+		d.host.stop()
+		d.replica.Stop()
+	}
+	d.mesh.Close()
+	d.log.Info().Bool("whole", whole).Msg("daemon: stopped")
+	return whole
+}
+
+// awaitIdle waits until no request is in flight.
+func (d *Daemon) awaitIdle(ctx context.Context) bool {
+	for {
+		entries, relayed := d.runner.inFlight()
+		if entries == 0 && relayed == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			d.log.Error().Int("requests", entries).Int("relayed", relayed).Msg("daemon: requests cut")
+			return false
+		case <-time.After(node.TickInterval):
+		}
+	}
+}
+
+// Frame implements peer.Handler.
+func (d *Daemon) Frame(from protocol.RouterID, frame wire.Frame) {
+	if err := d.handle(from, frame); err != nil {
+		d.log.Warn().Err(err).Str("peer", string(from)).Msg("daemon: frame dropped")
+	}
+}
+
+// Lost implements peer.Handler.
+func (d *Daemon) Lost(lost protocol.RouterID) {
+	d.log.Warn().Str("peer", string(lost)).Msg("daemon: peer lost")
+	d.runner.Input(node.PeerLost{Peer: lost})
+}
--- /dev/null
+++ b/daemon/member.go
@@ -0,0 +1,426 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/fleetstate"
+	"endiveplank/coordination/lease"
+	"endiveplank/coordination/node"
+	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
+	"endiveplank/protocol"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/wire"
+)
+
+const (
+	// memberTick is how often the member looks whether a renewal is due.
+	memberTick = 20 * time.Millisecond
+	// askTimeout bounds one question to one voter. A voter that takes longer
+	// is frozen or gone, and another may lead.
+	askTimeout = time.Second
+	// askPause keeps a router without a leader from spinning.
+	askPause = 100 * time.Millisecond
+	// registerTimeout bounds a registration; the next announcement repeats it.
+	registerTimeout = 2 * time.Second
+	// journalTimeout bounds a journal command. An order waits for a new
+	// leader that long.
+	journalTimeout = 10 * time.Second
+	// ordinaryCapacity is a router's share of upstreams.
+	ordinaryCapacity = 100
+)
+
+// member is a router's side of the replicated state: it keeps the session and
+// its lease, follows the configuration, and proposes commands to whichever
+// voter leads.
+type member struct {
+	identity ownership.Open
+	voters   []protocol.RouterID
+	// local is the state host of this process, or nil.
+	local *stateHost
+	send  func(to protocol.RouterID, kind wire.Kind, payload []byte, reliable bool) bool
+	input func(node.Input)
+	// learn tells where a router listens.
+	learn func(protocol.RouterID, string)
+	now   func() time.Duration
+	log   zerolog.Logger
+	quit  chan struct{}
+	done  sync.WaitGroup
+
+	mu       sync.Mutex
+	holder   *lease.Holder
+	leader   protocol.RouterID
+	opening  bool
+	asked    uint64
+	asking   map[uint64]chan fleet.ProposeReply
+	shown    uint64
+	granted  node.LeaseChanged
+	stopping bool
+
+	// registering holds the upstreams whose registration is under way. Its
+	// lock is its own, because the node core asks for registrations while the
+	// member may be passing it a view.
+	registeringMu sync.Mutex
+	registering   map[protocol.UpstreamID]bool
+}
+
+func (m *member) start() {
+	m.holder = lease.NewHolder(lease.DefaultTiming(), fleetstate.NewView())
+	m.asking = map[uint64]chan fleet.ProposeReply{}
+	m.registering = map[protocol.UpstreamID]bool{}
+	m.leader = m.voters[0]
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		ticker := time.NewTicker(memberTick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-m.quit:
+				return
+			case <-ticker.C:
+				m.tick()
+			}
+		}
+	}()
+}
+
+func (m *member) stop() {
+	close(m.quit)
+	m.done.Wait()
+}
+
+// tick opens a session, renews it, and looks for another leader when the
+// present one is silent.
+func (m *member) tick() {
+	m.mu.Lock()
+	now := m.now()
+	if m.holder.Session() == ownership.NoSession {
+		m.openSession()
+		m.mu.Unlock()
+		return
+	}
+	if !m.holder.RenewalDue(now) {
+		m.mu.Unlock()
+		return
+	}
+	if m.holder.SilentFor(now) > lease.DefaultTiming().Renew+askTimeout/2 {
+		m.nextVoter()
+	}
+	renewal := m.holder.Renew(now)
+	leader := m.leader
+	m.mu.Unlock()
+	m.renew(leader, renewal)
+}
+
+// nextVoter turns to another voter. The lock is held.
+func (m *member) nextVoter() {
+	for i, voter := range m.voters {
+		if voter == m.leader {
+			m.leader = m.voters[(i+1)%len(m.voters)]
+			return
+		}
+	}
+	m.leader = m.voters[0]
+}
+
+// renew sends one renewal, to this process itself without a connection.
+func (m *member) renew(leader protocol.RouterID, renewal lease.Renewal) {
+	if leader == m.identity.Router {
+		if m.local != nil {
+			m.onReply(leader, m.local.renew(renewal))
+		}
+		return
+	}
+	m.send(leader, wire.KindRenew, encodeArrays(renewal), false)
+}
+
+// openSession proposes a session. The lock is held.
+func (m *member) openSession() {
+	if m.opening || m.stopping {
+		return
+	}
+	m.opening = true
+	command := fleetstate.Command{Open: &m.identity}
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+		defer cancel()
+		result, err := m.propose(ctx, command, false)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.opening = false
+		if err != nil || result.Ownership == nil || result.Ownership.Outcome != ownership.Done {
+			return
+		}
+		m.holder.Opened(m.now(), result.Ownership.Session)
+		m.log.Info().Uint64("session", uint64(result.Ownership.Session)).Msg("state: session open")
+	}()
+}
+
+// onReply takes the answer to a renewal.
+func (m *member) onReply(from protocol.RouterID, reply lease.Reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.holder.OnReply(m.now(), reply) {
+	case lease.TryOther:
+		if from == m.leader {
+			m.nextVoter()
+		}
+	case lease.OpenSession:
+		m.log.Warn().Msg("state: session was closed, opening another")
+	}
+	m.showLocked()
+}
+
+// onPush takes changes that a leader sent unasked.
+func (m *member) onPush(push lease.Push) {
+	m.mu.Lock()
+	if push.Session == m.holder.Session() {
+		m.holder.OnDelta(m.now(), push.Delta)
+	}
+	m.showLocked()
+	m.mu.Unlock()
+	// The renewal that this makes due is the acknowledgement that an operator
+	// waits for.
+	m.tick()
+}
+
+// showLocked passes view and lease on to the node core, the view first: the
+// core must not serve under a lease that covers a newer revision.
+func (m *member) showLocked() {
+	view := m.holder.View()
+	if view.Revision() > m.shown {
+		m.shown = view.Revision()
+		m.learnRouters(view)
+		m.input(node.ViewChanged{View: buildView(view, m.holder.Session())})
+		m.releaseMoving(view)
+	}
+	granted := node.LeaseChanged{Session: m.holder.Session()}
+	if m.holder.Session() != ownership.NoSession && view.Revision() >= uint64(m.holder.Session()) {
+		granted.Until = m.holder.Until()
+	}
+	if granted != m.granted {
+		m.granted = granted
+		m.input(granted)
+	}
+}
+
+// releaseMoving gives up what the leader asked for. The core has stopped
+// admitting to it by now, because it has the view that says so.
+func (m *member) releaseMoving(view *fleetstate.View) {
+	session := m.holder.Session()
+	var upstreams []protocol.UpstreamID
+	view.Assignments(func(assignment ownership.Assignment) {
+		if assignment.Owner == session && assignment.Moving {
+			upstreams = append(upstreams, assignment.Upstream)
+		}
+	})
+	if len(upstreams) > 0 {
+		m.release(session, upstreams)
+	}
+}
+
+// learnRouters tells the mesh where the fleet's routers listen.
+func (m *member) learnRouters(view *fleetstate.View) {
+	view.Sessions(func(session ownership.Session) {
+		if session.Router != m.identity.Router {
+			m.learn(session.Router, session.Address)
+		}
+	})
+}
+
+// propose commits a command through whichever voter leads, and asks again
+// until the context ends. Commands are idempotent, so asking again after an
+// unknown outcome is safe.
+func (m *member) propose(ctx context.Context, command fleetstate.Command, inForce bool) (fleetstate.Result, error) {
+	encoded := command.Encode()
+	for {
+		m.mu.Lock()
+		leader := m.leader
+		m.mu.Unlock()
+		reply, answered := m.ask(ctx, leader, encoded, inForce)
+		if answered && reply.Verdict == fleet.VerdictCommitted {
+			return fleetstate.DecodeResult(reply.Result)
+		}
+		m.afterRefusal(leader, reply, answered)
+		select {
+		case <-ctx.Done():
+			return fleetstate.Result{}, eris.Wrap(ctx.Err(), "the replicated state did not answer in time")
+		case <-m.quit:
+			return fleetstate.Result{}, eris.New("this process is stopping")
+		case <-time.After(askPause):
+		}
+	}
+}
+
+// afterRefusal turns to the voter that is said to lead, or to the next one.
+func (m *member) afterRefusal(asked protocol.RouterID, reply fleet.ProposeReply, answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != asked || (answered && reply.Verdict == fleet.VerdictBusy) {
+		return
+	}
+	if answered && reply.Leader != "" {
+		m.leader = reply.Leader
+		return
+	}
+	m.nextVoter()
+}
+
+// ask sends one proposal to one voter and waits for its reply.
+func (m *member) ask(ctx context.Context, leader protocol.RouterID, command []byte, inForce bool) (fleet.ProposeReply, bool) {
+	patience := askTimeout
+	if inForce {
+		// A change waits for the lease of a lost router to run out.
+		patience += lease.DefaultTiming().Wait + askTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if leader == m.identity.Router {
+		if m.local == nil {
+			return fleet.ProposeReply{}, false
+		}
+		return m.local.propose(ctx, fleet.Propose{Command: command, InForce: inForce}), true
+	}
+	id, replies := m.expect()
+	defer m.forget(id)
+	m.send(leader, wire.KindPropose, wire.Encode(fleet.Propose{ID: id, Command: command, InForce: inForce}), true)
+	select {
+	case reply := <-replies:
+		return reply, true
+	case <-ctx.Done():
+		return fleet.ProposeReply{}, false
+	}
+}
+
+func (m *member) expect() (uint64, chan fleet.ProposeReply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked++
+	replies := make(chan fleet.ProposeReply, 1)
+	m.asking[m.asked] = replies
+	return m.asked, replies
+}
+
+func (m *member) forget(id uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asking, id)
+}
+
+// onProposeReply hands a reply to whoever asked.
+func (m *member) onProposeReply(reply fleet.ProposeReply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if replies := m.asking[reply.ID]; replies != nil {
+		select {
+		case replies <- reply:
+		default:
+		}
+	}
+}
+
+// Journal implements Proposer.
+func (m *member) Journal(out node.Journal) {
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), journalTimeout)
+		defer cancel()
+		command := out.Command
+		command.At = time.Now().UnixMilli()
+		result, err := m.propose(ctx, fleetstate.Command{Order: &command}, false)
+		answer := node.JournalResult{Caller: out.Caller, Op: out.Command.Op, Failed: err != nil}
+		if err == nil && result.Order != nil {
+			answer.Result = *result.Order
+		}
+		m.input(answer)
+	}()
+}
+
+// RegisterUpstream implements Proposer. Announcements repeat twice a second,
+// so one registration of an upstream is under way at a time.
+func (m *member) RegisterUpstream(out node.RegisterUpstream) {
+	descriptor := registry.FromAnnouncement(out.Announcement)
+	m.registryChange(descriptor.ID, fleetstate.Command{Register: &registry.Register{Descriptor: descriptor}})
+}
+
+// RemoveUpstream implements Proposer.
+func (m *member) RemoveUpstream(out node.RemoveUpstream) {
+	m.registryChange(out.Upstream, fleetstate.Command{Remove: &registry.Remove{
+		ID: out.Upstream, Incarnation: out.Incarnation, Why: string(out.Reason),
+	}})
+}
+
+func (m *member) registryChange(id protocol.UpstreamID, command fleetstate.Command) {
+	m.registeringMu.Lock()
+	busy := m.registering[id]
+	m.registering[id] = true
+	m.registeringMu.Unlock()
+	if busy {
+		return
+	}
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+		defer cancel()
+		_, _ = m.propose(ctx, command, false)
+		m.registeringMu.Lock()
+		defer m.registeringMu.Unlock()
+		delete(m.registering, id)
+	}()
+}
+
+// release proposes to give up upstreams that this router was asked for.
+func (m *member) release(session ownership.SessionID, upstreams []protocol.UpstreamID) {
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+		defer cancel()
+		_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Upstreams: upstreams}}, false)
+	}()
+}
+
+// leave begins a planned stop: the session gets no more upstreams and gives
+// up those it has, so that their next owners needn't wait for a lease.
+func (m *member) leave(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	session := m.holder.Session()
+	var owned []protocol.UpstreamID
+	m.holder.View().Assignments(func(assignment ownership.Assignment) {
+		if assignment.Owner == session {
+			owned = append(owned, assignment.Upstream)
+		}
+	})
+	m.mu.Unlock()
+	if session == ownership.NoSession {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, _ = m.propose(ctx, fleetstate.Command{Stop: &ownership.Stop{Session: session}}, false)
+	_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Upstreams: owned}}, false)
+}
+
+// closeSession ends the session, after which nobody waits for its lease.
+func (m *member) closeSession(ctx context.Context) {
+	m.mu.Lock()
+	session := m.holder.Session()
+	m.mu.Unlock()
+	if session == ownership.NoSession {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, _ = m.propose(ctx, fleetstate.Command{Close: &ownership.Close{Session: session}}, false)
+}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -205,6 +205,8 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindOrderReport:
+		return decoded[node.OrderReport](from, frame)
 	}
 	return nil, nil
 }
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -65,6 +65,17 @@
 	RemainingMS int64 `msgpack:"ms"`
 	// Digest identifies body and customer, for quarantine.
 	Digest uint64 `msgpack:"d,omitempty"`
+	// Order is set for a request that may run at most once.
+	Order *Order `msgpack:"or,omitempty"`
+}
+
+// Order names a request that may run at most once in the journal.
+type Order struct {
+	Key    string   `msgpack:"k"`
+	Digest [16]byte `msgpack:"d"`
+	// Attempt numbers the order's dispatches in the journal, from 1. It is not
+	// the attempt of the Place, which also counts owners that had no room.
+	Attempt uint32 `msgpack:"a"`
 }
 
 // PlaceOutcome is an owner's decision.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -78,6 +78,8 @@
 	KindQuarantine Kind = 19
 	// KindPush carries changes of the replicated state to a router.
 	KindPush Kind = 20
+	// KindOrderReport tells an entry how an attempt of an order ended.
+	KindOrderReport Kind = 21
 )
 
 // Frame is one message.
