--- a/coordination/orders/journal.go
+++ b/coordination/orders/journal.go
@@ -115,6 +115,9 @@
 	if command.Op == OpReserve {
 		return j.reserve(command, record)
 	}
+	if record == nil && command.Op == OpSeal {
+		return j.sealAbsent(command)
+	}
 	if record == nil {
 		return Result{Outcome: NoRecord}
 	}
@@ -167,6 +170,9 @@
 }
 
 func (j *Journal) step(command Command, record *Record, open func(ownership.SessionID) bool) Outcome {
+	if command.Op != OpSettle && record.Digest != command.Digest {
+		return DigestConflict
+	}
 	switch command.Op {
 	case OpDispatch:
 		return j.dispatch(command, record, open)
@@ -258,6 +264,17 @@
 	return NotAllowed
 }
 
+// sealAbsent seals an order whose reservation is not committed, and may be
+// later: the sealed record blocks that as well.
+func (j *Journal) sealAbsent(command Command) Result {
+	if j.bytes >= j.settings.MaxBytes {
+		return Result{Outcome: Full}
+	}
+	record := &Record{Key: command.Key, Digest: command.Digest, State: Sealed, ReservedAt: j.clock}
+	j.insert(record)
+	return Result{Outcome: Applied, Record: record.clone()}
+}
+
 func (j *Journal) unknown(command Command, record *Record) Outcome {
 	if record.Holder != command.Holder {
 		return NotAllowed
--- a/coordination/table/sheets.go
+++ b/coordination/table/sheets.go
@@ -97,6 +97,10 @@
 	if strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd }) {
 		return "must not hold spaces or control characters"
 	}
+	if strings.ContainsRune("=+-@", rune(key[0])) {
+		// Spreadsheet programs run such a cell as a formula.
+		return "must not begin with = + - or @"
+	}
 	if sheet == Routes && !strings.HasPrefix(key, "/") {
 		return "must begin with a slash"
 	}
--- a/coordination/table/stage.go
+++ b/coordination/table/stage.go
@@ -11,13 +11,14 @@
 	table     *Table
 	index     uint64
 	rows      map[Ref]*Row
+	seen      map[Ref]bool
 	problems  []Problem
 	conflicts []RowConflict
 }
 
 // stage returns the rows to write, or nil and the answer to give.
 func (t *Table) stage(index uint64, change Change) (map[Ref]*Row, Answer) {
-	s := &stager{table: t, index: index, rows: make(map[Ref]*Row, len(change.Edits))}
+	s := &stager{table: t, index: index, rows: map[Ref]*Row{}, seen: map[Ref]bool{}}
 	s.checkHead(change)
 	if len(change.Edits) <= maxEdits {
 		for _, edit := range change.Edits {
@@ -78,17 +79,24 @@
 		s.problem(edit, "key", edit.Key, problem)
 	}
 	ref := Ref{edit.Sheet, edit.Key}
-	if _, twice := s.rows[ref]; twice {
+	if s.seen[ref] {
 		s.problem(edit, "", "", "the row stands twice in this change")
 		return
 	}
+	s.seen[ref] = true
 	s.checkRevision(ref, edit)
 	current, exists := s.table.rows[ref]
 	if edit.Delete {
 		s.stageDelete(edit, exists)
 		return
 	}
-	s.rows[ref] = s.mergeCells(edit, sheetColumns, current, exists)
+	merged := s.mergeCells(edit, sheetColumns, current, exists)
+	if exists && slices.Equal(merged.Cells, current.Cells) {
+		// An imported file names every row; those it leaves alone keep their
+		// revision, so that it meets fewer conflicts and costs fewer bytes.
+		return
+	}
+	s.rows[ref] = merged
 }
 
 func (s *stager) stageDelete(edit Edit, exists bool) {
--- a/coordination/table/table.go
+++ b/coordination/table/table.go
@@ -148,10 +148,23 @@
 	if staged == nil {
 		return answer, nil
 	}
+	if len(staged) == 0 {
+		return Answer{Outcome: Committed, Revision: t.newest(change.Edits)}, nil
+	}
 	touched := t.write(index, change, staged)
 	return Answer{Outcome: Committed, Revision: index}, touched
 }
 
+// newest returns the highest revision of the rows that a change names. A
+// change that alters nothing is in force when those rows are.
+func (t *Table) newest(edits []Edit) uint64 {
+	revision := uint64(0)
+	for _, edit := range edits {
+		revision = max(revision, t.Revision(edit.Sheet, edit.Key))
+	}
+	return revision
+}
+
 // write replaces the staged rows; nil deletes.
 func (t *Table) write(index uint64, change Change, staged map[Ref]*Row) []Touched {
 	entry := HistoryEntry{ID: change.ID, Revision: index, Who: change.Who, Why: change.Why, At: change.At}
