The thin whole path: daemon, tool, and a fleet with one command

Cause: parts stood side by side; nothing ran from caller to back end. Ruled out: a list of upstreams in the settings (they announce themselves); a second way for local routers to reach their own leader (the local state host is asked by the same calls). Figures: before, nothing ran. Conclusion: the frame holds; decisions under load, recovery and measurement are built into it from here.

--- /dev/null
+++ b/cmd/endiveplankd/main.go
@@ -0,0 +1,106 @@
+// Command endiveplankd is one process of the router fleet. Its settings say
+// which part it plays.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"endiveplank/daemon"
+	"endiveplank/settings"
+)
+
+// Exit statuses.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	// exitCut means that a planned stop cut requests in flight.
+	exitCut = 3
+)
+
+// errCut is the error of a planned stop that cut requests.
+var errCut = errors.New("the patience for draining ran out and requests were cut")
+
+func main() {
+	os.Exit(run())
+}
+
+// run executes the command line and returns the exit status.
+func run() int {
+	err := rootCommand().Execute()
+	var problems settings.Problems
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &problems):
+		fmt.Fprintf(os.Stderr, "endiveplankd: the settings have %d mistakes:\n%s\n", len(problems), problems)
+		return exitSettings
+	case errors.Is(err, errCut):
+		fmt.Fprintln(os.Stderr, "endiveplankd:", err)
+		return exitCut
+	}
+	fmt.Fprintln(os.Stderr, "endiveplankd:", err)
+	return exitFailed
+}
+
+func rootCommand() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "endiveplankd",
+		Short:         "Run one process of the router fleet",
+		Example:       "  endiveplankd --config /etc/endiveplank/router.json\n  endiveplankd check --config router.json",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(*cobra.Command, []string) error { return serve(path) },
+	}
+	root.PersistentFlags().StringVar(&path, "config", "endiveplankd.json", "settings file")
+	root.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Check a settings file without starting",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if _, err := settings.ReadFile(path); err != nil {
+				return err
+			}
+			fmt.Fprintln(command.OutOrStdout(), "settings are good")
+			return nil
+		},
+	})
+	return root
+}
+
+// serve runs the process until SIGTERM or an interrupt asks it to stop. A
+// second signal, or the drain time of the settings, ends its patience.
+func serve(path string) error {
+	loaded, err := settings.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	process, err := daemon.New(loaded, daemon.NewLogger(loaded.Log, os.Stderr))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := process.Start(); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), loaded.Timing.Drain())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if !process.Stop(ctx) {
+		return errCut
+	}
+	return nil
+}
--- a/coordination/node/dispatch.go
+++ b/coordination/node/dispatch.go
@@ -98,9 +98,6 @@
 // dispatchEnded tells the flow how the call ended.
 func (n *Node) dispatchEnded(now time.Duration, target *owned, r *relay, in UpstreamEnd) {
 	n.stepDispatch(now, target, r, r.dispatch.ending(in))
-	if n.running[r.place.Attempt] == nil {
-		return
-	}
 }
 
 // ending is the flow's input for the end of a call.
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -149,22 +149,22 @@
 // also refuses new requests and takes no more work for its upstreams.
 type Drain struct{ Refuse bool }
 
-func (CallerRequest) input()  {}
-func (CallerGone) input()     {}
-func (PeerPlace) input()      {}
-func (PeerPlaceReply) input() {}
-func (PeerChunk) input()      {}
-func (PeerEnd) input()        {}
-func (PeerCancel) input()     {}
-func (PeerTotals) input()     {}
-func (PeerLost) input()       {}
-func (UpstreamChunk) input()  {}
-func (UpstreamEnd) input()    {}
-func (Announced) input()      {}
-func (Leaving) input()        {}
-func (ViewChanged) input()    {}
-func (LeaseChanged) input()   {}
+func (CallerRequest) input()   {}
+func (CallerGone) input()      {}
+func (PeerPlace) input()       {}
+func (PeerPlaceReply) input()  {}
+func (PeerChunk) input()       {}
+func (PeerEnd) input()         {}
+func (PeerCancel) input()      {}
+func (PeerTotals) input()      {}
+func (PeerLost) input()        {}
+func (UpstreamChunk) input()   {}
+func (UpstreamEnd) input()     {}
+func (Announced) input()       {}
+func (Leaving) input()         {}
+func (ViewChanged) input()     {}
+func (LeaseChanged) input()    {}
 func (PeerOrderReport) input() {}
-func (JournalResult) input()  {}
-func (Tick) input()           {}
-func (Drain) input()          {}
+func (JournalResult) input()   {}
+func (Tick) input()            {}
+func (Drain) input()           {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -57,10 +57,15 @@
 	view       *View
 	leaseUntil time.Duration
 	// session names this router's lease in the journal of orders.
-	session  ownership.SessionID
+	session ownership.SessionID
+	// unready tells the platform to send callers elsewhere; draining refuses
+	// those that still come.
+	unready  bool
 	draining bool
-	entries  map[protocol.RequestID]*entry
-	owned    map[protocol.UpstreamID]*owned
+	// token numbers the journal holders of this process.
+	token   uint64
+	entries map[protocol.RequestID]*entry
+	owned   map[protocol.UpstreamID]*owned
 	// running finds the upstream of an attempt this router relays.
 	running map[fleet.Attempt]*owned
 	totals  *totalsBook
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -48,12 +48,12 @@
 
 // Upstream is what the replicated state says about one upstream.
 type Upstream struct {
-	ID            protocol.UpstreamID
-	Kind          upstreamapi.Kind
-	Address       string
-	DataCentre    protocol.DataCentre
-	Models        []protocol.Model
-	Service       protocol.Service
+	ID         protocol.UpstreamID
+	Kind       upstreamapi.Kind
+	Address    string
+	DataCentre protocol.DataCentre
+	Models     []protocol.Model
+	Service    protocol.Service
 	// Announced and AnnouncedMax are capacity and concurrency as announced;
 	// Capacity and MaxConcurrent are what operators made of them.
 	Announced     float64
--- a/coordination/orders/entry.go
+++ b/coordination/orders/entry.go
@@ -39,6 +39,8 @@
 	Reported struct{ Report Report }
 	// DispatcherLost means that the connection to the dispatcher broke.
 	DispatcherLost struct{}
+	// Refused means that every owner is too busy to take the order soon.
+	Refused struct{}
 	// NotConnected means that the service could not be reached and that no
 	// byte of the order was sent.
 	NotConnected struct{}
@@ -56,6 +58,7 @@
 func (CallerGone) input()     {}
 func (Reported) input()       {}
 func (DispatcherLost) input() {}
+func (Refused) input()        {}
 func (NotConnected) input()   {}
 func (Answered) input()       {}
 func (Broken) input()         {}
@@ -181,6 +184,8 @@
 		return e.reported(now, in.Report)
 	case DispatcherLost:
 		return e.dispatcherLost()
+	case Refused:
+		return e.refused()
 	}
 	return nil
 }
@@ -284,6 +289,17 @@
 	return []Output{Look{After: lookGap}}
 }
 
+// refused asks for the forced outcome at once. An overloaded fleet gives up on
+// the order now; holding the caller until its deadline would only keep it from
+// coming back when there is room.
+func (e *Entry) refused() []Output {
+	if e.phase != dispatching {
+		return nil
+	}
+	e.phase = sealing
+	return e.propose(OpSeal)
+}
+
 func (e *Entry) reply(outcome protocol.RunOutcome, reason Reason, answer *Answer) []Output {
 	e.phase = entryEnded
 	if e.gone {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,17 +42,18 @@
 
 // Daemon is one running process.
 type Daemon struct {
-	settings settings.Settings
-	log      zerolog.Logger
-	epoch    time.Time
-	counters *counters
-	runner   *runner
-	mesh     *peer.Mesh
-	member   *member
-	host     *stateHost
-	replica  *replica.Replica
-	servers  []*http.Server
-	quit     chan struct{}
+	settings  settings.Settings
+	log       zerolog.Logger
+	epoch     time.Time
+	counters  *counters
+	runner    *runner
+	mesh      *peer.Mesh
+	member    *member
+	host      *stateHost
+	replica   *replica.Replica
+	servers   []*http.Server
+	questions *questions
+	quit      chan struct{}
 }
 
 // New provisions a process. It opens the data folder and listens nowhere yet.
@@ -154,6 +155,12 @@
 		quit:   d.quit,
 	}
 	d.runner.proposer = d.member
+	d.questions = &questions{
+		open:  map[uint64]chan queryReply{},
+		send:  d.mesh.Send,
+		self:  d.settings.RouterID,
+		local: d.answerQuery,
+	}
 }
 
 // provisionState opens the data folder and the consensus member in it.
@@ -179,7 +186,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open replicated state")
 	}
-	d.host.log = d.replica
+	d.host.log = replicaLog{d.replica}
 	d.member.local = d.host
 	return nil
 }
@@ -251,6 +258,10 @@
 func (d *Daemon) Stop(ctx context.Context) bool {
 	d.log.Info().Msg("daemon: draining")
 	d.runner.Input(node.Drain{})
+	// The platform's balancer needs a moment to see it and send new callers
+	// elsewhere; until then they are served.
+	sleep(ctx, d.settings.Timing.Unready())
+	d.runner.Input(node.Drain{Refuse: true})
 	d.member.leave(ctx)
 	whole := d.awaitIdle(ctx)
 	d.member.closeSession(ctx)
@@ -269,6 +280,14 @@
 	return whole
 }
 
+// sleep waits, at most until the context ends.
+func sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
 // awaitIdle waits until no request is in flight.
 func (d *Daemon) awaitIdle(ctx context.Context) bool {
 	for {
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,278 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/table"
+	"endiveplank/protocol"
+	"endiveplank/protocol/upstreamapi"
+	"endiveplank/settings"
+	"endiveplank/standin/desk"
+	"endiveplank/standin/engine"
+)
+
+// patience bounds how long a test waits for something that must happen. It is
+// far beyond what a busy machine needs and decides no verdict by itself.
+const patience = 60 * time.Second
+
+// testFleet is three daemons in this process, on real sockets and disks.
+type testFleet struct {
+	t       *testing.T
+	daemons []*Daemon
+	configs []settings.Settings
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t}
+	var peers []settings.Peer
+	for i := range 3 {
+		s := settings.Defaults()
+		s.RouterID = protocol.RouterID(fmt.Sprintf("r%d", i+1))
+		s.Role = settings.RoleVoter
+		s.DataCentre = protocol.DataCentre(fmt.Sprintf("dc%d", i+1))
+		s.DataFolder = t.TempDir()
+		s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
+		s.Listen = settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: freeAddress(t)}
+		s.Timing.UnreadyMS = 0
+		peers = append(peers, settings.Peer{RouterID: s.RouterID, Address: s.Listen.Peers})
+		f.configs = append(f.configs, s)
+	}
+	for i := range f.configs {
+		f.configs[i].Peers = peers
+		f.daemons = append(f.daemons, f.start(i))
+	}
+	t.Cleanup(f.stop)
+	f.await("every router is ready", func() bool {
+		for _, d := range f.daemons {
+			if !d.runner.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (f *testFleet) start(i int) *Daemon {
+	d, err := New(f.configs[i], zerolog.Nop())
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, d.Start())
+	return d
+}
+
+// stop ends all daemons at once; a fleet that stops as a whole has nobody to
+// hand over to, so it gets little time.
+func (f *testFleet) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	var stopped sync.WaitGroup
+	for _, d := range f.daemons {
+		if d != nil {
+			stopped.Go(func() { d.Stop(ctx) })
+		}
+	}
+	stopped.Wait()
+}
+
+func (f *testFleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", patience, what)
+}
+
+func (f *testFleet) upstreamAddresses() []string {
+	var addresses []string
+	for _, s := range f.configs {
+		addresses = append(addresses, s.Listen.Upstreams)
+	}
+	return addresses
+}
+
+// engine starts a model engine and waits until every router knows its owner.
+func (f *testFleet) engine(id string, change func(*engine.Settings)) *engine.Server {
+	f.t.Helper()
+	s := engine.DefaultSettings(protocol.UpstreamID(id))
+	s.Models = []protocol.Model{"m1"}
+	s.DataCentre = "dc1"
+	s.Announce = f.upstreamAddresses()
+	if change != nil {
+		change(&s)
+	}
+	server, err := engine.Start(s)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { server.Close() })
+	f.awaitOwner(id)
+	return server
+}
+
+func (f *testFleet) desk() *desk.Server {
+	f.t.Helper()
+	server, err := desk.Start(desk.Settings{ID: "desk1", Service: "orders", DataCentre: "dc3", Listen: "127.0.0.1:0", Announce: f.upstreamAddresses()})
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { server.Close() })
+	f.awaitOwner("desk1")
+	return server
+}
+
+func (f *testFleet) awaitOwner(id string) {
+	f.t.Helper()
+	f.await("upstream "+id+" has an owner on every router's view", func() bool {
+		for _, d := range f.daemons {
+			owned := false
+			for _, upstream := range d.Status(context.Background()).Upstreams {
+				owned = owned || (string(upstream.Upstream) == id && upstream.Owner != "")
+			}
+			if !owned {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// change edits one row through a router and returns the answer.
+func (f *testFleet) change(d *Daemon, id string, edit table.Edit) table.Answer {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	answer, err := d.Change(ctx, table.Change{ID: id, Who: "test", Why: "test", Edits: []table.Edit{edit}})
+	assert.NilError(f.t, err)
+	return answer
+}
+
+// setUp adds a customer with the key "key-a" and an order route.
+func (f *testFleet) setUp() {
+	digest := sha256.Sum256([]byte("key-a"))
+	f.change(f.daemons[0], "customer", table.Edit{Sheet: table.Customers, Key: "a", Cells: []table.Cell{{Column: "key_hashes", Value: hex.EncodeToString(digest[:])}}})
+	f.change(f.daemons[0], "route", table.Edit{Sheet: table.Routes, Key: "/svc/orders", Cells: []table.Cell{{Column: "service", Value: "orders"}, {Column: "idempotent", Value: "no"}}})
+}
+
+// call sends a request to router i and returns status, headers and body.
+func (f *testFleet) call(i int, path, body string, headers ...string) (int, http.Header, string) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.configs[i].Listen.Callers+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	request.Header.Set("Authorization", "Bearer key-a")
+	for n := 0; n+1 < len(headers); n += 2 {
+		request.Header.Set(headers[n], headers[n+1])
+	}
+	client := &http.Client{Timeout: patience}
+	response, err := client.Do(request)
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	assert.NilError(f.t, err)
+	return response.StatusCode, response.Header, string(raw)
+}
+
+const chatBody = `{"model":"m1","stream":true,"max_tokens":6,"messages":[{"role":"user","content":"fuel?"}]}`
+
+// contents joins the data lines of an event stream, without what differs
+// between requests.
+func contents(body string) string {
+	var text strings.Builder
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		line := scanner.Text()
+		if i := strings.Index(line, `"content":"`); i >= 0 {
+			rest := line[i+len(`"content":"`):]
+			text.WriteString(rest[:strings.IndexByte(rest, '"')])
+		}
+	}
+	return text.String()
+}
+
+func TestChatThroughEveryRouterGivesTheSameWholeAnswer(t *testing.T) {
+	f := newTestFleet(t)
+	f.setUp()
+	f.engine("e1", nil)
+	var first string
+	for i := range f.daemons {
+		status, headers, body := f.call(i, upstreamapi.CompletionsPath, chatBody)
+		assert.Equal(t, status, 200)
+		assert.Equal(t, headers.Get(protocol.RunOutcomeHeader), "ran")
+		assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+		if first == "" {
+			first = contents(body)
+		}
+		assert.Equal(t, contents(body), first)
+	}
+}
+
+// A dispatcher's order is sent, and sent again through another router because
+// the first answer took long to come back. The truck must be sent once, and
+// both callers must get the same answer; the same key with another order is
+// refused.
+func TestOrderSentAgainThroughAnotherRouterRunsOnce(t *testing.T) {
+	f := newTestFleet(t)
+	f.setUp()
+	server := f.desk()
+	var first string
+	for i := range f.daemons {
+		status, headers, body := f.call(i, "/svc/orders/orders", `{"gallons":900}`, protocol.IdempotencyKeyHeader, "o-1")
+		assert.Equal(t, status, 200, body)
+		assert.Equal(t, headers.Get(protocol.RunOutcomeHeader), "ran")
+		if first == "" {
+			first = body
+		}
+		assert.Equal(t, body, first)
+	}
+	status, headers, _ := f.call(0, "/svc/orders/orders", `{"gallons":901}`, protocol.IdempotencyKeyHeader, "o-1")
+	assert.Equal(t, status, 422)
+	assert.Equal(t, headers.Get(protocol.RunOutcomeHeader), "not-run")
+	status, _, _ = f.call(0, "/svc/orders/orders", `{}`)
+	assert.Equal(t, status, 400)
+	response, err := http.Get("http://" + server.Address() + "/audit")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	audit, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(audit), `"total":1`), string(audit))
+}
+
+// Two operators edit the same row at the same time, each having read revision
+// 0. One wins; the other must see the winner's row instead of overwriting it,
+// and sending the winner's change again must not count as a third edit.
+func TestRacingOperatorsOneWinsAndTheOtherSeesIt(t *testing.T) {
+	f := newTestFleet(t)
+	edit := func(weight string) table.Edit {
+		return table.Edit{Sheet: table.Routes, Key: "/svc/x", Cells: []table.Cell{{Column: "service", Value: weight}, {Column: "idempotent", Value: "yes"}}}
+	}
+	won := f.change(f.daemons[0], "c1", edit("north"))
+	lost := f.change(f.daemons[1], "c2", edit("south"))
+	assert.Equal(t, won.Outcome, table.Committed)
+	assert.Equal(t, lost.Outcome, table.Conflict)
+	assert.Equal(t, lost.Conflicts[0].Winner.Cells[0], "north")
+	again := f.change(f.daemons[2], "c1", edit("north"))
+	assert.DeepEqual(t, again, won)
+	for _, d := range f.daemons {
+		assert.Equal(t, d.Rows(table.Routes)[0].Cells[0], "north")
+	}
+}
--- a/daemon/frames.go
+++ b/daemon/frames.go
@@ -44,10 +44,31 @@
 		}
 		d.member.onProposeReply(reply)
 		return nil
+	case wire.KindQuery, wire.KindQueryReply:
+		return d.handleQuery(from, frame)
 	}
 	return d.handleUpstreamNews(from, frame)
 }
 
+// handleQuery answers an operator's question from another process, or takes
+// the answer to one.
+func (d *Daemon) handleQuery(from protocol.RouterID, frame wire.Frame) error {
+	if frame.Kind == wire.KindQueryReply {
+		var reply queryReply
+		if err := wire.Decode(frame.Payload, &reply); err != nil {
+			return err
+		}
+		d.questions.answered(reply)
+		return nil
+	}
+	var question query
+	if err := wire.Decode(frame.Payload, &question); err != nil {
+		return err
+	}
+	d.mesh.Send(from, wire.KindQueryReply, wire.Encode(d.answerQuery(question)), true)
+	return nil
+}
+
 // handleUpstreamNews takes what peers pass on about upstreams and load.
 func (d *Daemon) handleUpstreamNews(from protocol.RouterID, frame wire.Frame) error {
 	switch frame.Kind {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,11 +91,6 @@
 	}()
 }
 
-func (m *member) stop() {
-	close(m.quit)
-	m.done.Wait()
-}
-
 // tick opens a session, renews it, and looks for another leader when the
 // present one is silent.
 func (m *member) tick() {
@@ -424,3 +420,35 @@
 	defer cancel()
 	_, _ = m.propose(ctx, fleetstate.Command{Close: &ownership.Close{Session: session}}, false)
 }
+
+// currentLeader returns the voter that is believed to lead.
+func (m *member) currentLeader() protocol.RouterID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leader
+}
+
+// turnFrom looks for another leader than the one that did not answer.
+func (m *member) turnFrom(asked protocol.RouterID) {
+	m.afterRefusal(asked, fleet.ProposeReply{}, false)
+}
+
+// read runs f on this router's view.
+func (m *member) read(f func(*fleetstate.View)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.holder.View())
+}
+
+// routers lists the routers with an open session, this one included.
+func (m *member) routers() []protocol.RouterID {
+	found := []protocol.RouterID{m.identity.Router}
+	m.read(func(view *fleetstate.View) {
+		view.Sessions(func(session ownership.Session) {
+			if !slices.Contains(found, session.Router) {
+				found = append(found, session.Router)
+			}
+		})
+	})
+	return found
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -6,7 +6,6 @@
 	"math"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -17,8 +16,6 @@
 type counters struct {
 	registry metrics.Registry
 	requests metrics.Counter
-
-	mu sync.Mutex
 }
 
 func newCounters() *counters {
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"endiveplank/coordination/explain"
+	"endiveplank/coordination/fleetstate"
+	"endiveplank/coordination/orders"
+	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/registry"
+	"endiveplank/coordination/table"
+	"endiveplank/protocol"
+	"endiveplank/transport/admin"
+)
+
+// adminHandler serves operators.
+func (d *Daemon) adminHandler() http.Handler {
+	return admin.New(d, d.settings.Operators)
+}
+
+// Rows implements admin.Fleet.
+func (d *Daemon) Rows(sheet table.Sheet) []table.Row {
+	rows := []table.Row{}
+	d.member.read(func(view *fleetstate.View) {
+		view.Rows(sheet, func(row table.Row) { rows = append(rows, row) })
+	})
+	slices.SortFunc(rows, func(a, b table.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// Change implements admin.Fleet.
+func (d *Daemon) Change(ctx context.Context, change table.Change) (table.Answer, error) {
+	change.At = time.Now().UnixMilli()
+	result, err := d.member.propose(ctx, fleetstate.Command{Change: &change}, true)
+	if err != nil {
+		return table.Answer{}, err
+	}
+	if result.Change == nil {
+		return table.Answer{}, eris.New("the replicated state didn't understand the change")
+	}
+	return *result.Change, nil
+}
+
+// Settle implements admin.Fleet.
+func (d *Daemon) Settle(ctx context.Context, settle admin.Settle) (orders.Result, error) {
+	command := orders.Command{
+		Op:  orders.OpSettle,
+		Key: orders.Key{Customer: settle.Customer, Key: settle.Key},
+		At:  time.Now().UnixMilli(),
+		Who: settle.Who,
+	}
+	if settle.Ran {
+		command.Answer = &orders.Answer{Status: uint16(settle.Status), ContentType: "application/json", Body: []byte(settle.Body)}
+	}
+	result, err := d.member.propose(ctx, fleetstate.Command{Order: &command}, false)
+	if err != nil {
+		return orders.Result{}, err
+	}
+	if result.Order == nil {
+		return orders.Result{}, eris.New("the replicated state didn't understand the order")
+	}
+	return *result.Order, nil
+}
+
+// WriteMetrics implements admin.Fleet.
+func (d *Daemon) WriteMetrics(w io.Writer) error {
+	d.updateGauges()
+	return d.counters.writeText(w)
+}
+
+// updateGauges reads the values that are not counted as they happen.
+func (d *Daemon) updateGauges() {
+	entries, relayed := d.runner.inFlight()
+	d.counters.set("requests_in_flight", float64(entries))
+	d.counters.set("attempts_relayed", float64(relayed))
+	ready := 0.0
+	if d.runner.Ready() {
+		ready = 1
+	}
+	d.counters.set("ready", ready)
+	counts := d.mesh.Counts()
+	for kind, bytes := range counts.BytesSent {
+		d.counters.set("peer_bytes_total."+kind.String(), float64(bytes))
+	}
+	d.counters.set("peer_connections_stalled_total", float64(counts.Stalled))
+	d.counters.set("peer_connections_refused_total", float64(counts.RefusedInbound))
+}
+
+// Status implements admin.Fleet.
+func (d *Daemon) Status(context.Context) admin.Status {
+	status := admin.Status{
+		Router:     d.settings.RouterID,
+		DataCentre: d.settings.DataCentre,
+		Ready:      d.runner.Ready(),
+		Leader:     d.member.currentLeader(),
+		Routers:    []admin.RouterStatus{},
+		Upstreams:  []admin.UpstreamStatus{},
+	}
+	d.member.read(func(view *fleetstate.View) { fillStatus(&status, view) })
+	status.Problems = problemsOf(status)
+	return status
+}
+
+// fillStatus describes routers and upstreams from a view.
+func fillStatus(status *admin.Status, view *fleetstate.View) {
+	status.Revision = view.Revision()
+	owners := map[ownership.SessionID]protocol.RouterID{}
+	owned := map[ownership.SessionID]int{}
+	view.Sessions(func(session ownership.Session) { owners[session.ID] = session.Router })
+	view.Descriptors(func(descriptor registry.Descriptor) {
+		assignment, _ := view.Assignment(descriptor.ID)
+		owned[assignment.Owner]++
+		row, _ := view.Row(table.Upstreams, string(descriptor.ID))
+		status.Upstreams = append(status.Upstreams, admin.UpstreamStatus{
+			Upstream:   descriptor.ID,
+			Kind:       string(descriptor.Kind),
+			Address:    descriptor.Address,
+			DataCentre: descriptor.DataCentre,
+			Serves:     servesText(descriptor),
+			Owner:      owners[assignment.Owner],
+			Fence:      uint64(assignment.Fence),
+			Drain:      row.Key != "" && table.UpstreamOf(row).Drain,
+		})
+	})
+	view.Sessions(func(session ownership.Session) {
+		status.Routers = append(status.Routers, admin.RouterStatus{
+			Router:     session.Router,
+			DataCentre: session.DataCentre,
+			Address:    session.Address,
+			Session:    uint64(session.ID),
+			Stopping:   session.Stopping,
+			Upstreams:  owned[session.ID],
+		})
+	})
+	slices.SortFunc(status.Routers, func(a, b admin.RouterStatus) int { return cmp.Compare(a.Session, b.Session) })
+	slices.SortFunc(status.Upstreams, func(a, b admin.UpstreamStatus) int { return cmp.Compare(a.Upstream, b.Upstream) })
+}
+
+func servesText(descriptor registry.Descriptor) string {
+	if descriptor.Service != "" {
+		return string(descriptor.Service)
+	}
+	names := make([]string, 0, len(descriptor.Models))
+	for _, model := range descriptor.Models {
+		names = append(names, string(model))
+	}
+	return strings.Join(names, " ")
+}
+
+// problemsOf says what is wrong, worst first.
+func problemsOf(status admin.Status) []string {
+	problems := []string{}
+	if !status.Ready {
+		problems = append(problems, "this router is not ready: it has no lease, or it is stopping")
+	}
+	if len(status.Upstreams) == 0 {
+		problems = append(problems, "no upstream has announced itself")
+	}
+	for _, upstream := range status.Upstreams {
+		if upstream.Owner == "" {
+			problems = append(problems, "upstream "+string(upstream.Upstream)+" has no owner")
+		}
+	}
+	return problems
+}
+
+// sortEvents puts the events of several routers in order of their clocks,
+// which may differ by a little between VMs.
+func sortEvents(events []explain.Event) {
+	slices.SortStableFunc(events, func(a, b explain.Event) int {
+		return cmp.Or(cmp.Compare(a.UnixMS, b.UnixMS), cmp.Compare(a.Router, b.Router), cmp.Compare(a.Sequence, b.Sequence))
+	})
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -82,6 +82,25 @@
 	KindOrderReport Kind = 21
 )
 
+// kindNames are the names of kinds in metrics.
+var kindNames = map[Kind]string{
+	KindHello: "hello", KindAck: "ack", KindConsensus: "consensus",
+	KindRenew: "renew", KindRenewReply: "renew-reply", KindPush: "push",
+	KindPropose: "propose", KindProposeReply: "propose-reply",
+	KindPlace: "place", KindPlaceReply: "place-reply", KindChunk: "chunk", KindEnd: "end",
+	KindCancel: "cancel", KindAnnounce: "announce", KindLeave: "leave", KindGossip: "gossip",
+	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
+	KindQuarantine: "quarantine", KindOrderReport: "order-report",
+}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if name, known := kindNames[k]; known {
+		return name
+	}
+	return "unknown"
+}
+
 // Frame is one message.
 type Frame struct {
 	Kind    Kind
--- a/settings/check.go
+++ b/settings/check.go
@@ -146,6 +146,7 @@
 func (c *checker) timing(t Timing) {
 	c.between("timing.lease_ms", float64(t.LeaseMS), 1_000, 30_000)
 	c.between("timing.stall_ms", float64(t.StallMS), 200, 60_000)
+	c.between("timing.unready_ms", float64(t.UnreadyMS), 0, 60_000)
 	c.between("timing.drain_ms", float64(t.DrainMS), 0, 3_600_000)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,6 +125,10 @@
 	// StallMS is the longest an upstream or peer may go without progress while
 	// work is on it.
 	StallMS int `json:"stall_ms"`
+	// UnreadyMS is how long a stopping router reports unready, and still
+	// serves, before it refuses new requests: the time the platform's balancer
+	// needs to notice.
+	UnreadyMS int `json:"unready_ms"`
 	// DrainMS is how long a planned stop waits for requests in flight.
 	DrainMS int `json:"drain_ms"`
 }
@@ -162,7 +166,7 @@
 			DeadlineMS:      120_000,
 		},
 		Load:   Load{Multiple: 1.25, ReuseWeight: 0.5, QueueLimit: 256},
-		Timing: Timing{LeaseMS: 3_000, StallMS: 3_000, DrainMS: 60_000},
+		Timing: Timing{LeaseMS: 3_000, StallMS: 3_000, UnreadyMS: 2_000, DrainMS: 60_000},
 		Log:    Log{Level: "info", Format: "json"},
 		Traces: Traces{Exporter: "none", SampleRatio: 0.01},
 	}
@@ -174,6 +178,9 @@
 // Stall returns the progress deadline.
 func (t Timing) Stall() time.Duration { return time.Duration(t.StallMS) * time.Millisecond }
 
+// Unready returns the time between reporting unready and refusing.
+func (t Timing) Unready() time.Duration { return time.Duration(t.UnreadyMS) * time.Millisecond }
+
 // Drain returns the planned stop's patience.
 func (t Timing) Drain() time.Duration { return time.Duration(t.DrainMS) * time.Millisecond }
 
--- /dev/null
+++ b/tool/status.go
@@ -0,0 +1,113 @@
+package tool
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"endiveplank/coordination/explain"
+	"endiveplank/transport/admin"
+)
+
+// watchInterval is how often status --watch asks.
+const watchInterval = 2 * time.Second
+
+func statusCommand(o *options) *cobra.Command {
+	var watch bool
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show the fleet at a glance, what is wrong first",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			for {
+				if err := showStatus(command, o); err != nil || !watch {
+					return err
+				}
+				time.Sleep(watchInterval)
+			}
+		},
+	}
+	command.Flags().BoolVar(&watch, "watch", false, "show it again every two seconds")
+	return command
+}
+
+func showStatus(command *cobra.Command, o *options) error {
+	var status admin.Status
+	if _, err := o.call(command.Context(), "GET", "/admin/v1/status", nil, &status); err != nil {
+		return err
+	}
+	return o.print(command.OutOrStdout(), status, func(w io.Writer) { writeStatus(w, status) })
+}
+
+func writeStatus(w io.Writer, status admin.Status) {
+	if len(status.Problems) == 0 {
+		row(w, "all is well")
+	}
+	for _, problem := range status.Problems {
+		row(w, "! "+problem)
+	}
+	row(w, fmt.Sprintf("asked %s in %s, leader %s, revision %d", status.Router, status.DataCentre, status.Leader, status.Revision))
+	row(w)
+	row(w, "ROUTER", "DATA CENTRE", "ADDRESS", "UPSTREAMS", "STATE")
+	for _, router := range status.Routers {
+		state := "serving"
+		if router.Stopping {
+			state = "stopping"
+		}
+		row(w, router.Router, router.DataCentre, router.Address, router.Upstreams, state)
+	}
+	row(w)
+	row(w, "UPSTREAM", "KIND", "DATA CENTRE", "SERVES", "OWNER", "ADDRESS", "DRAIN")
+	for _, upstream := range status.Upstreams {
+		row(w, upstream.Upstream, upstream.Kind, upstream.DataCentre, upstream.Serves, upstream.Owner, upstream.Address, upstream.Drain)
+	}
+}
+
+func explainCommand(o *options) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "explain",
+		Short: "Tell why a request, customer or upstream got what it got",
+	}
+	for _, subject := range []struct{ name, short string }{
+		{"request", "Tell the story of one request over all routers"},
+		{"customer", "Show recent decisions about a customer"},
+		{"upstream", "Show recent decisions about an upstream"},
+	} {
+		command.AddCommand(explainSubject(o, subject.name, subject.short))
+	}
+	return command
+}
+
+func explainSubject(o *options, subject, short string) *cobra.Command {
+	return &cobra.Command{
+		Use:   subject + " ID",
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			var answer admin.EventsAnswer
+			path := "/admin/v1/events?" + url.Values{subject: args}.Encode()
+			if _, err := o.call(command.Context(), "GET", path, nil, &answer); err != nil {
+				return err
+			}
+			return o.print(command.OutOrStdout(), answer, func(w io.Writer) { writeEvents(w, answer) })
+		},
+	}
+}
+
+func writeEvents(w io.Writer, answer admin.EventsAnswer) {
+	for _, silent := range answer.Silent {
+		row(w, fmt.Sprintf("! router %s did not answer; its part is missing", silent))
+	}
+	row(w, "TIME", "ROUTER", "REQUEST", "ATTEMPT", "UPSTREAM", "WHAT", "WHY", "DETAIL")
+	for _, event := range answer.Events {
+		writeEvent(w, event)
+	}
+}
+
+func writeEvent(w io.Writer, event explain.Event) {
+	at := time.UnixMilli(event.UnixMS).UTC().Format("15:04:05.000")
+	row(w, at, event.Router, event.Request, event.Attempt, event.Upstream, event.What, event.Reason, event.Detail)
+}
