--- /dev/null
+++ b/coordination/admission/rate.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// rate estimates tokens per second over the time in which there was work to
+// do. It is an exponentially decaying average whose clock stands still while
+// nothing waits, because an idle upstream's low throughput says nothing about
+// how fast it drains a queue.
+type rate struct {
+	window  time.Duration
+	initial float64
+	busy    bool
+	updated time.Duration
+	// sum is the decayed number of tokens and span the decayed busy time in
+	// seconds.
+	sum  float64
+	span float64
+}
+
+// newRate starts with the initial rate, weighted as one tenth of the window.
+// That is little enough to be corrected within a second or so.
+func newRate(initial float64, window time.Duration) rate {
+	const initialShare = 0.1
+	span := initialShare * window.Seconds()
+	return rate{window: window, initial: initial, sum: initial * span, span: span}
+}
+
+// advance moves the clock to now. While busy, time without tokens lowers the
+// estimate, so an upstream that hangs makes waits grow.
+func (r *rate) advance(now time.Duration) {
+	elapsed := (now - r.updated).Seconds()
+	r.updated = now
+	if !r.busy || elapsed <= 0 {
+		return
+	}
+	window := r.window.Seconds()
+	keep := math.Exp(-elapsed / window)
+	r.sum *= keep
+	r.span = r.span*keep + window*(1-keep)
+}
+
+func (r *rate) setBusy(now time.Duration, busy bool) {
+	r.advance(now)
+	r.busy = busy
+}
+
+func (r *rate) add(now time.Duration, tokens int) {
+	r.advance(now)
+	if r.busy {
+		r.sum += float64(tokens)
+	}
+}
+
+// perSecond returns the estimate at now, in tokens per second.
+func (r *rate) perSecond(now time.Duration) float64 {
+	r.advance(now)
+	if r.span <= 0 {
+		return r.initial
+	}
+	return r.sum / r.span
+}
