Quarantine: find requests that crash engines, spare their neighbours

Cause: one request that kills every engine it runs on, sent again by its caller, takes the fleet down engine by engine. Change: coordination/quarantine. Crash notice 333 bytes with 64 in flight, verdict 38 with its crash, lift 15.

--- /dev/null
+++ b/coordination/quarantine/tracker_test.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/protocol"
+)
+
+const (
+	forever = 24 * time.Hour
+	engineA = protocol.UpstreamID("a")
+	engineB = protocol.UpstreamID("b")
+	engineC = protocol.UpstreamID("c")
+)
+
+func digest(name string) Digest { return DigestOf("customer", []byte(name)) }
+
+// crashWith runs the named requests on an upstream for a while and crashes it.
+func crashWith(t *Tracker, now time.Duration, upstream protocol.UpstreamID, incarnation uint64, names ...string) Report {
+	for _, name := range names {
+		t.Started(now, upstream, digest(name), "customer")
+	}
+	return t.Crashed(now+300*time.Millisecond, upstream, incarnation)
+}
+
+// condemned returns a tracker that has condemned "bad" after crashes at 0 and
+// 10 s.
+func condemned(t *testing.T) *Tracker {
+	tracker := New(DefaultConfig())
+	assert.Equal(t, len(crashWith(tracker, 0, engineA, 1, "bad", "x", "y").Condemned), 0)
+	report := crashWith(tracker, 10*time.Second, engineB, 1, "bad")
+	assert.DeepEqual(t, report.Condemned, []Digest{digest("bad")})
+	return tracker
+}
+
+// A caller's request kills each engine that runs it, and the caller sends it
+// again through another router. After the second crash every router that heard
+// of it refuses the request; its neighbours in the first crash are free to run.
+func TestResendThroughAnotherRouterIsRefused(t *testing.T) {
+	first, second := New(DefaultConfig()), New(DefaultConfig())
+	for _, n := range crashWith(first, 0, engineA, 1, "bad", "x", "y").Notices {
+		second.Merge(time.Second, n)
+		second.Merge(2*time.Second, n) // a repeat counts once
+	}
+	assert.Equal(t, second.Check(2*time.Second, digest("bad")), Verdict{Standing: Suspect, Crashes: 1})
+	for _, n := range crashWith(second, 10*time.Second, engineB, 1, "bad").Notices {
+		first.Merge(11*time.Second, n)
+	}
+	for _, tracker := range []*Tracker{first, second} {
+		verdict := tracker.Check(12*time.Second, digest("bad"))
+		assert.Equal(t, verdict.Standing, Quarantined)
+		assert.Assert(t, verdict.RetryAfter > 4*time.Minute)
+		assert.Equal(t, tracker.Check(12*time.Second, digest("x")).Standing, Suspect)
+	}
+	second.Ended(12*time.Second, engineC, digest("x"), Completed)
+}
+
+// A household's order question is refused for good because it twice shared an
+// engine that crashed for another reason. The sentence ends by itself, the
+// request is tried alone, and its answer clears it.
+func TestInnocentOutlivesItsQuarantine(t *testing.T) {
+	tracker := condemned(t)
+	later := 10 * time.Minute
+	assert.Equal(t, tracker.Check(later, digest("bad")).Standing, Suspect)
+	tracker.Started(later, engineC, digest("bad"), "customer")
+	tracker.Ended(later+time.Second, engineC, digest("bad"), Interrupted)
+	assert.Equal(t, tracker.Check(later+time.Second, digest("bad")).Standing, Suspect)
+	tracker.Started(later, engineC, digest("bad"), "customer")
+	tracker.Ended(later+time.Second, engineC, digest("bad"), Completed)
+	assert.Equal(t, tracker.Check(later+time.Second, digest("bad")).Standing, Clear)
+}
+
+func TestRepeatedSentenceDoubles(t *testing.T) {
+	tracker := condemned(t)
+	later := 10 * time.Minute
+	assert.Equal(t, tracker.Check(later, digest("bad")).Standing, Suspect)
+	report := crashWith(tracker, later, engineC, 1, "bad")
+	assert.Equal(t, len(report.Condemned), 1)
+	list := tracker.List(later + time.Second)
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Strikes, 2)
+	assert.Equal(t, list[0].Expires, later+300*time.Millisecond+10*time.Minute)
+	assert.Equal(t, list[0].Customer, protocol.CustomerID("customer"))
+}
+
+func TestLift(t *testing.T) {
+	tracker := condemned(t)
+	other := New(DefaultConfig())
+	other.Merge(0, Notice{Kind: CondemnNotice, Crash: 7, Digest: digest("bad"), Strikes: 1, Seconds: 300})
+	assert.Equal(t, other.Check(0, digest("bad")).Standing, Quarantined)
+	other.Merge(0, tracker.Lift(digest("bad")))
+	for _, tr := range []*Tracker{tracker, other} {
+		assert.Equal(t, tr.Check(11*time.Second, digest("bad")).Standing, Clear)
+		assert.Equal(t, len(tr.List(11*time.Second)), 0)
+	}
+}
+
+// A rack goes, and with it four engines within half a second. Requests of the
+// first are started again on the next and die there too. Nobody is to blame, and
+// a request that ran alone must not be condemned either.
+func TestRackLossCondemnsNobody(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "lonely", "p")
+	at := 10 * time.Second
+	report := crashWith(tracker, at, engineB, 1, "lonely")
+	assert.Equal(t, len(report.Condemned), 1)
+	started := time.Second
+	for i := range 3 {
+		id := protocol.UpstreamID(fmt.Sprint("rack-", i))
+		tracker.Started(started, id, digest("carried"), "customer")
+		report = crashWith(tracker, at, id, 1, fmt.Sprint("q", i))
+		started = at + 350*time.Millisecond
+		at += 400 * time.Millisecond
+	}
+	assert.Assert(t, report.Void)
+	assert.Equal(t, tracker.Check(at, digest("lonely")).Standing, Suspect)
+	assert.Equal(t, tracker.Check(at, digest("q0")).Standing, Clear)
+	assert.Equal(t, len(tracker.List(at)), 0)
+}
+
+// Three crashes in two seconds are one request's doing when it was in all of
+// them at the same age.
+func TestFastSerialCrashesAreNotVoid(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "bad", "x")
+	crashWith(tracker, 600*time.Millisecond, engineB, 1, "bad", "y")
+	report := crashWith(tracker, 1200*time.Millisecond, engineC, 1, "bad", "z")
+	assert.Assert(t, !report.Void)
+	assert.DeepEqual(t, report.Condemned, []Digest{digest("bad")})
+}
+
+// A request that crashes its engine only late in its run outlives every trial.
+// The third crash leaves it as the only one in common.
+func TestLateCrasherIsFoundByIntersection(t *testing.T) {
+	tracker := New(DefaultConfig())
+	var report Report
+	for i, upstream := range []protocol.UpstreamID{engineA, engineB, engineC} {
+		at := time.Duration(i) * time.Minute
+		tracker.Started(at, upstream, digest("bad"), "customer")
+		tracker.Started(at+8*time.Second, upstream, digest(fmt.Sprint("fresh", i)), "customer")
+		report = tracker.Crashed(at+10*time.Second, upstream, 1)
+	}
+	assert.DeepEqual(t, report.Condemned, []Digest{digest("bad")})
+}
+
+// A suspect's caller waits for an engine that is never lonely. Its deadline
+// ends the wait; a suspicion alone must not make an innocent late.
+func TestSuspectWaitsForALonelyEngineUntilItsDeadline(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "s", "other")
+	at := 10 * time.Second
+	tracker.Started(at, engineB, digest("fresh"), "customer")
+	hold := tracker.MayStart(at, engineB, digest("s"), forever)
+	assert.Equal(t, hold, StartDecision{Hold: HoldYoung, CheckAt: at + time.Second})
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("s"), at).Hold, HoldNone)
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("new"), forever).Hold, HoldTrial)
+	at += time.Second
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("s"), forever).Hold, HoldNone)
+	tracker.Started(at, engineB, digest("s"), "customer")
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("other"), forever).Hold, HoldTrial)
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("new"), forever).Hold, HoldTrial)
+	at += time.Second // the trial is over; fresh requests have their turn
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("new"), forever).Hold, HoldNone)
+	assert.Equal(t, tracker.MayStart(at, engineB, digest("other"), forever).Hold, HoldTrial)
+}
+
+// A fresh second bad request starts beside a suspect on trial because its
+// deadline forced it. The crash must not condemn the suspect.
+func TestSpoiledTrialCondemnsNobody(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "s", "other")
+	tracker.Started(10*time.Second, engineB, digest("s"), "customer")
+	tracker.Started(10*time.Second, engineB, digest("bad2"), "customer")
+	report := tracker.Crashed(10*time.Second+300*time.Millisecond, engineB, 1)
+	assert.Equal(t, len(report.Condemned), 0)
+	assert.Equal(t, tracker.Check(11*time.Second, digest("bad2")).Standing, Suspect)
+}
+
+// Each router hears of a crash in a few bytes, also with 64 in flight.
+func TestNoticeBytes(t *testing.T) {
+	size := func(n Notice) int {
+		var out bytes.Buffer
+		encoder := msgpack.NewEncoder(&out)
+		encoder.UseArrayEncodedStructs(true)
+		encoder.UseCompactInts(true)
+		assert.NilError(t, encoder.Encode(n))
+		return out.Len()
+	}
+	tracker := New(DefaultConfig())
+	var names []string
+	for i := range 64 {
+		names = append(names, fmt.Sprint(i))
+	}
+	report := crashWith(tracker, 0, engineA, 1, names...)
+	assert.Equal(t, size(report.Notices[0]), 333)
+	report = crashWith(tracker, 10*time.Second, engineB, 1, "0")
+	assert.Equal(t, size(report.Notices[0])+size(report.Notices[1]), 38)
+	assert.Equal(t, size(tracker.Lift(digest("bad"))), 15)
+}
+
+// Gossip brings the notice of one crash three times. Counted as three crashes
+// they would look like a lost rack and free the suspects of another crash.
+func TestRepeatedNoticeIsOneCrash(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "bad", "x")
+	for range 3 {
+		tracker.Merge(time.Second, Notice{Kind: CrashNotice, Crash: 7})
+	}
+	assert.Equal(t, tracker.Check(time.Second, digest("bad")).Standing, Suspect)
+}
+
+func TestMergeIgnoresTornNotices(t *testing.T) {
+	tracker := New(DefaultConfig())
+	tracker.Merge(0, Notice{Kind: CrashNotice, Crash: 1, Suspects: []byte{1, 2, 3}})
+	tracker.Merge(0, Notice{Kind: 99})
+	assert.Equal(t, len(tracker.suspects), 0)
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	config := DefaultConfig()
+	config.MaxSuspects = 10
+	tracker := New(config)
+	for i := range 20 {
+		at := time.Duration(i) * time.Minute
+		crashWith(tracker, at, engineA, uint64(i), fmt.Sprint(i))
+	}
+	assert.Equal(t, len(tracker.suspects), 10)
+}
