Load bound: keep admitting while an owner is lost

Cause: in the five seconds after an owner's loss its upstreams' capacity counts and their load is unknown; the mean fell below what all others carried, and every request queued until the lease ran out. Ruled out: queues of the small choices in a walk alone (the waits came in bursts that each began at the loss of a router). Change: the reported mean is taken over the part of the fleet that is reported, for the soft bound and the one-over rule; the final ask prefers choices that are within the hard bound. Admissions above the bound remain to be explained.

--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -181,13 +181,21 @@
 }
 
 // judge applies the rule of admission without counting the request.
+//
+// Failure guarded: an owner is lost and its upstreams have none until its
+// lease has run out. Their capacity counts and their load is not known, so
+// the floor of the mean falls by their share, in a small fleet below what the
+// others carry, and none would admit. So the reported mean is taken over the
+// part of the fleet that is reported, and an upstream not above it takes one
+// more request.
 func (l *Ledger) judge(now time.Duration, a *account, ask Ask) Decision {
 	load := l.counted(now, a)
 	fleet := l.fleet(now)
 	share := a.grant.Capacity / fleet.capacity
 	after := load + ask.Cost
 	decision := Decision{Outcome: Admit}
-	decision.Ratio = after / (share * (fleet.reported + ask.Cost))
+	reportedShare := a.grant.Capacity / fleet.known
+	decision.Ratio = after / (reportedShare * (fleet.reported + ask.Cost))
 	if a.grant.MaxRequests > 0 && a.requests >= a.grant.MaxRequests {
 		return decision.deny(ask, UpstreamFull)
 	}
@@ -206,7 +214,7 @@
 		decision.Reason = WithinBound
 		return decision
 	}
-	if ask.Final && load <= share*fleet.reported {
+	if ask.Final && load <= reportedShare*fleet.reported {
 		decision.Reason = OneOver
 		return decision
 	}
--- a/coordination/loadbound/views.go
+++ b/coordination/loadbound/views.go
@@ -39,7 +39,9 @@
 	// reported; both in tokens.
 	floor    float64
 	reported float64
+	// capacity is that of the whole fleet, known that behind reported.
 	capacity float64
+	known    float64
 	count    int
 }
 
@@ -66,6 +68,7 @@
 		f.capacity += v.summary.Capacity
 		f.count += int(v.summary.Count)
 	}
+	f.known = f.capacity
 	f.capacity = math.Max(f.capacity, l.capacityFloor)
 	return f
 }
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -86,8 +86,15 @@
 	return prefill + float64(max(1, outputTokens))
 }
 
+// overBoundPenalty ranks upstreams above the hard bound, where a final ask
+// may have to queue, behind all that are only above their soft bound.
+const overBoundPenalty = 10
+
 // value ranks upstreams that were asked and had no room within their soft
 // bound: the higher, the better.
-func (p Policy) value(savedShare, ratio float64) float64 {
-	return p.SoftMultiple(savedShare) - ratio
+func (p Policy) value(answer Answer) float64 {
+	if answer.Reason == loadbound.OverSoftBound {
+		return p.SoftMultiple(answer.SavedShare) - answer.Ratio
+	}
+	return -overBoundPenalty - answer.Ratio
 }
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -196,7 +196,7 @@
 	}
 	w.candidates[w.candidateN] = candidate{
 		position: w.current,
-		value:    w.policy.value(answer.SavedShare, answer.Ratio),
+		value:    w.policy.value(answer),
 	}
 	w.candidateN++
 }
