--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -191,23 +191,30 @@
 // Harm: each alone sees room and together they overload it. The owner decides
 // one ask after the other on its exact count, so no two see the same room.
 func (l *Ledger) Admit(now time.Duration, id protocol.UpstreamID, ask Ask) Decision {
-	a, ok := l.accounts[id]
-	if !ok || now >= a.grant.Until {
-		return Decision{Outcome: Refuse, Reason: NotOwner}
-	}
-	if !(ask.Cost > 0) || math.IsInf(ask.Cost, 0) {
-		return Decision{Outcome: Refuse, Reason: BadCost}
-	}
-	decision := l.judge(now, a, ask)
+	decision := l.Judge(now, id, ask)
 	if decision.Outcome != Admit {
 		return decision
 	}
+	a := l.accounts[id]
 	a.running += ask.Cost
 	a.requests++
 	decision.Ticket = Ticket{Upstream: id, Fence: a.grant.Fence, Cost: ask.Cost}
 	return decision
 }
 
+// Judge answers an ask without counting it, for a queue that looks for the
+// next request to start.
+func (l *Ledger) Judge(now time.Duration, id protocol.UpstreamID, ask Ask) Decision {
+	a, ok := l.accounts[id]
+	if !ok || now >= a.grant.Until {
+		return Decision{Outcome: Refuse, Reason: NotOwner}
+	}
+	if !(ask.Cost > 0) || math.IsInf(ask.Cost, 0) {
+		return Decision{Outcome: Refuse, Reason: BadCost}
+	}
+	return l.judge(now, a, ask)
+}
+
 // judge applies the rule of admission without counting the request.
 //
 // Failure guarded: an owner is lost and its upstreams have none until its
--- /dev/null
+++ b/coordination/node/classify.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"endiveplank/coordination/placement"
+	"endiveplank/coordination/quarantine"
+	"endiveplank/coordination/reason"
+	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// defaultOutputTokens is the expected length of an answer when the caller
+// sets no limit.
+const defaultOutputTokens = 256
+
+// authorize finds the customer of a request, or says why it is refused.
+func (n *Node) authorize(now time.Duration, in CallerRequest) (*Customer, *AnswerError) {
+	if n.draining {
+		return nil, refusal(in.ID, 503, reason.Draining, "this router is stopping; another one serves you", statusRetryAfter)
+	}
+	if !n.mayServe(now) {
+		return nil, refusal(in.ID, 503, reason.NoLease, "this router can't confirm its configuration; another one may", statusRetryAfter)
+	}
+	if !in.HasKey {
+		return nil, refusal(in.ID, 401, reason.KeyMissing, "send your key as Authorization: Bearer KEY", 0)
+	}
+	customer := n.view.Customers[in.KeyHash]
+	if customer == nil {
+		return nil, refusal(in.ID, 401, reason.KeyUnknown, "no customer has this key", 0)
+	}
+	if customer.Disabled {
+		return nil, refusal(in.ID, 403, reason.CustomerDisabled, "this customer is switched off; ask your operator", 0)
+	}
+	return customer, nil
+}
+
+// classify fills in what kind of request it is.
+func (n *Node) classify(now time.Duration, fresh *entry) *AnswerError {
+	in := fresh.request
+	fresh.template = fleet.Place{
+		Customer: fresh.customer.ID,
+		Class:    fresh.customer.Class,
+		Weight:   fresh.customer.Weight,
+		Method:   in.Method,
+		Path:     in.Path,
+		Headers:  in.Headers,
+		Body:     in.Body,
+	}
+	fresh.deadline = now + n.config.Deadline
+	if in.Path == upstreamapi.CompletionsPath {
+		return n.classifyChat(now, fresh)
+	}
+	return n.classifyService(now, fresh)
+}
+
+// classifyChat prepares a chat request.
+func (n *Node) classifyChat(now time.Duration, fresh *entry) *AnswerError {
+	in := fresh.request
+	if in.Chat == nil {
+		return refusal(in.ID, 400, reason.BodyInvalid, in.ChatError, 0)
+	}
+	model := protocol.Model(in.Chat.Model)
+	if _, known := n.view.Models[model]; !known {
+		return refusal(in.ID, 404, reason.ModelUnknown, fmt.Sprintf("no upstream serves model %q", in.Chat.Model), 0)
+	}
+	digest := quarantine.DigestOf(fresh.customer.ID, in.Body)
+	verdict := n.crashes.Check(now, digest)
+	if verdict.Standing == quarantine.Quarantined {
+		return refusal(in.ID, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+	}
+	fresh.chain = chat.Chain(in.Chat.Model, in.Chat.Messages)
+	template := &fresh.template
+	template.Digest = uint64(digest)
+	template.Suspect = verdict.Standing == quarantine.Suspect
+	template.Model = model
+	template.Streamed = in.Chat.Stream
+	template.Idempotent = true
+	template.Root = placement.RootLink(in.Chat.Messages)
+	template.Chain = wireChain(fresh.chain)
+	template.PromptTokens = fresh.chain[len(fresh.chain)-1].Tokens
+	template.OutputTokens = in.Chat.MaxTokens
+	if template.OutputTokens <= 0 {
+		template.OutputTokens = defaultOutputTokens
+	}
+	return nil
+}
+
+// wireChain is the chain's form on the wire.
+func wireChain(chain []chat.Link) []fleet.Link {
+	links := make([]fleet.Link, 0, len(chain))
+	for _, link := range chain {
+		links = append(links, fleet.Link{Hash: uint64(link.Hash), Tokens: link.Tokens})
+	}
+	return links
+}
+
+// coreChain is the chain of a message from the wire.
+func coreChain(links []fleet.Link) []chat.Link {
+	chain := make([]chat.Link, 0, len(links))
+	for _, link := range links {
+		chain = append(chain, chat.Link{Hash: chat.ChainHash(link.Hash), Tokens: link.Tokens})
+	}
+	return chain
+}
+
+// classifyService prepares a request to a plain service.
+func (n *Node) classifyService(now time.Duration, fresh *entry) *AnswerError {
+	in := fresh.request
+	route, found := n.view.route(in.Path)
+	if !found {
+		return refusal(in.ID, 404, reason.RouteUnknown, "no route has this path", 0)
+	}
+	fresh.service = route.Service
+	fresh.template.Path = servicePath(in.Path, route.Prefix)
+	fresh.template.OutputTokens = 1
+	fresh.template.Idempotent = route.Idempotent
+	if route.Deadline > 0 {
+		fresh.deadline = now + route.Deadline
+	}
+	if route.Idempotent {
+		return nil
+	}
+	if in.IdempotencyKey == "" {
+		return refusal(in.ID, 400, reason.IdempotencyKeyMissing, "this route runs a request at most once; name it with the header Idempotency-Key", 0)
+	}
+	fresh.order = n.newOrder(fresh)
+	return nil
+}
+
+// servicePath cuts the route's prefix off a path.
+func servicePath(path, prefix string) string {
+	rest := path[len(prefix):]
+	if rest == "" || rest[0] != '/' {
+		rest = "/" + rest
+	}
+	return rest
+}
+
+// refuse answers a request that was never placed.
+func (n *Node) refuse(answer AnswerError) {
+	n.emit(answer)
+	n.emit(Event{Request: answer.Request, What: "refused", Reason: answer.Reason, Detail: answer.Detail})
+}
+
+// refusal is an answer to a request no byte of which has left this router.
+func refusal(id protocol.RequestID, status int, why reason.Code, detail string, retryAfter time.Duration) *AnswerError {
+	return &AnswerError{Request: id, Status: status, Reason: why, Detail: detail, Outcome: protocol.NotRun, RetryAfter: retryAfter}
+}
--- a/coordination/node/dispatch.go
+++ b/coordination/node/dispatch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endiveplank/coordination/orders"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol/fleet"
 )
 
@@ -55,7 +56,7 @@
 		n.performDispatch(target, r, out)
 	}
 	if r.dispatch.flow.Ended() && n.running[r.place.Attempt] != nil {
-		n.drop(target, r.place.Attempt)
+		n.drop(now, target, r, quarantine.Completed, 0, false)
 		n.startQueued(now, target)
 	}
 }
@@ -124,6 +125,6 @@
 	}
 	if now > r.deadline+lateAnswer {
 		n.emit(CancelUpstream{Attempt: r.place.Attempt})
-		n.drop(target, r.place.Attempt)
+		n.drop(now, target, r, quarantine.Interrupted, 0, false)
 	}
 }
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -1,36 +1,23 @@
 package node
 
 import (
-	"fmt"
 	"slices"
-	"sort"
 	"time"
 
+	"endiveplank/coordination/placement"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/coordination/reason"
+	"endiveplank/coordination/retry"
+	"endiveplank/coordination/stream"
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
-	"endiveplank/protocol/upstreamapi"
 )
 
 const (
-	// maxSpills is how many owners are asked before the request queues. Each
-	// costs a round trip between two data centres at most, a few
-	// milliseconds; with a bound above the mean some upstream has room unless
-	// nearly all are full, and a handful of tries finds it.
-	maxSpills = 4
-	// maxAttempts bounds the upstreams that one request may fail on. Three
-	// failures in a row point at the request rather than at the upstreams.
-	maxAttempts = 3
 	// ownerPatience is how long an owner may take to answer a Place. An owner
 	// answers at once; only a lost or frozen one doesn't.
 	ownerPatience = 2 * time.Second
-	// noOwnerRetry is how long a request waits before it looks again for
-	// upstreams that have an owner.
-	noOwnerRetry = 200 * time.Millisecond
-	// defaultOutputTokens is the expected length of an answer when the caller
-	// sets no limit.
-	defaultOutputTokens = 256
 	// statusRetryAfter is what callers are told when the wait isn't known.
 	statusRetryAfter = time.Second
 )
@@ -56,17 +43,23 @@
 	request  CallerRequest
 	customer *Customer
 	template fleet.Place
-	service  protocol.Service
-	phase    phase
+	// chain is the chat's, empty for a plain service.
+	chain   []chat.Link
+	service protocol.Service
+	phase   phase
 	// attempt is the current attempt, from 1.
 	attempt  uint32
 	upstream *Upstream
-	// failures counts the attempts that broke.
-	failures int
-	// candidates are the upstreams in order of preference; next is the one
-	// to ask after the current.
+	// walk looks for the upstream of a chat while walking is set; candidates
+	// and next do for a plain service.
+	walk       placement.Walk
+	walking    bool
 	candidates []*Upstream
 	next       int
+	// failures counts the attempts that broke, and again asks the next attempt
+	// to go to the same upstream.
+	failures int
+	again    *Upstream
 	// avoid holds the upstreams this request has failed on.
 	avoid    []protocol.UpstreamID
 	deadline time.Duration
@@ -78,6 +71,7 @@
 	headSent  bool
 	// reached means that an earlier attempt may have reached an upstream.
 	reached bool
+	watch   *stream.Watch
 	order   *order
 }
 
@@ -94,193 +88,18 @@
 		return
 	}
 	n.entries[in.ID] = fresh
+	n.budget.Fresh(now, fresh.work())
 	if fresh.order != nil {
 		n.startOrder(now, fresh)
 		return
 	}
+	fresh.watch = stream.NewWatch(now, stream.DefaultWatchConfig())
 	n.place(now, fresh)
 }
 
-// authorize finds the customer of a request, or says why it is refused.
-func (n *Node) authorize(now time.Duration, in CallerRequest) (*Customer, *AnswerError) {
-	if n.draining {
-		return nil, refusal(in.ID, 503, reason.Draining, "this router is stopping; another one serves you", statusRetryAfter)
-	}
-	if !n.mayServe(now) {
-		return nil, refusal(in.ID, 503, reason.NoLease, "this router can't confirm its configuration; another one may", statusRetryAfter)
-	}
-	if !in.HasKey {
-		return nil, refusal(in.ID, 401, reason.KeyMissing, "send your key as Authorization: Bearer KEY", 0)
-	}
-	customer := n.view.Customers[in.KeyHash]
-	if customer == nil {
-		return nil, refusal(in.ID, 401, reason.KeyUnknown, "no customer has this key", 0)
-	}
-	if customer.Disabled {
-		return nil, refusal(in.ID, 403, reason.CustomerDisabled, "this customer is switched off; ask your operator", 0)
-	}
-	return customer, nil
-}
-
-// classify fills in what kind of request it is.
-func (n *Node) classify(now time.Duration, fresh *entry) *AnswerError {
-	in := fresh.request
-	fresh.template = fleet.Place{
-		Customer: fresh.customer.ID,
-		Class:    fresh.customer.Class,
-		Weight:   fresh.customer.Weight,
-		Method:   in.Method,
-		Path:     in.Path,
-		Headers:  in.Headers,
-		Body:     in.Body,
-		Digest:   in.BodyDigest,
-	}
-	fresh.deadline = now + n.config.Deadline
-	if in.Path == upstreamapi.CompletionsPath {
-		return n.classifyChat(fresh)
-	}
-	return n.classifyService(now, fresh)
-}
-
-// classifyChat prepares a chat request.
-func (n *Node) classifyChat(fresh *entry) *AnswerError {
-	in := fresh.request
-	if in.Chat == nil {
-		return refusal(in.ID, 400, reason.BodyInvalid, in.ChatError, 0)
-	}
-	model := protocol.Model(in.Chat.Model)
-	if _, known := n.view.Models[model]; !known {
-		return refusal(in.ID, 404, reason.ModelUnknown, fmt.Sprintf("no upstream serves model %q", in.Chat.Model), 0)
-	}
-	links := chat.Chain(in.Chat.Model, in.Chat.Messages)
-	template := &fresh.template
-	template.Model = model
-	template.Streamed = in.Chat.Stream
-	template.Idempotent = true
-	template.Chain = make([]fleet.Link, 0, len(links))
-	for _, link := range links {
-		template.Chain = append(template.Chain, fleet.Link{Hash: uint64(link.Hash), Tokens: link.Tokens})
-	}
-	if len(links) > 0 {
-		template.PromptTokens = links[len(links)-1].Tokens
-	}
-	template.OutputTokens = in.Chat.MaxTokens
-	if template.OutputTokens <= 0 {
-		template.OutputTokens = defaultOutputTokens
-	}
-	return nil
-}
-
-// classifyService prepares a request to a plain service.
-func (n *Node) classifyService(now time.Duration, fresh *entry) *AnswerError {
-	in := fresh.request
-	route, found := n.view.route(in.Path)
-	if !found {
-		return refusal(in.ID, 404, reason.RouteUnknown, "no route has this path", 0)
-	}
-	fresh.service = route.Service
-	fresh.template.Path = servicePath(in.Path, route.Prefix)
-	fresh.template.OutputTokens = 1
-	fresh.template.Idempotent = route.Idempotent
-	if route.Deadline > 0 {
-		fresh.deadline = now + route.Deadline
-	}
-	if route.Idempotent {
-		return nil
-	}
-	if in.IdempotencyKey == "" {
-		return refusal(in.ID, 400, reason.IdempotencyKeyMissing, "this route runs a request at most once; name it with the header Idempotency-Key", 0)
-	}
-	fresh.order = n.newOrder(fresh)
-	return nil
-}
-
-// servicePath cuts the route's prefix off a path.
-func servicePath(path, prefix string) string {
-	rest := path[len(prefix):]
-	if rest == "" || rest[0] != '/' {
-		rest = "/" + rest
-	}
-	return rest
-}
-
-// place starts with the best upstream that has an owner.
-func (n *Node) place(now time.Duration, e *entry) {
-	e.candidates = n.choose(e)
-	e.next = 0
-	n.askNext(now, e)
-}
-
-// serving returns the upstreams that could run a request.
-func (n *Node) serving(e *entry) []*Upstream {
-	if e.template.Model != "" {
-		return n.view.Models[e.template.Model]
-	}
-	return n.view.Services[e.service]
-}
-
-// choose orders the upstreams that have an owner by preference.
-func (n *Node) choose(e *entry) []*Upstream {
-	key := chainRoot(e)
-	type scored struct {
-		upstream *Upstream
-		score    float64
-	}
-	var ranked []scored
-	for _, upstream := range n.serving(e) {
-		if upstream.Owner == "" || upstream.Drain || slices.Contains(e.avoid, upstream.ID) {
-			continue
-		}
-		ranked = append(ranked, scored{upstream, rendezvous(key, upstream)})
-	}
-	sort.Slice(ranked, func(i, j int) bool { return ranked[i].score > ranked[j].score })
-	chosen := make([]*Upstream, 0, len(ranked))
-	for _, item := range ranked {
-		chosen = append(chosen, item.upstream)
-	}
-	return chosen
-}
-
-// askNext asks the owner of the next candidate. After maxSpills the first
-// candidate is asked to queue the request.
-func (n *Node) askNext(now time.Duration, e *entry) {
-	if len(e.candidates) == 0 {
-		n.noCandidate(now, e)
-		return
-	}
-	mayQueue := e.next >= min(maxSpills, len(e.candidates))
-	index := e.next
-	if mayQueue {
-		index = 0
-	}
-	e.next++
-	n.ask(now, e, e.candidates[index], mayQueue)
-}
-
-// noCandidate waits for an upstream with an owner while there is time.
-func (n *Node) noCandidate(now time.Duration, e *entry) {
-	if len(e.avoid) > 0 {
-		// Better an upstream that failed once than none.
-		e.avoid = nil
-	}
-	e.phase = phaseWaiting
-	e.wakeAt = now + noOwnerRetry
-}
-
-// ask sends a Place for a new attempt.
-func (n *Node) ask(now time.Duration, e *entry, upstream *Upstream, mayQueue bool) {
-	e.attempt++
-	e.upstream = upstream
-	e.phase = phaseAsking
-	e.progress = now
-	message := e.template
-	message.Attempt = e.current()
-	message.Upstream = upstream.ID
-	message.Fence = upstream.Fence
-	message.ResumeAt = e.delivered
-	message.MayQueue = mayQueue
-	message.RemainingMS = (e.deadline - now).Milliseconds()
-	n.send(upstream.Owner, message)
+// work is the expected work of a request from where it stands, in tokens.
+func (e *entry) work() int {
+	return e.template.PromptTokens + max(1, e.template.OutputTokens-e.delivered)
 }
 
 // current is the attempt under way.
@@ -298,60 +117,42 @@
 	return found
 }
 
-// entryReply takes an owner's decision.
-func (n *Node) entryReply(now time.Duration, in PeerPlaceReply) {
-	e := n.live(in.Reply.Attempt)
-	if e == nil {
-		return
-	}
-	e.progress = now
-	switch in.Reply.Outcome {
-	case fleet.PlaceStarted:
-		e.phase = phaseRunning
-	case fleet.PlaceQueued:
-		e.phase = phaseQueued
-	case fleet.PlaceSpilled:
-		n.askNext(now, e)
-	case fleet.PlaceNotOwner:
-		e.phase = phaseWaiting
-		e.wakeAt = now + noOwnerRetry
-	case fleet.PlaceRefused:
-		if e.order != nil {
-			n.orderRefused(now, e)
-			return
-		}
-		n.placeRefused(now, e, in.Reply)
-	}
-}
-
-// placeRefused answers at once what an owner has given up on. No byte has
-// gone to an upstream in this attempt; whether one did in an earlier one
-// decides what the caller is told.
-func (n *Node) placeRefused(now time.Duration, e *entry, reply fleet.PlaceReply) {
-	e.phase = phaseWaiting
-	wait := time.Duration(reply.RetryAfterMS) * time.Millisecond
-	n.giveUp(now, e, 503, reason.Code(reply.Reason), "the upstreams are busy", wait)
-}
-
-// entryChunk passes a piece of the answer on.
+// entryChunk passes a piece of the answer on: the next one, of the attempt
+// under way, and nothing else.
 func (n *Node) entryChunk(now time.Duration, in PeerChunk) {
 	e := n.live(in.Chunk.Attempt)
 	if e == nil {
 		return
 	}
-	e.phase = phaseRunning
 	e.progress = now
-	if in.Chunk.Index < e.delivered {
+	if e.phase == phaseAsking || e.phase == phaseQueued {
+		e.phase = phaseRunning
+	}
+	if in.Chunk.Index != e.delivered {
+		n.wrongChunk(now, e, in.Chunk)
 		return
 	}
 	if !e.headSent {
 		e.headSent = true
 		n.emit(AnswerHead{Request: e.request.ID, Status: in.Chunk.Status, Headers: in.Chunk.Headers, Outcome: protocol.Ran})
 	}
-	e.delivered = in.Chunk.Index + 1
+	e.delivered++
+	e.watch.Progress(now, e.delivered)
 	n.emit(AnswerChunk{Request: e.request.ID, Index: in.Chunk.Index, Data: in.Chunk.Data})
 }
 
+// wrongChunk drops a piece that the caller has, as from an engine that begins
+// again at the start, and fails an attempt that left one out: the answer could
+// not become whole.
+func (n *Node) wrongChunk(now time.Duration, e *entry, chunk fleet.Chunk) {
+	if chunk.Index < e.delivered {
+		return
+	}
+	n.abandon(e)
+	e.reached = true
+	n.attemptFailed(now, e, reason.UpstreamFailed)
+}
+
 // entryEnd closes an attempt: the answer is whole, or another attempt is due.
 func (n *Node) entryEnd(now time.Duration, in PeerEnd) {
 	e := n.live(in.End.Attempt)
@@ -368,36 +169,89 @@
 	n.attemptFailed(now, e, reason.Code(in.End.Reason))
 }
 
-// attemptFailed starts another attempt or gives up. The upstream that failed
-// is avoided.
+// attemptFailed decides whether another attempt follows, and when.
 func (n *Node) attemptFailed(now time.Duration, e *entry, why reason.Code) {
 	e.failures++
 	e.phase = phaseWaiting
-	e.avoid = append(e.avoid, e.upstream.ID)
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "attempt-failed", Reason: why})
-	if !e.template.Idempotent {
-		n.giveUp(now, e, 502, why, "the upstream failed and the request may not be repeated", 0)
+	if !e.template.Streamed && e.delivered > 0 {
+		// A body that is not a stream of tokens can't be resumed inside.
+		n.giveUp(e, 502, why, "the answer broke off", statusRetryAfter)
 		return
 	}
-	if e.failures >= maxAttempts {
-		n.giveUp(now, e, 502, reason.AttemptsSpent, "the request failed on several upstreams", statusRetryAfter)
+	decision := n.budget.Decide(now, n.config.Random, retry.Failure{
+		Attempt:    e.failures,
+		Tokens:     e.work(),
+		Run:        e.outcome(),
+		Repeatable: e.template.Idempotent,
+		Deadline:   e.deadline,
+	})
+	if !decision.Retry {
+		n.giveUp(e, 502, retryReason(decision.Reason), "the upstream failed ("+string(why)+") and the request is not tried again", statusRetryAfter)
 		return
 	}
-	n.place(now, e)
+	n.chooseAgain(now, e, why)
+	n.suspectAgain(now, e)
+	e.wakeAt = now + decision.Delay
+	if decision.Delay <= 0 {
+		n.wake(now, e)
+	}
 }
 
-// giveUp tells the caller at once. The outcome is not-run only if no attempt
-// can have reached an upstream.
-func (n *Node) giveUp(now time.Duration, e *entry, status int, why reason.Code, detail string, retryAfter time.Duration) {
-	if e.headSent {
-		n.emit(AnswerEnd{Request: e.request.ID, Broken: true, Reason: why})
-	} else {
-		answer := refusal(e.request.ID, status, why, detail, retryAfter)
-		answer.Outcome = e.outcome()
-		n.emit(*answer)
+// retryReason is the retry budget's reason as callers and events see it.
+func retryReason(why retry.Reason) reason.Code {
+	switch why {
+	case retry.ReasonBudget:
+		return reason.RetryBudget
+	case retry.ReasonDeadline:
+		return reason.DeadlineTooNear
+	case retry.ReasonNotRepeatable:
+		return reason.OrderUnknown
 	}
-	n.emit(Event{Request: e.request.ID, Customer: e.customer.ID, What: "refused", Reason: why, Detail: detail})
-	delete(n.entries, e.request.ID)
+	return reason.AttemptsSpent
+}
+
+// chooseAgain decides between a new connection to the same upstream and
+// another one. A connection can go silent for good while new ones work, so a
+// stall is first blamed on the connection.
+func (n *Node) chooseAgain(now time.Duration, e *entry, why reason.Code) {
+	step := e.watch.Broken(now)
+	if why == reason.OwnerLost {
+		step = e.watch.Lost(now)
+	}
+	e.again = nil
+	if step.Action == stream.Reconnect && why == reason.UpstreamStalled {
+		e.again = e.upstream
+		return
+	}
+	e.avoid = append(e.avoid, e.upstream.ID)
+}
+
+// suspectAgain looks whether the request came under suspicion meanwhile.
+func (n *Node) suspectAgain(now time.Duration, e *entry) {
+	if e.template.Model == "" {
+		return
+	}
+	verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
+	e.template.Suspect = verdict.Standing == quarantine.Suspect
+}
+
+// wake starts the next attempt of a request that waited.
+func (n *Node) wake(now time.Duration, e *entry) {
+	if e.template.Model != "" && e.order == nil {
+		verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
+		if verdict.Standing == quarantine.Quarantined {
+			n.giveUp(e, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+			return
+		}
+	}
+	if same := e.again; same != nil && n.view.Upstreams[same.ID] != nil {
+		e.again = nil
+		e.walking = false
+		n.ask(now, e, n.view.Upstreams[same.ID], placement.Final, false)
+		return
+	}
+	n.place(now, e)
 }
 
 // outcome is not-run only if no attempt can have reached an upstream: none
@@ -410,6 +264,19 @@
 	return protocol.NotRun
 }
 
+// giveUp tells the caller at once.
+func (n *Node) giveUp(e *entry, status int, why reason.Code, detail string, retryAfter time.Duration) {
+	if e.headSent {
+		n.emit(AnswerEnd{Request: e.request.ID, Broken: true, Reason: why})
+	} else {
+		answer := refusal(e.request.ID, status, why, detail, retryAfter)
+		answer.Outcome = e.outcome()
+		n.emit(*answer)
+	}
+	n.emit(Event{Request: e.request.ID, Customer: e.customer.ID, What: "refused", Reason: why, Detail: detail})
+	delete(n.entries, e.request.ID)
+}
+
 // finish closes a whole answer.
 func (n *Node) finish(e *entry, why reason.Code) {
 	n.emit(AnswerEnd{Request: e.request.ID, Reason: why})
@@ -440,86 +307,6 @@
 	n.send(e.upstream.Owner, fleet.Cancel{Attempt: e.current()})
 }
 
-// tickEntries meets the deadlines of requests, in order of their IDs so that
-// a replay gives the same outputs.
-func (n *Node) tickEntries(now time.Duration) {
-	for _, id := range n.dueEntries(now) {
-		e := n.entries[id]
-		if e == nil {
-			continue
-		}
-		n.entryDue(now, e)
-	}
-}
-
-// dueEntries lists the requests that have something to do.
-func (n *Node) dueEntries(now time.Duration) []protocol.RequestID {
-	var due []protocol.RequestID
-	for id, e := range n.entries {
-		if n.isDue(now, e) {
-			due = append(due, id)
-		}
-	}
-	slices.Sort(due)
-	return due
-}
-
-func (n *Node) isDue(now time.Duration, e *entry) bool {
-	if e.order != nil && n.orderIsDue(now, e) {
-		return true
-	}
-	if e.phase == phaseJournal {
-		return false
-	}
-	if e.order == nil && now >= e.deadline+e.grace() {
-		return true
-	}
-	switch e.phase {
-	case phaseAsking:
-		return now-e.progress > ownerPatience
-	case phaseWaiting:
-		return now >= e.wakeAt
-	case phaseRunning:
-		return now-e.progress > n.entryStall()
-	}
-	return false
-}
-
-// grace lets the owner, which knows that a queued request was never sent,
-// refuse it first; the caller then learns that it was not run.
-func (e *entry) grace() time.Duration {
-	if e.phase == phaseQueued {
-		return 4 * TickInterval
-	}
-	return 0
-}
-
-// entryStall is longer than the owner's own limit, so that the owner, which
-// knows the upstream, decides first; the entry steps in when it is the owner
-// that fell silent.
-func (n *Node) entryStall() time.Duration { return n.config.Stall + ownerPatience }
-
-// entryDue acts on a request whose time has come.
-func (n *Node) entryDue(now time.Duration, e *entry) {
-	if e.order != nil {
-		n.orderDue(now, e)
-		return
-	}
-	if now >= e.deadline+e.grace() {
-		n.abandon(e)
-		n.giveUp(now, e, 504, reason.DeadlinePassed, "the deadline passed", statusRetryAfter)
-		return
-	}
-	switch e.phase {
-	case phaseWaiting:
-		n.place(now, e)
-	case phaseAsking, phaseRunning:
-		n.abandon(e)
-		e.reached = true
-		n.attemptFailed(now, e, reason.OwnerLost)
-	}
-}
-
 // entriesLostOwner starts new attempts for requests whose owner is lost.
 func (n *Node) entriesLostOwner(now time.Duration, peer protocol.RouterID) {
 	var hit []protocol.RequestID
@@ -539,14 +326,3 @@
 		n.attemptFailed(now, e, reason.OwnerLost)
 	}
 }
-
-// refuse answers a request that was never placed.
-func (n *Node) refuse(answer AnswerError) {
-	n.emit(answer)
-	n.emit(Event{Request: answer.Request, What: "refused", Reason: answer.Reason, Detail: answer.Detail})
-}
-
-// refusal is an answer to a request no byte of which has left this router.
-func refusal(id protocol.RequestID, status int, why reason.Code, detail string, retryAfter time.Duration) *AnswerError {
-	return &AnswerError{Request: id, Status: status, Reason: why, Detail: detail, Outcome: protocol.NotRun, RetryAfter: retryAfter}
-}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
@@ -65,10 +67,23 @@
 	}
 )
 
-// PeerTotals carries the load of the upstreams another router owns.
+// PeerMoved says where a chat ran whose first choice this router owns.
+type PeerMoved struct{ Moved fleet.Moved }
+
+// PeerTotals carries the load of the upstreams that other routers own.
 type PeerTotals struct {
-	From   protocol.RouterID
-	Totals Totals
+	From    protocol.RouterID
+	Summary loadbound.Summary
+}
+
+// PeerNotice carries news of crashes and quarantines.
+type PeerNotice struct{ Notice quarantine.Notice }
+
+// UpstreamProbed answers ProbeUpstream.
+type UpstreamProbed struct {
+	Upstream protocol.UpstreamID
+	// Reachable means that the upstream takes connections.
+	Reachable bool
 }
 
 // PeerLost says that a peer can't be reached.
@@ -156,15 +171,18 @@
 func (PeerChunk) input()       {}
 func (PeerEnd) input()         {}
 func (PeerCancel) input()      {}
+func (PeerMoved) input()       {}
 func (PeerTotals) input()      {}
+func (PeerNotice) input()      {}
+func (PeerOrderReport) input() {}
 func (PeerLost) input()        {}
 func (UpstreamChunk) input()   {}
 func (UpstreamEnd) input()     {}
+func (UpstreamProbed) input()  {}
 func (Announced) input()       {}
 func (Leaving) input()         {}
 func (ViewChanged) input()     {}
 func (LeaseChanged) input()    {}
-func (PeerOrderReport) input() {}
 func (JournalResult) input()   {}
 func (Tick) input()            {}
 func (Drain) input()           {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -27,7 +27,11 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/placement"
+	"endiveplank/coordination/quarantine"
+	"endiveplank/coordination/retry"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
@@ -41,8 +45,6 @@
 	Multiple float64
 	// ReuseWeight moves placement from skew first (0) to reuse first (1).
 	ReuseWeight float64
-	// QueueLimit is the most requests one upstream's queue holds.
-	QueueLimit int
 	// Stall is how long work may go without progress.
 	Stall time.Duration
 	// Deadline is the time a request has when its route names none.
@@ -68,21 +70,41 @@
 	owned   map[protocol.UpstreamID]*owned
 	// running finds the upstream of an attempt this router relays.
 	running map[fleet.Attempt]*owned
-	totals  *totalsBook
+	// sets orders the upstreams of each model.
+	sets       map[protocol.Model]*placement.Set
+	policy     placement.Policy
+	placer     *placement.Owner
+	ledger     *loadbound.Ledger
+	totalsSent time.Duration
+	budget     *retry.Budget
+	crashes    *quarantine.Tracker
 	// local holds messages to itself until the current step has handled them.
 	local   []Input
 	outputs []Output
 }
 
+// movedChats is for how many chats a router remembers that they ran elsewhere
+// than at their first choice.
+const movedChats = 16384
+
 // New returns a node that serves nobody until it has a view and a lease.
 func New(config Config) *Node {
+	policy := placement.DefaultPolicy(config.ReuseWeight)
+	policy.Multiple = config.Multiple
+	bound := loadbound.DefaultConfig()
+	bound.Multiple = config.Multiple
+	ledger := loadbound.NewLedger(bound)
 	return &Node{
 		config:  config,
 		view:    &View{},
 		entries: map[protocol.RequestID]*entry{},
 		owned:   map[protocol.UpstreamID]*owned{},
 		running: map[fleet.Attempt]*owned{},
-		totals:  newTotalsBook(),
+		policy:  policy,
+		ledger:  ledger,
+		placer:  placement.NewOwner(ledger, policy, movedChats),
+		budget:  retry.New(retry.DefaultConfig()),
+		crashes: quarantine.New(quarantine.DefaultConfig()),
 	}
 }
 
@@ -135,7 +157,13 @@
 	case PeerCancel:
 		n.ownerCancel(now, in)
 	case PeerTotals:
-		n.totals.learn(now, in.From, in.Totals)
+		n.ledger.Receive(now, in.From, in.Summary)
+	case PeerMoved:
+		n.moved(now, in)
+	case PeerNotice:
+		n.crashes.Merge(now, in.Notice)
+	case UpstreamProbed:
+		n.probed(now, in)
 	case PeerLost:
 		n.peerLost(now, in.Peer)
 	case UpstreamChunk:
@@ -149,8 +177,7 @@
 	case ViewChanged:
 		n.viewChanged(now, in.View)
 	case LeaseChanged:
-		n.leaseUntil = in.Until
-		n.session = in.Session
+		n.leaseChanged(now, in)
 	case JournalResult:
 		n.journalResult(now, in)
 	case PeerOrderReport:
@@ -158,21 +185,21 @@
 	case Tick:
 		n.tick(now)
 	case Drain:
-		n.drain(in)
+		n.drain(now, in)
 	default:
 		panic("node: input of a type that Step doesn't know")
 	}
 }
 
 // drain begins a planned stop, or its second part.
-func (n *Node) drain(in Drain) {
+func (n *Node) drain(now time.Duration, in Drain) {
 	n.unready = true
 	if !in.Refuse {
 		return
 	}
 	n.draining = true
 	for _, target := range n.ownedInOrder() {
-		n.handBack(target)
+		n.handBack(now, target)
 	}
 }
 
@@ -221,6 +248,8 @@
 		return PeerCancel{From: from, Cancel: message}
 	case OrderReport:
 		return PeerOrderReport{From: from, Report: message}
+	case fleet.Moved:
+		return PeerMoved{Moved: message}
 	}
 	panic("node: message of a type that isn't on the data path")
 }
@@ -239,6 +268,8 @@
 		return wire.KindCancel
 	case OrderReport:
 		return wire.KindOrderReport
+	case fleet.Moved:
+		return wire.KindMoved
 	}
 	panic("node: message of a type that isn't on the data path")
 }
--- a/coordination/node/order.go
+++ b/coordination/node/order.go
@@ -131,6 +131,16 @@
 	if e.order.lookAt > 0 && now >= e.order.lookAt {
 		return true
 	}
+	switch e.phase {
+	case phaseWaiting:
+		if now >= e.wakeAt {
+			return true
+		}
+	case phaseAsking:
+		if now-e.progress > ownerPatience {
+			return true
+		}
+	}
 	return now >= e.order.flow.NextTick()
 }
 
--- a/coordination/node/outputs.go
+++ b/coordination/node/outputs.go
@@ -33,6 +33,13 @@
 // CancelUpstream ends a call; no UpstreamEnd is needed for it any more.
 type CancelUpstream struct{ Attempt fleet.Attempt }
 
+// ProbeUpstream asks whether an upstream takes connections; the answer is an
+// UpstreamProbed.
+type ProbeUpstream struct {
+	Upstream protocol.UpstreamID
+	Address  string
+}
+
 // AnswerHead starts the answer to a caller.
 type AnswerHead struct {
 	Request protocol.RequestID
@@ -109,6 +116,7 @@
 func (Send) output()             {}
 func (CallUpstream) output()     {}
 func (CancelUpstream) output()   {}
+func (ProbeUpstream) output()    {}
 func (AnswerHead) output()       {}
 func (AnswerChunk) output()      {}
 func (AnswerEnd) output()        {}
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -3,10 +3,16 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"endiveplank/coordination/admission"
+	"endiveplank/coordination/loadbound"
+	"endiveplank/coordination/placement"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/coordination/reason"
+	"endiveplank/coordination/stream"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/upstreamapi"
@@ -16,10 +22,9 @@
 // it gets no new work: three missed ones.
 const silentAfter = 3*upstreamapi.AnnounceInterval + upstreamapi.AnnounceInterval/2
 
-// removeAfter is how long an upstream may be silent before it is taken out of
-// the replicated state. It is much longer than silentAfter, so that a short
-// silence moves no chats for good.
-const removeAfter = 10 * time.Second
+// assumedTokenTime is how long an engine is taken to need for one token of
+// one stream before any was measured. It is the time users aim at.
+const assumedTokenTime = 27 * time.Millisecond
 
 // owned is an upstream that this router owns, or still relays for.
 type owned struct {
@@ -27,287 +32,349 @@
 	config *Upstream
 	// holds says that the view names this router as the owner.
 	holds bool
+	// heard says that the upstream's own report came since the tenure began.
+	// Without it the work that a former owner left is not known, and nothing
+	// is admitted.
+	heard bool
 	// running holds the attempts that were sent to the upstream.
 	running map[fleet.Attempt]*relay
-	queue   []*relay
-	// load is the outstanding work in tokens.
-	load float64
+	// queue decides the order of what waits; waiting finds its relays.
+	queue   *admission.Queue
+	waiting map[protocol.RequestID]*relay
+	// onHold are requests that wait for the end of a suspect's trial, or for
+	// one of their own.
+	onHold []*relay
 	// leaving is set by a goodbye or by an announcement that says so.
 	leaving     bool
 	incarnation uint64
 	sequence    uint64
 	announced   time.Duration
 	reported    upstreamapi.Load
+	pace        *stream.Pace
+	// tokenTime is the lately measured time of one token of one stream.
+	tokenTime time.Duration
+	crash     crashWatch
 }
 
 // relay is one attempt on the owner's side.
 type relay struct {
 	place    fleet.Place
 	from     protocol.RouterID
-	cost     float64
+	ask      placement.Ask
 	deadline time.Duration
-	// progress is when the upstream last sent something.
+	// cost is the work that the load bound counts, in generated tokens.
+	cost float64
+	// answer holds what placement wants back at the end.
+	answer placement.Answer
+	// sentAt and progress are when it was sent to the upstream and when the
+	// upstream last sent something.
+	sentAt   time.Duration
 	progress time.Duration
+	chunks   int
 	// dispatch is set for an order.
 	dispatch *dispatch
 }
 
+func newOwned(now time.Duration, upstream *Upstream) *owned {
+	return &owned{
+		id:        upstream.ID,
+		config:    upstream,
+		holds:     !upstream.Moving,
+		running:   map[fleet.Attempt]*relay{},
+		queue:     admission.New(admission.DefaultConfig(max(1, upstream.Capacity))),
+		waiting:   map[protocol.RequestID]*relay{},
+		announced: now,
+		pace:      stream.NewPace(stream.DefaultPaceConfig()),
+		tokenTime: assumedTokenTime,
+	}
+}
+
+// isEngine says whether the upstream runs a model; the load bound and the
+// quarantine are about these.
+func (t *owned) isEngine() bool { return t.config.Kind == upstreamapi.KindEngine }
+
 // ownerPlace decides on a request for an upstream: start, queue, spill or
 // refuse.
 //
 // Load: any mix; the harm prevented is an upstream with more work than its
 // share, which makes every caller on it wait. The limits: only the holder of
 // the upstream's ownership admits, and only under a valid lease, so that the
-// count is exact; no more than the upstream runs at once, because what waits
-// inside an engine no longer obeys priorities.
+// count is exact; the load bound and the upstream's own limit, because what
+// waits inside an engine no longer obeys priorities.
 func (n *Node) ownerPlace(now time.Duration, in PeerPlace) {
 	target := n.owned[in.Place.Upstream]
 	if !n.mayServe(now) || target == nil || !target.holds || target.config.Fence != in.Place.Fence {
-		n.replyPlace(in, fleet.PlaceNotOwner, reason.NotOwner, 0)
+		n.replyPlace(in.From, in.Place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.NotOwner)})
 		return
 	}
 	if why, usable := n.usable(now, target); !usable {
-		n.replyPlace(in, fleet.PlaceSpilled, why, 0)
+		n.replyPlace(in.From, in.Place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(why)})
 		return
 	}
+	n.decide(now, target, n.newRelay(now, target, in))
+}
+
+func (n *Node) newRelay(now time.Duration, target *owned, in PeerPlace) *relay {
+	place := in.Place
 	fresh := &relay{
-		place:    in.Place,
+		place:    place,
 		from:     in.From,
-		cost:     float64(in.Place.PromptTokens + in.Place.OutputTokens),
-		deadline: now + time.Duration(in.Place.RemainingMS)*time.Millisecond,
-	}
-	if len(target.queue) == 0 && n.hasRoom(target, fresh.cost) {
-		n.start(now, target, fresh)
-		return
+		deadline: now + time.Duration(place.RemainingMS)*time.Millisecond,
+		cost:     1,
 	}
-	if !in.Place.MayQueue {
-		n.replyPlace(in, fleet.PlaceSpilled, reason.Saturated, 0)
-		return
+	if target.isEngine() {
+		fresh.ask = placement.Ask{
+			Upstream:     place.Upstream,
+			Stage:        placement.Stage(place.Stage),
+			Home:         place.Home,
+			Chain:        coreChain(place.Chain),
+			Root:         place.Root,
+			OutputTokens: max(1, place.OutputTokens-place.ResumeAt),
+		}
+		fresh.cost = n.policy.Cost(place.PromptTokens, 0, fresh.ask.OutputTokens)
 	}
-	n.enqueue(now, target, fresh)
+	return fresh
 }
 
 // usable says whether an upstream may get new work at all.
 func (n *Node) usable(now time.Duration, target *owned) (reason.Code, bool) {
-	if target.leaving || target.config.Drain || n.draining {
+	switch {
+	case target.leaving || target.config.Drain || n.draining:
 		return reason.UpstreamLeaving, false
-	}
-	if now-target.announced > silentAfter {
+	case !target.heard || now-target.announced > silentAfter || target.crash.down:
 		return reason.UpstreamSilent, false
 	}
 	return "", true
 }
 
-// hasRoom says whether an upstream can take more work now.
-func (n *Node) hasRoom(target *owned, cost float64) bool {
-	return len(target.running) < target.config.MaxConcurrent
+// decide finds out whether a request may start now.
+func (n *Node) decide(now time.Duration, target *owned, r *relay) {
+	final := placement.Stage(r.place.Stage) == placement.Final
+	if target.isEngine() {
+		if hold := n.holdFor(now, target, r); hold != quarantine.HoldNone {
+			n.decideHold(now, target, r, hold, final)
+			return
+		}
+	}
+	if target.queue.Len() > 0 {
+		// What waits goes first, by the queue's rules.
+		n.spillOrSubmit(now, target, r, final, placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.UpstreamFull})
+		return
+	}
+	if !target.isEngine() {
+		if len(target.running) < target.config.MaxConcurrent {
+			n.start(now, target, r, reason.FirstChoice)
+			return
+		}
+		n.spillOrSubmit(now, target, r, final, placement.Answer{})
+		return
+	}
+	n.decideEngine(now, target, r, final)
 }
 
-func (n *Node) enqueue(now time.Duration, target *owned, fresh *relay) {
-	in := PeerPlace{From: fresh.from, Place: fresh.place}
-	if len(target.queue) >= n.config.QueueLimit {
-		n.replyPlace(in, fleet.PlaceRefused, reason.QueueFull, statusRetryAfter)
-		return
+// decideEngine puts a chat to placement and the load bound.
+func (n *Node) decideEngine(now time.Duration, target *owned, r *relay, final bool) {
+	answer := n.placer.Ask(now, r.ask)
+	switch answer.Verdict {
+	case placement.Admitted:
+		r.answer = answer
+		n.start(now, target, r, startReason(answer))
+	case placement.Queued:
+		n.spillOrSubmit(now, target, r, true, answer)
+	case placement.Refused:
+		n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(answer.Reason)})
+	default:
+		n.spillOrSubmit(now, target, r, final && answer.Verdict == placement.NoRoom, answer)
 	}
-	target.queue = append(target.queue, fresh)
-	n.replyPlace(in, fleet.PlaceQueued, reason.Saturated, 0)
 }
 
-// start sends a request to its upstream.
-func (n *Node) start(now time.Duration, target *owned, r *relay) {
-	r.progress = now
-	target.running[r.place.Attempt] = r
-	target.load += r.cost
-	n.running[r.place.Attempt] = target
-	n.replyPlace(PeerPlace{From: r.from, Place: r.place}, fleet.PlaceStarted, reason.FirstChoice, 0)
-	if r.place.Order != nil {
-		n.startDispatch(now, r)
-	} else {
-		n.emit(CallUpstream{Attempt: r.place.Attempt, Address: target.config.Address, Place: r.place})
+func startReason(answer placement.Answer) reason.Code {
+	if answer.SavedShare > 0 {
+		return reason.CacheHolder
 	}
-	n.emit(Event{
-		Request: r.place.Attempt.Request, Attempt: r.place.Attempt.Number, Customer: r.place.Customer,
-		Upstream: target.id, Router: r.from, What: "placed", Reason: reason.FirstChoice,
-		Detail: fmt.Sprintf("running %d of %d, load %.0f tokens", len(target.running), target.config.MaxConcurrent, target.load),
-	})
+	return reason.FirstChoice
 }
 
-func (n *Node) replyPlace(in PeerPlace, outcome fleet.PlaceOutcome, why reason.Code, wait time.Duration) {
-	n.send(in.From, fleet.PlaceReply{
-		Attempt:      in.Place.Attempt,
-		Outcome:      outcome,
-		Reason:       string(why),
-		RetryAfterMS: wait.Milliseconds(),
+// spillOrSubmit sends the entry on, or at its last question puts the request
+// into the queue.
+func (n *Node) spillOrSubmit(now time.Duration, target *owned, r *relay, final bool, answer placement.Answer) {
+	if final {
+		n.submit(now, target, r)
+		return
+	}
+	n.replyPlace(r.from, r.place, fleet.PlaceReply{
+		Outcome:    fleet.PlaceSpilled,
+		Reason:     string(spillReason(answer)),
+		Verdict:    uint8(answer.Verdict),
+		Bound:      string(answer.Reason),
+		Forward:    answer.Forward,
+		SavedShare: answer.SavedShare,
+		Ratio:      answer.Ratio,
 	})
 }
 
-// ownerChunk relays a piece of an answer.
-func (n *Node) ownerChunk(now time.Duration, in UpstreamChunk) {
-	target := n.running[in.Chunk.Attempt]
-	if target == nil {
-		return
+func spillReason(answer placement.Answer) reason.Code {
+	switch answer.Verdict {
+	case placement.Forward:
+		return reason.ChatElsewhere
+	case placement.Unknown, placement.Cold:
+		return reason.ChatNotHere
 	}
-	r := target.running[in.Chunk.Attempt]
-	r.progress = now
-	if r.dispatch != nil {
-		r.dispatch.take(in.Chunk)
-		return
+	if answer.Reason == loadbound.OverBound || answer.Reason == loadbound.OverSoftBound {
+		return reason.LoadBound
 	}
-	n.send(r.from, in.Chunk)
+	return reason.Saturated
 }
 
-// ownerEnd closes an upstream call and tells the entry how it ended.
-func (n *Node) ownerEnd(now time.Duration, in UpstreamEnd) {
-	target := n.running[in.Attempt]
-	if target == nil {
-		return
+// queueID names an attempt in the queue.
+func queueID(attempt fleet.Attempt) protocol.RequestID {
+	return protocol.RequestID(fmt.Sprintf("%s/%d", attempt.Request, attempt.Number))
+}
+
+// submit puts a request to the queue, which admits, keeps or refuses it.
+func (n *Node) submit(now time.Duration, target *owned, r *relay) {
+	id := queueID(r.place.Attempt)
+	outcome := target.queue.Submit(now, admission.Request{
+		ID:       id,
+		Customer: r.place.Customer,
+		Class:    admission.Class(r.place.Class),
+		Weight:   r.place.Weight,
+		Tokens:   int(math.Ceil(r.cost)),
+		Deadline: r.deadline,
+		RunTime:  n.runTime(target, r),
+	}, n.gate(now, target))
+	switch outcome.Kind {
+	case admission.Admitted:
+		n.startFromQueue(now, target, r)
+	case admission.Queued:
+		target.waiting[id] = r
+		n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceQueued, Reason: string(reason.Saturated)})
+		n.emit(Event{
+			Request: r.place.Attempt.Request, Attempt: r.place.Attempt.Number, Customer: r.place.Customer, Upstream: target.id,
+			What: "queued", Reason: reason.Saturated, Detail: fmt.Sprintf("position %d, expected wait %v", outcome.Position, outcome.Wait.Round(time.Millisecond)),
+		})
+	default:
+		n.refusePlace(r, admissionReason(outcome.Reason), outcome.RetryAfter)
 	}
-	if r := target.running[in.Attempt]; r.dispatch != nil {
-		n.dispatchEnded(now, target, r, in)
-		return
+}
+
+// runTime is how long the upstream is expected to work on a request.
+func (n *Node) runTime(target *owned, r *relay) time.Duration {
+	if !target.isEngine() {
+		return 0
 	}
-	r := n.drop(target, in.Attempt)
-	end := fleet.End{Attempt: in.Attempt, Complete: in.Complete, Outcome: protocol.Ran, CachedTokens: in.CachedTokens}
-	if !in.Complete {
-		end.Outcome = failedOutcome(in.Sent)
-		end.Reason = string(reason.UpstreamFailed)
+	return time.Duration(r.ask.OutputTokens) * target.tokenTime
+}
+
+// gate says whether a request of some cost fits the upstream now.
+func (n *Node) gate(now time.Duration, target *owned) admission.Gate {
+	return func(tokens int) bool {
+		if !target.isEngine() {
+			return len(target.running) < target.config.MaxConcurrent
+		}
+		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Final: true})
+		return decision.Outcome == loadbound.Admit
 	}
-	n.send(r.from, end)
-	n.emit(Event{
-		Request: in.Attempt.Request, Attempt: in.Attempt.Number, Customer: r.place.Customer, Upstream: target.id,
-		What: "ended", Reason: endReason(in.Complete), Detail: fmt.Sprintf("status %d, cached %d tokens", in.Status, in.CachedTokens),
-	})
-	n.startQueued(now, target)
 }
 
-func failedOutcome(sent bool) protocol.RunOutcome {
-	if sent {
-		return protocol.UnknownRun
+// startFromQueue starts a request whose turn has come. The load bound counts
+// it now; if it doesn't fit after all, because the cache has changed since it
+// was queued, it goes back to the queue.
+func (n *Node) startFromQueue(now time.Duration, target *owned, r *relay) {
+	if target.isEngine() {
+		r.ask.Stage = placement.Final
+		r.answer = n.placer.Ask(now, r.ask)
+		if r.answer.Verdict != placement.Admitted {
+			n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.LoadBound)})
+			return
+		}
 	}
-	return protocol.NotRun
+	n.start(now, target, r, reason.QueueTurn)
 }
 
-func endReason(complete bool) reason.Code {
-	if complete {
-		return reason.Completed
+// admissionReason is the queue's reason as callers and events see it.
+func admissionReason(why admission.Reason) reason.Code {
+	switch why {
+	case admission.ReasonQueueFull:
+		return reason.QueueFull
+	case admission.ReasonCustomerFull:
+		return reason.CustomerQueueFull
+	case admission.ReasonExpired:
+		return reason.DeadlinePassed
+	case admission.ReasonDeadline, admission.ReasonImpossible:
+		return reason.DeadlineTooNear
 	}
-	return reason.UpstreamFailed
+	return reason.BodyInvalid
 }
 
-// drop takes an attempt out of the count of its upstream.
-func (n *Node) drop(target *owned, attempt fleet.Attempt) *relay {
-	r := target.running[attempt]
-	delete(target.running, attempt)
-	delete(n.running, attempt)
-	target.load -= r.cost
-	return r
+// refusePlace gives a request up.
+func (n *Node) refusePlace(r *relay, why reason.Code, retryAfter time.Duration) {
+	n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceRefused, Reason: string(why), RetryAfterMS: retryAfter.Milliseconds()})
 }
 
-// ownerCancel gives up an attempt, wherever it stands.
-func (n *Node) ownerCancel(now time.Duration, in PeerCancel) {
-	attempt := in.Cancel.Attempt
-	if target := n.running[attempt]; target != nil {
-		n.drop(target, attempt)
-		n.emit(CancelUpstream{Attempt: attempt})
-		n.startQueued(now, target)
-		return
-	}
-	for _, target := range n.owned {
-		target.queue = slices.DeleteFunc(target.queue, func(r *relay) bool { return r.place.Attempt == attempt })
-	}
+func (n *Node) replyPlace(to protocol.RouterID, place fleet.Place, reply fleet.PlaceReply) {
+	reply.Attempt = place.Attempt
+	n.send(to, reply)
 }
 
 // startQueued starts what waits while there is room.
 func (n *Node) startQueued(now time.Duration, target *owned) {
-	for len(target.queue) > 0 && n.mayServe(now) && target.holds {
-		if _, usable := n.usable(now, target); !usable {
-			return
-		}
-		r := target.queue[0]
-		if !n.hasRoom(target, r.cost) {
+	if !n.mayServe(now) || !target.holds {
+		return
+	}
+	if _, usable := n.usable(now, target); !usable {
+		return
+	}
+	n.reviewHeld(now, target)
+	for {
+		next, found := target.queue.Next(now, n.gate(now, target))
+		if !found {
 			return
 		}
-		target.queue = target.queue[1:]
-		n.start(now, target, r)
+		r := target.waiting[next.ID]
+		delete(target.waiting, next.ID)
+		n.startFromQueue(now, target, r)
 	}
 }
 
-// tickOwned meets the owner's deadlines, upstream by upstream in order of
-// their IDs so that a replay gives the same outputs.
-func (n *Node) tickOwned(now time.Duration) {
-	for _, target := range n.ownedInOrder() {
-		n.failStalled(now, target)
-		n.refuseLate(now, target)
-		n.watchSilence(now, target)
-		n.startQueued(now, target)
+// refuseLate answers at once what waited past its last moment to start.
+func (n *Node) refuseLate(now time.Duration, target *owned) {
+	for _, refused := range target.queue.Expire(now) {
+		r := target.waiting[refused.Request.ID]
+		delete(target.waiting, refused.Request.ID)
+		n.refusePlace(r, admissionReason(refused.Reason), refused.RetryAfter)
 	}
 }
 
-func (n *Node) ownedInOrder() []*owned {
-	list := make([]*owned, 0, len(n.owned))
-	for _, target := range n.owned {
-		list = append(list, target)
+// handBack returns what waits for an upstream to the entries, which try
+// elsewhere.
+func (n *Node) handBack(now time.Duration, target *owned) {
+	for _, request := range target.queue.Requests() {
+		target.queue.Cancel(now, request.ID)
 	}
-	slices.SortFunc(list, func(a, b *owned) int { return cmp.Compare(a.id, b.id) })
-	return list
-}
-
-// failStalled ends calls whose upstream makes no progress: a connection gone
-// silent or a stuck engine. The entry resumes the answer elsewhere.
-func (n *Node) failStalled(now time.Duration, target *owned) {
-	var stalled []fleet.Attempt
-	for attempt, r := range target.running {
-		if r.dispatch != nil {
-			n.tickDispatch(now, target, r)
-			continue
-		}
-		if now-r.progress > n.config.Stall {
-			stalled = append(stalled, attempt)
-		}
+	back := target.onHold
+	target.onHold = nil
+	for _, r := range target.waiting {
+		back = append(back, r)
 	}
-	sortAttempts(stalled)
-	for _, attempt := range stalled {
-		r := n.drop(target, attempt)
-		n.emit(CancelUpstream{Attempt: attempt})
-		n.send(r.from, fleet.End{Attempt: attempt, Outcome: protocol.UnknownRun, Reason: string(reason.UpstreamStalled)})
+	clear(target.waiting)
+	slices.SortFunc(back, func(a, b *relay) int { return compareAttempts(a.place.Attempt, b.place.Attempt) })
+	for _, r := range back {
+		n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.UpstreamLeaving)})
 	}
 }
 
-func sortAttempts(attempts []fleet.Attempt) {
-	slices.SortFunc(attempts, func(a, b fleet.Attempt) int {
-		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Number, b.Number))
-	})
-}
-
-// refuseLate answers at once what waited past its deadline.
-func (n *Node) refuseLate(now time.Duration, target *owned) {
-	kept := target.queue[:0]
-	for _, r := range target.queue {
-		if now < r.deadline {
-			kept = append(kept, r)
-			continue
-		}
-		n.replyPlace(PeerPlace{From: r.from, Place: r.place}, fleet.PlaceRefused, reason.DeadlinePassed, statusRetryAfter)
-	}
-	target.queue = kept
+func compareAttempts(a, b fleet.Attempt) int {
+	return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Number, b.Number))
 }
 
-// ownedLostEntry cancels what was relayed to a router that is gone: nobody
-// takes those answers any more.
-func (n *Node) ownedLostEntry(now time.Duration, peer protocol.RouterID) {
-	for _, target := range n.ownedInOrder() {
-		var orphaned []fleet.Attempt
-		for attempt, r := range target.running {
-			if r.from == peer && r.dispatch == nil {
-				orphaned = append(orphaned, attempt)
-			}
-		}
-		sortAttempts(orphaned)
-		for _, attempt := range orphaned {
-			n.drop(target, attempt)
-			n.emit(CancelUpstream{Attempt: attempt})
-		}
-		target.queue = slices.DeleteFunc(target.queue, func(r *relay) bool { return r.from == peer })
-		n.startQueued(now, target)
+// ownedInOrder lists the upstreams by ID, so that a replay gives the same
+// outputs.
+func (n *Node) ownedInOrder() []*owned {
+	list := make([]*owned, 0, len(n.owned))
+	for _, target := range n.owned {
+		list = append(list, target)
 	}
+	slices.SortFunc(list, func(a, b *owned) int { return cmp.Compare(a.id, b.id) })
+	return list
 }
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -22,6 +22,8 @@
 	// Models and Services list the upstreams that serve each, sorted by ID.
 	Models   map[protocol.Model][]*Upstream
 	Services map[protocol.Service][]*Upstream
+	// Routers lists the routers with an open session, sorted.
+	Routers []protocol.RouterID
 }
 
 // Customer is one customer's row.
--- a/coordination/reason/reason.go
+++ b/coordination/reason/reason.go
@@ -33,6 +33,8 @@
 	CustomerLimit Code = "customer_limit"
 	// QueueFull: the queue holds all it may.
 	QueueFull Code = "queue_full"
+	// CustomerQueueFull: the customer's part of the queue holds all it may.
+	CustomerQueueFull Code = "customer_queue_full"
 	// DeadlineTooNear: the wait would outlast the deadline.
 	DeadlineTooNear Code = "deadline_too_near"
 	// DeadlinePassed: the deadline passed while the request waited or ran.
@@ -63,6 +65,15 @@
 	FirstChoice Code = "first_choice"
 	// CacheHolder: the upstream that holds the chat's prefix was preferred.
 	CacheHolder Code = "cache_holder"
+	// QueueTurn: the request waited and its turn came.
+	QueueTurn Code = "queue_turn"
+	// ChatElsewhere: the chat last ran on another upstream, which is asked.
+	ChatElsewhere Code = "chat_elsewhere"
+	// ChatNotHere: the upstream holds nothing of the chat.
+	ChatNotHere Code = "chat_not_here"
+	// OnTrial: the request was in flight at a crash and waits to run alone, or
+	// waits for such a one.
+	OnTrial Code = "on_trial"
 	// LoadBound: the upstream is at the set multiple of the fleet's mean.
 	LoadBound Code = "load_bound"
 	// Saturated: the upstream runs all it can at once.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,6 @@
 			DataCentre:  d.settings.DataCentre,
 			Multiple:    d.settings.Load.Multiple,
 			ReuseWeight: d.settings.Load.ReuseWeight,
-			QueueLimit:  d.settings.Load.QueueLimit,
 			Stall:       d.settings.Timing.Stall(),
 			Deadline:    time.Duration(d.settings.Callers.DeadlineMS) * time.Millisecond,
 			Random:      newRandom(),
--- a/daemon/frames.go
+++ b/daemon/frames.go
@@ -9,7 +9,9 @@
 	"endiveplank/coordination/codec"
 	"endiveplank/coordination/consensus"
 	"endiveplank/coordination/lease"
+	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/upstreamapi"
@@ -87,11 +89,18 @@
 		d.runner.Input(node.Leaving{Leave: leave, Forwarded: true})
 		return nil
 	case wire.KindTotals:
-		var totals node.Totals
-		if err := wire.Decode(frame.Payload, &totals); err != nil {
+		summary, ok := loadbound.DecodeSummary(frame.Payload)
+		if !ok {
+			return eris.New("load summary of the wrong size")
+		}
+		d.runner.Input(node.PeerTotals{From: from, Summary: summary})
+		return nil
+	case wire.KindQuarantine:
+		var notice quarantine.Notice
+		if err := wire.Decode(frame.Payload, &notice); err != nil {
 			return err
 		}
-		d.runner.Input(node.PeerTotals{From: from, Totals: totals})
+		d.runner.Input(node.PeerNotice{Notice: notice})
 		return nil
 	}
 	return eris.Errorf("frame of kind %d is unknown", frame.Kind)
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/explain"
+	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
@@ -75,9 +76,11 @@
 func (r *runner) perform(out node.Output) {
 	switch out := out.(type) {
 	case node.Send:
-		r.mesh.Send(out.To, out.Kind, wire.Encode(out.Payload), out.Reliable)
+		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
 	case node.CallUpstream:
 		r.client.Call(out)
+	case node.ProbeUpstream:
+		r.client.Probe(out)
 	case node.CancelUpstream:
 		r.client.Cancel(out.Attempt)
 	case node.AnswerHead:
@@ -102,6 +105,15 @@
 	}
 }
 
+// encodePayload puts a message of the core into its wire form. Load summaries
+// go out several times a second and have a compact one of their own.
+func encodePayload(payload any) []byte {
+	if summary, ok := payload.(loadbound.Summary); ok {
+		return summary.AppendBinary(nil)
+	}
+	return wire.Encode(payload)
+}
+
 // answer passes a piece to its caller. A caller that can't take it is given
 // up once the current step is done.
 func (r *runner) answer(id protocol.RequestID, piece node.Output, last bool) {
@@ -205,6 +217,8 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindMoved:
+		return decoded[fleet.Moved](from, frame)
 	case wire.KindOrderReport:
 		return decoded[node.OrderReport](from, frame)
 	}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -30,6 +30,9 @@
 		built.Upstreams[descriptor.ID] = buildUpstream(view, descriptor, session)
 	})
 	indexUpstreams(built)
+	view.Sessions(func(open ownership.Session) { built.Routers = append(built.Routers, open.Router) })
+	slices.Sort(built.Routers)
+	built.Routers = slices.Compact(built.Routers)
 	return built
 }
 
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -57,9 +57,16 @@
 	ResumeAt int `msgpack:"ra,omitempty"`
 	// Idempotent says that the request may be sent to an upstream again.
 	Idempotent bool `msgpack:"i,omitempty"`
-	// MayQueue says that the entry has tried other upstreams; the owner
-	// queues or refuses but does not spill.
-	MayQueue bool `msgpack:"q,omitempty"`
+	// Stage says what the entry wants to know, see placement.Stage. The last
+	// stage says that the entry has tried other upstreams; the owner then
+	// starts, queues or refuses the request, but doesn't spill it.
+	Stage uint8 `msgpack:"st"`
+	// Home says that the upstream is the chat's first choice.
+	Home bool `msgpack:"ho,omitempty"`
+	// Root is the position in Chain of the link that places the chat.
+	Root int `msgpack:"ro,omitempty"`
+	// Suspect says that the request is on trial for crashes.
+	Suspect bool `msgpack:"su,omitempty"`
 	// RemainingMS is the time left until the request's deadline when the
 	// message was sent. Clocks of two VMs are never compared.
 	RemainingMS int64 `msgpack:"ms"`
@@ -104,8 +111,20 @@
 	Reason string `msgpack:"r,omitempty"`
 	// RetryAfterMS says when a refused caller should come back.
 	RetryAfterMS int64 `msgpack:"ms,omitempty"`
-	// Try names the upstream that last held this chat, if another one.
-	Try protocol.UpstreamID `msgpack:"t,omitempty"`
+	// Verdict is the placement's verdict behind a spilled request, with what
+	// the entry's walk needs to go on, see placement.Answer.
+	Verdict    uint8   `msgpack:"v,omitempty"`
+	Bound      string  `msgpack:"b,omitempty"`
+	Forward    uint32  `msgpack:"f,omitempty"`
+	SavedShare float64 `msgpack:"s,omitempty"`
+	Ratio      float64 `msgpack:"l,omitempty"`
+}
+
+// Moved tells the owner of a chat's first choice where the chat ran instead.
+type Moved struct {
+	Home protocol.UpstreamID `msgpack:"h"`
+	Root uint64              `msgpack:"r"`
+	Ran  protocol.UpstreamID `msgpack:"u"`
 }
 
 // Chunk is one piece of an answer.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -80,6 +80,8 @@
 	KindPush Kind = 20
 	// KindOrderReport tells an entry how an attempt of an order ended.
 	KindOrderReport Kind = 21
+	// KindMoved tells the owner of a chat's first choice where it ran.
+	KindMoved Kind = 22
 )
 
 // kindNames are the names of kinds in metrics.
@@ -90,7 +92,7 @@
 	KindPlace: "place", KindPlaceReply: "place-reply", KindChunk: "chunk", KindEnd: "end",
 	KindCancel: "cancel", KindAnnounce: "announce", KindLeave: "leave", KindGossip: "gossip",
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
-	KindQuarantine: "quarantine", KindOrderReport: "order-report",
+	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 }
 
 // String returns the kind's name.
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -91,6 +91,19 @@
 	}()
 }
 
+// Probe finds out whether an upstream takes connections.
+func (c *Client) Probe(probe node.ProbeUpstream) {
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		connection, err := net.DialTimeout("tcp", probe.Address, dialTimeout)
+		if err == nil {
+			_ = connection.Close()
+		}
+		c.sink.Input(node.UpstreamProbed{Upstream: probe.Upstream, Reachable: err == nil})
+	}()
+}
+
 // Cancel ends a call by closing its connection.
 func (c *Client) Cancel(attempt fleet.Attempt) {
 	c.mu.Lock()
