Admission: shares by weight over all classes, standing queues cut back

Cause: with strict classes, a surge of one urgent customer moved another customer's p99 from 21.1 to 54.7 s (drafts, class 1), and a lasting overload kept every queue full up to its deadline: at 1.5 times capacity urgent callers waited 9.6 s at the median. Ruled out: fair queueing within a class only (above); an ideal clock that counts waiting customers alone (the surging one kept 52% and summaries 3.6%, since the others' shares added up to more than there is); credit for idle customers that advances the ideal clock (summaries 3.4%). Conclusion: classes say who goes first, weights what is guaranteed.

--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -9,21 +9,31 @@
 //
 // # Order of service
 //
-// Three rules choose the next request, all counted in tokens, because tokens
+// Four rules choose the next request, all counted in tokens, because tokens
 // and not requests are what an engine spends its time on:
 //
-//   - Between priority classes the most urgent class goes first. Every other
-//     class earns credit, its minimum share of all tokens started while it
-//     waits, and goes first once its credit pays for its next request. So
-//     summaries wait behind clerks but never for ever.
-//   - Within a class, customers share by start-time fair queueing: each
-//     customer has a virtual clock that advances by tokens/weight, and the
-//     lowest clock goes first. A customer that surges only delays itself.
+//   - Customers have virtual clocks (start-time fair queueing): each advances by
+//     tokens/weight as the customer's work starts, and the queue's own clock
+//     advances as if all waiting customers were served by weight. A customer whose
+//     clock is no further ahead than Config.BurstTokens allows is within its
+//     share.
+//   - Work within its customer's share goes first, in the order of classes.
+//     Only when there is none does work beyond a share start, again in the order
+//     of classes. So urgent work passes summaries, but a customer that
+//     surges gets only what the others leave, whatever its class: its
+//     excess delays nobody else.
+//   - Within a class, the customer with the lowest clock goes first.
 //   - Within a customer, the order is by arrival plus a handicap proportional
 //     to the length. Short requests pass long ones that came shortly before;
 //     a long one is passed only by requests that arrive within its handicap,
 //     so it isn't starved either.
 //
+// Config.Guarantee scales the weights of a class, so that background work holds
+// a smaller share against urgent work. Config.MinShare is a floor for a whole
+// class, however many customers of other classes wait: a waiting class earns that
+// share of all started tokens as credit and goes first when the credit pays
+// for its next request.
+//
 // Less urgent classes also leave Config.ReserveTokens of the upstream's room
 // free, so that an urgent request finds room at once instead of waiting for a
 // running request to end. A class that is served on credit ignores the reserve.
@@ -35,15 +45,16 @@
 // start early enough to end before its deadline is refused at once, with a
 // Retry-After computed from the same estimate: holding it back would cost its
 // caller the time and the queue the room. Requests whose last moment to
-// start passes while they wait are returned by Expire for the same reason:
-// the engine's time goes only to answers that can still be in time.
+// start passes while they wait, also because the engine has slowed down
+// meanwhile, are returned by Expire for the same reason: the engine's time goes
+// only to answers that can still be in time.
 //
 // # Use
 //
 //	queue := admission.New(config)
 //	outcome := queue.Submit(now, request, gate)   // Admitted, Queued or Refused
 //	request, ok := queue.Next(now, gate)          // until ok is false, after load fell
-//	refusals := queue.Expire(now)                 // at the time NextExpiry gives
+//	refusals := queue.Expire(now)                 // after Next, and at the time NextExpiry gives
 //	queue.Drained(now, tokens)                    // as upstreams finish tokens
 //	queue.Cancel(id)                              // the caller has gone
 //
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -10,49 +10,56 @@
 // minRate keeps estimates finite, in tokens per second.
 const minRate = 1.0
 
-// ExpectedWait estimates how long a request would wait if it came now.
+// ExpectedWait estimates how long a request would wait if it came now. It is
+// the shorter of two waits:
 //
-// Tokens that start before it are all those of more urgent classes and, in its
-// own class, what fair sharing lets through before this customer's backlog and
-// the request itself are served: each other customer gets at most its weight's
-// share of that time, and at most all it has waiting. The first part drains at
-// the upstream's measured rate. The second drains at the rate at which the
-// class was lately served, because urgent requests that are still to come
-// will go first as well, but never below its minimum share.
+//   - by share: the customer's own backlog drains at its weight's share of
+//     what the upstream leaves to waiting work, whatever the other classes do;
+//   - by order: everything that goes before it drains, which is all of the more
+//     urgent classes at the upstream's rate and all of its own class at the
+//     rate at which that class was lately served, because urgent requests that
+//     are still to come will go first as well.
 func (q *Queue) ExpectedWait(now time.Duration, r Request) time.Duration {
-	total := max(q.drain.perSecond(now), minRate)
-	urgent := 0
-	for class := Class(0); class < r.Class; class++ {
-		urgent += q.classes[class].tokens
-	}
-	seconds := float64(urgent) / total
-	seconds += q.tokensAhead(r) / q.classRate(now, r.Class, total)
-	return durationOf(seconds)
+	drain := q.drain.perSecond(now)
+	rest := max(drain-q.direct.perSecond(now), drain*q.classShare(r.Class), minRate)
+	byShare := q.fairTokens(r) / rest
+	byOrder := float64(q.urgentTokens(r.Class)) / rest
+	byOrder += float64(q.classes[r.Class].tokens) / q.classRate(now, r.Class, rest)
+	return durationOf(min(byShare, byOrder))
 }
 
-// tokensAhead is the work of the same class that starts before the request.
-func (q *Queue) tokensAhead(r Request) float64 {
-	c := &q.classes[r.Class]
-	own, active := 0, c.weight
-	if f := c.flows[r.Customer]; f != nil && f.at != unplaced {
+// fairTokens is the work that starts up to and with the request when all waiting
+// customers are served by weight.
+func (q *Queue) fairTokens(r Request) float64 {
+	weight := r.Weight * q.config.Guarantee[r.Class]
+	own, total := 0, q.shares.weight
+	f := q.shares.flows[flowKey{customer: r.Customer, class: r.Class}]
+	if f != nil && f.backlogged() {
 		own = f.tokens
 	} else {
-		active += r.Weight
+		total += weight
+	}
+	return float64(own+r.Tokens) * total / weight
+}
+
+// urgentTokens is the waiting work of all classes before one.
+func (q *Queue) urgentTokens(class Class) int {
+	tokens := 0
+	for i := range q.classes[:class] {
+		tokens += q.classes[i].tokens
 	}
-	fair := float64(own+r.Tokens) * active / r.Weight
-	return min(float64(c.tokens), fair)
+	return tokens
 }
 
 // classRate is the rate at which a class drains, in tokens per second.
-func (q *Queue) classRate(now time.Duration, class Class, total float64) float64 {
-	least := total * q.guaranteed(class)
+func (q *Queue) classRate(now time.Duration, class Class, rest float64) float64 {
 	measured := q.classes[class].rate.perSecond(now)
-	return max(min(measured, total), least, minRate)
+	return max(min(measured, rest), rest*q.classShare(class), minRate)
 }
 
-// guaranteed is the share of the upstream that a class gets whatever the other
+// classShare is the share of the upstream that a class gets whatever the other
 // classes do: its minimum share, or for class 0 all but the others' shares.
-func (q *Queue) guaranteed(class Class) float64 {
+func (q *Queue) classShare(class Class) float64 {
 	if class > 0 {
 		return q.config.MinShare[class]
 	}
@@ -64,18 +71,18 @@
 }
 
 // expectedPosition estimates how many requests start before a new one, by the
-// same rule as ExpectedWait.
+// same rules as ExpectedWait.
 func (q *Queue) expectedPosition(r Request) int {
-	position := 0
-	for class := Class(0); class < r.Class; class++ {
-		position += q.classes[class].count
+	count, tokens := 0, 0
+	for i := range q.classes[:r.Class+1] {
+		count += q.classes[i].count
+		tokens += q.classes[i].tokens
 	}
-	c := &q.classes[r.Class]
-	if c.tokens == 0 {
-		return position
+	if tokens == 0 {
+		return 0
 	}
-	ahead := q.tokensAhead(r) / float64(c.tokens)
-	return position + int(math.Ceil(ahead*float64(c.count)))
+	ahead := min(1, q.fairTokens(r)/float64(tokens))
+	return int(math.Ceil(ahead * float64(count)))
 }
 
 // retryAfter is how long the caller should stay away: the time by which the
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -17,9 +17,13 @@
 type Queue struct {
 	config   Config
 	classes  [NumClasses]classQueue
+	shares   shares
 	entries  map[protocol.RequestID]*waitingEntry
 	expiries indexedHeap[*expiry]
-	drain    rate
+	overdue  []Refusal
+	drain    rate // tokens finished per second
+	direct   rate // tokens started without waiting, per second
+	speed    streamSpeed
 	arrivals uint64
 }
 
@@ -41,11 +45,13 @@
 	}
 	q := &Queue{
 		config:  config,
+		shares:  shares{flows: make(map[flowKey]*flow), credit: config.CreditTokens},
 		entries: make(map[protocol.RequestID]*waitingEntry),
 		drain:   newRate(config.InitialRate, config.RateWindow),
+		direct:  newRate(0, config.RateWindow),
+		speed:   newStreamSpeed(config.InitialSpeed, config.RateWindow),
 	}
 	for i := range q.classes {
-		q.classes[i].flows = make(map[protocol.CustomerID]*flow)
 		q.classes[i].rate = newRate(config.InitialRate, config.RateWindow)
 	}
 	return q
@@ -58,27 +64,31 @@
 	if reason := q.invalid(r); reason != ReasonNone {
 		return Outcome{Kind: Refused, Reason: reason}
 	}
-	if now > r.latestStart() {
-		return Outcome{Kind: Refused, Reason: ReasonImpossible}
+	slack := q.latestStart(r) - now
+	if slack < 0 {
+		return q.impossible(now, r)
 	}
-	if q.mayPass(r) && gate(r.Tokens+q.reserve(r.Class)) {
-		q.startDirectly(now, r)
+	f := q.shares.of(r, q.config.Guarantee[r.Class])
+	limit := q.waitLimit(now, f, slack)
+	if q.mayPass(f) && gate(r.Tokens+q.reserve(r.Class)) {
+		q.startDirectly(now, f, r)
 		return Outcome{Kind: Admitted}
 	}
 	wait := q.ExpectedWait(now, r)
-	if reason := q.full(r); reason != ReasonNone {
+	if reason := q.full(f); reason != ReasonNone {
 		return Outcome{Kind: Refused, Reason: reason, RetryAfter: q.retryAfter(r, wait)}
 	}
-	if slack := r.latestStart() - now; wait > slack {
-		return Outcome{
-			Kind:       Refused,
-			Wait:       wait,
-			Reason:     ReasonDeadline,
-			RetryAfter: q.retryAfter(r, wait-slack),
+	if careful := time.Duration(float64(wait) * q.config.WaitMargin); careful > limit {
+		outcome := Outcome{Kind: Refused, Wait: wait, Reason: ReasonDeadline}
+		if careful <= slack {
+			outcome.Reason = ReasonStanding
+			f.cutUntil = now + q.config.CutTime
 		}
+		outcome.RetryAfter = q.retryAfter(r, careful-limit)
+		return outcome
 	}
 	position := q.expectedPosition(r)
-	q.enqueue(now, r)
+	q.enqueue(now, f, r)
 	return Outcome{Kind: Queued, Position: position, Wait: wait}
 }
 
@@ -87,38 +97,40 @@
 // counts the request's tokens as load before it calls Next again.
 //
 // A request that doesn't fit keeps its turn: passing it by would starve long
-// requests. Only a more urgent class that fits may go before it, except
-// where the request is owed its class's minimum share.
+// requests.
 func (q *Queue) Next(now time.Duration, gate Gate) (Request, bool) {
-	if class, ok := q.owedClass(); ok {
-		return q.take(now, class, 0, gate)
-	}
-	for class := range q.classes {
-		if q.classes[class].count > 0 {
-			return q.take(now, Class(class), q.reserve(Class(class)), gate)
+	for {
+		class, reserve, ok := q.turn()
+		if !ok {
+			return Request{}, false
+		}
+		e, _ := q.classes[class].head()
+		if now > q.latestStart(e.request) {
+			// The engine has slowed down since the request came.
+			q.refuseOverdue(now, e.request)
+			continue
+		}
+		if !gate(e.request.Tokens + reserve) {
+			return Request{}, false
 		}
+		q.startQueued(now, e)
+		return e.request, true
 	}
-	return Request{}, false
 }
 
 // Expire removes the requests whose last moment to start has passed. They have
 // not run and are to be answered at once.
 func (q *Queue) Expire(now time.Duration) []Refusal {
-	var refusals []Refusal
 	for {
 		x, ok := q.expiries.first()
-		if !ok || x.entry.request.latestStart() >= now {
-			return refusals
+		if !ok || x.entry.latestStart >= now {
+			break
 		}
-		r := x.entry.request
-		q.discard(now, r.ID)
-		wait := q.ExpectedWait(now, r)
-		refusals = append(refusals, Refusal{
-			Request:    r,
-			Reason:     ReasonExpired,
-			RetryAfter: q.retryAfter(r, wait),
-		})
+		q.refuseOverdue(now, x.entry.request)
 	}
+	refusals := q.overdue
+	q.overdue = nil
+	return refusals
 }
 
 // NextExpiry returns when Expire has work next.
@@ -127,7 +139,7 @@
 	if !ok {
 		return 0, false
 	}
-	return x.entry.request.latestStart() + 1, true
+	return x.entry.latestStart + 1, true
 }
 
 // Cancel removes a waiting request whose caller has gone. It returns false for
@@ -140,9 +152,12 @@
 	return true
 }
 
-// Drained tells the queue that the upstream finished tokens of work.
-func (q *Queue) Drained(now time.Duration, tokens int) {
+// Drained tells the queue that the running requests, streams in number, made
+// tokens of progress since the last call. Calls every 100 ms or so, or at each
+// batch of chunks, are frequent enough.
+func (q *Queue) Drained(now time.Duration, tokens, streams int) {
 	q.drain.add(now, tokens)
+	q.speed.add(now, tokens, streams)
 }
 
 // Len returns the number of waiting requests.
@@ -167,7 +182,7 @@
 		return ReasonBadClass
 	case !(r.Weight > 0):
 		return ReasonBadWeight
-	case r.Tokens <= 0:
+	case r.Tokens <= 0 || r.Steps < 0:
 		return ReasonBadTokens
 	}
 	if _, ok := q.entries[r.ID]; ok {
@@ -176,28 +191,81 @@
 	return ReasonNone
 }
 
-func (q *Queue) full(r Request) Reason {
+// impossible refuses a request that even a start at once would not answer in
+// time. A retry helps only if the upstream is slower than usual.
+func (q *Queue) impossible(now time.Duration, r Request) Outcome {
+	outcome := Outcome{Kind: Refused, Reason: ReasonImpossible}
+	usual := time.Duration(float64(r.Steps) / q.config.InitialSpeed * float64(time.Second))
+	if now+usual <= r.Deadline {
+		outcome.RetryAfter = q.retryAfter(r, q.config.RateWindow)
+	}
+	return outcome
+}
+
+func (q *Queue) full(f *flow) Reason {
 	if len(q.entries) >= q.config.MaxQueued {
 		return ReasonQueueFull
 	}
-	f := q.classes[r.Class].flows[r.Customer]
-	if f != nil && f.waiting.Len() >= q.config.MaxCustomerQueued {
+	if f.waiting.Len() >= q.config.MaxCustomerQueued {
 		return ReasonCustomerFull
 	}
 	return ReasonNone
 }
 
-// mayPass says whether a new request may start without queueing: only when no
-// request of its own or a more urgent class waits, and no class is owed its
-// minimum share.
-func (q *Queue) mayPass(r Request) bool {
-	for class := Class(0); class <= r.Class; class++ {
-		if q.classes[class].count > 0 {
-			return false
-		}
+// latestStart is the last moment at which a start meets the deadline, by the
+// speed at which streams run now.
+func (q *Queue) latestStart(r Request) time.Duration {
+	return r.Deadline - durationOf(float64(r.Steps)/q.speed.perSecond())
+}
+
+// mayPass says whether a new request may start without queueing: when nothing
+// waits that would go before it.
+func (q *Queue) mayPass(f *flow) bool {
+	if f.backlogged() {
+		return false // its own requests go first
+	}
+	class, _, ok := q.turn()
+	if !ok {
+		return true
+	}
+	if _, owed := q.owedClass(); owed {
+		return false
+	}
+	waiting, _ := q.classes[class].active.first()
+	mine, theirs := q.shares.within(f, q.config.BurstTokens), q.shares.within(waiting, q.config.BurstTokens)
+	if mine != theirs {
+		return mine
+	}
+	return f.key.class < class
+}
+
+// waitLimit is the longest expected wait at which a request is let in: what its
+// deadline leaves, but only its class's target for a customer whose queue has
+// been standing. A burst may use the whole of the deadline. A customer that sends
+// more than it gets for longer would otherwise keep its queue full up to the
+// deadline, and all its callers would wait nearly that long for no more answers.
+func (q *Queue) waitLimit(now time.Duration, f *flow, slack time.Duration) time.Duration {
+	target := q.config.TargetWait[f.key.class]
+	if target == 0 {
+		return slack
+	}
+	if f.standing && now-f.standingSince >= q.config.BurstTime {
+		f.cutUntil = now + q.config.CutTime
+	}
+	if now < f.cutUntil {
+		return min(slack, target)
+	}
+	return slack
+}
+
+// observeWait notes how long a started request has waited.
+func (q *Queue) observeWait(now time.Duration, e *entry) {
+	f := e.flow
+	long := now-e.arrived > q.config.TargetWait[f.key.class]
+	if long && !f.standing {
+		f.standingSince = now
 	}
-	_, owed := q.owedClass()
-	return !owed
+	f.standing = long
 }
 
 // reserve is the room that a class leaves free for class 0.
@@ -208,6 +276,28 @@
 	return q.config.ReserveTokens
 }
 
+// turn returns the class that is served next and the room it must leave free.
+func (q *Queue) turn() (Class, int, bool) {
+	if class, ok := q.owedClass(); ok {
+		return class, 0, true
+	}
+	first, found := Class(0), false
+	for i := range q.classes {
+		f, ok := q.classes[i].active.first()
+		if !ok {
+			continue
+		}
+		class := Class(i)
+		if q.shares.within(f, q.config.BurstTokens) {
+			return class, q.reserve(class), true
+		}
+		if !found {
+			first, found = class, true
+		}
+	}
+	return first, q.reserve(first), found
+}
+
 // owedClass returns the class whose credit pays for its next request. With
 // several, the most urgent goes first.
 func (q *Queue) owedClass() (Class, bool) {
@@ -223,27 +313,22 @@
 	return 0, false
 }
 
-// take starts the head of a class if the gate has room for it and the reserve.
-func (q *Queue) take(now time.Duration, class Class, reserve int, gate Gate) (Request, bool) {
-	c := &q.classes[class]
-	e, _ := c.head()
-	if !gate(e.request.Tokens + reserve) {
-		return Request{}, false
-	}
-	r := e.request
-	q.expiries.remove(&q.entries[r.ID].expiry)
-	delete(q.entries, r.ID)
-	c.rate.add(now, r.Tokens)
-	c.started(e)
-	q.account(class, r.Tokens)
-	q.settleBusy(now)
-	return r, true
+// startQueued takes an entry out to start it.
+func (q *Queue) startQueued(now time.Duration, e *entry) {
+	c := &q.classes[e.request.Class]
+	c.rate.add(now, e.request.Tokens)
+	q.observeWait(now, e)
+	q.shares.charge(c, e.flow, e.request.Tokens)
+	q.account(e.request.Class, e.request.Tokens)
+	q.discard(now, e.request.ID)
 }
 
 // startDirectly charges a request that never waited.
-func (q *Queue) startDirectly(now time.Duration, r Request) {
-	c := &q.classes[r.Class]
-	c.rate.add(now, r.Tokens)
+func (q *Queue) startDirectly(now time.Duration, f *flow, r Request) {
+	q.direct.add(now, r.Tokens)
+	q.classes[r.Class].rate.add(now, r.Tokens)
+	q.shares.charge(&q.classes[r.Class], f, r.Tokens)
+	f.standing = false
 	q.account(r.Class, r.Tokens)
 }
 
@@ -270,13 +355,14 @@
 	}
 }
 
-func (q *Queue) enqueue(now time.Duration, r Request) {
-	c := &q.classes[r.Class]
+func (q *Queue) enqueue(now time.Duration, f *flow, r Request) {
 	q.arrivals++
 	we := &waitingEntry{}
 	we.entry = entry{
 		request:       r,
-		flow:          c.flow(r),
+		flow:          f,
+		arrived:       now,
+		latestStart:   q.latestStart(r),
 		rank:          now + time.Duration(r.Tokens)*q.config.HandicapPerToken,
 		arrivalNumber: q.arrivals,
 		rankAt:        unplaced,
@@ -284,22 +370,34 @@
 	we.expiry = expiry{entry: &we.entry, at: unplaced}
 	q.entries[r.ID] = we
 	q.expiries.add(&we.expiry)
-	c.add(&we.entry)
+	q.shares.add(&q.classes[r.Class], &we.entry)
 	q.settleBusy(now)
 }
 
-// discard removes a waiting request without starting it.
+// refuseOverdue keeps a refusal for the next call of Expire.
+func (q *Queue) refuseOverdue(now time.Duration, r Request) {
+	q.discard(now, r.ID)
+	q.overdue = append(q.overdue, Refusal{
+		Request:    r,
+		Reason:     ReasonExpired,
+		RetryAfter: q.retryAfter(r, q.ExpectedWait(now, r)),
+	})
+}
+
+// discard removes a waiting request.
 func (q *Queue) discard(now time.Duration, id protocol.RequestID) {
 	we := q.entries[id]
 	delete(q.entries, id)
 	q.expiries.remove(&we.expiry)
-	q.classes[we.entry.request.Class].remove(&we.entry)
+	q.shares.remove(&q.classes[we.entry.request.Class], &we.entry)
 	q.settleBusy(now)
 }
 
 // settleBusy runs the rate clocks only while there is work waiting.
 func (q *Queue) settleBusy(now time.Duration) {
-	q.drain.setBusy(now, len(q.entries) > 0)
+	busy := len(q.entries) > 0
+	q.drain.setBusy(now, busy)
+	q.direct.setBusy(now, busy)
 	for i := range q.classes {
 		c := &q.classes[i]
 		c.rate.setBusy(now, c.count > 0)
--- a/coordination/admission/rate.go
+++ b/coordination/admission/rate.go
@@ -62,3 +62,37 @@
 	}
 	return r.sum / r.span
 }
+
+// streamSpeed estimates the tokens per second of one stream, over the time
+// in which any stream ran.
+type streamSpeed struct {
+	window  time.Duration
+	initial float64
+	updated time.Duration
+	tokens  float64 // decayed
+	span    float64 // decayed stream-seconds
+}
+
+// newStreamSpeed starts with the initial speed, weighted as one second of one
+// stream.
+func newStreamSpeed(initial float64, window time.Duration) streamSpeed {
+	return streamSpeed{window: window, initial: initial, tokens: initial, span: 1}
+}
+
+func (s *streamSpeed) add(now time.Duration, tokens, streams int) {
+	elapsed := (now - s.updated).Seconds()
+	s.updated = now
+	keep := math.Exp(-elapsed / s.window.Seconds())
+	s.tokens = s.tokens*keep + float64(tokens)
+	s.span = s.span*keep + elapsed*float64(streams)
+}
+
+// perSecond returns the estimate. It never exceeds the initial speed, which
+// the batch allows at best, and never falls to zero.
+func (s *streamSpeed) perSecond() float64 {
+	const least = 0.01
+	if s.span <= 0 {
+		return s.initial
+	}
+	return min(max(s.tokens/s.span, least*s.initial), s.initial)
+}
--- a/coordination/admission/types.go
+++ b/coordination/admission/types.go
@@ -24,15 +24,12 @@
 	// Tokens is the expected work: prompt tokens that the cache doesn't hold
 	// plus answer tokens, in the unit that Gate and Drained count.
 	Tokens int
+	// Steps is the expected length of the answer in tokens, which the engine
+	// makes one after the other. With the measured speed of a stream it gives
+	// the time that the request will run. Zero is allowed for plain services.
+	Steps int
 	// Deadline is when the whole answer must be with the caller.
 	Deadline time.Duration
-	// RunTime is how long the upstream is expected to run the request.
-	RunTime time.Duration
-}
-
-// latestStart is the last moment at which a start still meets the deadline.
-func (r Request) latestStart() time.Duration {
-	return r.Deadline - r.RunTime
 }
 
 // Gate says whether the upstream's load may rise by tokens now. It must not
@@ -60,6 +57,9 @@
 	// ReasonDeadline means that the expected wait ends after the last moment
 	// to start.
 	ReasonDeadline Reason = "deadline-unreachable"
+	// ReasonStanding means that the customer has sent more than it gets for a
+	// while, and the expected wait is longer than its class should wait.
+	ReasonStanding Reason = "standing-queue"
 	// ReasonImpossible means that the deadline can't be met even by a start
 	// at once, so that waiting cannot help.
 	ReasonImpossible Reason = "deadline-impossible"
