Placement: count an answer as cached with its prompt

Cause: the index knew the prompt of the last turn but not that its answer is cached behind it, so requests were costed too high by the answer's prefill and returning chats seemed to save less than they do. Ruled out: nothing else was changed. Change: a hit past the root reaches to the next message of the chain.

--- a/coordination/placement/index.go
+++ b/coordination/placement/index.go
@@ -91,8 +91,20 @@
 	return &Index{table: newTable(entries)}
 }
 
-// Lookup returns the longest prefix of the chain believed cached.
-func (x *Index) Lookup(now time.Duration, chain []chat.Link) Hit {
+// Lookup returns the longest prefix of the chain believed cached. A prompt
+// that was placed here is cached together with its answer, which is the next
+// message of the chain; links before the root are shared prompts and have no
+// answer of their own.
+func (x *Index) Lookup(now time.Duration, chain []chat.Link, root int) Hit {
+	hit := x.longest(now, chain)
+	if answer := hit.Link + 1; hit.Link >= root && answer < len(chain) {
+		hit.Tokens = chain[answer].Tokens
+	}
+	return hit
+}
+
+// longest looks up the links from the deepest on.
+func (x *Index) longest(now time.Duration, chain []chat.Link) Hit {
 	last := max(0, len(chain)-maxProbes)
 	for i := len(chain) - 1; i >= last; i-- {
 		if hit, ok := x.probe(now, chain, i); ok {
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -143,7 +143,7 @@
 	if len(ask.Chain) == 0 || ask.Root < 0 || ask.Root >= len(ask.Chain) {
 		return Answer{Verdict: Refused, Reason: loadbound.BadCost}
 	}
-	hit := held.index.Lookup(now, ask.Chain)
+	hit := held.index.Lookup(now, ask.Chain, ask.Root)
 	if answer, elsewhere := o.elsewhere(now, ask, held, hit); elsewhere {
 		return answer
 	}
