--- a/coordination/fleetstate/machine.go
+++ b/coordination/fleetstate/machine.go
@@ -195,8 +195,8 @@
 	Table     table.Snapshot        `msgpack:"t"`
 	Orders    orders.Snapshot       `msgpack:"o"`
 	Ownership ownership.Snapshot    `msgpack:"w"`
-	Gone      []goneItem            `msgpack:"g"`
-	Registry  []registry.Descriptor `msgpack:"r"`
+	Gone      []goneItem            `msgpack:"g,omitempty"`
+	Registry  []registry.Descriptor `msgpack:"r,omitempty"`
 	Floor     uint64                `msgpack:"l"`
 }
 
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -51,6 +51,8 @@
 	announced   time.Duration
 	reported    upstreamapi.Load
 	pace        *stream.Pace
+	// done counts the tokens that its streams made since the queue was told.
+	done int
 	// tokenTime is the lately measured time of one token of one stream.
 	tokenTime time.Duration
 	crash     crashWatch
@@ -85,7 +87,7 @@
 		config:    upstream,
 		holds:     !upstream.Moving,
 		running:   map[fleet.Attempt]*relay{},
-		queue:     admission.New(admission.DefaultConfig(max(1, upstream.Capacity))),
+		queue:     admission.New(admission.DefaultConfig(queueRates(upstream))),
 		waiting:   map[protocol.RequestID]*relay{},
 		announced: now,
 		pace:      stream.NewPace(stream.DefaultPaceConfig()),
@@ -245,7 +247,7 @@
 		Weight:   r.place.Weight,
 		Tokens:   int(math.Ceil(r.cost)),
 		Deadline: r.deadline,
-		RunTime:  n.runTime(target, r),
+		Steps:    r.steps(),
 	}, n.gate(now, target))
 	switch outcome.Kind {
 	case admission.Admitted:
@@ -263,6 +265,21 @@
 	}
 }
 
+// queueRates are an upstream's announced speeds in all and for one stream, in
+// tokens a second, until they are measured.
+func queueRates(upstream *Upstream) (all, stream float64) {
+	all = max(1, upstream.Capacity)
+	return all, all / float64(max(1, upstream.MaxConcurrent))
+}
+
+// steps is the length of the answer in tokens; a plain service has none.
+func (r *relay) steps() int {
+	if r.place.Model == "" {
+		return 0
+	}
+	return r.ask.OutputTokens
+}
+
 // runTime is how long the upstream is expected to work on a request.
 func (n *Node) runTime(target *owned, r *relay) time.Duration {
 	if !target.isEngine() {
--- a/coordination/node/relay.go
+++ b/coordination/node/relay.go
@@ -65,9 +65,9 @@
 	phase := stream.NextToken
 	if r.chunks == 0 {
 		phase = stream.FirstToken
-		n.drained(now, target, r, r.cost-float64(r.ask.OutputTokens))
+		n.drained(target, r, r.cost-float64(r.ask.OutputTokens))
 	} else {
-		n.drained(now, target, r, 1)
+		n.drained(target, r, 1)
 		target.tokenTime += time.Duration(paceMemory * float64(wait-target.tokenTime))
 	}
 	if r.place.Streamed {
@@ -77,16 +77,23 @@
 	r.progress = now
 }
 
-// drained tells the queue of work that the upstream has done. Counting it as
+// drained notes work that the upstream has done. Counting it as
 // it is done, and not at the end of each answer, keeps the queue from taking
 // an engine that has just filled up for one that does nothing.
-func (n *Node) drained(now time.Duration, target *owned, r *relay, tokens float64) {
+func (n *Node) drained(target *owned, r *relay, tokens float64) {
 	tokens = min(tokens, r.cost-r.drained)
 	whole := int(r.drained+tokens) - int(r.drained)
 	r.drained += tokens
-	if whole > 0 {
-		target.queue.Drained(now, whole)
+	target.done += whole
+}
+
+// tellQueue passes on what the streams did since the last time.
+func (n *Node) tellQueue(now time.Duration, target *owned) {
+	if target.done == 0 && len(target.running) == 0 {
+		return
 	}
+	target.queue.Drained(now, target.done, len(target.running))
+	target.done = 0
 }
 
 // ownerEnd closes an upstream call and tells the entry how it ended.
@@ -150,7 +157,7 @@
 	delete(target.running, r.place.Attempt)
 	delete(n.running, r.place.Attempt)
 	// What the answer did not need of its estimate is room as well.
-	n.drained(now, target, r, r.cost-r.drained)
+	n.drained(target, r, r.cost-r.drained)
 	if !target.isEngine() {
 		return
 	}
@@ -185,6 +192,7 @@
 // tickOwned meets the owner's deadlines.
 func (n *Node) tickOwned(now time.Duration) {
 	for _, target := range n.ownedInOrder() {
+		n.tellQueue(now, target)
 		n.failStalled(now, target)
 		n.refuseLate(now, target)
 		n.tickCrash(now, target)
