--- a/standin/engine/core.go
+++ b/standin/engine/core.go
@@ -105,11 +105,7 @@
 	}
 	c.lastID++
 	c.counters.Requests++
-	at := len(c.waiting)
-	for at > 0 && c.waiting[at-1].Priority > work.Priority {
-		at--
-	}
-	c.waiting = slices.Insert(c.waiting, at, &job{Job: work, id: c.lastID, next: work.ResumeAt})
+	c.waiting = insertByPriority(c.waiting, &job{Job: work, id: c.lastID, next: work.ResumeAt})
 	if !c.busy {
 		c.begin(now)
 	}
@@ -179,8 +175,8 @@
 	c.endsAt = now + time.Duration(float64(cost)*max(c.faults.SlowFactor, 1))
 }
 
-// join puts a job into the batch and looks its prompt up in the cache. A
-// resumed job prefills the tokens that its caller already has, too. At least
+// join puts a job into the batch, behind all of the same or a more urgent
+// priority, and looks its prompt up in the cache. A resumed job prefills the tokens that its caller already has, too. At least
 // one token is always prefilled, because the first output needs it.
 func (c *Core) join(j *job) {
 	prompt := tokensOf(j.Prompt)
@@ -188,7 +184,7 @@
 	j.prefill = max(prompt-j.cached+j.ResumeAt, 1)
 	c.counters.PromptTokens += uint64(prompt)
 	c.counters.CachedTokens += uint64(j.cached)
-	c.running = append(c.running, j)
+	c.running = insertByPriority(c.running, j)
 }
 
 // plan shares the iteration's prefill budget out and returns its cost. work is
@@ -247,6 +243,15 @@
 	return events
 }
 
+// insertByPriority puts a job behind all of the same or a more urgent priority.
+func insertByPriority(jobs []*job, j *job) []*job {
+	at := len(jobs)
+	for at > 0 && jobs[at-1].Priority > j.Priority {
+		at--
+	}
+	return slices.Insert(jobs, at, j)
+}
+
 // tokensOf returns the length of a chain.
 func tokensOf(links []chat.Link) int {
 	if len(links) == 0 {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -48,6 +48,7 @@
 	}
 	s.host = h
 	s.life = host.NewLife(h, settings.OnCrash, settings.RestartAfter)
+	h.SetSilent(settings.Faults.Silent)
 	close(s.ready)
 	s.stopped.Add(2)
 	go s.drive(ctx)
