--- a/cmd/endiveplank-standin/main.go
+++ b/cmd/endiveplank-standin/main.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(engineCommand(), deskCommand())
+	root.AddCommand(engineCommand(), deskCommand(), relayCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
