--- /dev/null
+++ b/loadgen/trace/trace_test.go
@@ -0,0 +1,64 @@
+package trace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/loadgen/trace"
+	"endiveplank/protocol/chat"
+	"endiveplank/standin/answer"
+)
+
+const items = 5000
+
+func draw(model trace.Model) []trace.Item {
+	generator := trace.New(model, rand.New(rand.NewPCG(7, 7)))
+	drawn := make([]trace.Item, items)
+	for i := range drawn {
+		drawn[i] = generator.Next()
+	}
+	return drawn
+}
+
+func TestSameSeedSameTrace(t *testing.T) {
+	assert.DeepEqual(t, draw(trace.DefaultModel()), draw(trace.DefaultModel()))
+}
+
+// The shares that the model promises, by count.
+func TestShapeOfTheTrace(t *testing.T) {
+	model := trace.DefaultModel()
+	customers := make([]int, model.Customers)
+	last := map[uint64]chat.Request{}
+	var orders, resent, returning, surge int
+	var now time.Duration
+	for _, item := range draw(model) {
+		assert.Assert(t, item.At >= now)
+		now = item.At
+		customers[item.Customer]++
+		if item.Order != nil {
+			orders++
+			if item.Order.Resend {
+				resent++
+			}
+			continue
+		}
+		if now >= model.BurstEvery && now < model.BurstEvery+model.BurstLength && item.Customer == 1 {
+			surge++
+		}
+		before, seen := last[item.Chat]
+		assert.Equal(t, seen, item.Turn > 0)
+		if seen {
+			returning++
+			history := append(before.Messages, chat.Message{Role: "assistant", Content: answer.For(before).Text()})
+			assert.DeepEqual(t, item.Request.Messages[:len(history)], history)
+		}
+		last[item.Chat] = item.Request
+	}
+	shape := fmt.Sprintf("largest customer %d%%, orders %d%%, resent %d%%, returning %d%%, surge %d",
+		100*customers[0]/items, 100*orders/items, 100*resent/orders, 100*returning/items, surge)
+	assert.Equal(t, shape, "largest customer 20%, orders 4%, resent 9%, returning 58%, surge 226")
+}
