Engine stand-in: bounded unpublished events; stall in mid-stream tested

Cause: an engine that announces to nobody kept every cache event, so a long direct run grew without bound. Negative differences in a load result were rounded towards zero and not rounded at all where they were taken. Ruled out: keeping only the newest event of each prefix; the numbers would no longer be a run without holes. Change: at most 10,000 events wait; then the older half goes and the next First shows the gap. Differences are rounded as values are. A test stops a stream after three tokens and joins the rest.

--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -152,7 +153,7 @@
 
 // round keeps three decimals, which is a microsecond in a value in ms.
 func round(value float64) float64 {
-	return float64(int64(value*1000+0.5)) / 1000
+	return math.Round(value*1000) / 1000
 }
 
 // Added is what the fleet adds to the direct latency, in milliseconds. It is a
@@ -167,7 +168,7 @@
 // compare returns what the fleet's phase adds to the direct one.
 func compare(direct, fleet Latency) *Added {
 	diff := func(of func(Latency) Quantiles, q float64) float64 {
-		return of(fleet).At(q) - of(direct).At(q)
+		return round(of(fleet).At(q) - of(direct).At(q))
 	}
 	first := func(l Latency) Quantiles { return l.FirstToken }
 	between := func(l Latency) Quantiles { return l.BetweenTokens }
--- a/standin/desk/ledger.go
+++ b/standin/desk/ledger.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"os"
-	"slices"
 
 	"github.com/rotisserie/eris"
 )
@@ -84,7 +83,7 @@
 	for _, run := range l.runs {
 		entry := audit.Keys[run.Key]
 		entry.Count++
-		entry.Runs = append(slices.Clip(entry.Runs), run)
+		entry.Runs = append(entry.Runs, run)
 		audit.Keys[run.Key] = entry
 	}
 	return audit
--- a/standin/engine/core_test.go
+++ b/standin/engine/core_test.go
@@ -138,6 +138,19 @@
 	assert.Assert(t, gaps > 5 && batches > 20, "%d gaps, %d batches", gaps, batches)
 }
 
+// No router is reachable for long: the engine keeps a bounded number of events
+// and says by the number of the next one how many are missing.
+func TestUnpublishedEventsAreBounded(t *testing.T) {
+	log := eventLog{first: 1}
+	for i := range maxPending + 1 {
+		log.add(0, upstreamapi.CacheStored, chat.ChainHash(i+1))
+	}
+	batch := log.take(0, 0, 0, rand.New(rand.NewPCG(1, 1)))
+	assert.Equal(t, batch.First, uint64(maxPending/2+1))
+	assert.Equal(t, batch.Events[0].Hash, FormatHash(chat.ChainHash(batch.First)))
+	assert.Equal(t, len(log.pending)+len(batch.Events), maxPending/2+1)
+}
+
 func TestLoadIsReportedWithLag(t *testing.T) {
 	core := newTestCore(DefaultCostModel(), Faults{LoadLagMs: 100})
 	_, _ = core.Submit(0, testJob("r", 1, 1000, "hi"))
--- a/standin/engine/events.go
+++ b/standin/engine/events.go
@@ -12,6 +12,11 @@
 // maxEventsPerBatch bounds the cache events of one announcement to some 10 kB.
 const maxEventsPerBatch = 200
 
+// maxPending bounds the events that wait for publication, some 1 MB. An engine
+// whose announcements reach nobody drops the older half, and the next batch's
+// First shows the gap.
+const maxPending = 10_000
+
 // eventLog numbers the changes of the cache from 1 and publishes them late.
 type eventLog struct {
 	first   uint64 // number of pending[0]
@@ -26,6 +31,15 @@
 func (l *eventLog) add(now time.Duration, op upstreamapi.CacheOp, hash chat.ChainHash) {
 	event := upstreamapi.CacheEvent{Op: op, Hash: FormatHash(hash)}
 	l.pending = append(l.pending, stampedEvent{at: now, event: event})
+	if len(l.pending) > maxPending {
+		l.drop(maxPending / 2)
+	}
+}
+
+// drop forgets the oldest events.
+func (l *eventLog) drop(n int) {
+	l.pending = append(l.pending[:0], l.pending[n:]...)
+	l.first += uint64(n)
 }
 
 // take removes and returns the events of at least the given age. With
@@ -42,8 +56,7 @@
 	for _, stamped := range l.pending[:ripe] {
 		batch.Events = append(batch.Events, stamped.event)
 	}
-	l.pending = append(l.pending[:0], l.pending[ripe:]...)
-	l.first += uint64(ripe)
+	l.drop(ripe)
 	if rng.Float64() < gap {
 		return nil
 	}
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -181,6 +181,26 @@
 	assert.Equal(t, status, http.StatusNotFound)
 }
 
+// A stream stops in its middle and nothing closes; once the fault ends, the
+// rest comes and joins without a seam.
+func TestStallInMidStream(t *testing.T) {
+	server := startTest(t, func(s *Settings) { s.Faults.StallAfterTokens = 3 })
+	request := testRequest("hi", 8)
+	request.Stream = true
+	body := make(chan []byte)
+	go func() {
+		_, read, _ := post(t.Context(), server, upstreamapi.CompletionsPath, request)
+		body <- read
+	}()
+	stalled := func() bool {
+		stats := server.Stats()
+		return stats.Counters.GeneratedTokens == 3 && stats.Load.OutstandingTokens == 5
+	}
+	poll.WaitOn(t, eventually("stalled", stalled))
+	server.SetFaults(Faults{SlowFactor: 1})
+	assert.Equal(t, streamText(t, <-body, 0), answer.For(request).Text())
+}
+
 // Requests hang without an error while the engine is silent or stalled, and
 // end once the fault does. Connections forgotten while open stay dead; new
 // ones work.
