Load tool: processor time and memory of the fleet's processes

Cause: the cost of the data path is asked for as processor time a token and flat memory over many chats, and the tool read neither. Ruled out: the daemons' own metrics; they would leave out a process that is too busy to answer, and tie the tool to one fleet's metric names. Figures: none of a fleet yet.

--- a/loadgen/command.go
+++ b/loadgen/command.go
@@ -17,6 +17,7 @@
 func NewCommand() *cobra.Command {
 	options := DefaultOptions()
 	var out string
+	var processes []string
 	command := &cobra.Command{
 		Use:   "load",
 		Short: "Drive a fleet with a seeded trace and judge every answer",
@@ -27,11 +28,19 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
+			for _, text := range processes {
+				process, err := ParseProcess(text)
+				if err != nil {
+					return err
+				}
+				options.Processes = append(options.Processes, process)
+			}
 			return runCommand(ctx, command, options, out)
 		},
 	}
 	flags := command.Flags()
 	flags.StringVar(&out, "out", "-", "file for the JSON result; - for standard output")
+	flags.StringSliceVar(&processes, "processes", nil, "processes on this machine whose processor time and memory are read, NAME=PID (Linux)")
 	targetFlags(flags, &options)
 	traceFlags(flags, &options)
 	runFlags(flags, &options)
--- a/loadgen/engines.go
+++ b/loadgen/engines.go
@@ -50,15 +50,20 @@
 // engine belongs to reading i of the others.
 type enginePoll struct {
 	addresses []string
+	processes *processPoll
 	client    *http.Client
 	base      []engine.Stats
 	series    []EngineSeries
 }
 
-// startPoll reads the engines every so often until stop is called, which
-// returns the series. An engine that does not answer repeats its last reading.
-func startPoll(addresses []string, every time.Duration) (stop func() []EngineSeries) {
-	p := &enginePoll{addresses: addresses, client: &http.Client{Timeout: pollTimeout}}
+// startPoll reads the engines and processes every so often until stop is
+// called. An engine that does not answer repeats its last reading.
+func startPoll(addresses []string, processes []Process, every time.Duration) (stop func() *enginePoll) {
+	p := &enginePoll{
+		addresses: addresses,
+		processes: newProcessPoll(processes),
+		client:    &http.Client{Timeout: pollTimeout},
+	}
 	p.series = make([]EngineSeries, len(addresses))
 	p.base = make([]engine.Stats, len(addresses))
 	began := time.Now()
@@ -78,15 +83,16 @@
 			}
 		}
 	})
-	return func() []EngineSeries {
+	return func() *enginePoll {
 		close(done)
 		polling.Wait()
-		return p.series
+		return p
 	}
 }
 
-// sample adds one reading of every engine.
+// sample adds one reading of every engine and process.
 func (p *enginePoll) sample(at time.Duration) {
+	p.processes.sample()
 	p.read(func(i int, stats engine.Stats, ok bool) {
 		series := &p.series[i]
 		sample := EngineSample{}
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -51,6 +51,8 @@
 	// Desks are the order desks' addresses for the audit. Without them no
 	// orders are sent.
 	Desks []string
+	// Processes on this machine whose processor time and memory are read.
+	Processes []Process
 	// OrderPath is the fleet's path of the order service.
 	OrderPath string
 	// KeyPattern makes a customer's bearer key from its name, and
@@ -163,12 +165,14 @@
 	}
 }
 
-// measure runs the phase while it reads the engines.
+// measure runs the phase while it reads the engines and processes.
 func (r *runner) measure(ctx context.Context) Phase {
-	stop := startPoll(r.options.Engines, r.options.PollEvery)
+	stop := startPoll(r.options.Engines, r.options.Processes, r.options.PollEvery)
 	phase := r.run(ctx)
 	r.client.CloseIdleConnections()
-	phase.Engines = stop()
+	readings := stop()
+	phase.Engines = readings.series
+	phase.Processes = readings.processes.costs(phase.Counts.Tokens)
 	phase.Skew = skewOf(phase.Engines)
 	return phase
 }
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -54,6 +54,8 @@
 	ReusePct float64        `json:"reuse_pct"`
 	Engines  []EngineSeries `json:"engines"`
 	Skew     *Skew          `json:"skew,omitempty"`
+	// Processes are what the processes named in the options spent.
+	Processes []ProcessCost `json:"processes,omitempty"`
 }
 
 // Counts of one phase. Each request ends in one of whole, wrong, cut, refused
--- a/report/markdown.go
+++ b/report/markdown.go
@@ -22,6 +22,7 @@
 	}, phaseRows(runs))
 	writeAdded(&page, runs)
 	writeOrders(&page, runs)
+	writeProcesses(&page, runs)
 	for _, run := range runs {
 		writeRun(&page, run, format)
 	}
@@ -82,6 +83,23 @@
 	}
 }
 
+// writeProcesses writes what the processes spent, for runs that read them.
+func writeProcesses(page *strings.Builder, runs []Run) {
+	var rows [][]string
+	for _, run := range runs {
+		for _, phase := range run.Result.Phases {
+			for _, p := range phase.Processes {
+				rows = append(rows, append([]string{run.Name, phase.Name, p.Name},
+					decimals(p.CPUS, p.CPUPerTokenUs, p.MemoryStartMB, p.MemoryEndMB, p.MemoryPeakMB)...))
+			}
+		}
+	}
+	if len(rows) > 0 {
+		page.WriteString("\n## Processes\n\n")
+		writeTable(page, []string{"run", "phase", "process", "CPU s", "CPU µs a token", "MB at start", "at end", "highest"}, rows)
+	}
+}
+
 // writeRun writes a run's settings, verdict and plots.
 func writeRun(page *strings.Builder, run Run, format string) {
 	s := run.Result.Settings
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -35,7 +35,10 @@
 			Name: name, Counts: loadgen.Counts{Sent: 100, Whole: 98, Refused: 2, Retries: 5}, ReusePct: 60,
 			Latency: loadgen.Latency{FirstToken: quantiles(scale), BetweenTokens: quantiles(scale / 10), Whole: quantiles(5 * scale)},
 			Engines: []loadgen.EngineSeries{series("e1", 10), series("e2", 12)},
-			Skew:    &loadgen.Skew{TimeAverage: 1.09, P95: 1.2},
+			Processes: []loadgen.ProcessCost{{
+				Name: "r1", CPUS: 1.5, CPUPerTokenUs: 30, MemoryStartMB: 20, MemoryEndMB: 22, MemoryPeakMB: 25,
+			}},
+			Skew: &loadgen.Skew{TimeAverage: 1.09, P95: 1.2},
 		}
 	}
 	return loadgen.Result{
