Weight store shared by engines, at a limited rate

Cause: each engine had a store of its own, so a stampede of loads, which the fleet is to avoid, could not be seen. Ruled out: sharing the rate among all transfers; every load would then end late and the order in which they were asked for would not show. Conclusion: with the guard off, a repeated order asked for a second transfer and the test was seen red.

--- a/cmd/endiveplank-standin/main.go
+++ b/cmd/endiveplank-standin/main.go
@@ -1,6 +1,7 @@
 // Command endiveplank-standin runs stand-ins for the systems around a router
-// fleet: a model engine, an order desk, and a TCP relay with faults. It is a
-// tool for demonstrations, tests and measurements, not for production.
+// fleet: a model engine, an order desk, a weight store and a TCP relay with
+// faults. It is a tool for demonstrations, tests and measurements, not for
+// production.
 package main
 
 import (
@@ -27,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(engineCommand(), deskCommand(), relayCommand())
+	root.AddCommand(engineCommand(), deskCommand(), relayCommand(), weightsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -107,10 +107,7 @@
 	if !host.ReadJSON(w, r, &order) {
 		return
 	}
-	s.mu.Lock()
-	result := s.core.Order(s.now(), order)
-	state := s.core.State(s.now())
-	s.mu.Unlock()
+	result, state := s.carryOut(order)
 	switch result {
 	case OrderFenced:
 		w.Header().Set(protocol.RunOutcomeHeader, string(protocol.NotRun))
@@ -122,6 +119,19 @@
 	}
 }
 
+// carryOut gives an order to the core, and fetches the model that a load then
+// waits for.
+func (s *Server) carryOut(order upstreamapi.EngineOrder) (OrderResult, upstreamapi.EngineState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waited := s.core.Loading(order.Model, order.Version)
+	result := s.core.Order(s.now(), order)
+	if !waited && s.core.Loading(order.Model, order.Version) {
+		go s.fetch(s.ctx, order)
+	}
+	return result, s.core.State(s.now())
+}
+
 // state serves StatePath.
 func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
--- a/standin/engine/core.go
+++ b/standin/engine/core.go
@@ -64,21 +64,23 @@
 
 // Core is the engine's model. It is not safe for concurrent use.
 type Core struct {
-	model    CostModel
-	faults   Faults
-	control  control
-	cache    *prefixCache
-	events   eventLog
-	lagged   loadHistory
-	rng      *rand.Rand
-	now      time.Duration
-	lastID   JobID
-	waiting  []*job
-	running  []*job
-	busy     bool // an iteration is in progress and ends at endsAt
-	endsAt   time.Duration
-	crashed  bool // the core does nothing more
-	counters Counters
+	model   CostModel
+	faults  Faults
+	control control
+	// sharedStore leaves the end of a load to Loaded.
+	sharedStore bool
+	cache       *prefixCache
+	events      eventLog
+	lagged      loadHistory
+	rng         *rand.Rand
+	now         time.Duration
+	lastID      JobID
+	waiting     []*job
+	running     []*job
+	busy        bool // an iteration is in progress and ends at endsAt
+	endsAt      time.Duration
+	crashed     bool // the core does nothing more
+	counters    Counters
 }
 
 // NewCore returns an engine that holds the given models.
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	OrderUnknown
 )
 
+// notYet is when a model is ready whose transfer has no known end.
+const notYet = time.Duration(math.MaxInt64)
+
 // control is what engine orders change: the models, the role and the highest
 // fencing number seen.
 type control struct {
@@ -46,7 +50,7 @@
 	}
 	switch order.Action {
 	case upstreamapi.ActionLoad:
-		c.control.load(now, c.model.LoadTime, order)
+		c.load(now, order)
 	case upstreamapi.ActionUnload:
 		c.control.unload(order.Model)
 	case upstreamapi.ActionRole:
@@ -58,19 +62,43 @@
 	return OrderTaken
 }
 
-// load queues a load behind those that the weight store still serves. A model
-// that is held in the wanted version stays as it is.
-func (s *control) load(now, cost time.Duration, order upstreamapi.EngineOrder) {
-	held := heldModel{model: order.Model, version: order.Version}
-	for _, other := range s.models {
-		if other.model == held.model && other.version == held.version {
-			return
+// load begins to load a model: behind the engine's other loads, or, with a
+// shared weight store, until Loaded. A model that is held in the wanted version
+// stays as it is.
+func (c *Core) load(now time.Duration, order upstreamapi.EngineOrder) {
+	if c.control.find(order.Model, order.Version) != nil {
+		return
+	}
+	c.control.unload(order.Model)
+	held := heldModel{model: order.Model, version: order.Version, readyAt: notYet}
+	if !c.sharedStore {
+		c.control.storeFree = max(c.control.storeFree, now) + c.model.LoadTime
+		held.readyAt = c.control.storeFree
+	}
+	c.control.models = append(c.control.models, held)
+}
+
+// Loading says whether a transfer from the shared store is awaited.
+func (c *Core) Loading(model protocol.Model, version string) bool {
+	held := c.control.find(model, version)
+	return held != nil && held.readyAt == notYet
+}
+
+// Loaded ends a transfer from the shared store.
+func (c *Core) Loaded(now time.Duration, model protocol.Model, version string) {
+	if c.Loading(model, version) {
+		c.control.find(model, version).readyAt = now
+	}
+}
+
+// find returns a model that is held in a version, or nil.
+func (s *control) find(model protocol.Model, version string) *heldModel {
+	for i := range s.models {
+		if s.models[i].model == model && s.models[i].version == version {
+			return &s.models[i]
 		}
 	}
-	s.unload(order.Model)
-	s.storeFree = max(s.storeFree, now) + cost
-	held.readyAt = s.storeFree
-	s.models = append(s.models, held)
+	return nil
 }
 
 func (s *control) unload(model protocol.Model) {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -19,7 +19,8 @@
 	life     *host.Life
 	ready    chan struct{} // closed once host is set
 	epoch    time.Time
-	wake     chan struct{} // tells the driver that the core has changed
+	wake     chan struct{}   // tells the driver that the core has changed
+	ctx      context.Context // ends with Close
 	stop     context.CancelFunc
 	stopped  sync.WaitGroup
 
@@ -37,6 +38,7 @@
 		ready:    make(chan struct{}),
 		epoch:    time.Now(),
 		wake:     make(chan struct{}, 1),
+		ctx:      ctx,
 		stop:     stop,
 		faults:   settings.Faults,
 	}
@@ -117,6 +119,7 @@
 	}
 	rng := rand.New(rand.NewPCG(s.settings.Seed, 0))
 	s.core = NewCore(s.settings.Model, s.faults, s.settings.Models, s.settings.Role, rng)
+	s.core.sharedStore = s.settings.WeightStore != ""
 	s.core.counters = counters
 	s.streams = make(map[JobID]*stream)
 }
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -18,6 +18,7 @@
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/upstreamapi"
 	"endiveplank/standin/answer"
+	"endiveplank/standin/weights"
 )
 
 func startTest(t *testing.T, change func(*Settings)) *Server {
@@ -201,6 +202,35 @@
 	assert.Equal(t, streamText(t, <-body, 0), answer.For(request).Text())
 }
 
+// Two engines are told at once to load from a shared store. Neither serves the
+// model before its transfer is done, and an order repeated meanwhile does not
+// ask for a second transfer.
+func TestModelComesFromTheSharedStore(t *testing.T) {
+	store, err := weights.Start("127.0.0.1:0", 20*time.Millisecond)
+	assert.NilError(t, err)
+	defer store.Close()
+	load := upstreamapi.EngineOrder{Fence: 1, Action: upstreamapi.ActionLoad, Model: "m2", Version: "v1"}
+	request := testRequest("hi", 1)
+	request.Model = "m2"
+	var engines []*Server
+	for range 2 {
+		server := startTest(t, func(s *Settings) { s.WeightStore = store.Address() })
+		for range 2 {
+			status, _, err := post(t.Context(), server, upstreamapi.OrderPath, load)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusAccepted)
+		}
+		engines = append(engines, server)
+	}
+	for _, server := range engines {
+		poll.WaitOn(t, eventually("served", func() bool {
+			status, _, err := post(t.Context(), server, upstreamapi.CompletionsPath, request)
+			return err == nil && status == http.StatusOK
+		}))
+	}
+	assert.Equal(t, store.Totals().Done, 2)
+}
+
 // Requests hang without an error while the engine is silent or stalled, and
 // end once the fault does. Connections forgotten while open stay dead; new
 // ones work.
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -34,6 +34,9 @@
 	Listen string
 	// Announce holds the routers' upstream addresses, host:port.
 	Announce []string
+	// WeightStore is the address, host:port, of a weight store that the engine
+	// shares with others. When it is empty, a load takes CostModel.LoadTime.
+	WeightStore string
 	// Models are loaded at the start.
 	Models []protocol.Model
 	Role   string
