Load tool: name the slowest and the harmed requests

Cause: a run that shows a slow first token or a cut answer gave no way to ask the fleet what had happened to that request. Ruled out: writing every request down; a long run's result would grow without bound.

--- a/loadgen/attempt.go
+++ b/loadgen/attempt.go
@@ -35,7 +35,11 @@
 		return reply{verdict: failed, retry: true}
 	}
 	defer response.Body.Close()
-	got := reply{status: response.StatusCode, outcome: response.Header.Get(protocol.RunOutcomeHeader)}
+	got := reply{
+		status:  response.StatusCode,
+		outcome: response.Header.Get(protocol.RunOutcomeHeader),
+		request: response.Header.Get(protocol.RequestIDHeader),
+	}
 	switch {
 	case response.StatusCode != http.StatusOK:
 		got.readRefusal(response)
--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -56,6 +56,7 @@
 	if harm && f.fault == "cut" && !order {
 		answer = answer[:len(answer)/2]
 	}
+	w.Header().Set(protocol.RequestIDHeader, "q1")
 	w.Header().Set(protocol.RunOutcomeHeader, string(protocol.Ran))
 	w.WriteHeader(status)
 	_, _ = w.Write(answer)
@@ -91,6 +92,11 @@
 			fleet := result.Phases[1]
 			c := fleet.Counts
 			assert.Equal(t, c.Sent, c.Whole+c.Wrong+c.Cut+c.Refused+c.Failed)
+			assert.Equal(t, len(fleet.Slowest), 10)
+			assert.Assert(t, fleet.Slowest[0].FirstTokenMs >= fleet.Slowest[9].FirstTokenMs)
+			if fault == "mix" || fault == "cut" {
+				assert.Equal(t, len(fleet.Harmed), min(c.Wrong+c.Cut, 10))
+			}
 			if fault != "" {
 				return
 			}
--- a/loadgen/recorder.go
+++ b/loadgen/recorder.go
@@ -1,6 +1,8 @@
 package loadgen
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,12 +26,17 @@
 	failed
 )
 
+// verdictNames are the names of the counts that verdicts go into.
+var verdictNames = map[verdict]string{wrong: "wrong", cut: "cut", refused: "refused", failed: "failed"}
+
 // reply is what one attempt of a request brought.
 type reply struct {
 	verdict verdict
 	// status is the HTTP status, zero without an answer.
 	status  int
 	outcome string
+	// request is the fleet's name of the request.
+	request string
 	// code is the reason code of a refusal.
 	code       string
 	retryAfter time.Duration
@@ -56,6 +63,8 @@
 	whole     *hdrhistogram.Histogram
 	order     *hdrhistogram.Histogram
 	orders    map[string]orderTold
+	slowest   []NamedRequest
+	harmed    []NamedRequest
 }
 
 // orderTold is what the caller of an order was told last.
@@ -121,6 +130,7 @@
 	}
 	r.byOutcome[got.outcome]++
 	r.noteVerdict(got)
+	r.noteName(got)
 	if item.Order != nil {
 		r.noteOrder(item.Order.Key, got)
 		return
@@ -149,6 +159,28 @@
 	}
 }
 
+// noteName keeps the names of the requests that someone will ask about.
+func (r *recorder) noteName(got reply) {
+	if got.request == "" {
+		return
+	}
+	named := NamedRequest{Request: got.request, FirstTokenMs: round(float64(got.firstToken.Microseconds()) / 1000)}
+	if got.verdict != whole && len(r.harmed) < namedRequests {
+		named.Verdict = verdictNames[got.verdict]
+		r.harmed = append(r.harmed, named)
+	}
+	if got.tokens == 0 {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(r.slowest, named, func(a, b NamedRequest) int {
+		return cmp.Compare(b.FirstTokenMs, a.FirstTokenMs)
+	})
+	if at < namedRequests {
+		r.slowest = slices.Insert(r.slowest, at, named)
+		r.slowest = r.slowest[:min(len(r.slowest), namedRequests)]
+	}
+}
+
 // noteOrder remembers the best that a caller was told: when an order was sent
 // twice at once, an acceptance to either caller counts.
 func (r *recorder) noteOrder(key string, got reply) {
@@ -203,6 +235,8 @@
 		ByStatus:  r.byStatus,
 		ByOutcome: r.byOutcome,
 		ByCode:    r.byCode,
+		Slowest:   r.slowest,
+		Harmed:    r.harmed,
 		Latency: Latency{
 			FirstToken:    summarise(r.first),
 			BetweenTokens: summarise(r.between),
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -49,6 +49,10 @@
 	// ByCode counts the refusals of every attempt by reason code.
 	ByCode  map[string]int `json:"by_code"`
 	Latency Latency        `json:"latency"`
+	// Slowest names the requests whose first token took longest, the slowest
+	// first, and Harmed those that did not end whole, for endiveplank explain.
+	Slowest []NamedRequest `json:"slowest,omitempty"`
+	Harmed  []NamedRequest `json:"harmed,omitempty"`
 	// ReusePct is the share of prompt tokens that came from engines' caches,
 	// as the answers' usage says.
 	ReusePct float64        `json:"reuse_pct"`
@@ -58,6 +62,16 @@
 	Processes []ProcessCost `json:"processes,omitempty"`
 }
 
+// namedRequests bounds each list of named requests.
+const namedRequests = 10
+
+// NamedRequest is a request by the name that the fleet gave it.
+type NamedRequest struct {
+	Request      string  `json:"request"`
+	Verdict      string  `json:"verdict,omitempty"`
+	FirstTokenMs float64 `json:"first_token_ms"`
+}
+
 // Counts of one phase. Each request ends in one of whole, wrong, cut, refused
 // and failed.
 type Counts struct {
