--- a/coordination/consensus/bootstrap.go
+++ b/coordination/consensus/bootstrap.go
@@ -17,6 +17,10 @@
 // blank hello from all others, and one hello of a member with a log stops it
 // for good.
 
+// Limit: a disk that is lost in the seconds before entry 1 is on a quorum of
+// disks may leave voters that hold different first configurations, and no
+// leader. Nothing has been accepted by then: wipe all and start again.
+
 // genesisTerm is the term of entry 1.
 const genesisTerm = 1
 
@@ -133,15 +137,9 @@
 	}
 }
 
-// receiveGenesis takes entry 1, but only the one of the member that this one
-// has named as the first initial voter.
+// receiveGenesis takes entry 1 if this member is blank and named in it.
 func (c *Core) receiveGenesis(now time.Duration, m Message) {
-	voters := slices.Sorted(slices.Values(c.settings.InitialVoters))
-	if !c.log.blank() || m.Configuration == nil || len(voters) == 0 {
-		return
-	}
-	named := Member{Router: voters[0], Disk: c.diskOf(voters[0])}
-	if m.Configuration.IsVoter(c.settings.Self) && m.Configuration.IsVoter(named) {
+	if c.log.blank() && m.Configuration != nil && m.Configuration.IsVoter(c.settings.Self) {
 		c.startFrom(now, *m.Configuration)
 	}
 }
@@ -151,7 +149,7 @@
 	c.term = max(c.term, genesisTerm)
 	c.log.append([]Entry{{Index: 1, Term: genesisTerm, Kind: EntryConfiguration, Data: encodeConfiguration(configuration)}})
 	c.contact = now - c.settings.ElectionTimeout
-	c.electionAt = now + time.Duration(c.random.Int64N(int64(c.settings.ElectionTimeout)))
+	c.electionAt = now + time.Duration(c.random.Int64N(int64(c.settings.ElectionSpread)))
 	if c.isSoleVoter() {
 		c.electionAt = now
 	}
--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -111,8 +111,7 @@
 	}
 	c.term = max(c.term, c.log.lastTerm())
 	c.resetElection(now)
-	if c.isSoleVoter() {
-		// Nobody else can have been promised a lease.
+	if c.wasAlwaysAlone() {
 		c.electionAt = now
 	}
 	return c
@@ -121,7 +120,7 @@
 // resetElection draws the next time to campaign. The draw spreads candidates,
 // so that they rarely split the votes.
 func (c *Core) resetElection(now time.Duration) {
-	spread := time.Duration(c.random.Int64N(int64(c.settings.ElectionTimeout)))
+	spread := time.Duration(c.random.Int64N(int64(c.settings.ElectionSpread)))
 	c.electionAt = now + c.settings.ElectionTimeout + spread
 }
 
@@ -131,6 +130,19 @@
 	return len(configuration.Voters) == 1 && configuration.IsVoter(c.settings.Self)
 }
 
+// wasAlwaysAlone reports whether no configuration in the log has another voter,
+// so that nobody else can hold a lease and there is nothing to wait for. The
+// newest one alone does not show it: the leader that wrote its own removal may
+// still lead.
+func (c *Core) wasAlwaysAlone() bool {
+	for _, placed := range c.log.configurations {
+		if len(placed.configuration.Voters) > 1 {
+			return false
+		}
+	}
+	return c.isSoleVoter()
+}
+
 // Tick lets time pass. Call it several times in a heartbeat interval.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
@@ -150,14 +162,33 @@
 	if now < c.electionAt {
 		return
 	}
-	configuration, _ := c.log.configuration()
-	if configuration.IsVoter(c.settings.Self) {
+	if c.mayCampaign() {
 		c.campaign(now)
 		return
 	}
 	c.sendHellos(now)
 }
 
+// mayCampaign reports whether this member is a voter, or one whose removal is
+// not known to be committed.
+//
+// Failure: a leader writes its own removal, cannot commit it and steps down.
+// The voters that are left lack the entry, so they need its vote, which their
+// shorter logs do not get; the cluster stands still for good. The removed one
+// campaigns without counting itself, wins, commits its removal and retires.
+// After a restart the commit index is unknown, so that every configuration in
+// the log may be the one in force.
+func (c *Core) mayCampaign() bool {
+	placed := c.log.configurations
+	for i, p := range placed {
+		superseded := i+1 < len(placed) && placed[i+1].index <= c.log.commit
+		if !superseded && p.configuration.IsVoter(c.settings.Self) {
+			return true
+		}
+	}
+	return false
+}
+
 // Receive takes a message. A message for another member, as one meant for a
 // wiped disk of this router, is dropped.
 func (c *Core) Receive(now time.Duration, m Message) {
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -76,7 +76,7 @@
 // heardLeaderLately reports whether a leader may still hold a lease that this
 // member's answer supports.
 func (c *Core) heardLeaderLately(now time.Duration) bool {
-	if c.off.ignoreLease || c.isSoleVoter() {
+	if c.off.ignoreLease {
 		return false
 	}
 	if c.role == Leader {
--- a/coordination/consensus/member.go
+++ b/coordination/consensus/member.go
@@ -98,6 +98,8 @@
 type Change struct {
 	Kind   ChangeKind
 	Member Member
+	// Reason is told in the event.
+	Reason string
 }
 
 // Apply returns the configuration after one change. The receiver is left as
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -33,7 +33,7 @@
 	}
 	c.appendOwn(EntryConfiguration, encodeConfiguration(next))
 	c.syncProgress()
-	c.event(EventConfiguration, change.Member, "%s: %d voters, %d learners", change.Kind, len(next.Voters), len(next.Learners))
+	c.event(EventConfiguration, change.Member, "%s, as %s: %d voters, %d learners", change.Kind, change.Reason, len(next.Voters), len(next.Learners))
 	return nil
 }
 
@@ -49,18 +49,20 @@
 	if change.Kind == AddLearner || len(next.Voters) == 0 {
 		return ""
 	}
-	if c.answering(next) < next.Quorum() {
-		return "too few of the voters left are answering"
+	if c.ready(next) < next.Quorum() {
+		return "too few of the voters left answer and hold the log"
 	}
 	return ""
 }
 
-// answering counts the voters of a configuration that answered lately.
-func (c *Core) answering(configuration Configuration) int {
+// ready counts the voters of a configuration that answered lately and hold
+// the log. Answering alone is not enough: a voter that lost power before its
+// first sync is blank, refuses votes, and may be the one that is needed.
+func (c *Core) ready(configuration Configuration) int {
 	count := 0
 	for _, voter := range configuration.Voters {
 		p := c.progress[voter]
-		if voter == c.settings.Self || p != nil && c.now-p.acked < c.settings.ElectionTimeout {
+		if voter == c.settings.Self || p != nil && c.isCaughtUp(p) {
 			count++
 		}
 	}
--- a/coordination/consensus/progress.go
+++ b/coordination/consensus/progress.go
@@ -49,7 +49,7 @@
 
 // isCaughtUp reports whether a member holds nearly everything and answers.
 func (c *Core) isCaughtUp(p *progress) bool {
-	fresh := c.now-p.heard < c.settings.ElectionTimeout
+	fresh := c.now-p.acked < c.settings.ElectionTimeout
 	return fresh && p.match > 0 && p.match+caughtUpEntries >= c.log.last()
 }
 
--- a/coordination/consensus/settings.go
+++ b/coordination/consensus/settings.go
@@ -18,8 +18,10 @@
 	// Heartbeat is the interval of a leader's messages to an idle follower.
 	Heartbeat time.Duration
 	// ElectionTimeout is the shortest time without a leader before a voter
-	// campaigns or votes. The longest is twice that.
+	// campaigns or votes.
 	ElectionTimeout time.Duration
+	// ElectionSpread is the random part added to it before a voter campaigns.
+	ElectionSpread time.Duration
 	// DriftPerMille bounds how much faster or slower than true time a
 	// member's clock may run, in thousandths.
 	DriftPerMille int
@@ -62,6 +64,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Heartbeat, DefaultHeartbeat)
 	setDefault(&s.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&s.ElectionSpread, s.ElectionTimeout)
 	setDefault(&s.DriftPerMille, DefaultDriftPerMille)
 	setDefault(&s.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&s.MaxInFlight, DefaultMaxInFlight)
--- a/state/replica/config.go
+++ b/state/replica/config.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/protocol"
 	"endiveplank/state/disk"
 )
@@ -47,6 +48,9 @@
 	// Consensus may set timings and limits; Self, Peers and InitialVoters in
 	// it are filled from here.
 	Consensus consensus.Settings
+	// Repair says when a voter is replaced. Voters 0 means as many as
+	// InitialVoters.
+	Repair repair.Settings
 	// SnapshotEvery is the number of entries between two snapshots.
 	SnapshotEvery uint64
 	// SegmentBytes is the size of a log segment; 0 means the log's default.
@@ -92,6 +96,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.Repair.Voters == 0 {
+		c.Repair.Voters = len(c.InitialVoters)
+	}
 	if c.Now == nil {
 		start := time.Now()
 		c.Now = func() time.Duration { return time.Since(start) }
--- a/state/replica/loop.go
+++ b/state/replica/loop.go
@@ -23,6 +23,7 @@
 		case <-ticks:
 			r.drain()
 			r.core.Tick(r.config.Now())
+			r.repair()
 		case input := <-r.inputs:
 			input()
 			r.drain()
@@ -31,6 +32,15 @@
 	}
 }
 
+// repair makes the membership step that the policy asks for. The core refuses
+// one that would endanger the quorum; the policy asks again at a later tick.
+func (r *Replica) repair() {
+	now := r.config.Now()
+	if change := r.policy.Decide(now, r.core.Status()); change.Kind != 0 {
+		_ = r.core.ChangeMembership(now, change)
+	}
+}
+
 // drain takes the inputs that wait, up to the batch limit. A tick drains them
 // first: after a long sync or a freeze the answers that prove a quorum alive
 // are in the queue.
--- a/state/replica/replica.go
+++ b/state/replica/replica.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/protocol"
 	"endiveplank/state/wal"
 )
@@ -17,6 +18,7 @@
 type Replica struct {
 	config Config
 	core   *consensus.Core
+	policy repair.Policy
 	log    *wal.Log
 
 	inputs  chan func()
@@ -77,6 +79,7 @@
 	settings.InitialVoters = config.InitialVoters
 	r := &Replica{
 		config: config, log: log,
+		policy:     repair.New(config.Repair),
 		core:       consensus.New(settings, stored, config.Now(), config.Random),
 		inputs:     make(chan func(), inputQueue),
 		stop:       make(chan struct{}),
--- a/state/wal/record.go
+++ b/state/wal/record.go
@@ -52,8 +52,10 @@
 	hardState      consensus.HardState
 	base, baseTerm uint64
 	entries        []consensus.Entry
-	// started says that base is known.
+	// started says that an entry or reset was read.
 	started bool
+	// anchored says that base comes from a reset.
+	anchored bool
 	// highest is the highest index among the entries of the segment at hand.
 	highest uint64
 }
@@ -124,11 +126,14 @@
 }
 
 // add puts an entry after the last, or in place of an earlier one and all
-// after it.
+// after it. Segments that a snapshot covers are gone, so the first entry read
+// may be any; a later one may still replace entries from before it.
 func (r *replay) add(e consensus.Entry) string {
-	if !r.started && e.Index > 0 {
+	first := !r.started || !r.anchored && e.Index <= r.base
+	if first && e.Index > 0 {
 		r.started = true
 		r.base = e.Index - 1
+		r.entries = nil
 	}
 	if e.Index <= r.base || e.Index > r.last()+1 {
 		return "entry out of order"
@@ -146,5 +151,6 @@
 	r.baseTerm = binary.LittleEndian.Uint64(b[8:])
 	r.entries = nil
 	r.started = true
+	r.anchored = true
 	return b[resetSize:], ""
 }
