--- a/coordination/consensus/schedule_test.go
+++ b/coordination/consensus/schedule_test.go
@@ -31,17 +31,29 @@
 	late    []Message
 }
 
-func newSchedule(seed uint64, off rules, sameDisk bool) *schedule {
-	w := newWorld(seed, 5, 3)
+func newSchedule(seed uint64, m mutation) *schedule {
+	hosts := 5
+	if m.storm {
+		hosts = 3
+	}
+	w := newWorld(seed, hosts, 3)
 	s := &schedule{world: w}
-	w.off = off
-	w.sameDisk = sameDisk
+	w.off = m.off
+	w.sameDisk = m.sameDisk
+	if m.storm {
+		w.settings.MaxAppendBytes = 1
+	}
 	w.settings.ElectionSpread = DefaultElectionTimeout / time.Duration(1+w.random.IntN(8))
 	for _, h := range w.hosts {
 		h.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
 		h.rate = 1 + (w.random.Float64()*2-1)*float64(DefaultDriftPerMille)/perMille
 		w.start(h)
 	}
+	if m.storm {
+		s.addStorm()
+		s.run(3 * time.Second)
+		return s
+	}
 	s.add(40+s.upTo(40), s.deliver)
 	s.add(s.upTo(12), s.passTime)
 	s.add(10+s.upTo(30), s.syncOne)
@@ -62,6 +74,20 @@
 	return s
 }
 
+// addStorm weighs the actions for ever new elections among three voters.
+func (s *schedule) addStorm() {
+	s.add(40+s.upTo(60), s.deliver)
+	s.add(5+s.upTo(20), s.passTime)
+	s.add(10+s.upTo(60), s.syncOne)
+	s.add(s.upTo(5), s.proposeOne)
+	s.add(s.upTo(12), s.crashOne)
+	s.add(s.upTo(12), s.startOne)
+	s.add(s.upTo(12), s.partition)
+	s.add(s.upTo(8), s.heal)
+	s.add(s.upTo(6), s.freezeOne)
+	s.add(s.upTo(4), s.deliverLate)
+}
+
 // calm lets everything that is not cut off or frozen work for a while, so that
 // histories get past the next election.
 func (s *schedule) calm() { s.run(time.Duration(s.random.Int64N(int64(2 * time.Second)))) }
@@ -256,8 +282,8 @@
 }
 
 // runSeed runs one history and returns it with the first broken invariant.
-func runSeed(seed uint64, steps int, off rules, sameDisk bool) (s *schedule, violation string) {
-	s = newSchedule(seed, off, sameDisk)
+func runSeed(seed uint64, steps int, m mutation) (s *schedule, violation string) {
+	s = newSchedule(seed, m)
 	defer func() {
 		if broken := recover(); broken != nil {
 			violation = fmt.Sprint(broken)
@@ -307,14 +333,20 @@
 	return s.violation
 }
 
-// mutations switch one safety rule off each. The seed is the first that breaks
-// an invariant without the rule, found with -schedule.search.
-var mutations = []struct {
+// mutation switches one safety rule off. The seed is the first that breaks an
+// invariant without the rule, found with -schedule.search.
+type mutation struct {
 	name     string
 	off      rules
 	sameDisk bool
-	seed     uint64
-}{
+	// storm runs three voters with ever new elections and nothing else.
+	storm bool
+	seed  uint64
+}
+
+var mutations = []mutation{
+	{name: "vote is persisted before the answer", off: rules{answerVoteUnsynced: true}, storm: true, seed: 1},
+	{name: "only entries of the own term commit", off: rules{commitOlderTerms: true}, storm: true, seed: 1},
 	{name: "voter checks that the candidate's log is up to date", off: rules{ignoreLogOfVoter: true}, seed: 2},
 	{name: "entries are synced before they are acknowledged", off: rules{ackUnsynced: true}, seed: 2},
 	{name: "learner neither votes nor counts", off: rules{countLearners: true}, seed: 1},
@@ -330,22 +362,22 @@
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
 			if *searchSeeds > 0 {
-				m.seed = search(t, m.off, m.sameDisk)
+				m.seed = search(t, m)
 			}
-			_, violation := runSeed(m.seed, stepsPerSeed, m.off, m.sameDisk)
+			_, violation := runSeed(m.seed, stepsPerSeed, m)
 			assert.Assert(t, violation != "", "seed %d holds without the rule", m.seed)
 			t.Logf("seed %d: %s", m.seed, violation)
-			_, violation = runSeed(m.seed, stepsPerSeed, rules{}, false)
+			_, violation = runSeed(m.seed, stepsPerSeed, mutation{storm: m.storm})
 			assert.Equal(t, violation, "", "seed %d with the rule", m.seed)
 		})
 	}
 }
 
 // search returns the first seed that breaks an invariant.
-func search(t *testing.T, off rules, sameDisk bool) uint64 {
+func search(t *testing.T, m mutation) uint64 {
 	failing, first := 0, uint64(0)
 	for seed := uint64(1); seed <= uint64(*searchSeeds); seed++ {
-		if _, violation := runSeed(seed, stepsPerSeed, off, sameDisk); violation != "" {
+		if _, violation := runSeed(seed, stepsPerSeed, m); violation != "" {
 			failing++
 			if first == 0 {
 				first = seed
@@ -364,7 +396,7 @@
 	counts := map[string]int{}
 	for i := range uint64(max(1, *scheduleSteps/stepsPerSeed)) {
 		seed := *scheduleSeed + i
-		s, violation := runSeed(seed, stepsPerSeed, rules{}, false)
+		s, violation := runSeed(seed, stepsPerSeed, mutation{})
 		assert.Equal(t, violation, "", "seed %d", seed)
 		assert.Equal(t, s.recovers(), "", "seed %d", seed)
 		for kind, n := range s.counts {
