--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // campaign starts a pre-vote. A member that was cut off asks here first and
 // gets no, so it never raises the term of a cluster that has a leader.
@@ -169,3 +172,11 @@
 		c.countVote(now, m.From)
 	}
 }
+
+// addVote adds a member to a set of votes.
+func addVote(votes []Member, m Member) []Member {
+	if slices.Contains(votes, m) {
+		return votes
+	}
+	return append(votes, m)
+}
--- a/coordination/consensus/world_test.go
+++ b/coordination/consensus/world_test.go
@@ -30,7 +30,7 @@
 	}
 	if len(o.Entries) > 0 {
 		kept := o.Entries[0].Index - s.stored.Snapshot.Index - 1
-		s.stored.Entries = append(slices.Clone(s.stored.Entries[:kept]), o.Entries...)
+		s.stored.Entries = append(s.stored.Entries[:kept], o.Entries...)
 	}
 }
 
@@ -95,6 +95,8 @@
 	nextDisk DiskID
 	proposed uint64
 	counts   map[string]int
+	// sent sees every message, if set.
+	sent func(Message)
 
 	leaders   map[uint64]Member
 	entries   map[place]content
@@ -286,6 +288,9 @@
 	arriving := w.network
 	w.network = nil
 	for _, m := range arriving {
+		if w.sent != nil {
+			w.sent(m)
+		}
 		w.receive(m)
 		busy = true
 	}
--- a/state/replica/replica_test.go
+++ b/state/replica/replica_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/consensus"
@@ -111,8 +112,12 @@
 	return nodes
 }
 
-// Send implements Transport for all nodes.
-func (f *fleet) Send(to protocol.RouterID, m consensus.Message) {
+// Send implements Transport for all nodes, over the encoding of the wire.
+func (f *fleet) Send(to protocol.RouterID, sent consensus.Message) {
+	var m consensus.Message
+	data, err := msgpack.Marshal(sent)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, msgpack.Unmarshal(data, &m))
 	f.mu.Lock()
 	n := f.nodes[to]
 	f.mu.Unlock()
