Consensus: hand-over, recovery epochs, no second cluster

Also, each planned restart of a leader cost 1 to 3 s without one, and a lost quorum had no way back. Ruled out: a durable pledge of each blank member (does not help while the holder of the log is not asked); a term drawn from the first entry (a high draw would beat committed entries). Change: a cluster forms only when all routers with disks are up and blank. HandOver gives up the lease, then has a caught-up voter campaign at once.

--- a/coordination/consensus/bootstrap.go
+++ b/coordination/consensus/bootstrap.go
@@ -8,14 +8,15 @@
 )
 
 // A cluster forms once. Every blank router with a disk says hello to the
-// others. When all initial voters have said that they are blank, and that they
-// know the disk of the first of them by name, that first one writes the
-// configuration as entry 1 and sends it to the rest.
+// others. When all of them, spares included, have said that they are blank, and
+// that they know the disk of the first initial voter by name, that first one
+// writes the configuration as entry 1 and sends it to the other initial voters.
 //
 // Failure: a voter with a wiped disk starts a second cluster beside the first,
-// and two histories of orders run. The guard: a wiped voter never hears a
-// blank hello from all others, and one hello of a member with a log stops it
-// for good.
+// and two histories of orders run. It shows when the first voters have been
+// replaced, later lose their disks, and the one that now holds the log is cut
+// off. The guard: whoever holds the log is among the peers and never says that
+// it is blank, and one hello of a member with a log stops the forming for good.
 
 // Limit: a disk that is lost in the seconds before entry 1 is on a quorum of
 // disks may leave voters that hold different first configurations, and no
@@ -87,6 +88,7 @@
 	c.sight(now, m)
 	if !m.Blank {
 		c.clusterExists = true
+		c.checkSuperseded(now, m)
 	}
 	if c.log.blank() || !m.Blank {
 		return
@@ -107,13 +109,16 @@
 }
 
 // mayFormCluster reports whether this member is the first initial voter and
-// all others are blank and ready to take its word.
+// all other routers with a disk are blank and ready to take its word.
 func (c *Core) mayFormCluster() bool {
 	voters := slices.Sorted(slices.Values(c.settings.InitialVoters))
 	if c.clusterExists || len(voters) == 0 || voters[0] != c.settings.Self.Router {
 		return false
 	}
-	for _, router := range voters[1:] {
+	for _, router := range c.settings.Peers {
+		if router == c.settings.Self.Router {
+			continue
+		}
 		ready := slices.ContainsFunc(c.sightings, func(s sighting) bool {
 			return s.member.Router == router && s.blank && s.knows == c.settings.Self
 		})
--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -39,6 +39,7 @@
 	manyChangesAtOnce   bool
 	blankVotes          bool
 	serveAfterLeaseEnds bool
+	leadAfterHandOver   bool
 }
 
 // persistPoint remembers what one output persists.
@@ -67,7 +68,14 @@
 	role   Role
 	term   uint64
 	vote   Member
+	epoch  uint64
 	leader Member
+	// superseded says that the cluster was recovered without this member.
+	superseded bool
+	// handOverUntil is set while this leader looks for a successor.
+	handOverUntil time.Duration
+	// forced marks a campaign after a hand-over.
+	forced bool
 	log    memoryLog
 
 	// contact is when a leader was last heard, or when this member started:
@@ -103,6 +111,7 @@
 		now:            now,
 		term:           stored.HardState.Term,
 		vote:           stored.HardState.Vote,
+		epoch:          stored.HardState.Epoch,
 		savedHardState: stored.HardState,
 		log:            newMemoryLog(stored),
 		contact:        now,
@@ -178,6 +187,9 @@
 // After a restart the commit index is unknown, so that every configuration in
 // the log may be the one in force.
 func (c *Core) mayCampaign() bool {
+	if c.superseded {
+		return false
+	}
 	placed := c.log.configurations
 	for i, p := range placed {
 		superseded := i+1 < len(placed) && placed[i+1].index <= c.log.commit
@@ -199,7 +211,12 @@
 	if m.To != c.settings.Self || !wellFormed(m) {
 		return
 	}
+	if !c.sameEpoch(now, m) {
+		return
+	}
 	switch m.Kind {
+	case MessageHandOver:
+		c.receiveHandOver(now, m)
 	case MessageGenesis:
 		c.receiveGenesis(now, m)
 	case MessagePreVote:
@@ -241,7 +258,7 @@
 // committed. Errors: ErrNotLeader, ErrBusy.
 func (c *Core) Propose(now time.Duration, command []byte) (index, term uint64, err error) {
 	c.now = now
-	if c.role != Leader {
+	if c.role != Leader || c.handOverUntil > 0 {
 		return 0, 0, ErrNotLeader{Leader: c.Leader()}
 	}
 	waiting := c.log.last() - c.log.commit
@@ -288,12 +305,13 @@
 	if c.role == Leader {
 		c.replicateAll()
 		c.confirmReads()
+		c.tryHandOver()
 	}
 	out := c.out
 	c.out = Output{}
 	out.Committed = c.log.unapplied()
 	out.Entries = c.log.unhanded()
-	if state := (HardState{Term: c.term, Vote: c.vote}); state != c.savedHardState {
+	if state := (HardState{Term: c.term, Vote: c.vote, Epoch: c.epoch}); state != c.savedHardState {
 		c.savedHardState = state
 		out.HardState = &state
 	}
@@ -320,6 +338,8 @@
 		c.vote = Member{}
 	}
 	c.role = Follower
+	c.forced = false
+	c.handOverUntil = 0
 	c.leader = Member{}
 	c.progress = nil
 	c.votes = nil
@@ -329,6 +349,7 @@
 func (c *Core) send(m Message) {
 	m.From = c.settings.Self
 	m.Term = c.term
+	m.Epoch = c.epoch
 	c.out.Messages = append(c.out.Messages, m)
 }
 
@@ -336,6 +357,7 @@
 func (c *Core) sendAfterSync(m Message) {
 	m.From = c.settings.Self
 	m.Term = c.term
+	m.Epoch = c.epoch
 	c.out.AfterSync = append(c.out.AfterSync, m)
 }
 
@@ -344,6 +366,16 @@
 	c.out.Events = append(c.out.Events, Event{Kind: kind, Term: c.term, Member: member, Reason: fmt.Sprintf(format, args...)})
 }
 
+// Role returns what this member does at the moment.
+func (c *Core) Role() Role {
+	return c.role
+}
+
+// Term returns the highest term seen.
+func (c *Core) Term() uint64 {
+	return c.term
+}
+
 // Leader returns the leader's router, or "" if none is known.
 func (c *Core) Leader() protocol.RouterID {
 	return c.leader.Router
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -9,6 +9,7 @@
 // gets no, so it never raises the term of a cluster that has a leader.
 func (c *Core) campaign(now time.Duration) {
 	c.role = PreCandidate
+	c.forced = false
 	c.leader = Member{}
 	c.votes = nil
 	c.resetElection(now)
@@ -30,7 +31,7 @@
 		}
 		// The term asked for travels in Hint: in a pre-vote it is not yet
 		// the sender's own.
-		m := Message{Kind: kind, To: voter, Index: c.log.last(), LogTerm: c.log.lastTerm(), Hint: term}
+		m := Message{Kind: kind, To: voter, Index: c.log.last(), LogTerm: c.log.lastTerm(), Hint: term, Forced: c.forced}
 		c.sendAfterSync(m)
 	}
 }
@@ -111,7 +112,7 @@
 		return refusedBlank
 	case m.Hint < c.term:
 		return refusedOld
-	case c.heardLeaderLately(now):
+	case c.heardLeaderLately(now) && !m.Forced:
 		return refusedLease
 	case !c.log.isUpToDate(m.Index, m.LogTerm) && !c.off.ignoreLogOfVoter:
 		return refusedBehind
--- a/coordination/consensus/entry.go
+++ b/coordination/consensus/entry.go
@@ -38,6 +38,9 @@
 	Term uint64
 	// Vote is the member it voted for in Term, or zero.
 	Vote Member
+	// Epoch counts the recoveries from a lost quorum. Members of an older
+	// epoch have no say; see superseded.
+	Epoch uint64
 }
 
 // Snapshot stands for the log up to Index.
--- a/coordination/consensus/message.go
+++ b/coordination/consensus/message.go
@@ -27,6 +27,9 @@
 	MessageSnapshot
 	// MessageSnapshotReply tells how much of a snapshot has arrived.
 	MessageSnapshotReply
+	// MessageHandOver asks a voter to campaign at once: the leader has given
+	// up its lease.
+	MessageHandOver
 )
 
 // Message is everything members say to each other. One flat struct keeps the
@@ -39,6 +42,8 @@
 	// not taken by its successor. MessageHello may leave the disk unknown.
 	To   Member `msgpack:"o"`
 	Term uint64 `msgpack:"t,omitempty"`
+	// Epoch is HardState.Epoch of the sender.
+	Epoch uint64 `msgpack:"n,omitempty"`
 	// Index and LogTerm are the sender's last entry (votes), the entry before
 	// Entries (append), the matched entry (append reply) or the snapshot's
 	// last entry (snapshot).
@@ -57,6 +62,8 @@
 	Chunk *Chunk `msgpack:"p,omitempty"`
 	// Configuration is set in MessageGenesis.
 	Configuration *Configuration `msgpack:"v,omitempty"`
+	// Forced marks a vote request after MessageHandOver.
+	Forced bool `msgpack:"w,omitempty"`
 	// Blank says that the sender has neither log nor snapshot.
 	Blank bool `msgpack:"b,omitempty"`
 }
--- a/coordination/consensus/output.go
+++ b/coordination/consensus/output.go
@@ -60,6 +60,8 @@
 	EventSnapshotReceived EventKind = "snapshot-received"
 	EventEntriesReplaced  EventKind = "entries-replaced"
 	EventGenesis          EventKind = "cluster-formed"
+	EventSuperseded       EventKind = "superseded"
+	EventHandOver         EventKind = "hands-over"
 )
 
 // Event is one explained decision.
--- a/coordination/consensus/schedule_test.go
+++ b/coordination/consensus/schedule_test.go
@@ -68,6 +68,7 @@
 	s.add(1, s.calm)
 	s.add(s.random.IntN(4), s.changeOne)
 	s.add(s.random.IntN(3), s.wipeOne)
+	s.add(s.random.IntN(3), s.handOverOne)
 	if s.random.IntN(4) > 0 {
 		s.run(3 * time.Second)
 	}
@@ -86,6 +87,7 @@
 	s.add(s.upTo(8), s.heal)
 	s.add(s.upTo(6), s.freezeOne)
 	s.add(s.upTo(4), s.deliverLate)
+	s.add(s.random.IntN(3), s.handOverOne)
 }
 
 // calm lets everything that is not cut off or frozen work for a while, so that
@@ -221,6 +223,13 @@
 	}
 }
 
+func (s *schedule) handOverOne() {
+	if h := s.leader(); h != nil && !s.frozen(h) && s.random.IntN(4) == 0 {
+		_ = h.core.HandOver(s.clock(h))
+		s.take(h)
+	}
+}
+
 // changeOne asks every leader for a random membership step.
 func (s *schedule) changeOne() {
 	for _, h := range s.hosts {
@@ -349,7 +358,7 @@
 		}
 		counts["committed"] += len(s.decided)
 	}
-	for _, kind := range []string{"crash", "wipe", "freeze", "partition", "change", "snapshot-received", "entries-replaced", "became-leader", "committed"} {
+	for _, kind := range []string{"crash", "wipe", "freeze", "partition", "change", "snapshot-received", "entries-replaced", "hands-over", "became-leader", "committed"} {
 		assert.Assert(t, counts[kind] > 0, "the schedule never has %s", kind)
 	}
 	t.Log(counts)
--- a/coordination/consensus/settings.go
+++ b/coordination/consensus/settings.go
@@ -13,7 +13,7 @@
 	// Peers are all routers with a disk, this one included.
 	Peers []protocol.RouterID
 	// InitialVoters are the routers that form the first configuration. They
-	// matter only while every one of them is blank.
+	// matter only while every one of Peers is blank.
 	InitialVoters []protocol.RouterID
 	// Heartbeat is the interval of a leader's messages to an idle follower.
 	Heartbeat time.Duration
--- a/coordination/consensus/status.go
+++ b/coordination/consensus/status.go
@@ -13,6 +13,10 @@
 	Applied       uint64
 	SnapshotIndex uint64
 	Configuration Configuration
+	Epoch         uint64
+	// Superseded says that the cluster was recovered without this member,
+	// whose data folder has to be wiped.
+	Superseded bool
 	// ChangePending says that a membership change waits for its commit, or
 	// that this leader may not start one yet.
 	ChangePending bool
@@ -46,7 +50,7 @@
 		Self: c.settings.Self, Role: c.role, Term: c.term, Leader: c.leader,
 		Last: c.log.last(), Commit: c.log.commit, Applied: c.log.applied,
 		SnapshotIndex: c.log.snapshot.Index, Configuration: configuration,
-		ChangePending: c.changePending(),
+		ChangePending: c.changePending(), Epoch: c.epoch, Superseded: c.superseded,
 	}
 	for _, m := range configuration.Members() {
 		p := c.progress[m]
--- a/coordination/consensus/stories_test.go
+++ b/coordination/consensus/stories_test.go
@@ -69,6 +69,25 @@
 	assert.Equal(t, former.machine, leader.machine)
 }
 
+func TestWipedFirstVotersFormNoSecondCluster(t *testing.T) {
+	// All first voters have been replaced over the years. The one that holds
+	// the log is cut off for a while, and the first ones come back with empty
+	// disks. They must wait for it: a second cluster would take orders beside
+	// the first and know none of the old ones.
+	w := newWorld(7, 4, 3)
+	holder := w.hosts[3]
+	c := Configuration{Voters: []Member{holder.self()}}
+	first := Entry{Index: 1, Term: 5, Kind: EntryConfiguration, Data: encodeConfiguration(c)}
+	holder.disk.stored = Stored{HardState: HardState{Term: 5}, Entries: []Entry{first}}
+	w.start(holder)
+	w.isolate(holder, true)
+	w.run(20 * time.Second)
+	assert.Equal(t, w.leader(), holder)
+	for _, h := range w.hosts[:3] {
+		assert.Assert(t, h.core.log.blank())
+	}
+}
+
 func TestFrozenLeaderWakesWithoutLease(t *testing.T) {
 	// A leader's VM stops for five seconds. Its successor commits a change. A
 	// caller whose read waits in the frozen process must not get the old row.
@@ -97,6 +116,19 @@
 	assert.DeepEqual(t, leader.reads[1:], []Read{{ID: 2, Lost: true}})
 }
 
+func TestPlannedStopOfALeaderLeavesNoGap(t *testing.T) {
+	// A leader's VM is restarted for an update. Callers must not wait for an
+	// election timeout, and nothing proposed before may be lost.
+	w, leader := formed(t, 3, 3)
+	w.propose(leader)
+	assert.NilError(t, leader.core.HandOver(w.clock(leader)))
+	w.run(50 * time.Millisecond)
+	successor := w.leader()
+	assert.Assert(t, successor != leader && successor.core.HoldsLease(w.clock(successor)))
+	assert.Equal(t, successor.machine.applied, uint64(len(w.decided)-1))
+	assert.Assert(t, !leader.core.HoldsLease(w.clock(leader)))
+}
+
 func TestVoterThatRestartsDoesNotVoteTwice(t *testing.T) {
 	// Two candidates run in the same term. A voter grants one its vote, loses
 	// power before its disk has it, and is asked by the other one. If the
--- a/state/replica/doc.go
+++ b/state/replica/doc.go
@@ -18,7 +18,7 @@
 //	r.Stop()
 //
 // All members get the same Peers and InitialVoters. They form the cluster by
-// themselves once all initial voters are up and blank; a blank VM that comes
+// themselves once all peers are up and blank; a blank VM that comes
 // later becomes a learner, and a voter when one is lost. A single initial
 // voter makes a cluster of one.
 //
--- a/state/replica/loop.go
+++ b/state/replica/loop.go
@@ -81,6 +81,7 @@
 // persist and sync, then promise, then apply.
 func (r *Replica) carryOut(out consensus.Output) {
 	r.report(out.Events)
+	r.publishLease()
 	r.sendAll(out.Messages)
 	if out.MustSync() {
 		if err := r.persist(out); err != nil {
@@ -127,15 +128,15 @@
 // noteLeadership fails the waiting proposals when leadership ends, and tells
 // of a change of leader.
 func (r *Replica) noteLeadership() {
-	status := r.core.Status()
-	leads := status.Role == consensus.Leader
+	leader := r.core.Leader()
+	leads := r.core.Role() == consensus.Leader
 	if r.wasLeader && !leads {
-		r.loseProposals(status.Leader.Router)
+		r.loseProposals(leader)
 	}
 	r.wasLeader = leads
-	if leader := status.Leader.Router; leader != r.leader {
+	if leader != r.leader {
 		r.leader = leader
-		r.tellLeader(leader, status.Term)
+		r.tellLeader(leader, r.core.Term())
 	}
 }
 
@@ -247,6 +248,13 @@
 func (r *Replica) publish() {
 	status := r.core.Status()
 	r.status.Store(&status)
+	r.publishLease()
+}
+
+// publishLease makes the end of the lease visible. It comes before messages
+// leave: a hand-over ends the lease early, and nobody may read under it once
+// the successor has been told.
+func (r *Replica) publishLease() {
 	now := r.config.Now()
 	until := r.core.LeaseUntil(now)
 	if until <= now {
--- a/state/replica/replica.go
+++ b/state/replica/replica.go
@@ -165,6 +165,18 @@
 	return r.await(ctx, reply)
 }
 
+// HandOver makes this member, if it leads, give leadership to a caught-up voter
+// before a planned stop. It answers at once; leadership ends within
+// milliseconds, or stays if no voter is ready within an election timeout.
+// Proposals that wait are answered with ErrLostLeadership.
+func (r *Replica) HandOver(ctx context.Context) error {
+	reply := make(chan error, 1)
+	if err := r.enqueue(ctx, func() { reply <- r.core.HandOver(r.config.Now()) }); err != nil {
+		return err
+	}
+	return r.await(ctx, reply)
+}
+
 // await waits for an answer of the loop.
 func (r *Replica) await(ctx context.Context, reply <-chan error) error {
 	select {
--- a/state/wal/record.go
+++ b/state/wal/record.go
@@ -16,15 +16,17 @@
 
 // Lengths of the fixed part of the records, in bytes, without the kind.
 const (
-	hardStateSize = 8 + 8 + 2
+	hardStateSize = 8 + 8 + 8 + 2
 	entrySize     = 8 + 8 + 1 + 4
 	resetSize     = 8 + 8
 )
 
-// appendHardState adds a hard state record: term, disk and router of the vote.
+// appendHardState adds a hard state record: term, epoch, disk and router of
+// the vote.
 func appendHardState(b []byte, s consensus.HardState) []byte {
 	b = append(b, recordHardState)
 	b = binary.LittleEndian.AppendUint64(b, s.Term)
+	b = binary.LittleEndian.AppendUint64(b, s.Epoch)
 	b = binary.LittleEndian.AppendUint64(b, uint64(s.Vote.Disk))
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(s.Vote.Router)))
 	return append(b, s.Vote.Router...)
@@ -94,13 +96,14 @@
 	if len(b) < hardStateSize {
 		return nil, "short hard state"
 	}
-	length := int(binary.LittleEndian.Uint16(b[16:]))
+	length := int(binary.LittleEndian.Uint16(b[24:]))
 	if len(b) < hardStateSize+length {
 		return nil, "short router name"
 	}
 	r.hardState.Term = binary.LittleEndian.Uint64(b)
+	r.hardState.Epoch = binary.LittleEndian.Uint64(b[8:])
 	r.hardState.Vote = consensus.Member{
-		Disk:   consensus.DiskID(binary.LittleEndian.Uint64(b[8:])),
+		Disk:   consensus.DiskID(binary.LittleEndian.Uint64(b[16:])),
 		Router: protocol.RouterID(b[hardStateSize : hardStateSize+length]),
 	}
 	return b[hardStateSize+length:], ""
