Log: what a start builds on is synced first

Cause: a daemon killed between a write and its sync, or between a new segment and the sync of the folder, starts again, sees the data in the kernel's cache and builds on it; a power loss then takes it together with orders confirmed since. A new data folder could vanish in the same way. Ruled out: leaving it to the next SyncDir, which may be thousands of entries away. Change: opening syncs the last segment and the folder's names; making the data folder syncs its parent. The schedule's default is 300,000 steps. Conclusion: found by reading, not by the schedule: its disk has no names.

--- a/coordination/consensus/schedule_test.go
+++ b/coordination/consensus/schedule_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	scheduleSteps = flag.Int("schedule.steps", 120_000, "steps of the random schedule, over all its seeds")
+	scheduleSteps = flag.Int("schedule.steps", 300_000, "steps of the random schedule, over all its seeds")
 	scheduleSeed  = flag.Uint64("schedule.seed", 1, "first seed of the random schedule")
 	searchSeeds   = flag.Int("schedule.search", 0, "seeds to try for each mutation; prints the first that fails")
 )
--- a/state/disk/os.go
+++ b/state/disk/os.go
@@ -27,7 +27,7 @@
 	lock   *os.File
 }
 
-// Open makes the folder if needed and locks it.
+// Open makes the folder if needed, and last, and locks it.
 //
 // Failure: two daemons started by mistake write the same log, and its frames
 // interleave. The lock goes with the process, so a killed one leaves none.
@@ -35,6 +35,11 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, eris.Wrapf(err, "disk: make data folder %s", folder)
 	}
+	// Without this a power loss could take a new folder with all that was
+	// synced in it.
+	if err := syncFolder(filepath.Dir(folder)); err != nil {
+		return nil, err
+	}
 	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, eris.Wrap(err, "disk: open lock file")
@@ -111,12 +116,17 @@
 
 // SyncDir implements Disk.
 func (d *OS) SyncDir() error {
-	folder, err := os.Open(d.folder)
+	return syncFolder(d.folder)
+}
+
+// syncFolder makes the names in a folder last.
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
 	if err != nil {
-		return eris.Wrap(err, "disk: open data folder")
+		return eris.Wrapf(err, "disk: open folder %s", path)
 	}
 	defer func() { _ = folder.Close() }()
-	return eris.Wrap(folder.Sync(), "disk: sync data folder")
+	return eris.Wrapf(folder.Sync(), "disk: sync folder %s", path)
 }
 
 // osFile is a File of the operating system.
--- a/state/wal/open.go
+++ b/state/wal/open.go
@@ -222,8 +222,12 @@
 	return l.reopen(s.name, end)
 }
 
-// reopen cuts an unfinished write and syncs the rest: a killed process may
-// have written it without syncing, and from now on it counts as on disk.
+// reopen cuts an unfinished write and syncs the rest.
+//
+// Failure: the process is killed between a write and its sync, or between a
+// new file and the sync of the folder. The next start sees the data in the
+// kernel's cache and builds on it; a power loss then takes it, and with it
+// orders confirmed since. Hence all that was read is synced here, names too.
 func (l *Log) reopen(name string, end segmentEnd) error {
 	if end.torn {
 		if err := l.disk.Truncate(name, end.size); err != nil {
@@ -236,5 +240,8 @@
 	}
 	l.file = f
 	l.size = end.size
-	return eris.Wrap(f.Sync(), "wal: sync after opening")
+	if err := f.Sync(); err != nil {
+		return eris.Wrap(err, "wal: sync after opening")
+	}
+	return l.disk.SyncDir()
 }
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -324,3 +324,36 @@
 		}
 	})
 }
+
+// lazyDisk forgets to sync what the process was killed before syncing.
+type lazyDisk struct{ *fakedisk.Disk }
+
+func (lazyDisk) SyncDir() error { return nil }
+
+func TestKilledProcessThenPowerLoss(t *testing.T) {
+	// The daemon is killed between a write and its sync, or between a new
+	// segment and the sync of the folder. It starts again, sees the data in
+	// the kernel's cache, builds on it and confirms orders. Then the power
+	// goes. What it built on must have been made to last at the start.
+	for name, folder := range map[string]func(*fakedisk.Disk) disk.Disk{
+		"write not synced":  func(d *fakedisk.Disk) disk.Disk { return d },
+		"folder not synced": func(d *fakedisk.Disk) disk.Disk { return lazyDisk{d} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := written(t, 1)
+			l, _ := opened(t, folder(d))
+			for i := uint64(2); i <= 20; i++ {
+				l.Append(nil, []consensus.Entry{entry(i, 2)})
+				assert.NilError(t, l.Sync())
+			}
+			unsynced := encodeFrame(l.nextFrame, appendEntry(nil, entry(21, 2)))
+			assert.NilError(t, l.file.Append(unsynced))
+			d.Restart()
+			_, stored := opened(t, d)
+			assert.Equal(t, len(stored.Entries), 21)
+			d.Crash(rand.New(rand.NewPCG(1, 1)))
+			_, stored = opened(t, d)
+			assert.Equal(t, len(stored.Entries), 21)
+		})
+	}
+}
