--- a/coordination/fleetstate/machine_test.go
+++ b/coordination/fleetstate/machine_test.go
@@ -31,7 +31,8 @@
 	case 4:
 		return Command{Move: &ownership.Move{Upstreams: upstreams}}
 	case 5:
-		return Command{Release: &ownership.Release{Session: session, Upstreams: upstreams}}
+		held, _ := m.ownership.Assignment(upstreams[0])
+		return Command{Release: &ownership.Release{Session: held.Owner, Held: []ownership.Held{{Upstream: held.Upstream, Fence: held.Fence}}}}
 	case 6:
 		return Command{Forget: &ownership.Forget{Upstreams: upstreams}}
 	case 7:
--- a/coordination/lease/leader.go
+++ b/coordination/lease/leader.go
@@ -33,6 +33,9 @@
 	machine *fleetstate.Machine
 	tracker *Tracker
 	lines   map[ownership.SessionID]*line
+	// applied and pushed are the revisions up to which sessions were compared
+	// and deltas sent.
+	applied uint64
 	pushed  uint64
 	seen    time.Duration
 }
@@ -54,13 +57,19 @@
 		l.lines[session.ID] = &line{}
 	}
 	l.tracker.TakeOffice(now, ids)
-	l.pushed = l.machine.Revision()
+	l.applied = l.machine.Revision()
+	l.pushed = l.applied
 }
 
 // Applied notes sessions opened and closed by the commands applied since the
 // last call.
 func (l *Leader) Applied(now time.Duration) {
 	l.observe(now)
+	if l.applied == l.machine.Revision() {
+		// Orders come a thousand a second and open no sessions.
+		return
+	}
+	l.applied = l.machine.Revision()
 	state := l.machine.Ownership()
 	for _, session := range state.Sessions() {
 		if l.lines[session.ID] == nil {
--- a/coordination/ownership/guard.go
+++ b/coordination/ownership/guard.go
@@ -64,11 +64,11 @@
 	return assignment.Fence, Allowed
 }
 
-// Release stops admissions to an upstream under its present assignment. The
-// router calls it before it proposes the Release command, because the command
-// may be committed before its answer arrives.
-func (g *Guard) Release(upstream protocol.UpstreamID) {
-	if assignment, ok := g.lookup(upstream); ok {
-		g.released[upstream] = assignment.Fence
-	}
+// Release stops admissions to an upstream under its present assignment and
+// returns what to put into the Release command. It comes before the command
+// is proposed, because that may be committed before its answer arrives.
+func (g *Guard) Release(upstream protocol.UpstreamID) Held {
+	assignment, _ := g.lookup(upstream)
+	g.released[upstream] = assignment.Fence
+	return Held{Upstream: upstream, Fence: assignment.Fence}
 }
--- a/coordination/ownership/state.go
+++ b/coordination/ownership/state.go
@@ -93,11 +93,17 @@
 	Upstreams []protocol.UpstreamID `msgpack:"u"`
 }
 
+// Held is one upstream as its owner holds it.
+type Held struct {
+	Upstream protocol.UpstreamID `msgpack:"u"`
+	Fence    protocol.Fence      `msgpack:"f"`
+}
+
 // Release frees upstreams, proposed by their owner after it stopped admitting
 // to them.
 type Release struct {
-	Session   SessionID             `msgpack:"s"`
-	Upstreams []protocol.UpstreamID `msgpack:"u"`
+	Session SessionID `msgpack:"s"`
+	Held    []Held    `msgpack:"h"`
 }
 
 // Forget removes unowned upstreams that are gone for good.
@@ -296,19 +302,21 @@
 	return answer, touched
 }
 
-// Release frees upstreams of a session.
+// Release frees upstreams of a session. The fence must be the present one: the
+// upstream can be assigned to the same session again after a first release,
+// and a delayed duplicate of that would then free it while its router admits.
 func (s *State) Release(index uint64, release Release) (Answer, []Touched) {
 	if _, ok := s.sessions[release.Session]; !ok {
 		return Answer{Outcome: NoSuchSession}, nil
 	}
-	if len(release.Upstreams) > maxBatch {
+	if len(release.Held) > maxBatch {
 		return Answer{Outcome: Refused}, nil
 	}
 	answer := Answer{Outcome: Done, Session: release.Session}
 	var touched []Touched
-	for _, upstream := range release.Upstreams {
-		assignment, ok := s.assignments[upstream]
-		if ok && assignment.Owner == release.Session {
+	for _, held := range release.Held {
+		assignment, ok := s.assignments[held.Upstream]
+		if ok && assignment.Owner == release.Session && assignment.Fence == held.Fence {
 			s.free(index, assignment, &answer, &touched)
 		}
 	}
