--- /dev/null
+++ b/coordination/loadbench/fleet.go
@@ -0,0 +1,407 @@
+package loadbench
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"endiveplank/coordination/limits"
+	"endiveplank/protocol"
+)
+
+// LimitPolicy is how the routers of the Fleet model hold limits.
+type LimitPolicy uint8
+
+const (
+	// Credit is package limits.
+	Credit LimitPolicy = iota
+	// EqualShares gives each router the same part of each limit.
+	EqualShares
+	// PerRouter gives each router the whole limit.
+	PerRouter
+)
+
+// FleetConfig describes a run of the Fleet model: customers whose requests come
+// in through any router, by a Zipf law, some of them far above their limits.
+type FleetConfig struct {
+	Seed      uint64
+	Policy    LimitPolicy
+	Routers   int
+	Customers int
+	// Rate is the requests per second of all customers.
+	Rate float64
+	// Every GreedyEvery-th customer sends GreedyFactor times its limit, and the
+	// others half of theirs.
+	GreedyEvery  int
+	GreedyFactor float64
+	// Lost is the share of messages that get lost.
+	Lost float64
+	// From PartedFrom to PartedTo, routers with a number below Parted reach
+	// nobody.
+	Parted     int
+	PartedFrom time.Duration
+	PartedTo   time.Duration
+	Warm       time.Duration
+	End        time.Duration
+}
+
+// FleetResult is what a run counted.
+type FleetResult struct {
+	// Over and Under are the largest and smallest error of a greedy customer's
+	// admitted tokens against its limit after the warm-up, in percent. Only
+	// customers whose limit allows at least MinAdmitted requests in that time
+	// count, since the error of a few requests is their randomness.
+	Over  float64
+	Under float64
+	// ModestRefused is the share of requests refused of customers within their
+	// limits, and Waited of all allowed requests those that waited for a home.
+	ModestRefused float64
+	Waited        float64
+	// BytesMean and BytesMax are control bytes sent per second and node.
+	BytesMean float64
+	BytesMax  float64
+}
+
+// MinAdmitted is the least number of requests for which an error counts.
+const MinAdmitted = 100
+
+const (
+	requestTokens = 300.0
+	// messageOverhead is a frame's length prefix and the headers of IP and UDP.
+	messageOverhead = 4 + 20 + 8
+	askTick         = time.Second
+	gatherTime      = 2 * time.Millisecond
+	waitAtMost      = time.Second
+)
+
+type fleet struct {
+	Clock
+	config    FleetConfig
+	rng       *rand.Rand
+	ids       []protocol.RouterID
+	limiters  []*limits.Limiter
+	homes     []*limits.Home
+	local     []map[int]*localBucket
+	customers []*fleetCustomer
+	byID      map[protocol.CustomerID]*fleetCustomer
+	sending   []bool            // an ask round is planned
+	waiting   [][]*fleetRequest // per router, in order of arrival
+	bytes     []int
+	allowed   int
+	waited    int
+}
+
+type fleetCustomer struct {
+	id       protocol.CustomerID
+	home     int
+	rate     float64
+	limit    limits.Limit
+	greedy   bool
+	sent     int
+	refused  int
+	admitted float64
+}
+
+type fleetRequest struct {
+	router   int
+	customer *fleetCustomer
+	number   int
+	tokens   int
+	sent     time.Duration
+}
+
+type localBucket struct {
+	level float64
+	at    time.Duration
+}
+
+// RunFleet runs the model once.
+func RunFleet(config FleetConfig) FleetResult {
+	f := &fleet{config: config, rng: rand.New(rand.NewPCG(config.Seed, 3))}
+	f.byID = make(map[protocol.CustomerID]*fleetCustomer)
+	table := f.makeCustomers()
+	for i := range config.Routers {
+		f.ids = append(f.ids, protocol.RouterID(fmt.Sprintf("router-%04d", i)))
+		f.limiters = append(f.limiters, limits.NewLimiter(limits.DefaultConfig(), config.Routers, 1))
+		f.homes = append(f.homes, limits.NewHome(limits.DefaultConfig(), table))
+		f.local = append(f.local, make(map[int]*localBucket))
+	}
+	f.waiting = make([][]*fleetRequest, config.Routers)
+	f.bytes = make([]int, config.Routers)
+	f.sending = make([]bool, config.Routers)
+	f.findHomes()
+	var next func()
+	next = func() {
+		f.arrive()
+		f.After(exponential(f.rng, config.Rate), next)
+	}
+	f.At(0, next)
+	if config.Policy == Credit {
+		for i := range config.Routers {
+			f.At(time.Duration(f.rng.Int64N(int64(askTick))), func() { f.tick(i) })
+		}
+	}
+	f.Run(config.End)
+	return f.result()
+}
+
+func (f *fleet) makeCustomers() map[protocol.CustomerID]limits.Limit {
+	table := make(map[protocol.CustomerID]limits.Limit)
+	harmonic := 0.0
+	for i := range f.config.Customers {
+		harmonic += 1 / float64(i+1)
+	}
+	for i := range f.config.Customers {
+		rate := f.config.Rate / harmonic / float64(i+1)
+		c := &fleetCustomer{id: protocol.CustomerID(fmt.Sprintf("customer-%d", i)), rate: rate}
+		c.greedy = i%f.config.GreedyEvery == 1
+		allowed := 2 * rate
+		if c.greedy {
+			allowed = rate / f.config.GreedyFactor
+		}
+		c.limit = limits.Limit{TokensPerSecond: allowed * requestTokens}
+		table[c.id] = c.limit
+		f.byID[c.id] = c
+		f.customers = append(f.customers, c)
+	}
+	return table
+}
+
+func (f *fleet) findHomes() {
+	byID := make(map[protocol.RouterID]int, len(f.ids))
+	for i, id := range f.ids {
+		byID[id] = i
+	}
+	for _, c := range f.customers {
+		home, _ := limits.HomeOf(c.id, f.ids)
+		c.home = byID[home]
+	}
+}
+
+// arrive brings one request of a customer drawn by the Zipf law to any router.
+func (f *fleet) arrive() {
+	n := f.pickCustomer()
+	r := &fleetRequest{
+		router:   f.rng.IntN(f.config.Routers),
+		customer: f.customers[n],
+		number:   n,
+		tokens:   int(requestTokens * (0.5 + f.rng.Float64())),
+		sent:     f.Now(),
+	}
+	if f.Now() >= f.config.Warm {
+		r.customer.sent++
+	}
+	if f.config.Policy != Credit {
+		f.admitLocally(r)
+		return
+	}
+	f.follow(r, f.limiters[r.router].Admit(f.Now(), r.customer.id, r.customer.limit, r.tokens))
+}
+
+// pickCustomer inverts the sum of 1/rank, approximately.
+func (f *fleet) pickCustomer() int {
+	n := float64(f.config.Customers)
+	for {
+		rank := math.Pow(n+1, f.rng.Float64())
+		k := int(rank)
+		// Log-uniform gives rank k the weight log(1+1/k); accept by 1/k over that.
+		accept := (1 / float64(k)) / math.Log1p(1/float64(k)) * math.Ln2
+		if f.rng.Float64() < accept {
+			return k - 1
+		}
+	}
+}
+
+func (f *fleet) follow(r *fleetRequest, decision limits.Decision) {
+	switch decision.Kind {
+	case limits.Allow:
+		f.admit(r)
+	case limits.Refuse:
+		f.refuse(r)
+	case limits.Wait:
+		f.waiting[r.router] = append(f.waiting[r.router], r)
+		f.send(r.router)
+		f.At(decision.CheckAt, func() { f.again(r.router, map[*fleetCustomer]bool{r.customer: true}) })
+	}
+}
+
+func (f *fleet) admit(r *fleetRequest) {
+	if f.Now() < f.config.Warm {
+		return
+	}
+	f.allowed++
+	if f.Now() > r.sent {
+		f.waited++
+	}
+	r.customer.admitted += float64(r.tokens)
+}
+
+func (f *fleet) refuse(r *fleetRequest) {
+	if f.Now() >= f.config.Warm {
+		r.customer.refused++
+	}
+}
+
+// admitLocally is the baselines' token bucket of two seconds, of at least one
+// request.
+func (f *fleet) admitLocally(r *fleetRequest) {
+	rate := r.customer.limit.TokensPerSecond
+	if f.config.Policy == EqualShares {
+		rate /= float64(f.config.Routers)
+	}
+	depth := max(2*rate, 1.5*requestTokens)
+	b := f.local[r.router][r.number]
+	if b == nil {
+		b = &localBucket{level: depth}
+		f.local[r.router][r.number] = b
+	}
+	b.level = min(depth, b.level+rate*(f.Now()-b.at).Seconds())
+	b.at = f.Now()
+	if b.level < float64(r.tokens) {
+		f.refuse(r)
+		return
+	}
+	b.level -= float64(r.tokens)
+	f.admit(r)
+}
+
+func (f *fleet) tick(router int) {
+	f.send(router)
+	f.After(askTick, func() { f.tick(router) })
+}
+
+// send gathers a router's asks for a moment and sends one message to each home.
+func (f *fleet) send(router int) {
+	if f.sending[router] {
+		return
+	}
+	f.sending[router] = true
+	f.After(gatherTime, func() {
+		f.sending[router] = false
+		var homes []int
+		groups := make(map[int][]limits.AskEntry)
+		customers := make(map[int][]*fleetCustomer)
+		for _, due := range f.limiters[router].Asks(f.Now()) {
+			customer := f.byID[due.Customer]
+			home := customer.home
+			if groups[home] == nil {
+				homes = append(homes, home)
+			}
+			groups[home] = append(groups[home], due.Entry)
+			customers[home] = append(customers[home], customer)
+		}
+		for _, home := range homes {
+			f.ask(router, home, f.limiters[router].Ask(groups[home]), customers[home])
+		}
+	})
+}
+
+func (f *fleet) ask(from, to int, ask limits.Ask, customers []*fleetCustomer) {
+	f.message(from, to, ask, func() {
+		answer := f.homes[to].Answer(f.Now(), f.ids[from], ask)
+		if len(answer.Entries) == 0 {
+			return
+		}
+		f.message(to, from, answer, func() {
+			f.limiters[from].Granted(f.Now(), answer)
+			answered := make(map[*fleetCustomer]bool)
+			for _, customer := range customers {
+				answered[customer] = true
+			}
+			f.again(from, answered)
+		})
+	})
+}
+
+// message carries a value to another router, unless it gets lost, and counts its
+// bytes. A router's own account costs nothing.
+func (f *fleet) message(from, to int, value any, arrived func()) {
+	if from == to {
+		f.After(0, arrived)
+		return
+	}
+	if f.Now() >= f.config.Warm {
+		f.bytes[from] += encodedSize(value) + messageOverhead
+	}
+	if f.rng.Float64() < f.config.Lost || f.parted(from) || f.parted(to) {
+		return
+	}
+	delay := time.Duration(1+f.rng.IntN(4)) * time.Millisecond
+	f.After(delay, arrived)
+}
+
+func (f *fleet) parted(router int) bool {
+	return router < f.config.Parted && f.Now() >= f.config.PartedFrom && f.Now() < f.config.PartedTo
+}
+
+// again decides once more about the requests of some customers that wait at a
+// router.
+func (f *fleet) again(router int, answered map[*fleetCustomer]bool) {
+	var rest []*fleetRequest
+	for _, r := range f.waiting[router] {
+		if !answered[r.customer] {
+			rest = append(rest, r)
+			continue
+		}
+		f.decideAgain(r, &rest)
+	}
+	f.waiting[router] = rest
+}
+
+func (f *fleet) decideAgain(r *fleetRequest, rest *[]*fleetRequest) {
+	if f.Now()-r.sent > waitAtMost {
+		f.refuse(r)
+		return
+	}
+	decision := f.limiters[r.router].Again(f.Now(), r.customer.id, r.customer.limit, r.tokens)
+	switch decision.Kind {
+	case limits.Allow:
+		f.admit(r)
+	case limits.Refuse:
+		f.refuse(r)
+	case limits.Wait:
+		*rest = append(*rest, r)
+		f.send(r.router)
+		f.At(decision.CheckAt, func() { f.again(r.router, map[*fleetCustomer]bool{r.customer: true}) })
+	}
+}
+
+func encodedSize(value any) int {
+	var out bytes.Buffer
+	encoder := msgpack.NewEncoder(&out)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
+		panic("loadbench: message cannot be encoded: " + err.Error())
+	}
+	return out.Len()
+}
+
+func (f *fleet) result() FleetResult {
+	r := FleetResult{Over: -100, Under: 100}
+	seconds := (f.config.End - f.config.Warm).Seconds()
+	modest, modestRefused := 0, 0
+	for _, c := range f.customers {
+		allowed := c.limit.TokensPerSecond * seconds
+		switch {
+		case !c.greedy:
+			modest += c.sent
+			modestRefused += c.refused
+		case allowed >= MinAdmitted*requestTokens:
+			r.Over = max(r.Over, 100*(c.admitted/allowed-1))
+			r.Under = min(r.Under, 100*(c.admitted/allowed-1))
+		}
+	}
+	r.ModestRefused = percent(modestRefused, modest)
+	r.Waited = percent(f.waited, f.allowed)
+	for _, sent := range f.bytes {
+		perSecond := float64(sent) / seconds
+		r.BytesMean += perSecond / float64(f.config.Routers)
+		r.BytesMax = max(r.BytesMax, perSecond)
+	}
+	return r
+}
--- /dev/null
+++ b/coordination/loadbench/fleet_scenarios.go
@@ -0,0 +1,66 @@
+package loadbench
+
+import (
+	"fmt"
+	"time"
+)
+
+// fleetScenarios asks by how much the fleet misses a customer's limit, and what
+// control traffic that costs. The rate is 30 requests per second and router, as at
+// the peak of 330 routers.
+func fleetScenarios() []Scenario {
+	lossy := fleetConfig(100, 720, 2970)
+	lossy.Lost, lossy.End = 0.05, 120*time.Second
+	parted := fleetConfig(100, 720, 2970)
+	parted.End = 130 * time.Second
+	parted.Parted, parted.PartedFrom, parted.PartedTo = 33, 90*time.Second, 120*time.Second
+	return []Scenario{
+		fleetScenario(fleetConfig(9, 10, 60)),
+		fleetScenario(fleetConfig(100, 720, 2970)),
+		{Name: "limits/routers=100/lost=5pct", Run: func() []Metric { return fleetMetrics("", lossy) }},
+		{Name: "limits/routers=100/parted=33", Run: func() []Metric { return fleetMetrics("", parted)[:1] }},
+	}
+}
+
+// LargeScenarios are run as benchmarks only, because they take long.
+func LargeScenarios() []Scenario {
+	return []Scenario{
+		fleetScenario(fleetConfig(330, 2400, 9800)),
+		fleetScenario(fleetConfig(1000, 2400, 9800)),
+	}
+}
+
+func fleetConfig(routers, customers int, rate float64) FleetConfig {
+	return FleetConfig{
+		Seed:         Seeds[0],
+		Routers:      routers,
+		Customers:    customers,
+		Rate:         rate,
+		GreedyEvery:  10,
+		GreedyFactor: 3,
+		Warm:         60 * time.Second,
+		End:          180 * time.Second,
+	}
+}
+
+func fleetScenario(config FleetConfig) Scenario {
+	return Scenario{Name: fmt.Sprintf("limits/routers=%d", config.Routers), Run: func() []Metric {
+		metrics := fleetMetrics("", config)
+		config.Policy = EqualShares
+		metrics = append(metrics, fleetMetrics("equal-shares-", config)[:3]...)
+		config.Policy = PerRouter
+		return append(metrics, fleetMetrics("per-router-", config)[0])
+	}}
+}
+
+func fleetMetrics(prefix string, config FleetConfig) []Metric {
+	r := RunFleet(config)
+	return []Metric{
+		{prefix + "over-pct", r.Over},
+		{prefix + "under-pct", r.Under},
+		{prefix + "modest-refused-pct", r.ModestRefused},
+		{prefix + "waited-pct", r.Waited},
+		{prefix + "ctl-B/s/node", r.BytesMean},
+		{prefix + "ctl-B/s/busiest-node", r.BytesMax},
+	}
+}
--- a/coordination/loadbench/storm.go
+++ b/coordination/loadbench/storm.go
@@ -71,9 +71,8 @@
 }
 
 type stormRequest struct {
-	router   int
-	sent     time.Duration
-	answered bool
+	router int
+	sent   time.Duration
 }
 
 type attempt struct {
