Slowness: engines judged by their peers, cut within a set share

Cause: a fail-slow engine answers checks and holds up all its requests, and a careless reaction empties good engines or floods a recovered one. Ruled out: cutting by targets alone (half of a group slow: the sum of weights fell to 65% where 70% was allowed, because an engine that only begins to recover still counted as whole). Change: coordination/slowness. Seen to fail first with each guard off: the group's share, the ramp, the longer hold, too few peers. Conclusion: slow engines get less, none is emptied, none floods.

--- /dev/null
+++ b/coordination/slowness/tracker_test.go
@@ -0,0 +1,118 @@
+package slowness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endiveplank/protocol"
+)
+
+const usual = 27 * time.Millisecond
+
+func name(i int) protocol.UpstreamID { return protocol.UpstreamID(fmt.Sprintf("e%02d", i)) }
+
+// step lets engines deliver for a second at a time per token each, and judges.
+func step(t *Tracker, paces ...time.Duration) []Change {
+	for i, pace := range paces {
+		const tokens = 100
+		t.Observe(name(i), "model", tokens, tokens*pace)
+	}
+	return t.Step()
+}
+
+func steps(t *Tracker, count int, paces ...time.Duration) []Change {
+	var all []Change
+	for range count {
+		all = append(all, step(t, paces...)...)
+	}
+	return all
+}
+
+// One engine's accelerator throttles. It gets less work after a few seconds, never
+// none, and everything back little by little once it is well.
+func TestSlowEngineGetsLessAndRecoversGradually(t *testing.T) {
+	tracker := New(DefaultConfig())
+	changes := steps(tracker, 20, 4*usual, usual, usual, usual)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Upstream, name(0))
+	assert.Assert(t, changes[0].Slow)
+	low := tracker.Weight(name(0))
+	assert.Assert(t, low >= 0.2 && low < 0.35, "%v", low)
+	assert.Equal(t, tracker.Weight(name(1)), 1.0)
+	before := low
+	for tracker.Weight(name(0)) < 1 {
+		step(tracker, usual, usual, usual, usual)
+		now := tracker.Weight(name(0))
+		// The target itself rises while the estimate recovers.
+		assert.Assert(t, now-before <= DefaultConfig().RampPerStep+1e-9, "%v after %v", now, before)
+		before = now
+	}
+}
+
+// A busy hour slows all engines. Shifting work between them would help nobody.
+func TestAllSlowIsNobodySlow(t *testing.T) {
+	tracker := New(DefaultConfig())
+	steps(tracker, 10, usual, usual, usual, usual)
+	assert.Equal(t, len(steps(tracker, 20, 4*usual, 4*usual, 4*usual, 4*usual)), 0)
+}
+
+func TestTooFewPeersJudgeNobody(t *testing.T) {
+	tracker := New(DefaultConfig())
+	assert.Equal(t, len(steps(tracker, 20, usual, 9*usual)), 0)
+	assert.Equal(t, tracker.Ratio(name(1)), 0.0)
+	assert.Equal(t, tracker.Weight("unknown"), 1.0)
+}
+
+// An engine is slow only under load: it recovers as its work is taken away and
+// falls back when it returns. Each time it is held down longer.
+func TestRelapsesAreHeldDownLonger(t *testing.T) {
+	tracker := New(DefaultConfig())
+	held := func() int {
+		steps(tracker, 20, 4*usual, usual, usual, usual)
+		count := 0
+		for tracker.Weight(name(0)) < 1 {
+			step(tracker, usual, usual, usual, usual)
+			count++
+		}
+		return count
+	}
+	first := held()
+	second := held()
+	third := held()
+	assert.Assert(t, first < second && second < third, "%d %d %d", first, second, third)
+}
+
+// Whatever engines do and whichever leave, the cuts of a group never take more than
+// the set share of it, and no engine is emptied.
+func TestCutsStayWithinTheShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		tracker := New(config)
+		count := rapid.IntRange(3, 12).Draw(t, "engines")
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			paces := make([]time.Duration, count)
+			for i := range paces {
+				paces[i] = usual * time.Duration(rapid.IntRange(1, 8).Draw(t, "pace"))
+			}
+			if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 && count > 3 {
+				count--
+				tracker.Remove(name(count))
+				paces = paces[:count]
+			}
+			for range rapid.IntRange(1, 6).Draw(t, "for") {
+				step(tracker, paces...)
+			}
+			cut := 0.0
+			for i := range count {
+				weight := tracker.Weight(name(i))
+				assert.Assert(t, weight >= config.MinWeight-1e-9 && weight <= 1+1e-9, "%v", weight)
+				cut += 1 - weight
+			}
+			assert.Assert(t, cut <= config.MaxCut*float64(count)+1e-9, "%v of %d", cut, count)
+		}
+	})
+}
