Node: limits that hold over the whole fleet; totals exchanged in waves

Cause: customers' limits were in the table and decided nothing; totals were sent by a timer of each router. Ruled out: a share of the limit for each router (a customer's callers come through few of them). Figures: TestCustomersLimitHoldsOverTheFleet: 60 requests a second against a limit of 10 over three routers for 20 s; the count served is bounded from 160 to 240 and logged by the test.

--- a/coordination/node/deadlines.go
+++ b/coordination/node/deadlines.go
@@ -40,7 +40,7 @@
 	switch e.phase {
 	case phaseAsking:
 		return now-e.progress > ownerPatience
-	case phaseWaiting:
+	case phaseWaiting, phaseLimit:
 		return now >= e.wakeAt
 	case phaseRunning:
 		return now-e.progress > n.entryStall()
@@ -64,13 +64,17 @@
 
 // entryDue acts on a request whose time has come.
 func (n *Node) entryDue(now time.Duration, e *entry) {
+	if e.phase == phaseLimit {
+		n.limit(now, e, n.limiter.Again)
+		return
+	}
 	if e.order != nil {
 		n.orderDue(now, e)
 		return
 	}
 	if now >= e.deadline+e.grace() {
 		n.abandon(e)
-		n.giveUp(e, 504, reason.DeadlinePassed, "the deadline passed", statusRetryAfter)
+		n.giveUp(now, e, 504, reason.DeadlinePassed, "the deadline passed", statusRetryAfter)
 		return
 	}
 	switch e.phase {
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -34,6 +34,8 @@
 	phaseRunning
 	// phaseWaiting: no attempt is under way until wakeAt.
 	phaseWaiting
+	// phaseLimit: the home of the customer's limits was asked for credit.
+	phaseLimit
 	// phaseJournal: the journal is asked before or after the attempt.
 	phaseJournal
 )
@@ -71,6 +73,8 @@
 	headSent  bool
 	// reached means that an earlier attempt may have reached an upstream.
 	reached bool
+	// limited means that the request was charged to its customer's limits.
+	limited bool
 	watch   *stream.Watch
 	order   *order
 }
@@ -88,13 +92,26 @@
 		return
 	}
 	n.entries[in.ID] = fresh
-	n.budget.Fresh(now, fresh.work())
-	if fresh.order != nil {
-		n.startOrder(now, fresh)
+	n.limit(now, fresh, n.limiter.Admit)
+}
+
+// begin starts placing a request that is within its customer's limits.
+func (n *Node) begin(now time.Duration, e *entry) {
+	n.budget.Fresh(now, e.work())
+	if e.order != nil {
+		n.startOrder(now, e)
 		return
 	}
-	fresh.watch = stream.NewWatch(now, stream.DefaultWatchConfig())
-	n.place(now, fresh)
+	e.watch = stream.NewWatch(now, stream.DefaultWatchConfig())
+	n.place(now, e)
+}
+
+// remove forgets a request that has its final answer.
+func (n *Node) remove(now time.Duration, e *entry) {
+	delete(n.entries, e.request.ID)
+	if e.limited {
+		n.limiter.Finished(now, e.customer.ID)
+	}
 }
 
 // work is the expected work of a request from where it stands, in tokens.
@@ -160,7 +177,7 @@
 		return
 	}
 	if in.End.Complete {
-		n.finish(e, reason.Completed)
+		n.finish(now, e, reason.Completed)
 		return
 	}
 	if in.End.Outcome != protocol.NotRun {
@@ -176,7 +193,7 @@
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "attempt-failed", Reason: why})
 	if !e.template.Streamed && e.delivered > 0 {
 		// A body that is not a stream of tokens can't be resumed inside.
-		n.giveUp(e, 502, why, "the answer broke off", statusRetryAfter)
+		n.giveUp(now, e, 502, why, "the answer broke off", statusRetryAfter)
 		return
 	}
 	decision := n.budget.Decide(now, n.config.Random, retry.Failure{
@@ -187,7 +204,7 @@
 		Deadline:   e.deadline,
 	})
 	if !decision.Retry {
-		n.giveUp(e, 502, retryReason(decision.Reason), "the upstream failed ("+string(why)+") and the request is not tried again", statusRetryAfter)
+		n.giveUp(now, e, 502, retryReason(decision.Reason), "the upstream failed ("+string(why)+") and the request is not tried again", statusRetryAfter)
 		return
 	}
 	n.chooseAgain(now, e, why)
@@ -241,7 +258,7 @@
 	if e.template.Model != "" && e.order == nil {
 		verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
 		if verdict.Standing == quarantine.Quarantined {
-			n.giveUp(e, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+			n.giveUp(now, e, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
 			return
 		}
 	}
@@ -258,14 +275,14 @@
 // did before, and none is under way. An owner that refused, spilled or failed
 // without sending a byte has said so, and the entry then waits.
 func (e *entry) outcome() protocol.RunOutcome {
-	if e.reached || e.phase != phaseWaiting {
+	if e.reached || !e.idle() {
 		return protocol.UnknownRun
 	}
 	return protocol.NotRun
 }
 
 // giveUp tells the caller at once.
-func (n *Node) giveUp(e *entry, status int, why reason.Code, detail string, retryAfter time.Duration) {
+func (n *Node) giveUp(now time.Duration, e *entry, status int, why reason.Code, detail string, retryAfter time.Duration) {
 	if e.headSent {
 		n.emit(AnswerEnd{Request: e.request.ID, Broken: true, Reason: why})
 	} else {
@@ -274,14 +291,14 @@
 		n.emit(*answer)
 	}
 	n.emit(Event{Request: e.request.ID, Customer: e.customer.ID, What: "refused", Reason: why, Detail: detail})
-	delete(n.entries, e.request.ID)
+	n.remove(now, e)
 }
 
 // finish closes a whole answer.
-func (n *Node) finish(e *entry, why reason.Code) {
+func (n *Node) finish(now time.Duration, e *entry, why reason.Code) {
 	n.emit(AnswerEnd{Request: e.request.ID, Reason: why})
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "answered", Reason: why})
-	delete(n.entries, e.request.ID)
+	n.remove(now, e)
 }
 
 // callerGone gives up a request whose caller went away.
@@ -296,12 +313,17 @@
 	}
 	n.abandon(e)
 	n.emit(Event{Request: in.ID, Customer: e.customer.ID, What: "abandoned", Reason: reason.CallerGone})
-	delete(n.entries, in.ID)
+	n.remove(now, e)
+}
+
+// idle says that no attempt is under way.
+func (e *entry) idle() bool {
+	return e.phase == phaseWaiting || e.phase == phaseJournal || e.phase == phaseLimit
 }
 
 // abandon cancels the attempt under way.
 func (n *Node) abandon(e *entry) {
-	if e.upstream == nil || e.phase == phaseWaiting || e.phase == phaseJournal {
+	if e.upstream == nil || e.idle() {
 		return
 	}
 	n.send(e.upstream.Owner, fleet.Cancel{Attempt: e.current()})
@@ -311,7 +333,7 @@
 func (n *Node) entriesLostOwner(now time.Duration, peer protocol.RouterID) {
 	var hit []protocol.RequestID
 	for id, e := range n.entries {
-		if e.upstream != nil && e.upstream.Owner == peer && e.phase != phaseWaiting && e.phase != phaseJournal {
+		if e.upstream != nil && e.upstream.Owner == peer && !e.idle() {
 			hit = append(hit, id)
 		}
 	}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
@@ -76,6 +77,15 @@
 	Summary loadbound.Summary
 }
 
+// PeerLimitAsk asks this router, as the home of customers, for credit.
+type PeerLimitAsk struct {
+	From protocol.RouterID
+	Ask  limits.Ask
+}
+
+// PeerLimitAnswer brings credit from a home.
+type PeerLimitAnswer struct{ Answer limits.Answer }
+
 // PeerNotice carries news of crashes and quarantines.
 type PeerNotice struct{ Notice quarantine.Notice }
 
@@ -186,3 +196,5 @@
 func (JournalResult) input()   {}
 func (Tick) input()            {}
 func (Drain) input()           {}
+func (PeerLimitAsk) input()    {}
+func (PeerLimitAnswer) input() {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -27,6 +27,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/placement"
@@ -49,6 +50,8 @@
 	Stall time.Duration
 	// Deadline is the time a request has when its route names none.
 	Deadline time.Duration
+	// Incarnation is higher than at any earlier start of this router.
+	Incarnation uint32
 	// Random is seeded by the caller.
 	Random *rand.Rand
 }
@@ -71,13 +74,17 @@
 	// running finds the upstream of an attempt this router relays.
 	running map[fleet.Attempt]*owned
 	// sets orders the upstreams of each model.
-	sets       map[protocol.Model]*placement.Set
-	policy     placement.Policy
-	placer     *placement.Owner
-	ledger     *loadbound.Ledger
-	totalsSent time.Duration
-	budget     *retry.Budget
-	crashes    *quarantine.Tracker
+	sets     map[protocol.Model]*placement.Set
+	policy   placement.Policy
+	placer   *placement.Owner
+	ledger   *loadbound.Ledger
+	exchange *loadbound.Exchange
+	// routers are those that the exchange was made for.
+	routers []protocol.RouterID
+	limiter *limits.Limiter
+	home    *limits.Home
+	budget  *retry.Budget
+	crashes *quarantine.Tracker
 	// local holds messages to itself until the current step has handled them.
 	local   []Input
 	outputs []Output
@@ -95,16 +102,19 @@
 	bound.Multiple = config.Multiple
 	ledger := loadbound.NewLedger(bound)
 	return &Node{
-		config:  config,
-		view:    &View{},
-		entries: map[protocol.RequestID]*entry{},
-		owned:   map[protocol.UpstreamID]*owned{},
-		running: map[fleet.Attempt]*owned{},
-		policy:  policy,
-		ledger:  ledger,
-		placer:  placement.NewOwner(ledger, policy, movedChats),
-		budget:  retry.New(retry.DefaultConfig()),
-		crashes: quarantine.New(quarantine.DefaultConfig()),
+		config:   config,
+		view:     &View{},
+		entries:  map[protocol.RequestID]*entry{},
+		owned:    map[protocol.UpstreamID]*owned{},
+		running:  map[fleet.Attempt]*owned{},
+		policy:   policy,
+		ledger:   ledger,
+		placer:   placement.NewOwner(ledger, policy, movedChats),
+		exchange: loadbound.NewExchange(config.Self, []protocol.RouterID{config.Self}, 0),
+		limiter:  limits.NewLimiter(limits.DefaultConfig(), 1, config.Incarnation),
+		home:     limits.NewHome(limits.DefaultConfig(), nil),
+		budget:   retry.New(retry.DefaultConfig()),
+		crashes:  quarantine.New(quarantine.DefaultConfig()),
 	}
 }
 
@@ -158,6 +168,12 @@
 		n.ownerCancel(now, in)
 	case PeerTotals:
 		n.ledger.Receive(now, in.From, in.Summary)
+		n.exchange.Heard(now, in.From)
+		n.shareTotals(now)
+	case PeerLimitAsk:
+		n.limitAsked(now, in)
+	case PeerLimitAnswer:
+		n.limitAnswered(now, in.Answer)
 	case PeerMoved:
 		n.moved(now, in)
 	case PeerNotice:
@@ -207,6 +223,7 @@
 func (n *Node) tick(now time.Duration) {
 	n.tickEntries(now)
 	n.tickOwned(now)
+	n.askLimits(now)
 	n.shareTotals(now)
 }
 
@@ -250,6 +267,10 @@
 		return PeerOrderReport{From: from, Report: message}
 	case fleet.Moved:
 		return PeerMoved{Moved: message}
+	case limits.Ask:
+		return PeerLimitAsk{From: from, Ask: message}
+	case limits.Answer:
+		return PeerLimitAnswer{Answer: message}
 	}
 	panic("node: message of a type that isn't on the data path")
 }
@@ -270,6 +291,10 @@
 		return wire.KindOrderReport
 	case fleet.Moved:
 		return wire.KindMoved
+	case limits.Ask:
+		return wire.KindLimitAsk
+	case limits.Answer:
+		return wire.KindLimitAnswer
 	}
 	panic("node: message of a type that isn't on the data path")
 }
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -301,3 +301,36 @@
 	assert.Equal(t, other.Status, 422)
 	assert.Assert(t, strings.Contains(other.Reason, "idempotency"))
 }
+
+// A customer's limit is 10 requests a second. Its callers send 60 a second, a
+// third through each router, of which none sees more than a sliver. Over the
+// whole fleet no more may run than the limit and its burst allow, the rest must
+// hear at once when to come back, and another customer must not notice.
+func TestCustomersLimitHoldsOverTheFleet(t *testing.T) {
+	f := newFleet(3)
+	f.SetCustomer("limited", node.Customer{ID: "b", Class: 1, Weight: 100, RequestsPerSecond: 10})
+	f.Run(time.Second)
+	const seconds = 20
+	for i := range 60 * seconds {
+		f.Submit(protocol.RouterID(fmt.Sprintf("r%d", i%3+1)), protocol.RequestID(fmt.Sprintf("b-%d", i)), "limited", fmt.Sprint("p", i), 2)
+		if i%60 == 0 {
+			f.Submit("r1", protocol.RequestID(fmt.Sprintf("a-%d", i)), "key", fmt.Sprint("q", i), 2)
+		}
+		f.Run(time.Second / 60)
+	}
+	f.Run(5 * time.Second)
+	served := 0
+	for id, answer := range f.Answers {
+		if strings.HasPrefix(string(id), "a-") || answer.Status == 200 {
+			assert.Equal(t, answer.Status, 200)
+			served++
+			continue
+		}
+		assert.Equal(t, answer.Status, 429)
+		assert.Equal(t, answer.Outcome, protocol.NotRun)
+		assert.Assert(t, answer.RetryAfter > 0)
+	}
+	served -= seconds
+	t.Logf("served %d in %d s", served, seconds)
+	assert.Assert(t, served >= 8*seconds && served <= 12*seconds, "%d", served)
+}
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -139,6 +139,12 @@
 	f.showAll()
 }
 
+// SetCustomer puts a whole customer's row in force.
+func (f *Fleet) SetCustomer(key string, row node.Customer) {
+	f.customers[sha256.Sum256([]byte(key))] = &row
+	f.showAll()
+}
+
 // Route adds a route to a plain service.
 func (f *Fleet) Route(route node.Route) {
 	f.routes = append(f.routes, route)
--- a/coordination/node/order.go
+++ b/coordination/node/order.go
@@ -61,7 +61,7 @@
 		n.performOrder(now, e, out)
 	}
 	if e.order.flow.Ended() {
-		delete(n.entries, e.request.ID)
+		n.remove(now, e)
 	}
 }
 
@@ -128,6 +128,9 @@
 
 // orderIsDue says whether the flow wants a look or a tick.
 func (n *Node) orderIsDue(now time.Duration, e *entry) bool {
+	if e.phase == phaseLimit {
+		return now >= e.wakeAt
+	}
 	if e.order.lookAt > 0 && now >= e.order.lookAt {
 		return true
 	}
--- a/coordination/node/seek.go
+++ b/coordination/node/seek.go
@@ -294,5 +294,5 @@
 	}
 	e.phase = phaseWaiting
 	wait := time.Duration(reply.RetryAfterMS) * time.Millisecond
-	n.giveUp(e, 503, reason.Code(reply.Reason), "the upstreams are busy", wait)
+	n.giveUp(now, e, 503, reason.Code(reply.Reason), "the upstreams are busy", wait)
 }
--- a/coordination/node/upstreams.go
+++ b/coordination/node/upstreams.go
@@ -186,8 +186,20 @@
 		}
 	}
 	n.ledger.SetFleetCapacity(view.engineCapacity())
-	peers, _ := loadbound.Neighbours(n.config.Self, view.Routers)
-	n.ledger.Keep(peers)
+	n.reviewRouters(now, view)
+	n.home.SetTable(view.limits())
+}
+
+// reviewRouters follows the fleet's routers. The exchange begins anew only
+// when they change, so that other changes of the view don't disturb its waves.
+func (n *Node) reviewRouters(now time.Duration, view *View) {
+	if slices.Equal(n.routers, view.Routers) || !slices.Contains(view.Routers, n.config.Self) {
+		return
+	}
+	n.routers = view.Routers
+	n.exchange = loadbound.NewExchange(n.config.Self, view.Routers, now)
+	n.ledger.Keep(n.exchange.Peers())
+	n.limiter.SetRouters(len(view.Routers))
 }
 
 // buildSets orders the upstreams of each model for placement.
@@ -251,13 +263,8 @@
 
 // shareTotals tells the neighbours the load of this router's upstreams.
 func (n *Node) shareTotals(now time.Duration) {
-	if now-n.totalsSent < loadbound.ExchangePeriod {
-		return
-	}
-	n.totalsSent = now
-	peers, relay := loadbound.Neighbours(n.config.Self, n.view.Routers)
-	for _, peer := range peers {
-		summary := n.ledger.Summary(now, peer, relay)
+	for _, peer := range n.exchange.Due(now) {
+		summary := n.ledger.Summary(now, peer, n.exchange.Relay())
 		n.emit(Send{To: peer, Kind: wire.KindTotals, Payload: summary})
 	}
 }
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"endiveplank/coordination/limits"
 	"endiveplank/protocol"
 	"endiveplank/protocol/upstreamapi"
 )
@@ -101,3 +102,20 @@
 	rest := path[len(prefix):]
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/' || rest[0] == '?'
 }
+
+// limits lists the customers that have limits.
+func (v *View) limits() map[protocol.CustomerID]limits.Limit {
+	listed := map[protocol.CustomerID]limits.Limit{}
+	for _, customer := range v.Customers {
+		listed[customer.ID] = customer.limit()
+	}
+	return listed
+}
+
+func (c *Customer) limit() limits.Limit {
+	return limits.Limit{
+		TokensPerSecond:   c.TokensPerSecond,
+		RequestsPerSecond: c.RequestsPerSecond,
+		Concurrent:        c.Concurrent,
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -123,6 +123,7 @@
 			ReuseWeight: d.settings.Load.ReuseWeight,
 			Stall:       d.settings.Timing.Stall(),
 			Deadline:    time.Duration(d.settings.Callers.DeadlineMS) * time.Millisecond,
+			Incarnation: uint32(d.epoch.Unix()),
 			Random:      newRandom(),
 		}),
 	}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -21,7 +21,7 @@
 
 const (
 	// memberTick is how often the member looks whether a renewal is due.
-	memberTick = 20 * time.Millisecond
+	memberTick = 100 * time.Millisecond
 	// askTimeout bounds one question to one voter. A voter that takes longer
 	// is frozen or gone, and another may lead.
 	askTimeout = time.Second
@@ -157,6 +157,7 @@
 		}
 		m.holder.Opened(m.now(), result.Ownership.Session)
 		m.log.Info().Uint64("session", uint64(result.Ownership.Session)).Msg("state: session open")
+		go m.tick()
 	}()
 }
 
@@ -173,6 +174,11 @@
 		m.log.Warn().Msg("state: session was closed, opening another")
 	}
 	m.showLocked()
+	due := m.holder.RenewalDue(m.now())
+	if due {
+		// The reply brought changes; the next renewal acknowledges them.
+		go m.tick()
+	}
 }
 
 // onPush takes changes that a leader sent unasked.
@@ -212,15 +218,21 @@
 // admitting to it by now, because it has the view that says so.
 func (m *member) releaseMoving(view *fleetstate.View) {
 	session := m.holder.Session()
-	var upstreams []protocol.UpstreamID
+	held := heldBy(view, session, func(assignment ownership.Assignment) bool { return assignment.Moving })
+	if len(held) > 0 {
+		m.release(session, held)
+	}
+}
+
+// heldBy lists what a session owns, as a release names it.
+func heldBy(view *fleetstate.View, session ownership.SessionID, wanted func(ownership.Assignment) bool) []ownership.Held {
+	var held []ownership.Held
 	view.Assignments(func(assignment ownership.Assignment) {
-		if assignment.Owner == session && assignment.Moving {
-			upstreams = append(upstreams, assignment.Upstream)
+		if assignment.Owner == session && wanted(assignment) {
+			held = append(held, ownership.Held{Upstream: assignment.Upstream, Fence: assignment.Fence})
 		}
 	})
-	if len(upstreams) > 0 {
-		m.release(session, upstreams)
-	}
+	return held
 }
 
 // learnRouters tells the mesh where the fleet's routers listen.
@@ -376,13 +388,13 @@
 }
 
 // release proposes to give up upstreams that this router was asked for.
-func (m *member) release(session ownership.SessionID, upstreams []protocol.UpstreamID) {
+func (m *member) release(session ownership.SessionID, held []ownership.Held) {
 	m.done.Add(1)
 	go func() {
 		defer m.done.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 		defer cancel()
-		_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Upstreams: upstreams}}, false)
+		_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Held: held}}, false)
 	}()
 }
 
@@ -392,12 +404,7 @@
 	m.mu.Lock()
 	m.stopping = true
 	session := m.holder.Session()
-	var owned []protocol.UpstreamID
-	m.holder.View().Assignments(func(assignment ownership.Assignment) {
-		if assignment.Owner == session {
-			owned = append(owned, assignment.Upstream)
-		}
-	})
+	owned := heldBy(m.holder.View(), session, func(ownership.Assignment) bool { return true })
 	m.mu.Unlock()
 	if session == ownership.NoSession {
 		return
@@ -405,7 +412,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	_, _ = m.propose(ctx, fleetstate.Command{Stop: &ownership.Stop{Session: session}}, false)
-	_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Upstreams: owned}}, false)
+	_, _ = m.propose(ctx, fleetstate.Command{Release: &ownership.Release{Session: session, Held: owned}}, false)
 }
 
 // closeSession ends the session, after which nobody waits for its lease.
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/explain"
+	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
 	"endiveplank/protocol"
@@ -217,6 +218,10 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindLimitAsk:
+		return decoded[limits.Ask](from, frame)
+	case wire.KindLimitAnswer:
+		return decoded[limits.Answer](from, frame)
 	case wire.KindMoved:
 		return decoded[fleet.Moved](from, frame)
 	case wire.KindOrderReport:
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -82,6 +82,9 @@
 	KindOrderReport Kind = 21
 	// KindMoved tells the owner of a chat's first choice where it ran.
 	KindMoved Kind = 22
+	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
+	KindLimitAsk    Kind = 23
+	KindLimitAnswer Kind = 24
 )
 
 // kindNames are the names of kinds in metrics.
@@ -93,6 +96,7 @@
 	KindCancel: "cancel", KindAnnounce: "announce", KindLeave: "leave", KindGossip: "gossip",
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
+	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
 }
 
 // String returns the kind's name.
