Load bound: owners learn what the entry has just heard; a lost queue place

Cause: (1) in a small fleet requests come faster than totals are exchanged; the engine with the least work turned requests away, because its owner did not know what the other took a moment ago, and callers waited for the next exchange while engines idled. (2) A request whose owner handed its queue back (the engine crashed) stayed at the entry until its deadline, because the entry's walk had ended with "queued". Ruled out: a faster exchange (control budget); no bound below some load (the first promise would hold only when it is easy). Change: each question of a walk carries the loads that earlier owners answered; the ledger takes them as a floor under its view of the fleet. A queue place that is lost makes the entry look again from the start.

--- a/coordination/loadbound/decision.go
+++ b/coordination/loadbound/decision.go
@@ -66,6 +66,9 @@
 	// the set one; 0 means the set one. Placement lowers it for requests
 	// that gain little from this upstream's cache.
 	Multiple float64
+	// Seen is the load of other upstreams as their owners have told the asker
+	// within the last few round trips, in tokens; 0 when it asked no other.
+	Seen float64
 	// Final says that the asker has no other choice left: the answer is then
 	// never Spill.
 	Final bool
--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -226,6 +226,7 @@
 func (l *Ledger) judge(now time.Duration, a *account, ask Ask) Decision {
 	load := l.counted(now, a)
 	fleet := l.fleet(now)
+	l.see(&fleet, load, ask.Seen)
 	share := a.grant.Capacity / fleet.capacity
 	after := load + ask.Cost
 	decision := Decision{Outcome: Admit}
@@ -259,6 +260,20 @@
 	return decision.deny(ask, OverBound)
 }
 
+// see takes in what the asker has just heard from other owners.
+//
+// Failure guarded: requests come faster than totals are exchanged, as in any
+// small fleet. The upstream that has the least work turns a request away,
+// because its owner doesn't know yet what the others took a moment ago, and
+// callers wait for an exchange while engines idle.
+func (l *Ledger) see(fleet *fleetView, load, seen float64) {
+	if !(seen > 0) || math.IsInf(seen, 0) {
+		return
+	}
+	fleet.floor = max(fleet.floor, load+(1-l.config.CancelShare)*seen)
+	fleet.reported = max(fleet.reported, load+seen)
+}
+
 // deny turns a decision into Spill, or into Queue for a final ask.
 func (d Decision) deny(ask Ask, reason Reason) Decision {
 	d.Reason = reason
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -56,6 +56,7 @@
 	// and next do for a plain service.
 	walk       placement.Walk
 	walking    bool
+	seen       []heardLoad
 	candidates []*Upstream
 	next       int
 	// failures counts the attempts that broke, and again asks the next attempt
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -136,6 +136,7 @@
 			Chain:        coreChain(place.Chain),
 			Root:         place.Root,
 			OutputTokens: max(1, place.OutputTokens-place.ResumeAt),
+			Seen:         place.Seen,
 		}
 		fresh.cost = n.policy.Cost(place.PromptTokens, 0, fresh.ask.OutputTokens)
 	}
@@ -208,7 +209,9 @@
 		n.submit(now, target, r)
 		return
 	}
+	load, _, _ := n.ledger.Load(now, target.id)
 	n.replyPlace(r.from, r.place, fleet.PlaceReply{
+		Load:       load,
 		Outcome:    fleet.PlaceSpilled,
 		Reason:     string(spillReason(answer)),
 		Verdict:    uint8(answer.Verdict),
--- a/coordination/node/seek.go
+++ b/coordination/node/seek.go
@@ -39,6 +39,7 @@
 		return
 	}
 	e.walking = true
+	e.seen = nil
 	e.walk = placement.Begin(n.setFor(e), n.policy, placement.Request{
 		Chain:        e.chain,
 		Root:         e.template.Root,
@@ -200,10 +201,39 @@
 	message.ResumeAt = e.delivered
 	message.Stage = uint8(stage)
 	message.Home = home
+	message.Seen = e.seenBeside(upstream.ID)
 	message.RemainingMS = (e.deadline - now).Milliseconds()
 	n.send(upstream.Owner, message)
 }
 
+// heardLoad is what an owner said of its upstream's load.
+type heardLoad struct {
+	upstream protocol.UpstreamID
+	tokens   float64
+}
+
+// hear keeps an upstream's load for the next questions of this walk.
+func (e *entry) hear(tokens float64) {
+	for i := range e.seen {
+		if e.seen[i].upstream == e.upstream.ID {
+			e.seen[i].tokens = tokens
+			return
+		}
+	}
+	e.seen = append(e.seen, heardLoad{e.upstream.ID, tokens})
+}
+
+// seenBeside sums what was heard of other upstreams.
+func (e *entry) seenBeside(id protocol.UpstreamID) float64 {
+	sum := 0.0
+	for _, heard := range e.seen {
+		if heard.upstream != id {
+			sum += heard.tokens
+		}
+	}
+	return sum
+}
+
 // entryReply takes an owner's decision.
 func (n *Node) entryReply(now time.Duration, in PeerPlaceReply) {
 	e := n.live(in.Reply.Attempt)
@@ -256,6 +286,7 @@
 
 // entrySpilled asks the next owner.
 func (n *Node) entrySpilled(now time.Duration, e *entry, reply fleet.PlaceReply) {
+	e.hear(reply.Load)
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "spilled", Reason: reason.Code(reply.Reason)})
 	if e.phase == phaseQueued {
 		// Offered again after a wait: look from the start.
@@ -276,7 +307,8 @@
 
 // entryNotOwner goes on without the router that no longer owns the upstream.
 func (n *Node) entryNotOwner(now time.Duration, e *entry) {
-	if !e.walking {
+	if e.phase == phaseQueued || !e.walking {
+		// The walk has ended, or there was none: look again from the start.
 		n.waitForOwner(now, e)
 		return
 	}
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -35,6 +35,8 @@
 	Root  int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// Seen is the load of other upstreams that the asker heard in this walk.
+	Seen float64
 }
 
 // Verdict is what an owner answers.
@@ -193,6 +195,7 @@
 	decision := o.ledger.Admit(now, ask.Upstream, loadbound.Ask{
 		Cost:     o.policy.Cost(prompt, saved, ask.OutputTokens),
 		Multiple: o.policy.SoftMultiple(share),
+		Seen:     ask.Seen,
 		Final:    ask.Stage == Final,
 	})
 	answer := Answer{
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -65,6 +65,9 @@
 	Home bool `msgpack:"ho,omitempty"`
 	// Root is the position in Chain of the link that places the chat.
 	Root int `msgpack:"ro,omitempty"`
+	// Seen is the load of other upstreams that the entry has heard of while it
+	// looked for room, in tokens.
+	Seen float64 `msgpack:"se,omitempty"`
 	// Suspect says that the request is on trial for crashes.
 	Suspect bool `msgpack:"su,omitempty"`
 	// RemainingMS is the time left until the request's deadline when the
@@ -118,6 +121,8 @@
 	Forward    uint32  `msgpack:"f,omitempty"`
 	SavedShare float64 `msgpack:"s,omitempty"`
 	Ratio      float64 `msgpack:"l,omitempty"`
+	// Load is the upstream's counted load, in tokens.
+	Load float64 `msgpack:"lo,omitempty"`
 }
 
 // Moved tells the owner of a chat's first choice where the chat ran instead.
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -176,6 +177,10 @@
 	h.handle("POST /admin/v1/undo", settings.OperatorEdit, h.undo)
 	h.handle("GET /admin/v1/orders/{customer}/{key}", settings.OperatorRead, h.order)
 	h.handle("POST /admin/v1/orders/settle", settings.OperatorEdit, h.settle)
+	h.handle("GET /debug/pprof/profile", settings.OperatorControl, func(w http.ResponseWriter, r *http.Request, _ string) { pprof.Profile(w, r) })
+	h.handle("GET /debug/pprof/{name}", settings.OperatorControl, func(w http.ResponseWriter, r *http.Request, _ string) {
+		pprof.Handler(r.PathValue("name")).ServeHTTP(w, r)
+	})
 	return h
 }
 
