Limits: requests in flight measured, three faults mended

An answer to a router that gave slots back was taken for a denial; each router kept a spare slot; idle slots stayed for 10 s. Change: denial only when fewer slots come than were asked; spares where many run; idle slots go back after 5 s, scarce ones after 1 s; denied routers ask again after a quarter of the period. Scenario with the ideal counter beside it. Seen to fail first: the denial test with the old rule.

--- a/coordination/limits/limiter.go
+++ b/coordination/limits/limiter.go
@@ -46,13 +46,14 @@
 	wantTokens   float64
 	wantRequests float64
 	// The ask on its way.
-	sequence uint32
-	asked    bool
-	askedAt  time.Duration
-	deny     time.Duration // no use asking before
-	failures int
-	floor    bucket
-	floorReq bucket
+	sequence   uint32
+	asked      bool
+	askedSlots int
+	askedAt    time.Duration
+	deny       time.Duration // no use asking before
+	failures   int
+	floor      bucket
+	floorReq   bucket
 }
 
 // demand counts requests and their tokens.
@@ -108,11 +109,24 @@
 		return
 	}
 	w.running--
-	if w.scarce && w.slots > w.running {
-		w.renewAt = now
+	if w.slots <= w.running {
+		return
+	}
+	keep := keepIdleSlot
+	if w.scarce {
+		keep = keepScarceSlot
 	}
+	w.renewAt = min(w.renewAt, now+keep)
 }
 
+// keepIdleSlot is how long a router keeps a slot that it does not use, and
+// keepScarceSlot how long when others want it: its own next request may use it
+// without any message.
+const (
+	keepIdleSlot   = 5 * time.Second
+	keepScarceSlot = time.Second
+)
+
 func (l *Limiter) decide(now time.Duration, customer protocol.CustomerID, w *wallet, tokens float64) Decision {
 	if w.covers(tokens) {
 		w.pay(tokens)
@@ -241,9 +255,10 @@
 		w.seen.requests -= w.seenAsked.requests
 		if granted.RetryMillis > 0 {
 			w.deny = now + time.Duration(granted.RetryMillis)*time.Millisecond
-		} else if w.limit.Concurrent > 0 && w.slots <= w.running {
-			const slotRetry = 500 * time.Millisecond
-			w.deny = now + slotRetry
+		} else if w.slots < w.askedSlots {
+			// Denied routers ask again in turns, as for credit.
+			const partOfPeriod = 4
+			w.deny = now + time.Duration(granted.Seconds)*time.Second/partOfPeriod
 		}
 		if w.slots > 0 {
 			w.renewAt = now + l.config.SlotRenew
@@ -277,10 +292,11 @@
 	w.sequence++
 	w.asked = true
 	w.askedAt = now
+	w.askedSlots = w.wantedSlots()
 	entry := AskEntry{
 		Customer: keyOf(customer),
 		Sequence: w.sequence,
-		Slots:    uint16(min(w.wantedSlots(), math.MaxUint16)),
+		Slots:    uint16(min(w.askedSlots, math.MaxUint16)),
 		Held:     uint16(min(w.slots, math.MaxUint16)),
 	}
 	entry.SeenTokens = uint32(w.seen.tokens)
@@ -336,11 +352,16 @@
 	return w.limit.Concurrent > 0 && w.slots > 0 && now >= w.renewAt
 }
 
-// wantedSlots is what runs and what waits, and without scarcity one more.
+// wantedSlots is what runs and what waits, and without scarcity a few more where
+// many run. A spare slot at each of many routers would use up a small limit.
 func (w *wallet) wantedSlots() int {
+	if w.limit.Concurrent <= 0 {
+		return 0
+	}
+	const runningPerSpare = 4
 	wanted := w.running + int(w.wantRequests)
-	if wanted > 0 && !w.scarce {
-		wanted++
+	if !w.scarce {
+		wanted += wanted / runningPerSpare
 	}
 	return wanted
 }
--- a/coordination/limits/limits_test.go
+++ b/coordination/limits/limits_test.go
@@ -193,3 +193,18 @@
 	assert.NilError(t, encoder.Encode(AnswerEntry{keyOf(who), 70000, 9000, 30, 2, 20000, 55, false}))
 	assert.Equal(t, out.Len(), 21)
 }
+
+// A router gives slots back and asks for none. Taken for a denial, the answer made
+// it refuse the customer's next requests while slots were free.
+func TestGivingSlotsBackIsNoDenial(t *testing.T) {
+	limit := Limit{Concurrent: 10}
+	l, h := newPair(limit)
+	h.account(-time.Hour, keyOf(who))
+	answer := func(now time.Duration) { l.Granted(now, h.Answer(now, "a", entries(l, now))) }
+	l.Admit(0, who, limit, 1)
+	answer(0)
+	assert.Equal(t, l.Again(0, who, limit, 1).Kind, Allow)
+	l.Finished(time.Second, who)
+	answer(10 * time.Second)
+	assert.Equal(t, l.Admit(10*time.Second, who, limit, 1).Kind, Wait)
+}
--- a/coordination/loadbench/fleet.go
+++ b/coordination/loadbench/fleet.go
@@ -23,6 +23,9 @@
 	EqualShares
 	// PerRouter gives each router the whole limit.
 	PerRouter
+	// OneCounter is the ideal for requests in flight: one counter that all
+	// routers see at once.
+	OneCounter
 )
 
 // FleetConfig describes a run of the Fleet model: customers whose requests come
@@ -38,6 +41,9 @@
 	// others half of theirs.
 	GreedyEvery  int
 	GreedyFactor float64
+	// Concurrent limits requests in flight instead of tokens per second. Requests
+	// run for RunTime in the mean.
+	Concurrent bool
 	// Lost is the share of messages that get lost.
 	Lost float64
 	// From PartedFrom to PartedTo, routers with a number below Parted reach
@@ -57,6 +63,10 @@
 	// count, since the error of a few requests is their randomness.
 	Over  float64
 	Under float64
+	// MostInFlight is the largest number in flight of a greedy customer over its
+	// limit, in percent above it, for concurrency limits; Over and Under are then
+	// those of the mean number in flight.
+	MostInFlight float64
 	// ModestRefused is the share of requests refused of customers within their
 	// limits, and Waited of all allowed requests those that waited for a home.
 	ModestRefused float64
@@ -66,8 +76,15 @@
 	BytesMax  float64
 }
 
-// MinAdmitted is the least number of requests for which an error counts.
-const MinAdmitted = 100
+// MinAdmitted is the least number of requests for which an error counts, and
+// MinSlots the least limit of requests in flight.
+const (
+	MinAdmitted = 100
+	MinSlots    = 10
+)
+
+// RunTime is how long a request runs in the mean.
+const RunTime = 5 * time.Second
 
 const (
 	requestTokens = 300.0
@@ -104,6 +121,20 @@
 	sent     int
 	refused  int
 	admitted float64
+	inFlight int
+	most     int
+	ran      float64 // seconds of requests in flight
+	counted  time.Duration
+}
+
+// count adds up the time in flight until now.
+func (c *fleetCustomer) count(now, warm time.Duration) {
+	from := max(c.counted, warm)
+	if now > from {
+		c.ran += float64(c.inFlight) * (now - from).Seconds()
+		c.most = max(c.most, c.inFlight)
+	}
+	c.counted = now
 }
 
 type fleetRequest struct {
@@ -164,6 +195,9 @@
 			allowed = rate / f.config.GreedyFactor
 		}
 		c.limit = limits.Limit{TokensPerSecond: allowed * requestTokens}
+		if f.config.Concurrent {
+			c.limit = limits.Limit{Concurrent: int(math.Ceil(allowed * RunTime.Seconds()))}
+		}
 		table[c.id] = c.limit
 		f.byID[c.id] = c
 		f.customers = append(f.customers, c)
@@ -195,6 +229,10 @@
 	if f.Now() >= f.config.Warm {
 		r.customer.sent++
 	}
+	if f.config.Policy == OneCounter {
+		f.admitByCounter(r)
+		return
+	}
 	if f.config.Policy != Credit {
 		f.admitLocally(r)
 		return
@@ -230,6 +268,9 @@
 }
 
 func (f *fleet) admit(r *fleetRequest) {
+	if f.config.Concurrent {
+		f.run(r)
+	}
 	if f.Now() < f.config.Warm {
 		return
 	}
@@ -240,6 +281,18 @@
 	r.customer.admitted += float64(r.tokens)
 }
 
+// run keeps a request in flight for a while.
+func (f *fleet) run(r *fleetRequest) {
+	c := r.customer
+	c.count(f.Now(), f.config.Warm)
+	c.inFlight++
+	f.After(exponential(f.rng, 1/RunTime.Seconds()), func() {
+		c.count(f.Now(), f.config.Warm)
+		c.inFlight--
+		f.limiters[r.router].Finished(f.Now(), c.id)
+	})
+}
+
 func (f *fleet) refuse(r *fleetRequest) {
 	if f.Now() >= f.config.Warm {
 		r.customer.refused++
@@ -269,6 +322,14 @@
 	f.admit(r)
 }
 
+func (f *fleet) admitByCounter(r *fleetRequest) {
+	if r.customer.inFlight >= r.customer.limit.Concurrent {
+		f.refuse(r)
+		return
+	}
+	f.admit(r)
+}
+
 func (f *fleet) tick(router int) {
 	f.send(router)
 	f.After(askTick, func() { f.tick(router) })
@@ -382,16 +443,24 @@
 }
 
 func (f *fleet) result() FleetResult {
-	r := FleetResult{Over: -100, Under: 100}
+	r := FleetResult{Over: -100, Under: 100, MostInFlight: -100}
 	seconds := (f.config.End - f.config.Warm).Seconds()
 	modest, modestRefused := 0, 0
 	for _, c := range f.customers {
 		allowed := c.limit.TokensPerSecond * seconds
+		if f.config.Concurrent && c.greedy && c.limit.Concurrent >= MinSlots {
+			c.count(f.config.End, f.config.Warm)
+			mean := c.ran / seconds / float64(c.limit.Concurrent)
+			r.Over = max(r.Over, 100*(mean-1))
+			r.Under = min(r.Under, 100*(mean-1))
+			r.MostInFlight = max(r.MostInFlight, 100*(float64(c.most)/float64(c.limit.Concurrent)-1))
+			continue
+		}
 		switch {
 		case !c.greedy:
 			modest += c.sent
 			modestRefused += c.refused
-		case allowed >= MinAdmitted*requestTokens:
+		case !f.config.Concurrent && allowed >= MinAdmitted*requestTokens:
 			r.Over = max(r.Over, 100*(c.admitted/allowed-1))
 			r.Under = min(r.Under, 100*(c.admitted/allowed-1))
 		}
--- a/coordination/loadbench/fleet_scenarios.go
+++ b/coordination/loadbench/fleet_scenarios.go
@@ -17,6 +17,7 @@
 	return []Scenario{
 		fleetScenario(fleetConfig(9, 10, 60)),
 		fleetScenario(fleetConfig(100, 720, 2970)),
+		concurrentScenario(fleetConfig(100, 720, 2970)),
 		{Name: "limits/routers=100/lost=5pct", Run: func() []Metric { return fleetMetrics("", lossy) }},
 		{Name: "limits/routers=100/parted=33", Run: func() []Metric { return fleetMetrics("", parted)[:1] }},
 	}
@@ -53,6 +54,26 @@
 	}}
 }
 
+// concurrentScenario limits the requests in flight of every customer.
+func concurrentScenario(config FleetConfig) Scenario {
+	config.Concurrent = true
+	config.End = 120 * time.Second
+	return Scenario{Name: fmt.Sprintf("limits/routers=%d/in-flight", config.Routers), Run: func() []Metric {
+		r := RunFleet(config)
+		config.Policy = OneCounter
+		ideal := RunFleet(config)
+		return []Metric{
+			{"most-in-flight-over-pct", r.MostInFlight},
+			{"mean-in-flight-best-pct", r.Over},
+			{"mean-in-flight-worst-pct", r.Under},
+			{"modest-refused-pct", r.ModestRefused},
+			{"one-counter-modest-refused-pct", ideal.ModestRefused},
+			{"ctl-B/s/node", r.BytesMean},
+			{"ctl-B/s/busiest-node", r.BytesMax},
+		}
+	}}
+}
+
 func fleetMetrics(prefix string, config FleetConfig) []Metric {
 	r := RunFleet(config)
 	return []Metric{
