--- a/coordination/loadbench/scenario.go
+++ b/coordination/loadbench/scenario.go
@@ -20,7 +20,7 @@
 
 // Scenarios returns all scenarios in the order of the benchmark page.
 func Scenarios() []Scenario {
-	return slices.Concat(servingScenarios(), fleetScenarios(), stormScenarios(), crashScenarios(), peersScenarios())
+	return slices.Concat(servingScenarios(), fleetScenarios(), stormScenarios(), crashScenarios(), peersScenarios(), stallScenarios())
 }
 
 // Seeds are the seeds every scenario runs with; figures are the worst or the
