Admission: an idle upstream keeps no reserve

Cause: a request of class 1 and up that together with the reserve is more than the upstream's bound never started, even on an idle upstream; it held up its class until its deadline. Change: the reserve counts only while something runs. Gate's comment says that any single request must fit an idle upstream. Seen to fail first: TestReserveStopsNobodyAtAnIdleUpstream. Conclusion: no request waits for room that can never come.

--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -24,6 +24,7 @@
 	drain    rate // tokens finished per second
 	direct   rate // tokens started without waiting, per second
 	speed    streamSpeed
+	running  int // streams at the last call of Drained, and starts since
 	arrivals uint64
 }
 
@@ -154,8 +155,9 @@
 
 // Drained tells the queue that the running requests, streams in number, made
 // tokens of progress since the last call. Calls every 100 ms or so, or at each
-// batch of chunks, are frequent enough.
+// batch of chunks, are frequent enough, and one whenever a request has ended.
 func (q *Queue) Drained(now time.Duration, tokens, streams int) {
+	q.running = streams
 	q.drain.add(now, tokens)
 	q.speed.add(now, tokens, streams)
 }
@@ -268,9 +270,10 @@
 	f.standing = long
 }
 
-// reserve is the room that a class leaves free for class 0.
+// reserve is the room that a class leaves free for class 0. An idle upstream keeps
+// none: a request that is too long to leave the reserve would never start.
 func (q *Queue) reserve(class Class) int {
-	if class == 0 {
+	if class == 0 || q.running == 0 {
 		return 0
 	}
 	return q.config.ReserveTokens
@@ -320,6 +323,7 @@
 	q.observeWait(now, e)
 	q.shares.charge(c, e.flow, e.request.Tokens)
 	q.account(e.request.Class, e.request.Tokens)
+	q.running++
 	q.discard(now, e.request.ID)
 }
 
@@ -330,6 +334,7 @@
 	q.shares.charge(&q.classes[r.Class], f, r.Tokens)
 	f.standing = false
 	q.account(r.Class, r.Tokens)
+	q.running++
 }
 
 // account gives each waiting class its share of the started tokens as credit
--- a/coordination/admission/queue_test.go
+++ b/coordination/admission/queue_test.go
@@ -221,6 +221,7 @@
 // otherwise wait for a summary to end.
 func TestLessUrgentWorkLeavesAReserve(t *testing.T) {
 	q := New(DefaultConfig(1000, 37))
+	q.Drained(0, 0, 1)
 	room := func(tokens int) bool { return tokens <= 300 }
 	assert.Equal(t, q.Submit(0, request("low", "a", 1, 100), room).Kind, Queued)
 	assert.Equal(t, q.Submit(0, request("urgent", "b", 0, 100), room).Kind, Admitted)
@@ -259,3 +260,20 @@
 	wait := q.ExpectedWait(0, request("r", "urgent", 0, 100))
 	assert.Equal(t, wait, time.Duration(0))
 }
+
+// A long request of class 1 and the reserve together are more than the upstream's
+// bound. It waited until its deadline before an idle engine.
+func TestReserveStopsNobodyAtAnIdleUpstream(t *testing.T) {
+	q := New(DefaultConfig(1000, 37))
+	small := func(tokens int) bool { return tokens <= 300 }
+	q.Drained(0, 0, 1)
+	assert.Equal(t, q.Submit(0, request("long", "a", 1, 200), small).Kind, Queued)
+	_, ok := q.Next(0, small)
+	assert.Assert(t, !ok)
+	q.Drained(time.Second, 10, 0) // the running request has ended
+	_, ok = q.Next(time.Second, small)
+	assert.Assert(t, ok)
+	q.Drained(2*time.Second, 10, 0)
+	assert.Equal(t, q.Submit(2*time.Second, request("next", "a", 1, 200), small).Kind, Admitted)
+	assert.Equal(t, q.Submit(2*time.Second, request("third", "a", 1, 200), small).Kind, Queued)
+}
--- a/coordination/admission/types.go
+++ b/coordination/admission/types.go
@@ -33,7 +33,9 @@
 }
 
 // Gate says whether the upstream's load may rise by tokens now. It must not
-// count the tokens: the caller does, when the queue has admitted the request.
+// count the tokens: the caller does, when the queue has admitted the request. It must
+// let any single request start on an idle upstream, since the queue never passes a
+// request by that doesn't fit.
 type Gate func(tokens int) bool
 
 // Kind tells the three outcomes of Submit apart.
