Quarantine: a restart within a lost rack is no sign of guilt

Cause: requests of a rack's first upstreams were started again on the next ones and died there too; a request in two crashes at a similar age counted as one cause of both, so the loss was not seen as one and its requests waited for lonely engines. Change: a request explains crashes only where it ran alone in the later one or was in three at a similar age.

--- a/coordination/quarantine/crash.go
+++ b/coordination/quarantine/crash.go
@@ -48,7 +48,7 @@
 		report.Condemned = append(report.Condemned, guilty.digest)
 		report.Notices = append(report.Notices, t.condemn(now, guilty, id))
 	}
-	if t.remember(now, crash{id: id, at: now, with: with}) {
+	if t.remember(now, crash{id: id, at: now, with: told}) {
 		report.Void = true
 		report.Condemned = nil
 		report.Notices = report.Notices[:1]
--- a/coordination/quarantine/mass.go
+++ b/coordination/quarantine/mass.go
@@ -1,25 +1,27 @@
 package quarantine
 
 // independentCauses returns how many causes are needed to explain crashes, if
-// one request explains all crashes that it was in and anything else explains one.
+// one request may explain several and anything else explains one.
 //
 // A request that crashes upstreams one after the other is one cause of many
-// crashes. A rack that fails takes requests that ran in one place each, so
-// each of its upstreams needs a cause of its own. The requests of its
-// first upstreams may have been started again on the next ones just before those
-// fail too, so a request counts only for crashes at a similar age (see
-// sameAge). Greedy choice is at worst a little above the true number, and three or
-// more crashes within the window are rare enough to lean that way.
+// crashes; a rack that fails takes requests that ran in one place each, so each of
+// its upstreams needs a cause of its own. But the requests of its first upstreams
+// may have been started again on the next ones just before those fail too, and
+// some are in two crashes by that accident. So a shared request counts only where
+// the accident is unlikely: where it ran alone in the later crash, or where it was
+// in three or more at a similar age (see sameAge).
 func independentCauses(crashes []crash) int {
-	explains := explanations(crashes)
 	open := make(map[int]bool, len(crashes))
 	for i := range crashes {
-		open[i] = true
+		if !explainedAlone(crashes, i) {
+			open[i] = true
+		}
 	}
+	explains := explanations(crashes)
 	causes := 0
 	for len(open) > 0 {
 		best := widest(explains, open)
-		if len(best) < 2 {
+		if len(best) < leastShared {
 			return causes + len(open)
 		}
 		for _, i := range best {
@@ -30,6 +32,25 @@
 	return causes
 }
 
+// leastShared is how many crashes a request must be in to be their one cause.
+const leastShared = 3
+
+// explainedAlone says whether a crash had a single suspect that was also in
+// an earlier one.
+func explainedAlone(crashes []crash, i int) bool {
+	if len(crashes[i].with) != 1 {
+		return false
+	}
+	for _, earlier := range crashes[:i] {
+		for _, r := range earlier.with {
+			if r.digest == crashes[i].with[0].digest {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // explanations returns for each request the crashes that it may have caused.
 func explanations(crashes []crash) map[short][]int {
 	explains := make(map[short][]int)
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -17,6 +17,7 @@
 	engineA = protocol.UpstreamID("a")
 	engineB = protocol.UpstreamID("b")
 	engineC = protocol.UpstreamID("c")
+	engineD = protocol.UpstreamID("d")
 )
 
 func digest(name string) Digest { return DigestOf("customer", []byte(name)) }
@@ -135,6 +136,28 @@
 	assert.DeepEqual(t, report.Condemned, []Digest{digest("bad")})
 }
 
+// Three engines of a rack fail, and a request of the first was just started again on
+// the second. That is still no sign of its guilt.
+func TestRestartWithinALostRackIsNoGuilt(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "twice", "x")
+	crashWith(tracker, 100*time.Millisecond, engineB, 1, "twice", "y")
+	assert.Assert(t, crashWith(tracker, 200*time.Millisecond, engineC, 1, "z").Void)
+	assert.Equal(t, tracker.Check(time.Second, digest("twice")).Standing, Clear)
+}
+
+// Two bad requests crash four engines within a second. The last two crashes are
+// trials of requests that were in the first two, so there are only two causes.
+func TestTwoBadRequestsAreNotALostRack(t *testing.T) {
+	tracker := New(DefaultConfig())
+	crashWith(tracker, 0, engineA, 1, "bad1", "x")
+	crashWith(tracker, 100*time.Millisecond, engineB, 1, "bad2", "y")
+	assert.Equal(t, len(crashWith(tracker, 500*time.Millisecond, engineC, 1, "bad1").Condemned), 1)
+	report := crashWith(tracker, 600*time.Millisecond, engineD, 1, "bad2")
+	assert.Assert(t, !report.Void)
+	assert.Equal(t, len(tracker.List(time.Second)), 2)
+}
+
 // A request that crashes its engine only late in its run outlives every trial.
 // The third crash leaves it as the only one in common.
 func TestLateCrasherIsFoundByIntersection(t *testing.T) {
