Node: an upstream with a queue is weighed with what waits there

Cause: an owner with a queue answered with a load ratio of 0, so the entry's last question went to the longest queue. Ruled out: leaving such an upstream out (it may still be the best). Change: the ratio counts the queue; the queue's gate uses what the entry has just heard; waiting requests are offered again after 100 ms, eight a tick. Conclusion: kept because it is right; the tail has another cause, sought next.

--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -165,7 +165,7 @@
 	}
 	if target.queue.Len() > 0 {
 		// What waits goes first, by the queue's rules.
-		n.spillOrSubmit(now, target, r, final, placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.UpstreamFull})
+		n.spillOrSubmit(now, target, r, final, n.behindQueue(now, target, r))
 		return
 	}
 	if !target.isEngine() {
@@ -179,6 +179,23 @@
 	n.decideEngine(now, target, r, final)
 }
 
+// behindQueue is the answer to a question about an upstream whose queue isn't
+// empty. The ratio counts what waits there as well, so that the entry doesn't
+// take an upstream with a queue for the one with the least to do.
+func (n *Node) behindQueue(now time.Duration, target *owned, r *relay) placement.Answer {
+	answer := placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.OverBound}
+	if !target.isEngine() {
+		return answer
+	}
+	waiting := 0
+	for class := range admission.NumClasses {
+		waiting += target.queue.Tokens(admission.Class(class))
+	}
+	judged := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: r.cost + float64(waiting), Seen: r.place.Seen})
+	answer.Ratio = judged.Ratio
+	return answer
+}
+
 // decideEngine puts a chat to placement and the load bound.
 func (n *Node) decideEngine(now time.Duration, target *owned, r *relay, final bool) {
 	answer := n.placer.Ask(now, r.ask)
@@ -251,7 +268,7 @@
 		Tokens:   int(math.Ceil(r.cost)),
 		Deadline: r.deadline,
 		Steps:    r.steps(),
-	}, n.gate(now, target))
+	}, n.gate(now, target, r.place.Seen))
 	switch outcome.Kind {
 	case admission.Admitted:
 		n.startFromQueue(now, target, r)
@@ -291,13 +308,14 @@
 	return time.Duration(r.ask.OutputTokens) * target.tokenTime
 }
 
-// gate says whether a request of some cost fits the upstream now.
-func (n *Node) gate(now time.Duration, target *owned) admission.Gate {
+// gate says whether a request of some cost fits the upstream now. Seen is the
+// load of others that an entry has just heard of, or zero.
+func (n *Node) gate(now time.Duration, target *owned, seen float64) admission.Gate {
 	return func(tokens int) bool {
 		if !target.isEngine() {
 			return len(target.running) < target.config.MaxConcurrent
 		}
-		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Final: true})
+		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Seen: seen, Final: true})
 		return decision.Outcome == loadbound.Admit
 	}
 }
@@ -357,7 +375,7 @@
 	}
 	n.reviewHeld(now, target)
 	for {
-		next, found := target.queue.Next(now, n.gate(now, target))
+		next, found := target.queue.Next(now, n.gate(now, target, 0))
 		if !found {
 			return
 		}
@@ -367,9 +385,16 @@
 	}
 }
 
-// reofferAfter is how long a request waits for a load bound before it is
-// offered elsewhere: the time after which owners know each other's new totals.
-const reofferAfter = loadbound.ExchangePeriod + TickInterval
+const (
+	// reofferAfter is how long a request waits for a load bound before it is
+	// offered elsewhere. Its next walk hears the owners' present loads, so it
+	// needn't wait for an exchange of totals; a fifth of the time that a first
+	// token may take is short enough not to be felt.
+	reofferAfter = 2 * TickInterval
+	// maxReoffers bounds what one upstream sends back at a tick. A walk costs
+	// some messages, and in a flood hundreds of requests wait.
+	maxReoffers = 8
+)
 
 // reoffer sends requests back to their entries that wait here for the load
 // bound alone, so that they look for room again.
@@ -385,15 +410,18 @@
 		return
 	}
 	var back []*relay
-	for id, r := range target.waiting {
+	for _, r := range target.waiting {
 		if now-r.queuedAt > reofferAfter {
-			target.queue.Cancel(now, id)
-			delete(target.waiting, id)
 			back = append(back, r)
 		}
 	}
-	slices.SortFunc(back, func(a, b *relay) int { return compareAttempts(a.place.Attempt, b.place.Attempt) })
-	for _, r := range back {
+	slices.SortFunc(back, func(a, b *relay) int {
+		return cmp.Or(cmp.Compare(a.queuedAt, b.queuedAt), compareAttempts(a.place.Attempt, b.place.Attempt))
+	})
+	for _, r := range back[:min(len(back), maxReoffers)] {
+		id := queueID(r.place.Attempt)
+		target.queue.Cancel(now, id)
+		delete(target.waiting, id)
 		n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceSpilled, Reason: string(reason.LoadBound)})
 	}
 }
--- a/scripts/bench-load.sh
+++ b/scripts/bench-load.sh
@@ -21,3 +21,10 @@
   --direct "127.0.0.1:$(port 4 1),127.0.0.1:$(port 4 2)" --desks "$DESK" \
   "${processes[@]}" --burst-every 0s --out "${OUT:-$work/result.json}" "$@"
 if [ -n "${PROFILE:-}" ]; then cp "$work"/*.pprof "$PROFILE"/ 2>/dev/null || true; fi
+# With EXPLAIN set, the stories of that many of the slowest requests follow.
+if [ -n "${EXPLAIN:-}" ]; then
+  grep -o '"request": *"[^"]*"' "${OUT:-$work/result.json}" | cut -d'"' -f4 | head -n "$EXPLAIN" | while read -r request; do
+    echo "== $request"
+    endiveplank explain request "$request"
+  done
+fi
