Replica: test that no lease shows before the state is applied

Ruled out: a test by timing; the state machine itself looks at the lease while it applies. Change: TestNoLeaseBeforeTheStateIsApplied, seen to fail with the lease published at the start of carryOut. Conclusion: the driver's order is pinned.

--- a/state/replica/lease_test.go
+++ b/state/replica/lease_test.go
@@ -33,6 +33,25 @@
 	assert.Equal(t, f.nodes[notLeader.Leader].machine.value(), uint64(1))
 }
 
+func TestNoLeaseBeforeTheStateIsApplied(t *testing.T) {
+	// The only voter restarts and leads again. While it still applies the rows
+	// of before, a reader must not be told that it holds the lease: it would
+	// see a table from the middle of history.
+	f := newFleet(t, 1, "r1")
+	d := fakedisk.New()
+	f.start("r1", d)
+	for range 5 {
+		f.add(1)
+	}
+	f.stop("r1")
+	early := false
+	f.onApply = func(r *Replica) { early = early || r.IsLeaderWithLease(r.Now()) }
+	n := f.start("r1", d)
+	f.eventually("it leads", func() bool { return n.replica.IsLeaderWithLease(n.replica.Now()) })
+	assert.Equal(t, n.machine.value(), uint64(5))
+	assert.Assert(t, !early)
+}
+
 func TestCallsEndWithTheMember(t *testing.T) {
 	// A daemon stops while calls wait. Each must end with a typed answer.
 	f := newFleet(t, 3, "r1", "r2", "r3")
--- a/state/replica/replica_test.go
+++ b/state/replica/replica_test.go
@@ -22,9 +22,14 @@
 type counter struct {
 	mu  sync.Mutex
 	sum uint64
+	// onApply is called before each command, if set.
+	onApply func()
 }
 
 func (c *counter) Apply(_ uint64, command []byte) []byte {
+	if c.onApply != nil {
+		c.onApply()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sum += binary.LittleEndian.Uint64(command)
@@ -66,6 +71,8 @@
 	every  uint64
 	seed   uint64
 	done   chan struct{}
+	// onApply is called before each command on any member, if set.
+	onApply func(*Replica)
 }
 
 func newFleet(t *testing.T, voters int, peers ...protocol.RouterID) *fleet {
@@ -136,6 +143,9 @@
 	})
 	assert.NilError(f.t, err)
 	n.replica = r
+	if f.onApply != nil {
+		n.machine.onApply = func() { f.onApply(r) }
+	}
 	r.Start()
 	f.mu.Lock()
 	defer f.mu.Unlock()
