--- a/state/replica/config.go
+++ b/state/replica/config.go
@@ -26,7 +26,8 @@
 	// Apply carries out a committed command. It must depend on nothing but
 	// the commands before it.
 	Apply(index uint64, command []byte) (result []byte)
-	// Snapshot encodes the whole state.
+	// Snapshot encodes the whole state. Nothing commits while it runs: keep
+	// it well under the election timeout.
 	Snapshot() []byte
 	// Restore replaces the state by an encoded one; an error stops the member.
 	Restore(data []byte) error
@@ -51,7 +52,8 @@
 	// Repair says when a voter is replaced. Voters 0 means as many as
 	// InitialVoters.
 	Repair repair.Settings
-	// SnapshotEvery is the number of entries between two snapshots.
+	// SnapshotEvery is the least number of entries between two snapshots. The
+	// commands since must also be as large as the last snapshot.
 	SnapshotEvery uint64
 	// SegmentBytes is the size of a log segment; 0 means the log's default.
 	SegmentBytes int64
@@ -77,6 +79,9 @@
 	TickInterval = 50 * time.Millisecond
 )
 
+// entryOverhead is the fixed part of an entry in the log, in bytes.
+const entryOverhead = 22
+
 // Limits of the queues in front of the loop.
 const (
 	// inputQueue holds the inputs that gather during one sync: some
--- a/state/replica/lease_test.go
+++ b/state/replica/lease_test.go
@@ -52,6 +52,14 @@
 	assert.Assert(t, !early)
 }
 
+func TestSnapshotDue(t *testing.T) {
+	// A journal of 50 MB takes small orders. Writing it every 10,000 orders
+	// would hold up every one of them for the disk's sake.
+	assert.Assert(t, !snapshotDue(9_999, 10_000, 1<<30, 0))
+	assert.Assert(t, !snapshotDue(10_000, 10_000, 3<<20, 50<<20))
+	assert.Assert(t, snapshotDue(200_000, 10_000, 50<<20, 50<<20))
+}
+
 func TestCallsEndWithTheMember(t *testing.T) {
 	// A daemon stops while calls wait. Each must end with a typed answer.
 	f := newFleet(t, 3, "r1", "r2", "r3")
--- a/state/replica/loop.go
+++ b/state/replica/loop.go
@@ -198,6 +198,8 @@
 		}
 		r.applied = out.Snapshot.Index
 		r.snapshotAt = out.Snapshot.Index
+		r.snapshotBytes = len(out.Snapshot.Data)
+		r.loggedBytes = 0
 	}
 	for _, e := range out.Committed {
 		r.applyEntry(e)
@@ -211,6 +213,7 @@
 		result = r.config.Machine.Apply(e.Index, e.Data)
 	}
 	r.applied = e.Index
+	r.loggedBytes += entryOverhead + len(e.Data)
 	if w, ok := r.waiting[e.Index]; ok {
 		delete(r.waiting, e.Index)
 		w.reply <- outcome(w, e, result, r.leader)
@@ -231,11 +234,14 @@
 
 // compact writes a snapshot when enough entries have gathered.
 func (r *Replica) compact() {
-	if r.failure != nil || r.applied-r.snapshotAt < r.config.SnapshotEvery {
+	if r.failure != nil || !snapshotDue(r.applied-r.snapshotAt, r.config.SnapshotEvery, r.loggedBytes, r.snapshotBytes) {
 		return
 	}
-	s, ok := r.core.Compact(r.applied, r.config.Machine.Snapshot())
+	data := r.config.Machine.Snapshot()
+	s, ok := r.core.Compact(r.applied, data)
 	r.snapshotAt = r.applied
+	r.snapshotBytes = len(data)
+	r.loggedBytes = 0
 	if !ok {
 		return
 	}
@@ -244,6 +250,16 @@
 	}
 }
 
+// snapshotDue says whether a snapshot is worth its writing.
+//
+// Load: a journal of tens of megabytes that takes a thousand commands a
+// second. Harm prevented: with a bound on entries alone, the whole state would
+// be written every few seconds, and nothing commits meanwhile. The log grows to
+// the size of the state first, so snapshots at most double what is written.
+func snapshotDue(entries, every uint64, logged, snapshot int) bool {
+	return entries >= every && logged >= snapshot
+}
+
 // publish makes status and lease visible to other goroutines.
 func (r *Replica) publish() {
 	status := r.core.Status()
--- a/state/replica/replica.go
+++ b/state/replica/replica.go
@@ -39,8 +39,12 @@
 	nextBarrier uint64
 	applied     uint64
 	snapshotAt  uint64
-	leader      protocol.RouterID
-	wasLeader   bool
+	// snapshotBytes is the size of the newest snapshot, and loggedBytes that
+	// of the commands since.
+	snapshotBytes int
+	loggedBytes   int
+	leader        protocol.RouterID
+	wasLeader     bool
 }
 
 // answer is the outcome of a proposal.
@@ -87,7 +91,7 @@
 		waiting:    map[uint64]waiter{},
 		barriers:   map[uint64]chan error{},
 		applied:    stored.Snapshot.Index,
-		snapshotAt: stored.Snapshot.Index,
+		snapshotAt: stored.Snapshot.Index, snapshotBytes: len(stored.Snapshot.Data),
 	}
 	r.publish()
 	return r, nil
