--- a/state/replica/config.go
+++ b/state/replica/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -98,6 +99,11 @@
 	if c.Self == "" || len(c.Peers) == 0 || c.Disk == nil || c.Transport == nil || c.Machine == nil || c.Random == nil {
 		return c, eris.New("replica: Self, Peers, Disk, Transport, Machine and Random are required")
 	}
+	for _, router := range append([]protocol.RouterID{c.Self}, c.InitialVoters...) {
+		if !slices.Contains(c.Peers, router) {
+			return c, eris.Errorf("replica: %s is not among the peers", router)
+		}
+	}
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
--- a/state/replica/lease_test.go
+++ b/state/replica/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -52,6 +53,30 @@
 	assert.Assert(t, !early)
 }
 
+func TestConfigIsChecked(t *testing.T) {
+	// A typing error in the settings must not make a cluster that can never
+	// form, or one that forms without a voter.
+	good := Config{
+		Self: "r1", Peers: []protocol.RouterID{"r1", "r2"}, InitialVoters: []protocol.RouterID{"r1"},
+		Disk: fakedisk.New(), Transport: &fleet{}, Machine: &counter{}, Random: rand.New(rand.NewPCG(1, 1)),
+	}
+	for name, spoil := range map[string]func(*Config){
+		"no peers":            func(c *Config) { c.Peers = nil },
+		"self not a peer":     func(c *Config) { c.Self = "r3" },
+		"initial not a peer":  func(c *Config) { c.InitialVoters = []protocol.RouterID{"r3"} },
+		"no disk":             func(c *Config) { c.Disk = nil },
+		"no source of chance": func(c *Config) { c.Random = nil },
+	} {
+		c := good
+		spoil(&c)
+		_, err := New(c)
+		assert.Assert(t, err != nil, name)
+	}
+	r, err := New(good)
+	assert.NilError(t, err)
+	r.Stop()
+}
+
 func TestSnapshotDue(t *testing.T) {
 	// A journal of 50 MB takes small orders. Writing it every 10,000 orders
 	// would hold up every one of them for the disk's sake.
