Node: what an arriving request knows makes room for what waits

Cause: once one request waited for the load bound at an upstream, every later one joined it, because a queue that isn't empty was never tried with the fresh loads that arriving requests bring; the queue moved only at the next exchange of totals. Ruled out: the engines (they ran 2 to 12 of 16 slots meanwhile); a bound that ignores small loads.

--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -51,6 +51,9 @@
 	announced   time.Duration
 	reported    upstreamapi.Load
 	pace        *stream.Pace
+	// seen is the load of other upstreams as an entry heard it at seenAt.
+	seen   float64
+	seenAt time.Duration
 	// done counts the tokens that its streams made since the queue was told.
 	done int
 	// tokenTime is the lately measured time of one token of one stream.
@@ -163,8 +166,13 @@
 			return
 		}
 	}
+	target.hear(now, r.place.Seen)
+	if target.queue.Len() > 0 {
+		// What waits goes first, by the queue's rules, and the news that this
+		// request brings may make room for it.
+		n.startQueued(now, target)
+	}
 	if target.queue.Len() > 0 {
-		// What waits goes first, by the queue's rules.
 		n.spillOrSubmit(now, target, r, final, n.behindQueue(now, target, r))
 		return
 	}
@@ -179,6 +187,26 @@
 	n.decideEngine(now, target, r, final)
 }
 
+// seenFor is how long what an entry heard of other upstreams counts. Within it
+// an engine drains less than the share that the load bound allows for.
+const seenFor = TickInterval / 2
+
+// hear keeps what an entry has just heard of other upstreams.
+func (t *owned) hear(now time.Duration, seen float64) {
+	if seen > 0 {
+		t.seen = seen
+		t.seenAt = now
+	}
+}
+
+// heardBeside is the load of other upstreams, if it was heard just now.
+func (t *owned) heardBeside(now time.Duration) float64 {
+	if now-t.seenAt > seenFor {
+		return 0
+	}
+	return t.seen
+}
+
 // behindQueue is the answer to a question about an upstream whose queue isn't
 // empty. The ratio counts what waits there as well, so that the entry doesn't
 // take an upstream with a queue for the one with the least to do.
@@ -268,7 +296,7 @@
 		Tokens:   int(math.Ceil(r.cost)),
 		Deadline: r.deadline,
 		Steps:    r.steps(),
-	}, n.gate(now, target, r.place.Seen))
+	}, n.gate(now, target))
 	switch outcome.Kind {
 	case admission.Admitted:
 		n.startFromQueue(now, target, r)
@@ -308,14 +336,13 @@
 	return time.Duration(r.ask.OutputTokens) * target.tokenTime
 }
 
-// gate says whether a request of some cost fits the upstream now. Seen is the
-// load of others that an entry has just heard of, or zero.
-func (n *Node) gate(now time.Duration, target *owned, seen float64) admission.Gate {
+// gate says whether a request of some cost fits the upstream now.
+func (n *Node) gate(now time.Duration, target *owned) admission.Gate {
 	return func(tokens int) bool {
 		if !target.isEngine() {
 			return len(target.running) < target.config.MaxConcurrent
 		}
-		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Seen: seen, Final: true})
+		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Seen: target.heardBeside(now), Final: true})
 		return decision.Outcome == loadbound.Admit
 	}
 }
@@ -331,6 +358,7 @@
 			return
 		}
 		r.ask.Stage = placement.Final
+		r.ask.Seen = target.heardBeside(now)
 		r.answer = n.placer.Ask(now, r.ask)
 		if r.answer.Verdict != placement.Admitted {
 			n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.LoadBound)})
@@ -375,7 +403,7 @@
 	}
 	n.reviewHeld(now, target)
 	for {
-		next, found := target.queue.Next(now, n.gate(now, target, 0))
+		next, found := target.queue.Next(now, n.gate(now, target))
 		if !found {
 			return
 		}
