--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -191,23 +191,30 @@
 // Harm: each alone sees room and together they overload it. The owner decides
 // one ask after the other on its exact count, so no two see the same room.
 func (l *Ledger) Admit(now time.Duration, id protocol.UpstreamID, ask Ask) Decision {
-	a, ok := l.accounts[id]
-	if !ok || now >= a.grant.Until {
-		return Decision{Outcome: Refuse, Reason: NotOwner}
-	}
-	if !(ask.Cost > 0) || math.IsInf(ask.Cost, 0) {
-		return Decision{Outcome: Refuse, Reason: BadCost}
-	}
-	decision := l.judge(now, a, ask)
+	decision := l.Judge(now, id, ask)
 	if decision.Outcome != Admit {
 		return decision
 	}
+	a := l.accounts[id]
 	a.running += ask.Cost
 	a.requests++
 	decision.Ticket = Ticket{Upstream: id, Fence: a.grant.Fence, Cost: ask.Cost}
 	return decision
 }
 
+// Judge answers an ask without counting it, for a queue that looks for the
+// next request to start.
+func (l *Ledger) Judge(now time.Duration, id protocol.UpstreamID, ask Ask) Decision {
+	a, ok := l.accounts[id]
+	if !ok || now >= a.grant.Until {
+		return Decision{Outcome: Refuse, Reason: NotOwner}
+	}
+	if !(ask.Cost > 0) || math.IsInf(ask.Cost, 0) {
+		return Decision{Outcome: Refuse, Reason: BadCost}
+	}
+	return l.judge(now, a, ask)
+}
+
 // judge applies the rule of admission without counting the request.
 //
 // Failure guarded: an owner is lost and its upstreams have none until its
@@ -219,6 +226,7 @@
 func (l *Ledger) judge(now time.Duration, a *account, ask Ask) Decision {
 	load := l.counted(now, a)
 	fleet := l.fleet(now)
+	l.see(&fleet, load, ask.Seen)
 	share := a.grant.Capacity / fleet.capacity
 	after := load + ask.Cost
 	decision := Decision{Outcome: Admit}
@@ -252,6 +260,20 @@
 	return decision.deny(ask, OverBound)
 }
 
+// see takes in what the asker has just heard from other owners.
+//
+// Failure guarded: requests come faster than totals are exchanged, as in any
+// small fleet. The upstream that has the least work turns a request away,
+// because its owner doesn't know yet what the others took a moment ago, and
+// callers wait for an exchange while engines idle.
+func (l *Ledger) see(fleet *fleetView, load, seen float64) {
+	if !(seen > 0) || math.IsInf(seen, 0) {
+		return
+	}
+	fleet.floor = max(fleet.floor, load+(1-l.config.CancelShare)*seen)
+	fleet.reported = max(fleet.reported, load+seen)
+}
+
 // deny turns a decision into Spill, or into Queue for a final ask.
 func (d Decision) deny(ask Ask, reason Reason) Decision {
 	d.Reason = reason
--- /dev/null
+++ b/coordination/node/entry.go
@@ -0,0 +1,351 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"endiveplank/coordination/placement"
+	"endiveplank/coordination/quarantine"
+	"endiveplank/coordination/reason"
+	"endiveplank/coordination/retry"
+	"endiveplank/coordination/stream"
+	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+	"endiveplank/protocol/fleet"
+)
+
+const (
+	// ownerPatience is how long an owner may take to answer a Place. An owner
+	// answers at once; only a lost or frozen one doesn't.
+	ownerPatience = 2 * time.Second
+	// statusRetryAfter is what callers are told when the wait isn't known.
+	statusRetryAfter = time.Second
+)
+
+// phase is where an entry request stands.
+type phase uint8
+
+const (
+	// phaseAsking: a Place was sent and not answered.
+	phaseAsking phase = iota
+	// phaseQueued: the owner holds the request in its queue.
+	phaseQueued
+	// phaseRunning: the upstream has the request.
+	phaseRunning
+	// phaseWaiting: no attempt is under way until wakeAt.
+	phaseWaiting
+	// phaseLimit: the home of the customer's limits was asked for credit.
+	phaseLimit
+	// phaseJournal: the journal is asked before or after the attempt.
+	phaseJournal
+)
+
+// entry is a caller's request on its entry router.
+type entry struct {
+	request  CallerRequest
+	customer *Customer
+	template fleet.Place
+	// chain is the chat's, empty for a plain service.
+	chain   []chat.Link
+	service protocol.Service
+	phase   phase
+	// attempt is the current attempt, from 1.
+	attempt  uint32
+	upstream *Upstream
+	// walk looks for the upstream of a chat while walking is set; candidates
+	// and next do for a plain service.
+	walk       placement.Walk
+	walking    bool
+	seen       []heardLoad
+	candidates []*Upstream
+	next       int
+	// failures counts the attempts that broke, and again asks the next attempt
+	// to go to the same upstream.
+	failures int
+	again    *Upstream
+	// avoid holds the upstreams this request has failed on.
+	avoid    []protocol.UpstreamID
+	deadline time.Duration
+	// progress is when the current attempt last moved.
+	progress time.Duration
+	wakeAt   time.Duration
+	// delivered counts the chunks the caller has.
+	delivered int
+	headSent  bool
+	// reached means that an earlier attempt may have reached an upstream.
+	reached bool
+	// limited means that the request was charged to its customer's limits.
+	limited bool
+	watch   *stream.Watch
+	order   *order
+}
+
+// callerRequest checks a new request and starts placing it.
+func (n *Node) callerRequest(now time.Duration, in CallerRequest) {
+	customer, refusal := n.authorize(now, in)
+	if refusal != nil {
+		n.refuse(*refusal)
+		return
+	}
+	fresh := &entry{request: in, customer: customer, phase: phaseWaiting}
+	if refusal := n.classify(now, fresh); refusal != nil {
+		n.refuse(*refusal)
+		return
+	}
+	n.entries[in.ID] = fresh
+	n.limit(now, fresh, n.limiter.Admit)
+}
+
+// begin starts placing a request that is within its customer's limits.
+func (n *Node) begin(now time.Duration, e *entry) {
+	n.budget.Fresh(now, e.work())
+	if e.order != nil {
+		n.startOrder(now, e)
+		return
+	}
+	e.watch = stream.NewWatch(now, stream.DefaultWatchConfig())
+	n.place(now, e)
+}
+
+// remove forgets a request that has its final answer.
+func (n *Node) remove(now time.Duration, e *entry) {
+	delete(n.entries, e.request.ID)
+	if e.limited {
+		n.limiter.Finished(now, e.customer.ID)
+	}
+}
+
+// work is the expected work of a request from where it stands, in tokens.
+func (e *entry) work() int {
+	return e.template.PromptTokens + max(1, e.template.OutputTokens-e.delivered)
+}
+
+// current is the attempt under way.
+func (e *entry) current() fleet.Attempt {
+	return fleet.Attempt{Request: e.request.ID, Number: e.attempt}
+}
+
+// live returns the entry of an attempt if it is the one under way. Messages
+// of abandoned attempts find nothing.
+func (n *Node) live(attempt fleet.Attempt) *entry {
+	found := n.entries[attempt.Request]
+	if found == nil || found.attempt != attempt.Number {
+		return nil
+	}
+	return found
+}
+
+// entryChunk passes a piece of the answer on: the next one, of the attempt
+// under way, and nothing else.
+func (n *Node) entryChunk(now time.Duration, in PeerChunk) {
+	e := n.live(in.Chunk.Attempt)
+	if e == nil {
+		return
+	}
+	e.progress = now
+	if e.phase == phaseAsking || e.phase == phaseQueued {
+		e.phase = phaseRunning
+	}
+	if in.Chunk.Index != e.delivered {
+		n.wrongChunk(now, e, in.Chunk)
+		return
+	}
+	if !e.headSent {
+		e.headSent = true
+		n.emit(AnswerHead{Request: e.request.ID, Status: in.Chunk.Status, Headers: in.Chunk.Headers, Outcome: protocol.Ran})
+	}
+	e.delivered++
+	e.watch.Progress(now, e.delivered)
+	n.emit(AnswerChunk{Request: e.request.ID, Index: in.Chunk.Index, Data: in.Chunk.Data})
+}
+
+// wrongChunk drops a piece that the caller has, as from an engine that begins
+// again at the start, and fails an attempt that left one out: the answer could
+// not become whole.
+func (n *Node) wrongChunk(now time.Duration, e *entry, chunk fleet.Chunk) {
+	if chunk.Index < e.delivered {
+		return
+	}
+	n.abandon(e)
+	e.reached = true
+	n.attemptFailed(now, e, reason.UpstreamFailed)
+}
+
+// entryEnd closes an attempt: the answer is whole, or another attempt is due.
+func (n *Node) entryEnd(now time.Duration, in PeerEnd) {
+	e := n.live(in.End.Attempt)
+	if e == nil {
+		return
+	}
+	if in.End.Complete {
+		n.finish(now, e, reason.Completed)
+		return
+	}
+	if in.End.Outcome != protocol.NotRun {
+		e.reached = true
+	}
+	n.attemptFailed(now, e, reason.Code(in.End.Reason))
+}
+
+// attemptFailed decides whether another attempt follows, and when.
+func (n *Node) attemptFailed(now time.Duration, e *entry, why reason.Code) {
+	e.failures++
+	e.phase = phaseWaiting
+	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "attempt-failed", Reason: why})
+	if !e.template.Streamed && e.delivered > 0 {
+		// A body that is not a stream of tokens can't be resumed inside.
+		n.giveUp(now, e, 502, why, "the answer broke off", statusRetryAfter)
+		return
+	}
+	decision := n.budget.Decide(now, n.config.Random, retry.Failure{
+		Attempt:    e.failures,
+		Tokens:     e.work(),
+		Run:        e.outcome(),
+		Repeatable: e.template.Idempotent,
+		Deadline:   e.deadline,
+	})
+	if !decision.Retry {
+		n.giveUp(now, e, 502, retryReason(decision.Reason), "the upstream failed ("+string(why)+") and the request is not tried again", statusRetryAfter)
+		return
+	}
+	n.chooseAgain(now, e, why)
+	n.suspectAgain(now, e)
+	e.wakeAt = now + decision.Delay
+	if decision.Delay <= 0 {
+		n.wake(now, e)
+	}
+}
+
+// retryReason is the retry budget's reason as callers and events see it.
+func retryReason(why retry.Reason) reason.Code {
+	switch why {
+	case retry.ReasonBudget:
+		return reason.RetryBudget
+	case retry.ReasonDeadline:
+		return reason.DeadlineTooNear
+	case retry.ReasonNotRepeatable:
+		return reason.OrderUnknown
+	}
+	return reason.AttemptsSpent
+}
+
+// chooseAgain decides between a new connection to the same upstream and
+// another one. A connection can go silent for good while new ones work, so a
+// stall is first blamed on the connection.
+func (n *Node) chooseAgain(now time.Duration, e *entry, why reason.Code) {
+	step := e.watch.Broken(now)
+	if why == reason.OwnerLost {
+		step = e.watch.Lost(now)
+	}
+	e.again = nil
+	if step.Action == stream.Reconnect && why == reason.UpstreamStalled {
+		e.again = e.upstream
+		return
+	}
+	e.avoid = append(e.avoid, e.upstream.ID)
+}
+
+// suspectAgain looks whether the request came under suspicion meanwhile.
+func (n *Node) suspectAgain(now time.Duration, e *entry) {
+	if e.template.Model == "" {
+		return
+	}
+	verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
+	e.template.Suspect = verdict.Standing == quarantine.Suspect
+}
+
+// wake starts the next attempt of a request that waited.
+func (n *Node) wake(now time.Duration, e *entry) {
+	if e.template.Model != "" && e.order == nil {
+		verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
+		if verdict.Standing == quarantine.Quarantined {
+			n.giveUp(now, e, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+			return
+		}
+	}
+	if same := e.again; same != nil && n.view.Upstreams[same.ID] != nil {
+		e.again = nil
+		e.walking = false
+		n.ask(now, e, n.view.Upstreams[same.ID], placement.Final, false)
+		return
+	}
+	n.place(now, e)
+}
+
+// outcome is not-run only if no attempt can have reached an upstream: none
+// did before, and none is under way. An owner that refused, spilled or failed
+// without sending a byte has said so, and the entry then waits.
+func (e *entry) outcome() protocol.RunOutcome {
+	if e.reached || !e.idle() {
+		return protocol.UnknownRun
+	}
+	return protocol.NotRun
+}
+
+// giveUp tells the caller at once.
+func (n *Node) giveUp(now time.Duration, e *entry, status int, why reason.Code, detail string, retryAfter time.Duration) {
+	if e.headSent {
+		n.emit(AnswerEnd{Request: e.request.ID, Broken: true, Reason: why})
+	} else {
+		answer := refusal(e.request.ID, status, why, detail, retryAfter)
+		answer.Outcome = e.outcome()
+		n.emit(*answer)
+	}
+	n.emit(Event{Request: e.request.ID, Customer: e.customer.ID, What: "refused", Reason: why, Detail: detail})
+	n.remove(now, e)
+}
+
+// finish closes a whole answer.
+func (n *Node) finish(now time.Duration, e *entry, why reason.Code) {
+	n.emit(AnswerEnd{Request: e.request.ID, Reason: why})
+	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "answered", Reason: why})
+	n.remove(now, e)
+}
+
+// callerGone gives up a request whose caller went away.
+func (n *Node) callerGone(now time.Duration, in CallerGone) {
+	e := n.entries[in.ID]
+	if e == nil {
+		return
+	}
+	if e.order != nil {
+		n.orderCallerGone(now, e)
+		return
+	}
+	n.abandon(e)
+	n.emit(Event{Request: in.ID, Customer: e.customer.ID, What: "abandoned", Reason: reason.CallerGone})
+	n.remove(now, e)
+}
+
+// idle says that no attempt is under way.
+func (e *entry) idle() bool {
+	return e.phase == phaseWaiting || e.phase == phaseJournal || e.phase == phaseLimit
+}
+
+// abandon cancels the attempt under way.
+func (n *Node) abandon(e *entry) {
+	if e.upstream == nil || e.idle() {
+		return
+	}
+	n.send(e.upstream.Owner, fleet.Cancel{Attempt: e.current()})
+}
+
+// entriesLostOwner starts new attempts for requests whose owner is lost.
+func (n *Node) entriesLostOwner(now time.Duration, peer protocol.RouterID) {
+	var hit []protocol.RequestID
+	for id, e := range n.entries {
+		if e.upstream != nil && e.upstream.Owner == peer && !e.idle() {
+			hit = append(hit, id)
+		}
+	}
+	slices.Sort(hit)
+	for _, id := range hit {
+		e := n.entries[id]
+		if e.order != nil {
+			n.orderOwnerLost(now, e)
+			continue
+		}
+		e.reached = true
+		n.attemptFailed(now, e, reason.OwnerLost)
+	}
+}
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -35,6 +35,8 @@
 	Root  int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// Seen is the load of other upstreams that the asker heard in this walk.
+	Seen float64
 }
 
 // Verdict is what an owner answers.
@@ -66,6 +68,8 @@
 	Reason loadbound.Reason
 	// Forward is the short identifier of the upstream to probe.
 	Forward uint32
+	// SavedShare is the expected share of the prompt cached here.
+	SavedShare float64
 	// Ratio is the load over mean with the request.
 	Ratio float64
 	// Hit is what is cached here; it goes back with Owner.Finished, as does
@@ -188,14 +192,16 @@
 	decision := o.ledger.Admit(now, ask.Upstream, loadbound.Ask{
 		Cost:     o.policy.Cost(prompt, saved, ask.OutputTokens),
 		Multiple: o.policy.SoftMultiple(saved),
+		Seen:     ask.Seen,
 		Final:    ask.Stage == Final,
 	})
 	answer := Answer{
-		Verdict: verdictOf(decision.Outcome),
-		Reason:  decision.Reason,
-		Ratio:   decision.Ratio,
-		Hit:     hit,
-		Ticket:  decision.Ticket,
+		Verdict:    verdictOf(decision.Outcome),
+		Reason:     decision.Reason,
+		SavedShare: saved / float64(max(1, prompt)),
+		Ratio:      decision.Ratio,
+		Hit:        hit,
+		Ticket:     decision.Ticket,
 	}
 	if answer.Verdict != Admitted {
 		return answer
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -103,9 +103,9 @@
 
 // value ranks upstreams that were asked and had no room within their soft
 // bound: the higher, the better.
-func (p Policy) value(answer Answer) float64 {
+func (p Policy) value(answer Answer, prompt int) float64 {
 	if answer.Reason == loadbound.OverSoftBound {
-		return p.SoftMultiple(answer.Hit.Expected()) - answer.Ratio
+		return p.SoftMultiple(answer.SavedShare*float64(prompt)) - answer.Ratio
 	}
 	return -overBoundPenalty - answer.Ratio
 }
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -221,11 +221,16 @@
 	}
 	w.candidates[w.candidateN] = candidate{
 		position: w.current,
-		value:    w.policy.value(answer),
+		value:    w.policy.value(answer, w.prompt()),
 	}
 	w.candidateN++
 }
 
+// prompt is the length of the request's prompt in tokens.
+func (w *Walk) prompt() int {
+	return w.request.Chain[len(w.request.Chain)-1].Tokens
+}
+
 // judged says whether a position has been put to the load bound already.
 func (w *Walk) judged(position int32) bool {
 	for _, c := range w.candidates[:w.candidateN] {
