--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -72,7 +72,8 @@
 	SavedShare float64
 	// Ratio is the load over mean with the request.
 	Ratio float64
-	// Hit and Ticket go back with Owner.Finished.
+	// Hit is what is cached here; it goes back with Owner.Finished, as does
+	// Ticket.
 	Hit    Hit
 	Ticket loadbound.Ticket
 }
@@ -188,20 +189,16 @@
 func (o *Owner) admit(now time.Duration, ask Ask, held *holding, hit Hit) Answer {
 	prompt := ask.Chain[len(ask.Chain)-1].Tokens
 	saved := hit.Expected()
-	share := 0.0
-	if prompt > 0 {
-		share = saved / float64(prompt)
-	}
 	decision := o.ledger.Admit(now, ask.Upstream, loadbound.Ask{
 		Cost:     o.policy.Cost(prompt, saved, ask.OutputTokens),
-		Multiple: o.policy.SoftMultiple(share),
+		Multiple: o.policy.SoftMultiple(saved),
 		Seen:     ask.Seen,
 		Final:    ask.Stage == Final,
 	})
 	answer := Answer{
 		Verdict:    verdictOf(decision.Outcome),
 		Reason:     decision.Reason,
-		SavedShare: share,
+		SavedShare: saved / float64(max(1, prompt)),
 		Ratio:      decision.Ratio,
 		Hit:        hit,
 		Ticket:     decision.Ticket,
@@ -261,5 +258,7 @@
 		bytes += held.index.Bytes()
 		entries += held.index.Len()
 	}
-	return bytes + o.pointers.Bytes(), entries + o.pointers.Len()
+	bytes += o.pointers.Bytes()
+	entries += o.pointers.Len()
+	return bytes, entries
 }
