--- a/coordination/lease/safety_test.go
+++ b/coordination/lease/safety_test.go
@@ -64,15 +64,15 @@
 // The search begins at a seed that is known to, to save time.
 func TestLeaseRulesAreNeeded(t *testing.T) {
 	for mutation, from := range map[string]uint64{
-		"leader waits no longer than the lease": 123,
+		"leader waits no longer than the lease": 20,
 		"guard does not ask the lease":          0,
-		"valid before it caught up":             6,
+		"valid before it caught up":             0,
 		"new leader does not wait":              0,
 		"old leader grants":                     0,
-		"run-out session is granted":            170,
-		"lease counts from the answer":          3,
-		"a late release counts":                 118,
-		"assigned while owned":                  1,
+		"run-out session is granted":            120,
+		"lease counts from the answer":          0,
+		"a late release counts":                 300,
+		"assigned while owned":                  0,
 	} {
 		t.Run(mutation, func(t *testing.T) {
 			for seed := from; seed < from+400; seed++ {
--- a/coordination/lease/sim_test.go
+++ b/coordination/lease/sim_test.go
@@ -158,7 +158,7 @@
 }
 
 func (s *sim) clock() clock {
-	return clock{rate: 0.97 + 0.06*s.rng.Float64(), offset: time.Duration(s.rng.IntN(1e9))}
+	return clock{rate: 0.94 + 0.12*s.rng.Float64(), offset: time.Duration(s.rng.IntN(1e9))}
 }
 
 func (s *sim) newLeader() *simLeader {
--- a/coordination/ownership/planner.go
+++ b/coordination/ownership/planner.go
@@ -113,8 +113,9 @@
 	return p
 }
 
-// setLimits gives each router its share of the capacity near it. A router may
-// always have one upstream, however big.
+// setLimits gives each router its share of the capacity near it and room for
+// one upstream more. Without that room, a share that falls from 3.0 to 2.99
+// upstreams when a router joins would move one from every router.
 func (p *planner) setLimits() {
 	demand := map[protocol.DataCentre]float64{}
 	largest := map[protocol.DataCentre]float64{}
@@ -135,7 +136,7 @@
 		}
 		for _, r := range routers {
 			fair := share * float64(r.session.Capacity)
-			r.limit = max(overload*fair, largest[site], fair+largest[site]/2)
+			r.limit = max(overload*fair, fair+largest[site])
 		}
 	}
 }
--- a/coordination/ownership/state.go
+++ b/coordination/ownership/state.go
@@ -187,14 +187,12 @@
 	if !open.valid() || len(s.sessions) >= maxSessions {
 		return Answer{Outcome: Refused}, nil
 	}
-	for _, session := range s.Sessions() {
-		if session.Router != open.Router || session.Incarnation < open.Incarnation {
-			continue
-		}
-		if session.Incarnation > open.Incarnation {
-			return Answer{Outcome: Superseded, Session: session.ID}, nil
+	if newest, ok := s.newest(open.Router); ok && newest.Incarnation >= open.Incarnation {
+		outcome := Done
+		if newest.Incarnation > open.Incarnation {
+			outcome = Superseded
 		}
-		return Answer{Outcome: Done, Session: session.ID}, nil
+		return Answer{Outcome: outcome, Session: newest.ID}, nil
 	}
 	id := SessionID(index)
 	s.sessions[id] = Session{
@@ -205,6 +203,16 @@
 	return Answer{Outcome: Done, Session: id}, []Touched{{Session: id}}
 }
 
+// newest returns the router's open session of the highest incarnation.
+func (s *State) newest(router protocol.RouterID) (newest Session, ok bool) {
+	for _, session := range s.sessions {
+		if session.Router == router && (!ok || session.Incarnation > newest.Incarnation) {
+			newest, ok = session, true
+		}
+	}
+	return newest, ok
+}
+
 func (o Open) valid() bool {
 	return o.Router != "" && len(o.Router) <= maxText && len(o.DataCentre) <= maxText &&
 		len(o.Address) <= maxText && o.Capacity > 0
