--- a/coordination/fleetstate/command.go
+++ b/coordination/fleetstate/command.go
@@ -15,15 +15,17 @@
 
 // Command is one entry of the replicated log. Exactly one field is set.
 type Command struct {
-	Change  *table.Change      `msgpack:"c,omitempty"`
-	Order   *orders.Command    `msgpack:"o,omitempty"`
-	Open    *ownership.Open    `msgpack:"p,omitempty"`
-	Stop    *ownership.Stop    `msgpack:"s,omitempty"`
-	Close   *ownership.Close   `msgpack:"x,omitempty"`
-	Assign  *ownership.Assign  `msgpack:"a,omitempty"`
-	Move    *ownership.Move    `msgpack:"m,omitempty"`
-	Release *ownership.Release `msgpack:"r,omitempty"`
-	Forget  *ownership.Forget  `msgpack:"f,omitempty"`
+	Change *table.Change   `msgpack:"c,omitempty"`
+	Order  *orders.Command `msgpack:"o,omitempty"`
+	// Configure replaces the settings of the journal of orders.
+	Configure *orders.Settings   `msgpack:"g,omitempty"`
+	Open      *ownership.Open    `msgpack:"p,omitempty"`
+	Stop      *ownership.Stop    `msgpack:"s,omitempty"`
+	Close     *ownership.Close   `msgpack:"x,omitempty"`
+	Assign    *ownership.Assign  `msgpack:"a,omitempty"`
+	Move      *ownership.Move    `msgpack:"m,omitempty"`
+	Release   *ownership.Release `msgpack:"r,omitempty"`
+	Forget    *ownership.Forget  `msgpack:"f,omitempty"`
 }
 
 // Outcome says whether a command could be run at all. What it did is in the
@@ -72,7 +74,7 @@
 func (c Command) requests() int {
 	count := 0
 	for _, set := range []bool{
-		c.Change != nil, c.Order != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
+		c.Change != nil, c.Order != nil, c.Configure != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
 		c.Assign != nil, c.Move != nil, c.Release != nil, c.Forget != nil,
 	} {
 		if set {
--- a/coordination/fleetstate/machine.go
+++ b/coordination/fleetstate/machine.go
@@ -39,7 +39,8 @@
 // catch up by delta.
 const maxTombstones = 10_000
 
-// Settings of the state machine. Every voter must run with the same ones.
+// Settings that an empty state begins with. Every voter must begin with the
+// same ones; later they are changed by a Configure command.
 type Settings struct {
 	Orders orders.Settings
 }
@@ -52,7 +53,6 @@
 // Machine is the state machine. It is not safe for concurrent use; its driver
 // applies, reads and snapshots from one goroutine.
 type Machine struct {
-	settings  Settings
 	index     uint64
 	table     *table.Table
 	journal   *orders.Journal
@@ -63,7 +63,6 @@
 // New returns the empty state.
 func New(settings Settings) *Machine {
 	return &Machine{
-		settings:  settings,
 		table:     table.New(),
 		journal:   orders.NewJournal(settings.Orders),
 		ownership: ownership.NewState(),
@@ -110,6 +109,9 @@
 		answer, touched := m.table.Apply(index, *command.Change)
 		m.recordRows(index, touched)
 		return Result{Change: &answer}
+	case command.Configure != nil:
+		result := m.journal.Configure(*command.Configure)
+		return Result{Order: &result}
 	case command.Order != nil:
 		result := m.journal.Apply(*command.Order, m.isOpen)
 		return Result{Order: &result}
@@ -212,7 +214,7 @@
 	}
 	m.index = s.Index
 	m.table = table.FromSnapshot(s.Table)
-	m.journal = orders.FromSnapshot(m.settings.Orders, s.Orders)
+	m.journal = orders.FromSnapshot(s.Orders)
 	m.ownership = ownership.FromSnapshot(s.Ownership)
 	m.log = revlog.New(CompareItems, maxTombstones)
 	m.log.Restore(s.Floor, m.logEntries(s.Gone))
--- a/coordination/fleetstate/machine_test.go
+++ b/coordination/fleetstate/machine_test.go
@@ -21,7 +21,9 @@
 	small := func(label string) string { return fmt.Sprint(rapid.IntRange(0, 4).Draw(t, label)) }
 	session := ownership.SessionID(rapid.Uint64Range(1, m.index+1).Draw(t, "session"))
 	upstreams := []protocol.UpstreamID{protocol.UpstreamID(small("upstream")), protocol.UpstreamID(small("upstream"))}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
+	case 10:
+		return Command{Configure: &orders.Settings{RetentionMS: 60_000, MaxBytes: rapid.IntRange(0, 3000).Draw(t, "bytes"), MaxAnswer: 1}}
 	case 0:
 		return Command{Open: &ownership.Open{Router: protocol.RouterID(small("router")), Incarnation: m.index, DataCentre: "a", Address: "x", Capacity: 1}}
 	case 1:
--- a/coordination/orders/journal.go
+++ b/coordination/orders/journal.go
@@ -46,22 +46,6 @@
 	recordOverhead = 320
 )
 
-// Settings of the journal. They are part of the replicated state's identity:
-// every voter must run with the same ones.
-type Settings struct {
-	// RetentionMS is how long an order is remembered, in milliseconds.
-	RetentionMS int64
-	// MaxBytes bounds the memory of all records.
-	MaxBytes int
-	// MaxAnswer bounds the bytes kept of one answer's body.
-	MaxAnswer int
-}
-
-// DefaultSettings remember orders for a day within 64 MB.
-func DefaultSettings() Settings {
-	return Settings{RetentionMS: 24 * 3600 * 1000, MaxBytes: 64 << 20, MaxAnswer: 4 << 10}
-}
-
 // Journal is the state. It is not safe for concurrent use.
 type Journal struct {
 	settings Settings
@@ -369,28 +353,3 @@
 	j.bytes -= record.size()
 	delete(j.records, key)
 }
-
-// Snapshot is the journal as a value with one fixed order.
-type Snapshot struct {
-	Clock   int64    `msgpack:"c,omitempty"`
-	Records []Record `msgpack:"r,omitempty"`
-}
-
-// Snapshot returns the state. Equal journals give equal snapshots.
-func (j *Journal) Snapshot() Snapshot {
-	snapshot := Snapshot{Clock: j.clock, Records: make([]Record, 0, len(j.records))}
-	for _, entry := range j.queue {
-		snapshot.Records = append(snapshot.Records, *j.records[entry.key])
-	}
-	return snapshot
-}
-
-// FromSnapshot returns the journal that a snapshot was taken of.
-func FromSnapshot(settings Settings, snapshot Snapshot) *Journal {
-	j := NewJournal(settings)
-	j.clock = snapshot.Clock
-	for i := range snapshot.Records {
-		j.insert(&snapshot.Records[i])
-	}
-	return j
-}
--- a/coordination/orders/journal_test.go
+++ b/coordination/orders/journal_test.go
@@ -97,7 +97,7 @@
 	assert.Equal(t, result.Outcome, Applied)
 	assert.Equal(t, result.Record.Answer.Dropped, true)
 	before := j.Bytes()
-	again := FromSnapshot(j.settings, j.Snapshot())
+	again := FromSnapshot(j.Snapshot())
 	assert.Equal(t, again.Bytes(), before)
 	assert.DeepEqual(t, codec.Marshal(again.Snapshot()), codec.Marshal(j.Snapshot()))
 	assert.Equal(t, j.Apply(Command{Op: OpReserve, Key: Key{"c", "0"}, Digest: Digest{9}, At: 1}, always).Outcome, DigestConflict)
