Spares, and routers that find a new leader before their lease runs out

Cause: (1) the daemon had no spares to replace a lost voter with. (2) When the leader died, a router asked one voter after the other and lost its lease before it found the new one; and in the gap it refused all callers. Ruled out: a longer lease (it delays every hand-over and every change that waits for a lost router). Change: settings spares and replace_voter_ms; a planned stop hands leadership over; an unanswered renewal is repeated to all voters after 300 ms; requests that come within 2 s after the lease was lost wait for it, at most 2 s.

--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -82,6 +82,9 @@
 
 // callerRequest checks a new request and starts placing it.
 func (n *Node) callerRequest(now time.Duration, in CallerRequest) {
+	if n.park(now, in) {
+		return
+	}
 	customer, refusal := n.authorize(now, in)
 	if refusal != nil {
 		n.refuse(*refusal)
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -61,6 +61,9 @@
 	config     Config
 	view       *View
 	leaseUntil time.Duration
+	// leaseLost is when the last lease ended, as far as it was known.
+	leaseLost      time.Duration
+	parkedRequests []parked
 	// session names this router's lease in the journal of orders.
 	session ownership.SessionID
 	// unready tells the platform to send callers elsewhere; draining refuses
@@ -139,7 +142,7 @@
 
 // InFlight returns the number of callers' requests and of relayed attempts.
 func (n *Node) InFlight() (entries, relayed int) {
-	return len(n.entries), len(n.running)
+	return len(n.entries) + len(n.parkedRequests), len(n.running)
 }
 
 // Revision returns the revision of the configuration in force here.
@@ -155,6 +158,7 @@
 	case CallerRequest:
 		n.callerRequest(now, in)
 	case CallerGone:
+		n.unparkGone(in)
 		n.callerGone(now, in)
 	case PeerPlace:
 		n.ownerPlace(now, in)
@@ -221,6 +225,7 @@
 
 // tick meets deadlines.
 func (n *Node) tick(now time.Duration) {
+	n.unpark(now)
 	n.tickEntries(now)
 	n.tickOwned(now)
 	n.askLimits(now)
--- a/coordination/node/upstreams.go
+++ b/coordination/node/upstreams.go
@@ -252,6 +252,9 @@
 
 // leaseChanged takes this router's new lease and extends what rests on it.
 func (n *Node) leaseChanged(now time.Duration, in LeaseChanged) {
+	if n.leaseUntil > 0 {
+		n.leaseLost = min(now, n.leaseUntil)
+	}
 	n.leaseUntil = in.Until
 	n.session = in.Session
 	for _, target := range n.owned {
@@ -259,6 +262,7 @@
 			n.ledger.Own(now, target.id, n.grant(target))
 		}
 	}
+	n.unpark(now)
 }
 
 // shareTotals tells the neighbours the load of this router's upstreams.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/coordination/explain"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/ownership"
@@ -40,6 +41,10 @@
 // lostAfter is how long a peer may be unreachable before its work is moved.
 const lostAfter = 2 * time.Second
 
+// handOverTime is what a leader that stops as planned needs to pass its office
+// on. Without it the fleet would elect one after an election timeout.
+const handOverTime = 100 * time.Millisecond
+
 // Daemon is one running process.
 type Daemon struct {
 	settings  settings.Settings
@@ -146,7 +151,7 @@
 			Address:     d.settings.Listen.Peers,
 			Capacity:    ordinaryCapacity,
 		},
-		voters: d.settings.Voters,
+		voters: stateKeepers(d.settings),
 		send:   d.mesh.Send,
 		input:  d.runner.Input,
 		learn:  d.mesh.SetAddress,
@@ -172,13 +177,14 @@
 	d.host = newStateHost(d.now, d.log, d.sendPush)
 	d.replica, err = replica.New(replica.Config{
 		Self:          d.settings.RouterID,
-		Peers:         d.stateKeepers(),
+		Peers:         stateKeepers(d.settings),
 		InitialVoters: d.settings.Voters,
 		Disk:          folder,
 		Transport:     consensusTransport{d.mesh},
 		Machine:       d.host,
 		Random:        newRandom(),
 		Now:           d.now,
+		Repair:        repair.Settings{SilentAfter: time.Duration(d.settings.Timing.ReplaceVoterMS) * time.Millisecond},
 		OnFailed: func(err error) {
 			d.log.Error().Err(err).Msg("state: voter stopped")
 		},
@@ -191,16 +197,9 @@
 	return nil
 }
 
-// stateKeepers lists all processes that may keep state: the first voters and
-// this one.
-func (d *Daemon) stateKeepers() []protocol.RouterID {
-	keepers := append([]protocol.RouterID(nil), d.settings.Voters...)
-	for _, keeper := range keepers {
-		if keeper == d.settings.RouterID {
-			return keepers
-		}
-	}
-	return append(keepers, d.settings.RouterID)
+// stateKeepers lists all processes that may keep state.
+func stateKeepers(s settings.Settings) []protocol.RouterID {
+	return append(append([]protocol.RouterID(nil), s.Voters...), s.Spares...)
 }
 
 // Start listens and begins to serve. On an error the process can't run.
@@ -273,6 +272,10 @@
 	d.member.done.Wait()
 	if d.replica != nil {
 		d.host.stop()
+		handOver, cancel := context.WithTimeout(context.Background(), askTimeout)
+		_ = d.replica.HandOver(handOver)
+		cancel()
+		sleep(context.Background(), handOverTime)
 		d.replica.Stop()
 	}
 	d.mesh.Close()
@@ -288,6 +291,19 @@
 	}
 }
 
+// abort ends the process's parts at once, as a crash would, for tests.
+func (d *Daemon) abort() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.mesh.Close()
+	close(d.quit)
+	if d.replica != nil {
+		d.replica.Stop()
+		d.host.stop()
+	}
+}
+
 // awaitIdle waits until no request is in flight.
 func (d *Daemon) awaitIdle(ctx context.Context) bool {
 	for {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -25,6 +25,10 @@
 	// askTimeout bounds one question to one voter. A voter that takes longer
 	// is frozen or gone, and another may lead.
 	askTimeout = time.Second
+	// replyPatience is how long a renewal may go unanswered before the router
+	// looks for the leader among all voters. A reply takes milliseconds, and
+	// the lease leaves little more than a second for the search.
+	replyPatience = 300 * time.Millisecond
 	// askPause keeps a router without a leader from spinning.
 	askPause = 100 * time.Millisecond
 	// registerTimeout bounds a registration; the next announcement repeats it.
@@ -53,10 +57,14 @@
 	quit  chan struct{}
 	done  sync.WaitGroup
 
-	mu       sync.Mutex
-	holder   *lease.Holder
-	leader   protocol.RouterID
-	opening  bool
+	mu      sync.Mutex
+	holder  *lease.Holder
+	leader  protocol.RouterID
+	opening bool
+	// awaiting is when the oldest unanswered renewal was sent, 0 for none, and
+	// searched when all voters were last asked.
+	awaiting time.Duration
+	searched time.Duration
 	asked    uint64
 	asking   map[uint64]chan fleet.ProposeReply
 	shown    uint64
@@ -101,19 +109,51 @@
 		m.mu.Unlock()
 		return
 	}
+	if m.leaderIsSilent(now) {
+		m.search(now)
+		return
+	}
 	if !m.holder.RenewalDue(now) {
 		m.mu.Unlock()
 		return
 	}
-	if m.holder.SilentFor(now) > lease.DefaultTiming().Renew+askTimeout/2 {
-		m.nextVoter()
-	}
-	renewal := m.holder.Renew(now)
+	renewal := m.renewal(now)
 	leader := m.leader
 	m.mu.Unlock()
 	m.renew(leader, renewal)
 }
 
+// renewal makes the next renewal and notes that an answer is awaited. The lock
+// is held.
+func (m *member) renewal(now time.Duration) lease.Renewal {
+	if m.awaiting == 0 {
+		m.awaiting = now
+	}
+	return m.holder.Renew(now)
+}
+
+// leaderIsSilent says whether it is time to ask all voters. The lock is held.
+func (m *member) leaderIsSilent(now time.Duration) bool {
+	return m.awaiting > 0 && now-m.awaiting > replyPatience && now-m.searched > replyPatience
+}
+
+// search sends each voter a renewal of its own; the leader grants one. The
+// lock is held and let go.
+//
+// Failure guarded: the leader dies, and a router that asks one voter after the
+// other finds the new one only after its lease has run out.
+func (m *member) search(now time.Duration) {
+	m.searched = now
+	renewals := make([]lease.Renewal, 0, len(m.voters))
+	for range m.voters {
+		renewals = append(renewals, m.renewal(now))
+	}
+	m.mu.Unlock()
+	for i, voter := range m.voters {
+		m.renew(voter, renewals[i])
+	}
+}
+
 // nextVoter turns to another voter. The lock is held.
 func (m *member) nextVoter() {
 	for i, voter := range m.voters {
@@ -165,12 +205,13 @@
 func (m *member) onReply(from protocol.RouterID, reply lease.Reply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if reply.Verdict == lease.Granted {
+		m.leader = from
+		m.awaiting = 0
+	}
 	switch m.holder.OnReply(m.now(), reply) {
-	case lease.TryOther:
-		if from == m.leader {
-			m.nextVoter()
-		}
 	case lease.OpenSession:
+		m.awaiting = 0
 		m.log.Warn().Msg("state: session was closed, opening another")
 	}
 	m.showLocked()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -105,10 +105,28 @@
 		Upstreams:  []admin.UpstreamStatus{},
 	}
 	d.member.read(func(view *fleetstate.View) { fillStatus(&status, view) })
+	status.Voters = d.voters()
 	status.Problems = problemsOf(status)
 	return status
 }
 
+// voters describes the members of the replicated log as this one knows them; a
+// router without a disk knows none.
+func (d *Daemon) voters() []admin.VoterStatus {
+	if d.replica == nil {
+		return nil
+	}
+	known := d.replica.Status()
+	var list []admin.VoterStatus
+	for _, voter := range known.Configuration.Voters {
+		list = append(list, admin.VoterStatus{Router: voter.Router, Role: "voter"})
+	}
+	for _, learner := range known.Configuration.Learners {
+		list = append(list, admin.VoterStatus{Router: learner.Router, Role: "learner"})
+	}
+	return list
+}
+
 // fillStatus describes routers and upstreams from a view.
 func fillStatus(status *admin.Status, view *fleetstate.View) {
 	status.Revision = view.Revision()
--- a/settings/check.go
+++ b/settings/check.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"strings"
+
+	"endiveplank/protocol"
 )
 
 // maxVoters is the largest first set of voters. More voters don't make the
@@ -94,16 +96,38 @@
 	if len(s.Voters) == 0 || len(s.Voters)%2 == 0 || len(s.Voters) > maxVoters {
 		c.add("voters", s.Voters, "1, 3, 5 or 7 router IDs")
 	}
-	for i, voter := range s.Voters {
-		if voter != s.RouterID && !slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.RouterID == voter }) {
-			c.add(fmt.Sprintf("voters[%d]", i), voter, "this process or one of peers")
+	c.keepers(s, "voters", s.Voters)
+	c.keepers(s, "spares", s.Spares)
+	c.ownRole(s)
+}
+
+// keepers checks a list of processes that keep state.
+func (c *checker) keepers(s Settings, path string, keepers []protocol.RouterID) {
+	for i, keeper := range keepers {
+		item := fmt.Sprintf("%s[%d]", path, i)
+		if keeper != s.RouterID && !slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.RouterID == keeper }) {
+			c.add(item, keeper, "this process or one of peers")
+		}
+		if slices.Index(keepers, keeper) != i {
+			c.add(item, keeper, "named once in the list")
 		}
-		if slices.Index(s.Voters, voter) != i {
-			c.add(fmt.Sprintf("voters[%d]", i), voter, "named once in the list")
+		if path == "spares" && slices.Contains(s.Voters, keeper) {
+			c.add(item, keeper, "no voter")
 		}
 	}
 }
 
+// ownRole checks that a spare is in the list that the others wait for when
+// the fleet forms.
+func (c *checker) ownRole(s Settings) {
+	if s.Role == RoleSpare && !slices.Contains(s.Spares, s.RouterID) {
+		c.add("spares", s.Spares, "a list that names this process, because its role is spare")
+	}
+	if s.Role == RoleVoter && !slices.Contains(s.Voters, s.RouterID) {
+		c.add("voters", s.Voters, "a list that names this process, because its role is voter")
+	}
+}
+
 func (c *checker) tls(t TLS) {
 	set := 0
 	for _, file := range []string{t.CertificateFile, t.KeyFile, t.AuthorityFile} {
@@ -146,6 +170,7 @@
 func (c *checker) timing(t Timing) {
 	c.between("timing.lease_ms", float64(t.LeaseMS), 1_000, 30_000)
 	c.between("timing.stall_ms", float64(t.StallMS), 200, 60_000)
+	c.between("timing.replace_voter_ms", float64(t.ReplaceVoterMS), 1_000, 86_400_000)
 	c.between("timing.unready_ms", float64(t.UnreadyMS), 0, 60_000)
 	c.between("timing.drain_ms", float64(t.DrainMS), 0, 3_600_000)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,9 @@
 	// Voters are the voters of a new fleet. They matter only when a voter
 	// starts with an empty data folder for the first time.
 	Voters    []protocol.RouterID `json:"voters"`
+	// Spares are processes with the role spare, the same list everywhere. A
+	// voter that is lost is replaced by one of them.
+	Spares    []protocol.RouterID `json:"spares"`
 	TLS       TLS                 `json:"tls"`
 	Operators []Operator          `json:"operators"`
 	Callers   Callers             `json:"callers"`
@@ -125,6 +128,9 @@
 	// StallMS is the longest an upstream or peer may go without progress while
 	// work is on it.
 	StallMS int `json:"stall_ms"`
+	// ReplaceVoterMS is how long a voter may be silent before a spare takes its
+	// place for good.
+	ReplaceVoterMS int `json:"replace_voter_ms"`
 	// UnreadyMS is how long a stopping router reports unready, and still
 	// serves, before it refuses new requests: the time the platform's balancer
 	// needs to notice.
@@ -166,7 +172,7 @@
 			DeadlineMS:      120_000,
 		},
 		Load:   Load{Multiple: 1.25, ReuseWeight: 0.5, QueueLimit: 256},
-		Timing: Timing{LeaseMS: 3_000, StallMS: 3_000, UnreadyMS: 2_000, DrainMS: 60_000},
+		Timing: Timing{LeaseMS: 3_000, StallMS: 3_000, ReplaceVoterMS: 30_000, UnreadyMS: 2_000, DrainMS: 60_000},
 		Log:    Log{Level: "info", Format: "json"},
 		Traces: Traces{Exporter: "none", SampleRatio: 0.01},
 	}
--- a/tool/status.go
+++ b/tool/status.go
@@ -59,6 +59,13 @@
 		}
 		row(w, router.Router, router.DataCentre, router.Address, router.Upstreams, state)
 	}
+	if len(status.Voters) > 0 {
+		row(w)
+		row(w, "KEEPS STATE", "AS")
+	}
+	for _, voter := range status.Voters {
+		row(w, voter.Router, voter.Role)
+	}
 	row(w)
 	row(w, "UPSTREAM", "KIND", "DATA CENTRE", "SERVES", "OWNER", "ADDRESS", "DRAIN")
 	for _, upstream := range status.Upstreams {
