--- /dev/null
+++ b/coordination/node/bench_test.go
@@ -0,0 +1,157 @@
+package node_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/node"
+	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+	"endiveplank/protocol/fleet"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// Bounds on what the data path may allocate, checked in CI. They are counts,
+// the same on every machine.
+const (
+	// maxTokenAllocs covers a token at its owner and its entry, both sides.
+	maxTokenAllocs = 6
+	// maxPlaceAllocs covers a whole chat request in one router: checks, walk,
+	// admission, start, end and events.
+	maxPlaceAllocs = 60
+)
+
+// oneRouter is a core that owns all its engines.
+type oneRouter struct {
+	core *node.Node
+	now  time.Duration
+	next int
+	call node.CallUpstream
+}
+
+func newOneRouter(engines int) *oneRouter {
+	r := &oneRouter{core: node.New(node.Config{
+		Self: "r1", DataCentre: "dc1", Multiple: 1.25, ReuseWeight: 0.5,
+		Stall: 3 * time.Second, Deadline: time.Minute, Random: rand.New(rand.NewPCG(1, 1)),
+	})}
+	view := &node.View{
+		Revision:  1,
+		Customers: map[[32]byte]*node.Customer{sha256.Sum256([]byte("key")): {ID: "a", Weight: 100}},
+		Upstreams: map[protocol.UpstreamID]*node.Upstream{},
+		Models:    map[protocol.Model][]*node.Upstream{},
+		Routers:   []protocol.RouterID{"r1"},
+	}
+	for i := range engines {
+		upstream := &node.Upstream{
+			ID: protocol.UpstreamID(fmt.Sprintf("e%03d", i)), Kind: upstreamapi.KindEngine, Address: "127.0.0.1:1",
+			Models: []protocol.Model{"m"}, Announced: 1000, AnnouncedMax: 64, Capacity: 1000, MaxConcurrent: 64,
+			Owner: "r1", Fence: 1, Mine: true,
+		}
+		view.Upstreams[upstream.ID] = upstream
+		view.Models["m"] = append(view.Models["m"], upstream)
+	}
+	r.step(node.ViewChanged{View: view})
+	r.step(node.LeaseChanged{Until: 1000 * time.Hour, Session: 1})
+	for _, upstream := range view.Models["m"] {
+		r.step(node.Announced{Announcement: upstreamapi.Announcement{
+			ID: upstream.ID, Incarnation: 1, Sequence: 1, Kind: upstream.Kind, Address: upstream.Address,
+			Models: upstream.Models, Capacity: 1000, MaxConcurrent: 64,
+		}})
+	}
+	return r
+}
+
+func (r *oneRouter) step(in node.Input) {
+	for _, out := range r.core.Step(r.now, in) {
+		if call, ok := out.(node.CallUpstream); ok {
+			r.call = call
+		}
+	}
+}
+
+// start submits a chat; its call is then in r.call.
+func (r *oneRouter) start() protocol.RequestID {
+	r.next++
+	id := protocol.RequestID(fmt.Sprint("q", r.next))
+	prompt := fmt.Sprint("prompt ", r.next%1000)
+	r.step(node.CallerRequest{
+		ID: id, KeyHash: sha256.Sum256([]byte("key")), HasKey: true, Method: "POST", Path: upstreamapi.CompletionsPath,
+		Body: []byte(prompt),
+		Chat: &chat.Request{Model: "m", Stream: true, MaxTokens: 100, Messages: []chat.Message{{Role: "user", Content: prompt}}},
+	})
+	return id
+}
+
+func (r *oneRouter) token(index int) {
+	r.step(node.UpstreamChunk{Chunk: fleet.Chunk{Attempt: r.call.Attempt, Index: index, Data: tokenData}})
+}
+
+var tokenData = []byte(`{"id":"x","choices":[{"index":0,"delta":{"content":"word "}}]}`)
+
+func (r *oneRouter) finish() {
+	r.step(node.UpstreamEnd{Attempt: r.call.Attempt, Complete: true, Sent: true, Status: 200})
+}
+
+// BenchmarkRelayToken is one token through owner and entry of one router, the
+// whole cost of the decisions for it.
+func BenchmarkRelayToken(b *testing.B) {
+	r := newOneRouter(12)
+	r.start()
+	b.ReportAllocs()
+	for i := range b.N {
+		r.token(i)
+	}
+}
+
+// BenchmarkRequest is a whole chat without its tokens, at two fleet sizes.
+func BenchmarkRequest(b *testing.B) {
+	for _, engines := range []int{12, 790} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			r := newOneRouter(engines)
+			b.ReportAllocs()
+			for range b.N {
+				r.start()
+				r.finish()
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the passing of time with nothing in flight.
+func BenchmarkTick(b *testing.B) {
+	for _, engines := range []int{3, 12} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			r := newOneRouter(engines)
+			b.ReportAllocs()
+			for range b.N {
+				r.step(node.Tick{})
+			}
+		})
+	}
+}
+
+func TestAllocationsOfTheDataPathAreBounded(t *testing.T) {
+	r := newOneRouter(12)
+	r.start()
+	index := 0
+	perToken := testing.AllocsPerRun(1000, func() {
+		r.token(index)
+		index++
+	})
+	t.Logf("%.1f allocations a token", perToken)
+	assert.Assert(t, perToken <= maxTokenAllocs)
+	for _, engines := range []int{12, 790} {
+		r := newOneRouter(engines)
+		perRequest := testing.AllocsPerRun(200, func() {
+			r.start()
+			r.finish()
+		})
+		t.Logf("%.1f allocations a request at %d engines", perRequest, engines)
+		assert.Assert(t, perRequest <= maxPlaceAllocs)
+	}
+}
