Placement: at saturation a chat waits where its prompt is cached

Cause: an owner with a queue said nothing of its cache, and the last question of a walk went to the shortest queue; chats found their cache nowhere just when there was too much work. Ruled out: waiting only at the home (a hot home's callers would be late). Change: Owner.Weigh; a queue may be longer by up to half, in proportion to what is cached and the reuse weight.

--- a/coordination/loadbound/decision.go
+++ b/coordination/loadbound/decision.go
@@ -51,6 +51,8 @@
 	OverBound Reason = "over-bound"
 	// UpstreamFull: the upstream's own limit of requests is reached.
 	UpstreamFull Reason = "upstream-full"
+	// QueueAhead: other requests wait for the upstream already.
+	QueueAhead Reason = "queue-ahead"
 	// NotOwner: this router does not hold the upstream, or its lease has run
 	// out.
 	NotOwner Reason = "not-owner"
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -211,7 +211,7 @@
 // empty. The ratio counts what waits there as well, so that the entry doesn't
 // take an upstream with a queue for the one with the least to do.
 func (n *Node) behindQueue(now time.Duration, target *owned, r *relay) placement.Answer {
-	answer := placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.OverBound}
+	answer := placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.QueueAhead}
 	if !target.isEngine() {
 		return answer
 	}
@@ -219,9 +219,7 @@
 	for class := range admission.NumClasses {
 		waiting += target.queue.Tokens(admission.Class(class))
 	}
-	judged := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: r.cost + float64(waiting), Seen: r.place.Seen})
-	answer.Ratio = judged.Ratio
-	return answer
+	return n.placer.Weigh(now, r.ask, float64(waiting))
 }
 
 // decideEngine puts a chat to placement and the load bound.
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -153,6 +153,33 @@
 	return o.admit(now, ask, held, hit)
 }
 
+// Weigh answers an ask for an upstream where other requests wait already, so
+// that this one can't start now: where the chat is better looked for, or how
+// busy the upstream is with all that waits, in tokens, and what its cache
+// would save. It counts nothing.
+func (o *Owner) Weigh(now time.Duration, ask Ask, waiting float64) Answer {
+	held, ok := o.holdings[ask.Upstream]
+	if !ok || len(ask.Chain) == 0 || ask.Root < 0 || ask.Root >= len(ask.Chain) {
+		return Answer{Verdict: Refused, Reason: loadbound.NotOwner}
+	}
+	hit := held.index.Lookup(now, ask.Chain, ask.Root)
+	if answer, elsewhere := o.elsewhere(now, ask, held, hit); elsewhere {
+		return answer
+	}
+	prompt := ask.Chain[len(ask.Chain)-1].Tokens
+	saved := hit.Expected()
+	judged := o.ledger.Judge(now, ask.Upstream, loadbound.Ask{
+		Cost: waiting + o.policy.Cost(prompt, saved, ask.OutputTokens),
+		Seen: ask.Seen,
+	})
+	return Answer{
+		Verdict:    NoRoom,
+		Reason:     loadbound.QueueAhead,
+		SavedShare: saved / float64(max(1, prompt)),
+		Ratio:      judged.Ratio,
+	}
+}
+
 // elsewhere answers an ask of a chat that is better looked for elsewhere.
 //
 // Load: chats whose home changed, or that ran elsewhere when their home was
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -103,11 +103,24 @@
 // may have to queue, behind all that are only above their soft bound.
 const overBoundPenalty = 10
 
+// queuePatience is how much longer a queue may be, as a share, for a request
+// whose whole prompt is cached there, at a reuse weight of one.
+//
+// Load: every engine is at its bound and has a queue. Harm: requests that go
+// to the shortest queue find their chat nowhere, prefill everything anew, and
+// the fleet does less work just when there is too much. A queue that is half as
+// long again costs the caller less than the fleet's lost prefill.
+const queuePatience = 0.5
+
 // value ranks upstreams that were asked and had no room within their soft
 // bound: the higher, the better.
 func (p Policy) value(answer Answer, prompt int) float64 {
 	if answer.Reason == loadbound.OverSoftBound {
 		return p.SoftMultiple(answer.SavedShare*float64(prompt)) - answer.Ratio
 	}
-	return -overBoundPenalty - answer.Ratio
+	if answer.Reason != loadbound.QueueAhead {
+		return -overBoundPenalty - answer.Ratio
+	}
+	patience := queuePatience * p.ReuseWeight * answer.SavedShare
+	return -overBoundPenalty - answer.Ratio*(1-patience)
 }
