Node: a lost owner is found within two seconds; golden sessions

Cause: an entry whose owner died in mid-answer, without any connection breaking, waited for its own patience with the engine, 5 s; a request in the queue of a dead owner waited until its deadline. Ruled out: a shorter patience (slow engines would be left); heartbeats for each stream (control bytes grow with the work). Change: an attempt that is quiet for 1 s makes the entry ask its owner; 0.7 s without a sign of life means it is lost.

--- a/coordination/node/deadlines.go
+++ b/coordination/node/deadlines.go
@@ -34,7 +34,7 @@
 	if e.order != nil {
 		return n.orderIsDue(now, e)
 	}
-	if now >= e.deadline+e.grace() {
+	if now >= e.deadline+e.grace() || e.checkIsDue(now) {
 		return true
 	}
 	switch e.phase {
@@ -43,7 +43,7 @@
 	case phaseWaiting, phaseLimit:
 		return now >= e.wakeAt
 	case phaseRunning:
-		return now-e.progress > n.entryStall()
+		return now-e.progress > n.entryStall(e)
 	}
 	return false
 }
@@ -57,10 +57,15 @@
 	return 0
 }
 
-// entryStall is longer than the owner's own limit, so that the owner, which
-// knows the upstream, decides first; the entry steps in when it is the owner
-// that fell silent.
-func (n *Node) entryStall() time.Duration { return n.config.Stall + ownerPatience }
+// entryStall bounds what an owner that lives may make of an attempt: it is
+// longer than the owner's own patience, so that the owner, which knows the
+// upstream, decides first. A request in a queue has its deadline alone.
+func (n *Node) entryStall(e *entry) time.Duration {
+	if e.phase == phaseQueued || !e.template.Streamed {
+		return max(0, e.deadline-e.progress)
+	}
+	return 3*n.config.Stall + ownerPatience
+}
 
 // entryDue acts on a request whose time has come.
 func (n *Node) entryDue(now time.Duration, e *entry) {
@@ -80,7 +85,10 @@
 	switch e.phase {
 	case phaseWaiting:
 		n.wake(now, e)
-	case phaseAsking, phaseRunning:
+	case phaseAsking, phaseRunning, phaseQueued:
+		if e.phase != phaseAsking && now-e.progress <= n.entryStall(e) && !n.check(now, e) {
+			return
+		}
 		n.abandon(e)
 		e.reached = true
 		n.attemptFailed(now, e, reason.OwnerLost)
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -17,7 +17,7 @@
 const (
 	// ownerPatience is how long an owner may take to answer a Place. An owner
 	// answers at once; only a lost or frozen one doesn't.
-	ownerPatience = 2 * time.Second
+	ownerPatience = time.Second
 	// statusRetryAfter is what callers are told when the wait isn't known.
 	statusRetryAfter = time.Second
 )
@@ -69,6 +69,10 @@
 	// progress is when the current attempt last moved.
 	progress time.Duration
 	wakeAt   time.Duration
+	// checkedAt is when the owner was last asked whether it still has the
+	// attempt, 0 without an open question; aliveAt is when it last said so.
+	checkedAt time.Duration
+	aliveAt   time.Duration
 	// delivered counts the chunks the caller has.
 	delivered int
 	headSent  bool
@@ -146,6 +150,7 @@
 		return
 	}
 	e.progress = now
+	e.checkedAt = 0
 	if e.phase == phaseAsking || e.phase == phaseQueued {
 		e.phase = phaseRunning
 	}
@@ -180,6 +185,12 @@
 	if e == nil {
 		return
 	}
+	if e.order != nil {
+		// Only an owner that lost the attempt ends an order this way; the
+		// journal says what became of it.
+		n.orderOwnerLost(now, e)
+		return
+	}
 	if in.End.Complete {
 		n.finish(now, e, reason.Completed)
 		return
--- /dev/null
+++ b/coordination/node/golden_test.go
@@ -0,0 +1,61 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/golden"
+
+	"endiveplank/coordination/node"
+	"endiveplank/coordination/node/nodetest"
+	"endiveplank/protocol"
+)
+
+// The sessions below are recorded whole: what the entry router's core was
+// given and what it wanted. Run with -update to write them anew, and read the
+// difference before committing it.
+
+func TestGoldenChatResumedAfterItsOwnerDied(t *testing.T) {
+	f := newFleet(3)
+	f.Record("r3")
+	f.Submit("r3", "q", "key", "fuel for N123?", 12)
+	f.Run(120 * time.Millisecond)
+	owner := protocol.RouterID("r1")
+	if f.Engines["e2"].Running() > 0 {
+		owner = "r2"
+	}
+	f.Kill(owner)
+	f.Run(8 * time.Second)
+	golden.Assert(t, f.Transcript(), "chat-owner-died.golden")
+}
+
+func TestGoldenOrderSentTwice(t *testing.T) {
+	f := orderFleet()
+	f.Record("r2")
+	f.Order("r2", "o1", "k-2031", "900 gal")
+	f.Run(time.Second)
+	f.Order("r2", "o2", "k-2031", "900 gal")
+	f.Run(time.Second)
+	f.Order("r2", "o3", "k-2031", "901 gal")
+	f.Run(time.Second)
+	golden.Assert(t, f.Transcript(), "order-sent-twice.golden")
+}
+
+func TestGoldenOrderWhoseOwnerDied(t *testing.T) {
+	f := orderFleet()
+	f.Engines["desk"].TokenTime = 300 * time.Millisecond
+	f.Record("r2")
+	f.Order("r2", "o1", "k-2031", "900 gal")
+	f.Run(200 * time.Millisecond)
+	f.Kill("r1")
+	f.Run(15 * time.Second)
+	golden.Assert(t, f.Transcript(), "order-owner-died.golden")
+}
+
+func orderFleet() *nodetest.Fleet {
+	f := newFleet(3)
+	f.Route(node.Route{Prefix: "/svc/orders", Service: "orders", Deadline: 10 * time.Second})
+	f.AddServer("desk", "orders", "r1", 8)
+	f.Run(time.Second)
+	return f
+}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -68,6 +68,15 @@
 	}
 )
 
+// PeerCheck asks this router, as an owner, whether it still has an attempt.
+type PeerCheck struct {
+	From  protocol.RouterID
+	Check fleet.Check
+}
+
+// PeerAlive says that the owner still has an attempt.
+type PeerAlive struct{ Alive fleet.Alive }
+
 // PeerMoved says where a chat ran whose first choice this router owns.
 type PeerMoved struct{ Moved fleet.Moved }
 
@@ -198,3 +207,5 @@
 func (Drain) input()           {}
 func (PeerLimitAsk) input()    {}
 func (PeerLimitAnswer) input() {}
+func (PeerCheck) input()       {}
+func (PeerAlive) input()       {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -170,6 +170,10 @@
 		n.entryEnd(now, in)
 	case PeerCancel:
 		n.ownerCancel(now, in)
+	case PeerCheck:
+		n.ownerChecked(in)
+	case PeerAlive:
+		n.entryAlive(now, in)
 	case PeerTotals:
 		n.ledger.Receive(now, in.From, in.Summary)
 		n.exchange.Heard(now, in.From)
@@ -272,6 +276,10 @@
 		return PeerOrderReport{From: from, Report: message}
 	case fleet.Moved:
 		return PeerMoved{Moved: message}
+	case fleet.Check:
+		return PeerCheck{From: from, Check: message}
+	case fleet.Alive:
+		return PeerAlive{Alive: message}
 	case limits.Ask:
 		return PeerLimitAsk{From: from, Ask: message}
 	case limits.Answer:
@@ -296,6 +304,10 @@
 		return wire.KindOrderReport
 	case fleet.Moved:
 		return wire.KindMoved
+	case fleet.Check:
+		return wire.KindCheck
+	case fleet.Alive:
+		return wire.KindAlive
 	case limits.Ask:
 		return wire.KindLimitAsk
 	case limits.Answer:
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -43,10 +43,30 @@
 		running = "r2"
 	}
 	f.Kill(running)
-	f.Run(15 * time.Second)
+	before := len(answer.Chunks)
+	f.Run(3 * time.Second)
+	assert.Assert(t, len(answer.Chunks) > before, "nothing came within 3 s of the loss")
+	f.Run(12 * time.Second)
 	whole(t, answer, "fuel?", 100)
 }
 
+// A request waits in the queue of an owner that dies. It must not wait there
+// until its deadline, but be placed anew.
+func TestQueuedRequestLeavesADeadOwner(t *testing.T) {
+	f := nodetest.New(seed, 2)
+	f.AddEngine("e1", "r1", 1000, 1)
+	f.Run(2 * time.Second)
+	first := f.Submit("r2", "first", "key", "long", 1000)
+	f.Run(time.Second)
+	second := f.Submit("r2", "second", "key", "short", 10)
+	f.Run(time.Second)
+	assert.Assert(t, !first.Ended && len(second.Chunks) == 0)
+	f.Kill("r1")
+	f.Own("e1", "r2")
+	f.Run(8 * time.Second)
+	whole(t, second, "short", 10)
+}
+
 // An engine's connections go silent in mid-answer: no error comes, and nothing
 // more arrives. The caller must get the rest from another engine.
 func TestSilentEngineIsLeftAndTheAnswerResumed(t *testing.T) {
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"endiveplank/coordination/fleetstate"
@@ -56,6 +57,9 @@
 	upstreams map[protocol.UpstreamID]*node.Upstream
 	cut       map[[2]protocol.RouterID]bool
 	index     uint64
+
+	recorded   protocol.RouterID
+	transcript *strings.Builder
 }
 
 // Router is one node core and what happened to its process.
@@ -310,7 +314,9 @@
 }
 
 func (f *Fleet) step(r *Router, in node.Input) {
-	for _, out := range r.Core.Step(f.Now, in) {
+	outs := slices.Clone(r.Core.Step(f.Now, in))
+	f.note(r, in, outs)
+	for _, out := range outs {
 		f.perform(r, out)
 	}
 }
--- a/coordination/node/order.go
+++ b/coordination/node/order.go
@@ -11,6 +11,10 @@
 	"endiveplank/protocol/fleet"
 )
 
+// leastLookGap is the least time between two looks into the journal for one
+// order. Each look is a command, which every voter syncs.
+const leastLookGap = 250 * time.Millisecond
+
 // order is the part of an entry that follows an order through the journal.
 // What may be done with it is decided by orders.Entry; this file only carries
 // its wishes out.
@@ -71,7 +75,7 @@
 		n.emit(Journal{Caller: JournalCaller{Attempt: fleet.Attempt{Request: e.request.ID}}, Command: out.Command})
 	case orders.Look:
 		e.phase = phaseJournal
-		e.order.lookAt = now + out.After
+		e.order.lookAt = now + max(out.After, leastLookGap)
 	case orders.Dispatch:
 		e.template.Order = &fleet.Order{Key: e.order.key.Key, Digest: e.order.digest, Attempt: out.Attempt}
 		n.place(now, e)
@@ -134,6 +138,9 @@
 	if e.order.lookAt > 0 && now >= e.order.lookAt {
 		return true
 	}
+	if e.checkIsDue(now) {
+		return true
+	}
 	switch e.phase {
 	case phaseWaiting:
 		if now >= e.wakeAt {
@@ -158,6 +165,10 @@
 		n.stepOrder(now, e, orders.Tick{})
 		return
 	}
+	if e.checkIsDue(now) && n.check(now, e) {
+		n.orderOwnerLost(now, e)
+		return
+	}
 	switch e.phase {
 	case phaseWaiting:
 		if now >= e.wakeAt {
--- a/coordination/node/seek.go
+++ b/coordination/node/seek.go
@@ -194,6 +194,7 @@
 	e.upstream = upstream
 	e.phase = phaseAsking
 	e.progress = now
+	e.checkedAt = 0
 	message := e.template
 	message.Attempt = e.current()
 	message.Upstream = upstream.ID
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -218,6 +218,10 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindCheck:
+		return decoded[fleet.Check](from, frame)
+	case wire.KindAlive:
+		return decoded[fleet.Alive](from, frame)
 	case wire.KindLimitAsk:
 		return decoded[limits.Ask](from, frame)
 	case wire.KindLimitAnswer:
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -159,3 +159,13 @@
 type Cancel struct {
 	Attempt Attempt `msgpack:"a"`
 }
+
+// Check asks an owner whether it still has an attempt.
+type Check struct {
+	Attempt Attempt `msgpack:"a"`
+}
+
+// Alive answers a Check; an owner that doesn't know the attempt sends an End.
+type Alive struct {
+	Attempt Attempt `msgpack:"a"`
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -85,6 +85,9 @@
 	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
 	KindLimitAsk    Kind = 23
 	KindLimitAnswer Kind = 24
+	// KindCheck and KindAlive find out whether an owner still has an attempt.
+	KindCheck Kind = 25
+	KindAlive Kind = 26
 )
 
 // kindNames are the names of kinds in metrics.
@@ -97,6 +100,7 @@
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
+	KindCheck: "check", KindAlive: "alive",
 }
 
 // String returns the kind's name.
