Placement: a late eviction corrects the request it concerns

Cause: 29 of 31 large misjudged costs were prompts evicted within the second before, whose events were still on the way. The engine then counted too low for as long as the request ran, and took more above its bound. Ruled out: lost routers noticed late, which came at the same time by chance. Change: an owner remembers its last 64 admissions that counted on a cached prefix; a late eviction of one corrects its cost (Ledger.Correct) while it runs. Guards seen to fail when off: the correction, and forgetting finished requests.

--- a/coordination/loadbound/decision.go
+++ b/coordination/loadbound/decision.go
@@ -91,4 +91,6 @@
 	// Fence is the owner's tenure under which the request was admitted.
 	Fence protocol.Fence
 	Cost  float64
+	// ID tells the ledger's tickets apart.
+	ID uint64
 }
--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -60,6 +60,10 @@
 	viewOrder []*view
 	// capacityFloor is the fleet's capacity by the replicated state.
 	capacityFloor float64
+	// tickets numbers the tickets, and corrected holds what Correct has added
+	// to the cost of running ones.
+	tickets   uint64
+	corrected map[uint64]float64
 }
 
 // NewLedger returns an empty ledger. It panics when config.Check fails.
@@ -71,6 +75,8 @@
 		config:   config,
 		accounts: make(map[protocol.UpstreamID]*account),
 		views:    make(map[protocol.RouterID]*view),
+
+		corrected: make(map[uint64]float64),
 	}
 }
 
@@ -179,7 +185,7 @@
 	a := l.accounts[id]
 	a.running += ask.Cost
 	a.requests++
-	decision.Ticket = Ticket{Upstream: id, Fence: a.grant.Fence, Cost: ask.Cost}
+	decision.Ticket = l.ticket(id, a, ask.Cost)
 	return decision
 }
 
@@ -281,13 +287,36 @@
 	a.running += cost
 	a.requests++
 	a.inherited = math.Max(0, a.inherited-cost)
-	return Ticket{Upstream: id, Fence: a.grant.Fence, Cost: cost}, true
+	return l.ticket(id, a, cost), true
+}
+
+// ticket numbers a request that was counted.
+func (l *Ledger) ticket(id protocol.UpstreamID, a *account, cost float64) Ticket {
+	l.tickets++
+	return Ticket{Upstream: id, Fence: a.grant.Fence, Cost: cost, ID: l.tickets}
+}
+
+// Correct changes the cost of a running request once more is known of it.
+//
+// Failure guarded: a long prompt is admitted as cached an instant after the
+// engine evicted it. Its upstream counts too low for as long as it runs, and
+// takes more requests above the bound.
+func (l *Ledger) Correct(ticket Ticket, cost float64) {
+	a, ok := l.accounts[ticket.Upstream]
+	if !ok || a.grant.Fence != ticket.Fence || !(cost > 0) || math.IsInf(cost, 0) {
+		return
+	}
+	extra := cost - ticket.Cost
+	a.running += extra - l.corrected[ticket.ID]
+	l.corrected[ticket.ID] = extra
 }
 
 // Finish takes a request off the count: its answer ended, was cancelled, or
 // was handed to another upstream. A ticket of an earlier tenure is ignored,
 // because the floor of inherited work counts that request.
 func (l *Ledger) Finish(now time.Duration, ticket Ticket) {
+	extra := l.corrected[ticket.ID]
+	delete(l.corrected, ticket.ID)
 	a, ok := l.accounts[ticket.Upstream]
 	if !ok || a.grant.Fence != ticket.Fence {
 		return
@@ -296,7 +325,7 @@
 		panic("loadbound: every ticket is finished once: more finished than admitted")
 	}
 	a.rollWindow(now)
-	a.running -= ticket.Cost
+	a.running -= ticket.Cost + extra
 	a.requests--
 	if a.requests == 0 {
 		// Sums of floats do not cancel exactly; no work is exactly none.
--- a/coordination/loadbound/ledger_test.go
+++ b/coordination/loadbound/ledger_test.go
@@ -151,6 +151,21 @@
 	assert.Assert(t, !ok)
 }
 
+func TestCorrectedCostEndsWithItsRequest(t *testing.T) {
+	l := owning(1)
+	kept := l.Admit(0, upstream(0), Ask{Cost: 10})
+	long := l.Admit(0, upstream(0), Ask{Cost: 10, Final: true})
+	l.Correct(long.Ticket, 50)
+	l.Correct(long.Ticket, 70)
+	l.Correct(Ticket{Upstream: upstream(0), Fence: 9, Cost: 1}, 99)
+	l.Correct(long.Ticket, math.NaN())
+	load, _, _ := l.Load(0, upstream(0))
+	assert.Equal(t, load, 80.0)
+	l.Finish(0, long.Ticket)
+	load, _, _ = l.Load(0, upstream(0))
+	assert.Equal(t, load, kept.Ticket.Cost)
+}
+
 func TestTicketFinishedTwicePanics(t *testing.T) {
 	l := owning(1)
 	d := l.Admit(0, upstream(0), Ask{Cost: 1})
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -91,6 +91,25 @@
 	index       *Index
 	incarnation uint64
 	since       time.Duration
+	// recent are the last admissions that counted on a cached prefix.
+	recent     [recentHits]recentHit
+	recentNext int
+}
+
+// recentHits is how many admissions an owner remembers for late events: more
+// than an engine starts within eventLag.
+const recentHits = 64
+
+// eventLag is the longest delay of cache events that is corrected for.
+const eventLag = 2 * time.Second
+
+// recentHit is one admission that counted on a cached prefix.
+type recentHit struct {
+	hash   chat.ChainHash
+	at     time.Duration
+	ticket loadbound.Ticket
+	// cold is the cost without the prefix.
+	cold float64
 }
 
 // Owner answers asks for the upstreams that one router owns. It is not safe
@@ -206,6 +225,10 @@
 	if answer.Verdict != Admitted {
 		return answer
 	}
+	if hit.Link >= ask.Root {
+		cold := o.policy.Cost(prompt, 0, ask.OutputTokens)
+		held.remember(recentHit{hash: ask.Chain[hit.Link].Hash, at: now, ticket: answer.Ticket, cold: cold})
+	}
 	held.index.Placed(now, ask.Chain, ask.Root, hit)
 	if ask.Home {
 		o.pointers.Remove(ask.Chain[ask.Root].Hash)
@@ -237,7 +260,11 @@
 func (o *Owner) Finished(now time.Duration, ticket loadbound.Ticket, hit Hit, cached int) {
 	o.ledger.Finish(now, ticket)
 	held, ok := o.holdings[ticket.Upstream]
-	if ok && cached >= 0 {
+	if !ok {
+		return
+	}
+	held.forget(ticket)
+	if cached >= 0 {
 		held.index.Observed(now, hit, cached)
 	}
 }
@@ -248,9 +275,43 @@
 	if !ok {
 		return BatchStale
 	}
+	for _, event := range events {
+		if event.Op == Evicted {
+			o.evictedUnseen(now, held, event.Hash)
+		}
+	}
 	return held.index.Apply(now, first, events)
 }
 
+// remember keeps an admission in place of the oldest.
+func (h *holding) remember(hit recentHit) {
+	h.recent[h.recentNext] = hit
+	h.recentNext = (h.recentNext + 1) % recentHits
+}
+
+// forget drops a finished admission: correcting it would count work that has
+// ended for ever.
+func (h *holding) forget(ticket loadbound.Ticket) {
+	for i := range h.recent {
+		if h.recent[i].ticket.ID == ticket.ID {
+			h.recent[i] = recentHit{}
+		}
+	}
+}
+
+// evictedUnseen corrects the cost of an admission that counted on a prefix
+// whose eviction was still on its way. The engine evicted it before the
+// request came, or the request would have kept it.
+func (o *Owner) evictedUnseen(now time.Duration, held *holding, hash chat.ChainHash) {
+	for i := range held.recent {
+		hit := &held.recent[i]
+		if hit.hash == hash && hit.ticket.Cost > 0 && now-hit.at <= eventLag {
+			o.ledger.Correct(hit.ticket, hit.cold)
+			hit.ticket.Cost = 0
+		}
+	}
+}
+
 // State returns the memory of indexes and pointers in bytes and the entries
 // they hold.
 func (o *Owner) State() (bytes, entries int) {
--- a/coordination/placement/walk_test.go
+++ b/coordination/placement/walk_test.go
@@ -115,6 +115,40 @@
 	assert.Assert(t, len(used) > 30, "%d engines", len(used))
 }
 
+// A chat with a long prompt returns an instant after the engine evicted it;
+// the event arrives half a second later. Counted as cached for as long as it
+// runs, the engine would be given more above its bound.
+func TestLateEvictionCorrectsARunningRequest(t *testing.T) {
+	f := newFleet(t, 1, ReuseFirst)
+	first := f.run(0, turn(5, 30))
+	f.owner.Finished(0, first.Answer.Ticket, first.Answer.Hit, 0)
+	again := f.run(time.Minute, turn(5, 31))
+	warm, _, _ := f.ledger.Load(time.Minute, "e000")
+	late := evictions(turn(5, 30)[59].Hash)
+	f.owner.CacheEvents(time.Minute+time.Second, "e000", 1, late)
+	cold, _, _ := f.ledger.Load(time.Minute+time.Second, "e000")
+	assert.Assert(t, cold > warm+500, "warm %v cold %v", warm, cold)
+	f.owner.Finished(time.Minute+time.Second, again.Answer.Ticket, again.Answer.Hit, 0)
+	load, _, _ := f.ledger.Load(time.Hour, "e000")
+	assert.Equal(t, load, 0.0)
+}
+
+// The same, but the short answer has ended when the event arrives: nothing
+// is left to correct.
+func TestLateEvictionLeavesAFinishedRequestAlone(t *testing.T) {
+	f := newFleet(t, 1, ReuseFirst)
+	first := f.run(0, turn(5, 30))
+	other := f.run(0, turn(6, 1))
+	f.owner.Finished(0, first.Answer.Ticket, first.Answer.Hit, 0)
+	again := f.run(time.Minute, turn(5, 31))
+	f.owner.Finished(time.Minute, again.Answer.Ticket, again.Answer.Hit, 0)
+	before, _, _ := f.ledger.Load(time.Minute, "e000")
+	f.owner.CacheEvents(time.Minute+time.Second, "e000", 1, evictions(turn(5, 30)[59].Hash))
+	after, _, _ := f.ledger.Load(time.Minute+time.Second, "e000")
+	assert.Equal(t, after, before)
+	assert.Assert(t, other.Verdict == Admitted)
+}
+
 func TestWalkAnswersBadInputWithAReason(t *testing.T) {
 	empty := mustSet(t, nil)
 	one := mustSet(t, members(1))
