--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -51,6 +51,9 @@
 	announced   time.Duration
 	reported    upstreamapi.Load
 	pace        *stream.Pace
+	// seen is the load of other upstreams as an entry heard it at seenAt.
+	seen   float64
+	seenAt time.Duration
 	// done counts the tokens that its streams made since the queue was told.
 	done int
 	// tokenTime is the lately measured time of one token of one stream.
@@ -163,9 +166,14 @@
 			return
 		}
 	}
+	target.hear(now, r.place.Seen)
 	if target.queue.Len() > 0 {
-		// What waits goes first, by the queue's rules.
-		n.spillOrSubmit(now, target, r, final, placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.UpstreamFull})
+		// What waits goes first, by the queue's rules, and the news that this
+		// request brings may make room for it.
+		n.startQueued(now, target)
+	}
+	if target.queue.Len() > 0 {
+		n.spillOrSubmit(now, target, r, final, n.behindQueue(now, target, r))
 		return
 	}
 	if !target.isEngine() {
@@ -179,6 +187,41 @@
 	n.decideEngine(now, target, r, final)
 }
 
+// seenFor is how long what an entry heard of other upstreams counts. Within it
+// an engine drains less than the share that the load bound allows for.
+const seenFor = TickInterval / 2
+
+// hear keeps what an entry has just heard of other upstreams.
+func (t *owned) hear(now time.Duration, seen float64) {
+	if seen > 0 {
+		t.seen = seen
+		t.seenAt = now
+	}
+}
+
+// heardBeside is the load of other upstreams, if it was heard just now.
+func (t *owned) heardBeside(now time.Duration) float64 {
+	if now-t.seenAt > seenFor {
+		return 0
+	}
+	return t.seen
+}
+
+// behindQueue is the answer to a question about an upstream whose queue isn't
+// empty. The ratio counts what waits there as well, so that the entry doesn't
+// take an upstream with a queue for the one with the least to do.
+func (n *Node) behindQueue(now time.Duration, target *owned, r *relay) placement.Answer {
+	answer := placement.Answer{Verdict: placement.NoRoom, Reason: loadbound.QueueAhead}
+	if !target.isEngine() {
+		return answer
+	}
+	waiting := 0
+	for class := range admission.NumClasses {
+		waiting += target.queue.Tokens(admission.Class(class))
+	}
+	return n.placer.Weigh(now, r.ask, float64(waiting))
+}
+
 // decideEngine puts a chat to placement and the load bound.
 func (n *Node) decideEngine(now time.Duration, target *owned, r *relay, final bool) {
 	answer := n.placer.Ask(now, r.ask)
@@ -297,7 +340,7 @@
 		if !target.isEngine() {
 			return len(target.running) < target.config.MaxConcurrent
 		}
-		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Final: true})
+		decision := n.ledger.Judge(now, target.id, loadbound.Ask{Cost: float64(tokens), Seen: target.heardBeside(now), Final: true})
 		return decision.Outcome == loadbound.Admit
 	}
 }
@@ -313,6 +356,7 @@
 			return
 		}
 		r.ask.Stage = placement.Final
+		r.ask.Seen = target.heardBeside(now)
 		r.answer = n.placer.Ask(now, r.ask)
 		if r.answer.Verdict != placement.Admitted {
 			n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.LoadBound)})
@@ -367,9 +411,16 @@
 	}
 }
 
-// reofferAfter is how long a request waits for a load bound before it is
-// offered elsewhere: the time after which owners know each other's new totals.
-const reofferAfter = loadbound.ExchangePeriod + TickInterval
+const (
+	// reofferAfter is how long a request waits for a load bound before it is
+	// offered elsewhere. Its next walk hears the owners' present loads, so it
+	// needn't wait for an exchange of totals; a fifth of the time that a first
+	// token may take is short enough not to be felt.
+	reofferAfter = 2 * TickInterval
+	// maxReoffers bounds what one upstream sends back at a tick. A walk costs
+	// some messages, and in a flood hundreds of requests wait.
+	maxReoffers = 8
+)
 
 // reoffer sends requests back to their entries that wait here for the load
 // bound alone, so that they look for room again.
@@ -385,15 +436,18 @@
 		return
 	}
 	var back []*relay
-	for id, r := range target.waiting {
+	for _, r := range target.waiting {
 		if now-r.queuedAt > reofferAfter {
-			target.queue.Cancel(now, id)
-			delete(target.waiting, id)
 			back = append(back, r)
 		}
 	}
-	slices.SortFunc(back, func(a, b *relay) int { return compareAttempts(a.place.Attempt, b.place.Attempt) })
-	for _, r := range back {
+	slices.SortFunc(back, func(a, b *relay) int {
+		return cmp.Or(cmp.Compare(a.queuedAt, b.queuedAt), compareAttempts(a.place.Attempt, b.place.Attempt))
+	})
+	for _, r := range back[:min(len(back), maxReoffers)] {
+		id := queueID(r.place.Attempt)
+		target.queue.Cancel(now, id)
+		delete(target.waiting, id)
 		n.replyPlace(r.from, r.place, fleet.PlaceReply{Outcome: fleet.PlaceSpilled, Reason: string(reason.LoadBound)})
 	}
 }
