Let an entry look at a voter that lags behind its reservation

Cause: a look that finds no record yet would have been taken for a record with another digest, and the caller told that its key was used for another request. Ruled out: reads from the leader alone, which cost it a message a look. Change: a look without a record is repeated. One look in ten finds nothing in the order worlds. More seeds by -orderseeds. Seen failing first: not run separately; the guard came with the rule.

--- a/coordination/orders/entry.go
+++ b/coordination/orders/entry.go
@@ -31,7 +31,7 @@
 	ProposalLost struct{ Op Op }
 	// Tick is the passing of time; the driver gives one at NextTick.
 	Tick struct{}
-	// Looked is the record that a look found.
+	// Looked is the record that a look found, zero if there was none.
 	Looked struct{ Record Record }
 	// CallerGone means that the caller's connection is cut.
 	CallerGone struct{}
@@ -226,8 +226,12 @@
 	return e.looked(now, *in.Result.Record)
 }
 
-// looked goes on from a committed record, whoever wrote it.
+// looked goes on from a committed record, whoever wrote it. A voter that lags
+// may not have the record yet.
 func (e *Entry) looked(now time.Duration, record Record) []Output {
+	if record.State == Absent {
+		return []Output{Look{After: lookGap}}
+	}
 	if record.Digest != e.digest {
 		return e.reply(protocol.NotRun, ReasonDigestConflict, nil)
 	}
--- a/coordination/orders/flow_test.go
+++ b/coordination/orders/flow_test.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"flag"
 	"fmt"
 	"runtime"
 	"testing"
@@ -94,11 +95,13 @@
 	return false
 }
 
+var orderSeeds = flag.Uint64("orderseeds", 4000, "how many seeds of TestOrderUnderRandomFaults to run")
+
 // Everything fails at random: proposals and their answers are lost, commands
 // are applied twice and late, routers die and freeze, the desk goes down, and
 // the caller keeps asking through any router. No seed may break a promise.
 func TestOrderUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(4000) {
+	for seed := range *orderSeeds {
 		w := randomWorld(seed, func(*world) {})
 		assert.Equal(t, w.broken(), "", "seed %d", seed)
 	}
--- a/coordination/orders/world_test.go
+++ b/coordination/orders/world_test.go
@@ -191,9 +191,11 @@
 				w.propose(r, o.Command, step)
 			case Look:
 				w.after(o.After, r, func() {
-					if record, ok := w.journal.Lookup(orderKey); ok {
-						step(Looked{record})
+					record, _ := w.journal.Lookup(orderKey)
+					if w.rng.IntN(10) == 0 {
+						record = Record{}
 					}
+					step(Looked{record})
 				})
 			case Dispatch:
 				w.dispatch(r, digest, o.Attempt, flow.deadline, step)
