Check in the order worlds that digests are told apart rightly

Cause: with the guard against an empty look switched off, no test failed: the worlds did not look at why a caller was told not-run. Change: a reply of reused key must go to another request than the recorded one, and any other certain reply to the same. Another request under a key can neither reserve nor seal it.

--- a/coordination/orders/journal_test.go
+++ b/coordination/orders/journal_test.go
@@ -100,7 +100,10 @@
 	again := FromSnapshot(j.Snapshot())
 	assert.Equal(t, again.Bytes(), before)
 	assert.DeepEqual(t, codec.Marshal(again.Snapshot()), codec.Marshal(j.Snapshot()))
-	assert.Equal(t, j.Apply(Command{Op: OpReserve, Key: Key{"c", "0"}, Digest: Digest{9}, At: 1}, always).Outcome, DigestConflict)
+	// Another request under the key can neither have its answer nor seal it.
+	for _, op := range []Op{OpReserve, OpSeal} {
+		assert.Equal(t, j.Apply(Command{Op: op, Key: Key{"c", "1"}, Digest: Digest{9}, At: 1}, always).Outcome, DigestConflict)
+	}
 	_, ok := j.Lookup(Key{Customer: protocol.CustomerID("other"), Key: "0"})
 	assert.Equal(t, ok, false)
 }
--- a/coordination/orders/world_test.go
+++ b/coordination/orders/world_test.go
@@ -36,6 +36,8 @@
 	runs                    int
 	replies                 []Reply
 	keepAsking              bool
+	// mistaken: the key's digest was told apart wrongly.
+	mistaken bool
 }
 
 type routerProc struct {
@@ -284,6 +286,10 @@
 // after an unknown outcome.
 func (w *world) reply(reply Reply, digest Digest) {
 	w.fault("reply")
+	record, _ := w.journal.Lookup(orderKey)
+	if reply.Outcome != protocol.UnknownRun && (reply.Reason == ReasonDigestConflict) != (record.Digest != digest) {
+		w.mistaken = true
+	}
 	w.replies = append(w.replies, reply)
 	if w.keepAsking && reply.Outcome == protocol.UnknownRun && w.now < quiet/2 {
 		w.after(time.Second, nil, func() { w.resend(digest) })
@@ -302,6 +308,9 @@
 
 // broken returns which promise to callers was not kept, empty if none.
 func (w *world) broken() string {
+	if w.mistaken {
+		return "a caller was told wrongly whether its key was used for another request"
+	}
 	if w.runs > 1 {
 		return fmt.Sprintf("the order ran %d times", w.runs)
 	}
