Run the story of the cut-off router in the simulation

It asks the same: the cut router is never ready once the operator was told, the others serve the new row, and the wait is bounded.

--- a/coordination/lease/handover_test.go
+++ b/coordination/lease/handover_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/table"
 )
 
 // longestGap runs for a while and returns the longest time for which some
@@ -66,3 +67,29 @@
 		})
 	}
 }
+
+// An operator lowers a customer's limit and is told that it is in force, while
+// one router is cut off. That router must not serve under the old row from
+// then on: its lease has to run out before, on its own clock. The others serve
+// under the new row, and the operator waits no longer than the leader's wait.
+func TestChangeWaitsForCutOffRouter(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 0, "")
+		s.run(5 * time.Second)
+		cut := s.routers[1]
+		cut.cut = true
+		s.change("acme")
+		for s.now < 12*time.Second {
+			s.run(s.now + time.Millisecond)
+			if len(s.inForce) > 0 {
+				assert.Equal(t, cut.Ready(cut.clock.read(s.now)), false)
+			}
+		}
+		assert.Equal(t, len(s.inForce), 1)
+		assert.Assert(t, s.inForce[0] > s.timing.Renew && s.inForce[0] < s.timing.Wait+300*time.Millisecond, "%v", s.inForce[0])
+		for _, r := range []*simRouter{s.routers[0], s.routers[2]} {
+			row, ok := r.View().Row(table.Customers, "acme")
+			assert.Assert(t, ok && row.Revision == s.machine.Table().Revision(table.Customers, "acme") && r.Ready(r.clock.read(s.now)))
+		}
+	}
+}
