--- a/coordination/ownership/planner_test.go
+++ b/coordination/ownership/planner_test.go
@@ -252,3 +252,15 @@
 	}
 	return most * float64(len(counts)) / float64(len(owners))
 }
+
+// BenchmarkGuard measures the check before each admission at 790 upstreams.
+func BenchmarkGuard(b *testing.B) {
+	c := newCluster(330, 790, 8)
+	c.settle()
+	guard := NewGuard(fixedLease{time.Hour, 1}, c.state.Assignment)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		guard.MayAdmit(0, c.live[i%len(c.live)].ID)
+	}
+}
