--- a/coordination/lease/handover_test.go
+++ b/coordination/lease/handover_test.go
@@ -7,26 +7,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/table"
 )
 
-// stop is a planned stop: no new upstreams, then all released, then closed.
-func (s *sim) stop(r *simRouter) {
-	session := r.holder.Session()
-	s.commit(s.lead, fleetstate.Command{Stop: &ownership.Stop{Session: session}}, func(fleetstate.Result) {
-		release := ownership.Release{Session: session}
-		for _, upstream := range s.upstreams {
-			if a, _ := r.holder.View().Assignment(upstream.ID); a.Owner == session {
-				release.Held = append(release.Held, r.guard.Release(upstream.ID))
-			}
-		}
-		s.commit(s.lead, fleetstate.Command{Release: &release}, func(fleetstate.Result) {
-			s.commit(s.lead, fleetstate.Command{Close: &ownership.Close{Session: session}}, nil)
-		})
-	})
-}
-
 // longestGap runs for a while and returns the longest time for which some
 // upstream had no router that admits to it.
 func (s *sim) longestGap(length time.Duration) time.Duration {
@@ -65,7 +49,12 @@
 // wait for the next owner: a few commits in the first case, and less than 3 s
 // in the second, whether routers renew with the leader or through relays.
 func TestHandover(t *testing.T) {
-	planned := func(s *sim, r *simRouter) { s.stop(r) }
+	planned := func(s *sim, r *simRouter) {
+		r.Stop()
+		assert.Equal(t, r.Ready(r.clock.read(s.now)), false)
+		s.after(3*time.Second, r, r.Drained)
+		s.after(5*time.Second-time.Millisecond, r, func() { assert.Equal(t, r.Stopped(), true) })
+	}
 	lost := func(s *sim, r *simRouter) { r.frozen = 1 << 62 }
 	for _, relays := range []int{0, 2} {
 		t.Run(fmt.Sprintf("relays=%d", relays), func(t *testing.T) {
@@ -78,3 +67,29 @@
 		})
 	}
 }
+
+// An operator lowers a customer's limit and is told that it is in force, while
+// one router is cut off. That router must not serve under the old row from
+// then on: its lease has to run out before, on its own clock. The others serve
+// under the new row, and the operator waits no longer than the leader's wait.
+func TestChangeWaitsForCutOffRouter(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 0, "")
+		s.run(5 * time.Second)
+		cut := s.routers[1]
+		cut.cut = true
+		s.change("acme")
+		for s.now < 12*time.Second {
+			s.run(s.now + time.Millisecond)
+			if len(s.inForce) > 0 {
+				assert.Equal(t, cut.Ready(cut.clock.read(s.now)), false)
+			}
+		}
+		assert.Equal(t, len(s.inForce), 1)
+		assert.Assert(t, s.inForce[0] > s.timing.Renew && s.inForce[0] < s.timing.Wait+300*time.Millisecond, "%v", s.inForce[0])
+		for _, r := range []*simRouter{s.routers[0], s.routers[2]} {
+			row, ok := r.View().Row(table.Customers, "acme")
+			assert.Assert(t, ok && row.Revision == s.machine.Table().Revision(table.Customers, "acme") && r.Ready(r.clock.read(s.now)))
+		}
+	}
+}
