Peer: a silent connection is seen by frames that aren't resent, too

Cause: consensus messages, lease renewals and pushes are sent unnumbered, so no acknowledgement was ever missing on a connection that carried only them, and being in use it was never closed as idle. A voter behind a connection gone silent stayed cut off for good, while a new connection would have worked. Three smaller faults: late frames of an ended process moved the receiver's memory back, so that numbers seen were taken again; a payload over the frame limit stopped the whole process in take(); overflow of the queue was never forgotten, so that a burst long gone had the peer reported lost at the next reconnect. Torn, short and oversized frames were neither counted nor logged, and Reconnected was never counted. Ruled out: acknowledging every frame; it would double the small frames of lease renewal at thousands of routers. Conclusion: a silent connection of any traffic is replaced within two stall times.

--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -85,6 +85,9 @@
 	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
 	KindLimitAsk    Kind = 23
 	KindLimitAnswer Kind = 24
+	// KindProbe carries nothing; its acknowledgement shows that a connection
+	// works.
+	KindProbe Kind = 25
 )
 
 // kindNames are the names of kinds in metrics.
@@ -97,6 +100,7 @@
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
+	KindProbe: "probe",
 }
 
 // String returns the kind's name.
--- a/transport/peer/accept.go
+++ b/transport/peer/accept.go
@@ -22,12 +22,24 @@
 	sentNumber uint64
 }
 
-// fresh says whether a frame was not seen before, and remembers it.
-func (r *reception) fresh(incarnation, number uint64) bool {
+// adopt makes the sender's process that has just said Hello the one that is
+// listened to. Numbers of another process start anew.
+//
+// What an ended process had sent can still lie in its old connection's buffers
+// when its successor connects. Only the handshake, never a frame, moves the
+// memory from one incarnation to the next, so late frames can't move it back
+// and have numbers that were seen taken for new ones.
+func (r *reception) adopt(incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if incarnation != r.incarnation {
 		r.incarnation = incarnation
 		r.highest = 0
 	}
+}
+
+// fresh says whether a frame was not seen before, and remembers it.
+func (r *reception) fresh(number uint64) bool {
 	if number == 0 {
 		return true
 	}
@@ -80,8 +92,7 @@
 	defer m.dropInbound(connection)
 	hello, err := m.welcome(connection)
 	if err != nil {
-		m.count(func(c *Counts) { c.RefusedInbound++ })
-		m.options.Log.Warn().Err(err).Msg("peer: connection refused")
+		m.refused(err)
 		return
 	}
 	m.mu.Lock()
@@ -90,6 +101,7 @@
 		m.address[hello.From] = hello.Address
 	}
 	m.mu.Unlock()
+	memory.adopt(hello.Incarnation)
 	acks := newAcker(connection)
 	defer acks.stop()
 	reader := bufio.NewReaderSize(connection, 64<<10)
@@ -97,9 +109,12 @@
 		_ = connection.SetReadDeadline(time.Now().Add(2 * IdleClose))
 		frame, err := wire.Read(reader, wire.MaxFrame)
 		if err != nil {
+			m.broken(hello.From, err)
+			return
+		}
+		if !m.deliver(memory, hello, frame) {
 			return
 		}
-		m.deliver(memory, hello, frame)
 		if frame.Number != 0 {
 			acks.note(frame.Number)
 		}
@@ -107,14 +122,18 @@
 }
 
 // deliver hands a frame on unless an earlier connection brought it. The lock
-// of the peer's memory keeps frames of two connections in order.
-func (m *Mesh) deliver(memory *reception, hello wire.Hello, frame wire.Frame) {
+// of the peer's memory keeps frames of two connections in order. It returns
+// false when the connection belongs to a process that has been replaced.
+func (m *Mesh) deliver(memory *reception, hello wire.Hello, frame wire.Frame) bool {
 	memory.mu.Lock()
 	defer memory.mu.Unlock()
-	if !memory.fresh(hello.Incarnation, frame.Number) {
-		return
+	if hello.Incarnation != memory.incarnation {
+		return false
 	}
-	m.options.Handler.Frame(hello.From, frame)
+	if memory.fresh(frame.Number) && frame.Kind != wire.KindProbe {
+		m.options.Handler.Frame(hello.From, frame)
+	}
+	return true
 }
 
 func (m *Mesh) dropInbound(connection net.Conn) {
@@ -135,7 +154,7 @@
 		return wire.Hello{}, err
 	}
 	if theirs.To != m.options.Self {
-		return wire.Hello{}, eris.Errorf("peer %q wants %q", theirs.From, theirs.To)
+		return wire.Hello{}, &MisdirectedError{From: theirs.From, To: theirs.To}
 	}
 	if err := writeHello(connection, m.hello(theirs.From)); err != nil {
 		return wire.Hello{}, err
@@ -172,7 +191,7 @@
 		return wire.Hello{}, eris.Wrap(err, "read hello")
 	}
 	if frame.Kind != wire.KindHello {
-		return wire.Hello{}, eris.Errorf("first frame has kind %d, not hello", frame.Kind)
+		return wire.Hello{}, &HelloError{Kind: frame.Kind}
 	}
 	var hello wire.Hello
 	if err := wire.Decode(frame.Payload, &hello); err != nil {
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -32,8 +32,10 @@
 	queuedBytes int
 	next        uint64
 	lastUse     time.Time
-	overflowed  bool
-	stopped     bool
+	// proved is when the last reliable frame was sent, whose acknowledgement
+	// shows that the connection carries frames.
+	proved  time.Time
+	stopped bool
 }
 
 // queued is a frame that waits to be sent.
@@ -65,7 +67,6 @@
 	}
 	l.queue = append(l.queue, queued{frame, reliable})
 	l.queuedBytes += len(frame.Payload)
-	l.overflowed = l.overflowed || l.queuedBytes > maxQueued
 	l.lastUse = time.Now()
 	l.signal()
 }
@@ -98,9 +99,11 @@
 func (l *link) run() {
 	defer l.mesh.done.Done()
 	unreachableSince := time.Now()
-	for {
+	for again := false; ; {
 		connection, err := l.dial()
 		if err == nil {
+			l.countReconnect(again)
+			again = true
 			progress := l.serve(connection)
 			_ = connection.Close()
 			if progress {
@@ -122,6 +125,12 @@
 	}
 }
 
+func (l *link) countReconnect(again bool) {
+	if again {
+		l.mesh.count(func(c *Counts) { c.Reconnected++ })
+	}
+}
+
 // finish ends an idle link. It holds the mesh's lock so that no frame is
 // pushed to a link that nobody serves.
 func (l *link) finish() bool {
@@ -145,7 +154,7 @@
 func (l *link) giveUp(since time.Time) bool {
 	l.mu.Lock()
 	tooLong := time.Since(since) > l.mesh.options.LostAfter
-	lost := tooLong || l.overflowed
+	lost := tooLong || l.held() > maxQueued
 	l.mu.Unlock()
 	if !lost {
 		return false
@@ -162,6 +171,16 @@
 	return true
 }
 
+// held is the bytes that wait to be sent or acknowledged. The link's lock is
+// held.
+func (l *link) held() int {
+	total := l.queuedBytes
+	for _, frame := range l.unacked {
+		total += len(frame.Payload)
+	}
+	return total
+}
+
 // dial opens a connection and exchanges Hellos.
 func (l *link) dial() (net.Conn, error) {
 	l.mesh.mu.Lock()
@@ -286,15 +305,45 @@
 			l.keep(item.frame)
 		}
 	}
+	if len(l.queue) > 0 && l.unproved() {
+		batch = l.appendProbe(batch)
+	}
+	clear(l.queue)
 	l.queue = l.queue[:0]
 	l.queuedBytes = 0
 	return batch
 }
 
+// unproved says whether only frames without acknowledgement have been sent for
+// the stall time. The link's lock is held.
+func (l *link) unproved() bool {
+	return len(l.unacked) == 0 && time.Since(l.proved) > l.mesh.options.Stall
+}
+
+// appendProbe puts a reliable frame without payload behind a batch.
+//
+// Consensus messages, lease renewals and pushes aren't resent, so nothing
+// would show that the connection they go over is silent, and being in use it
+// is never closed as idle: a voter would be cut off for good while a new
+// connection works. The probe's missing acknowledgement shows it. One a stall
+// time costs some 40 bytes on a connection in use, and bounds the time to
+// detection by two stall times. The link's lock is held.
+func (l *link) appendProbe(batch []byte) []byte {
+	l.next++
+	probe := wire.Frame{Kind: wire.KindProbe, Number: l.next}
+	longer, err := wire.Append(batch, probe)
+	if err != nil {
+		panic("peer: a probe over wire.MaxFrame")
+	}
+	l.keep(probe)
+	return longer
+}
+
 func (l *link) keep(frame wire.Frame) {
 	if len(l.unacked) == 0 {
 		l.oldest = time.Now()
 	}
+	l.proved = time.Now()
 	l.unacked = append(l.unacked, frame)
 }
 
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -13,6 +13,8 @@
 //     connection, dials a new one and sends the unacknowledged reliable frames
 //     again. The guard holds because it needs nothing from the silent
 //     connection, only the absence of an acknowledgement.
+//   - The silent connection carries only frames that are never acknowledged. A
+//     numbered probe rides with them once a stall time, see link.appendProbe.
 //   - A resent frame arrives twice. Reliable frames are numbered, and the
 //     acceptor drops numbers it has seen from that incarnation of the sender.
 //   - A peer is gone. When no connection could be made and kept for
@@ -96,11 +98,15 @@
 
 // Counts are totals since the start, for metrics.
 type Counts struct {
-	BytesSent      map[wire.Kind]uint64
-	FramesSent     map[wire.Kind]uint64
-	Stalled        uint64
-	Reconnected    uint64
+	BytesSent  map[wire.Kind]uint64
+	FramesSent map[wire.Kind]uint64
+	Stalled    uint64
+	// Reconnected counts connections that took the place of an earlier one.
+	Reconnected uint64
+	// RefusedInbound counts connections refused before or at their Hello.
 	RefusedInbound uint64
+	// BrokenInbound counts connections that brought bytes which are no frame.
+	BrokenInbound uint64
 }
 
 // New returns a mesh that is not listening yet.
@@ -155,11 +161,11 @@
 // Send queues a frame for a peer. A reliable frame arrives once and in order
 // among reliable ones, unless the peer is reported lost; another frame arrives
 // at most once and may vanish. Send returns false when the peer's address is
-// unknown or the mesh is closed.
+// unknown, the mesh is closed, or the payload is larger than a frame holds.
 func (m *Mesh) Send(to protocol.RouterID, kind wire.Kind, payload []byte, reliable bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed || m.address[to] == "" {
+	if m.closed || m.address[to] == "" || len(payload)+frameOverhead > wire.MaxFrame {
 		return false
 	}
 	current := m.links[to]
--- a/transport/peer/tls.go
+++ b/transport/peer/tls.go
@@ -150,10 +150,10 @@
 	}
 	certificates := secured.ConnectionState().PeerCertificates
 	if len(certificates) == 0 {
-		return eris.New("peer shows no certificate")
+		return &CertificateError{Claimed: claimed}
 	}
 	if name := certificates[0].Subject.CommonName; name != string(claimed) {
-		return eris.Errorf("certificate is for %q, peer claims %q", name, claimed)
+		return &CertificateError{Named: name, Claimed: claimed}
 	}
 	return nil
 }
