--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -37,6 +37,12 @@
 }
 
 func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	return newTestFleetWith(t, func(*settings.Settings) {})
+}
+
+// newTestFleetWith lets a test change each daemon's settings.
+func newTestFleetWith(t *testing.T, change func(*settings.Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	var peers []settings.Peer
@@ -49,6 +55,7 @@
 		s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
 		s.Listen = settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: freeAddress(t)}
 		s.Timing.UnreadyMS = 0
+		change(&s)
 		peers = append(peers, settings.Peer{RouterID: s.RouterID, Address: s.Listen.Peers})
 		f.configs = append(f.configs, s)
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -92,6 +92,8 @@
 	}
 	d.counters.set("peer_connections_stalled_total", float64(counts.Stalled))
 	d.counters.set("peer_connections_refused_total", float64(counts.RefusedInbound))
+	d.counters.set("peer_connections_broken_total", float64(counts.BrokenInbound))
+	d.counters.set("peer_connections_replaced_total", float64(counts.Reconnected))
 }
 
 // Status implements admin.Fleet.
