Upstream: half an event of a dying engine isn't passed on

Cause: an engine that died in mid-write left an event line without its end, and bufio.ScanLines hands such a line out at the end of the input. It was relayed as a token; the engine that resumed then left that token out, and the caller's answer had a hole. Also: a caller's X-Endiveplank-* headers other than four, headers that Connection lists, Expect and Proxy-Connection went to the upstream, and an upstream could add its own X-Endiveplank-Request and -Outcome to the caller's answer. Change: only lines with their end are events, but for the done marker; one pick of headers for both ways, in a file of its own.

--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -59,6 +59,8 @@
 
 // HTTP headers that the fleet adds.
 const (
+	// HeaderPrefix starts every header of the fleet's own.
+	HeaderPrefix = "X-Endiveplank-"
 	// RunOutcomeHeader carries a RunOutcome on every answer to a caller.
 	RunOutcomeHeader = "X-Endiveplank-Outcome"
 	// RequestIDHeader carries the RequestID to callers and to upstreams.
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -199,6 +199,7 @@
 func (a *answerReader) relayEvents() bool {
 	scanner := bufio.NewScanner(a.response.Body)
 	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	scanner.Split(splitWholeLines)
 	for scanner.Scan() {
 		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
 		if !found {
@@ -213,6 +214,22 @@
 	return false
 }
 
+// doneLine is the line of the done marker.
+var doneLine = []byte("data: " + chat.DoneMarker)
+
+// splitWholeLines is bufio.ScanLines but for a last line without its end.
+//
+// An engine that dies in mid-write leaves half an event behind. Passed on, it
+// would count as a token that the caller has, and the engine that resumes
+// would leave that token out. Only the done marker is taken without line end:
+// nothing can be missing behind it.
+func splitWholeLines(data []byte, atEnd bool) (int, []byte, error) {
+	if atEnd && bytes.IndexByte(data, '\n') < 0 && !bytes.Equal(data, doneLine) {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEnd)
+}
+
 // usageMark is in every event that carries usage; looking for it first saves
 // parsing the others.
 var usageMark = []byte(`"usage":{`)
@@ -270,58 +287,3 @@
 	a.index++
 	a.sink.Input(node.UpstreamChunk{Chunk: piece})
 }
-
-// answerHeaders picks the headers of an answer that go to the caller: all but
-// those about the connection to the upstream.
-func answerHeaders(header http.Header) []fleet.Header {
-	var kept []fleet.Header
-	for name, values := range header {
-		if hopByHop[name] {
-			continue
-		}
-		for _, value := range values {
-			kept = append(kept, fleet.Header{Name: name, Value: value})
-		}
-	}
-	return kept
-}
-
-// hopByHop are the headers that belong to one connection.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Date":                true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
-// RequestHeaders picks the headers of a caller's request that go to the
-// upstream: all but the caller's key, those about its connection, and those
-// that the fleet sets itself.
-func RequestHeaders(header http.Header) []fleet.Header {
-	var kept []fleet.Header
-	for name, values := range header {
-		if hopByHop[name] || name == "Authorization" || fleetHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			kept = append(kept, fleet.Header{Name: name, Value: value})
-		}
-	}
-	return kept
-}
-
-// fleetHeaders are set by the fleet, whatever a caller sends under them.
-var fleetHeaders = map[string]bool{
-	protocol.RequestIDHeader: true,
-	protocol.AttemptHeader:   true,
-	protocol.PriorityHeader:  true,
-	protocol.ResumeAtHeader:  true,
-	"Accept-Encoding":        true,
-	"X-Forwarded-For":        true,
-}
