Callers: a slow reader holds no memory, a cut answer looks cut to HTTP/1.0

Cause: an answer given up because its caller was too far behind kept its megabyte until the hanging write timed out, 10 s by default. And a plain answer that broke off ended by a closed connection, which is how HTTP/1.0 ends a whole body: a proxy that talks HTTP/1.0 would pass the part on as the whole. Ruled out: refusing HTTP/1.0; some proxies talk it by default. Change: what waits is dropped at once; a client of HTTP/1.0 gets a reset.

--- a/transport/callers/answer.go
+++ b/transport/callers/answer.go
@@ -36,9 +36,13 @@
 		a.waiting += len(chunk.Data)
 	}
 	if a.waiting > maxWaiting {
+		// The connection may hang in a write for a while yet; what waits goes
+		// at once.
 		a.closed = true
+		a.pieces = nil
+	} else {
+		a.pieces = append(a.pieces, piece)
 	}
-	a.pieces = append(a.pieces, piece)
 	select {
 	case a.wake <- struct{}{}:
 	default:
--- a/transport/callers/callers.go
+++ b/transport/callers/callers.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -102,6 +103,7 @@
 		response: w,
 		control:  http.NewResponseController(w),
 		timeout:  milliseconds(h.limits.WriteTimeoutMS),
+		chunked:  r.ProtoAtLeast(1, 1),
 	}
 	if !writer.copy(r, answer) {
 		answer.Close()
@@ -169,7 +171,9 @@
 	response http.ResponseWriter
 	control  *http.ResponseController
 	timeout  time.Duration
-	events   bool
+	// chunked is false for HTTP/1.0, which ends a body by closing.
+	chunked bool
+	events  bool
 }
 
 // copy writes pieces until the answer ends. It returns false when the caller
@@ -251,13 +255,35 @@
 		return nil
 	}
 	if !a.events {
-		panic(http.ErrAbortHandler)
+		a.cut()
 	}
 	body := errorBody("server_error", string(end.Reason), "the answer could not be finished", protocol.UnknownRun)
 	_, err := fmt.Fprintf(a.response, "event: error\ndata: %s\n\n", body)
 	return err
 }
 
+// cut ends a plain answer so that it can't look whole. It doesn't return.
+//
+// A client of HTTP/1.1 misses the last chunk. One of HTTP/1.0, as some proxies
+// are by default, takes the end of the connection for the end of the body; it
+// gets a reset instead.
+func (a *answerWriter) cut() {
+	if !a.chunked {
+		if connection, _, err := a.control.Hijack(); err == nil {
+			resetAndClose(connection)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetAndClose drops a TCP connection with a reset.
+func resetAndClose(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 // writeError answers with an error in the shape that chat API clients expect.
 func writeError(w http.ResponseWriter, status int, code, detail string, outcome protocol.RunOutcome, retryAfter time.Duration) {
 	header := w.Header()
