Traces: a span for each hop, in the request's own headers

Cause: settings.Traces was checked and never used. Ruled out: a field in fleet.Place for the context; the request's headers travel already, and the node core stays free of traces. Change: transport/tracing takes the W3C context from the caller, makes the entry's, owner's and upstream's spans (request, attempt, upstream, class, reason, status) and passes the context on; exporters none, stdout, file, otlp over HTTP. The entry samples by its own ratio, whatever flag a caller sends. Explained events carry the trace ID. The runner keeps the owner's open spans beside the core (daemon/hops.go). Figures: off: 0 allocations for three hops (TestTracesThatAreOff...).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
+	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
 	"endiveplank/settings"
 	"endiveplank/state/disk"
@@ -34,6 +35,7 @@
 	"endiveplank/transport/announce"
 	"endiveplank/transport/callers"
 	"endiveplank/transport/peer"
+	"endiveplank/transport/tracing"
 	"endiveplank/transport/upstream"
 )
 
@@ -53,6 +55,7 @@
 	replica   *replica.Replica
 	servers   []*http.Server
 	questions *questions
+	tracer    *tracing.Tracer
 	quit      chan struct{}
 }
 
@@ -69,6 +72,11 @@
 	if err := d.provisionMesh(incarnation); err != nil {
 		return nil, err
 	}
+	tracer, err := tracing.New(s.Traces, s.RouterID, s.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	d.tracer = tracer
 	d.provisionRunner()
 	d.provisionMember(incarnation)
 	if s.KeepsState() {
@@ -116,6 +124,7 @@
 		counters: d.counters,
 		answers:  map[protocol.RequestID]*callers.Answer{},
 		events:   explain.NewRing(eventRingSize),
+		hops:     hops{tracer: d.tracer, open: map[fleet.Attempt]hop{}},
 		core: node.New(node.Config{
 			Self:        d.settings.RouterID,
 			DataCentre:  d.settings.DataCentre,
@@ -127,7 +136,7 @@
 			Random:      newRandom(),
 		}),
 	}
-	d.runner.client = upstream.New(d.runner)
+	d.runner.client = upstream.New(d.runner, d.tracer)
 }
 
 // newRandom returns a random source with a seed of its own.
@@ -220,7 +229,7 @@
 // listenAll opens the HTTP listeners.
 func (d *Daemon) listenAll() error {
 	prefix := string(d.settings.RouterID) + "-" + strconv.FormatInt(d.epoch.UnixMilli(), 36)
-	callersServer := callers.New(d.runner, d.settings.Callers, prefix).Server()
+	callersServer := callers.New(d.runner, d.settings.Callers, prefix, d.tracer).Server()
 	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: askTimeout * 5}
 	adminServer := &http.Server{Handler: d.adminHandler(), ReadTimeout: askTimeout * 30}
 	for _, item := range []struct {
@@ -276,10 +285,20 @@
 		d.replica.Stop()
 	}
 	d.mesh.Close()
+	d.closeTracer()
 	d.log.Info().Bool("whole", whole).Msg("daemon: stopped")
 	return whole
 }
 
+// closeTracer sends the last spans, also when the stop's own patience is over.
+func (d *Daemon) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if err := d.tracer.Close(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("daemon: spans dropped")
+	}
+}
+
 // sleep waits, at most until the context ends.
 func sleep(ctx context.Context, length time.Duration) {
 	select {
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -45,6 +45,7 @@
 	mu      sync.Mutex
 	core    *node.Node
 	answers map[protocol.RequestID]*callers.Answer
+	hops    hops
 	// after holds inputs that came up while outputs were carried out.
 	after []node.Input
 
@@ -68,7 +69,7 @@
 }
 
 func (r *runner) step(in node.Input) {
-	for _, out := range r.core.Step(r.now(), in) {
+	for _, out := range r.core.Step(r.now(), r.hops.input(in)) {
 		r.perform(out)
 	}
 }
@@ -77,6 +78,7 @@
 func (r *runner) perform(out node.Output) {
 	switch out := out.(type) {
 	case node.Send:
+		r.hops.sent(out.Payload)
 		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
 	case node.CallUpstream:
 		r.client.Call(out)
@@ -178,6 +180,7 @@
 		What:     event.What,
 		Reason:   event.Reason,
 		Detail:   event.Detail,
+		Trace:    r.traceOf(event),
 	})
 	r.log.Debug().Str("request", string(event.Request)).Str("upstream", string(event.Upstream)).
 		Str("reason", string(event.Reason)).Msg("node: " + event.What)
--- a/transport/callers/answer.go
+++ b/transport/callers/answer.go
@@ -14,6 +14,9 @@
 // Answer carries an answer from the node core to a caller's connection. The
 // core's side never blocks.
 type Answer struct {
+	// Trace is the request's trace ID, empty without one.
+	Trace string
+
 	mu      sync.Mutex
 	pieces  []node.Output
 	waiting int
--- a/transport/callers/callers.go
+++ b/transport/callers/callers.go
@@ -30,6 +30,7 @@
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/upstreamapi"
 	"endiveplank/settings"
+	"endiveplank/transport/tracing"
 	"endiveplank/transport/upstream"
 )
 
@@ -48,14 +49,15 @@
 	core     Core
 	limits   settings.Callers
 	prefix   string
+	tracer   *tracing.Tracer
 	sequence atomic.Uint64
 	mux      *http.ServeMux
 }
 
 // New returns a handler whose request IDs start with prefix, which must
-// differ between routers and between starts of one router.
-func New(core Core, limits settings.Callers, prefix string) *Handler {
-	h := &Handler{core: core, limits: limits, prefix: prefix, mux: http.NewServeMux()}
+// differ between routers and between starts of one router. tracer may be nil.
+func New(core Core, limits settings.Callers, prefix string, tracer *tracing.Tracer) *Handler {
+	h := &Handler{core: core, limits: limits, prefix: prefix, tracer: tracer, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET /livez", h.live)
 	h.mux.HandleFunc("GET /readyz", h.ready)
 	h.mux.HandleFunc("/", h.serve)
@@ -97,15 +99,20 @@
 		return
 	}
 	request := buildRequest(id, r, body)
+	span, headers := h.tracer.Entry(id, request.Headers)
+	request.Headers = headers
 	answer := NewAnswer()
-	h.core.Submit(request, answer)
+	answer.Trace = tracing.ID(headers)
 	writer := &answerWriter{
 		response: w,
 		control:  http.NewResponseController(w),
 		timeout:  milliseconds(h.limits.WriteTimeoutMS),
 		chunked:  r.ProtoAtLeast(1, 1),
 	}
+	defer func() { span.End(writer.result) }()
+	h.core.Submit(request, answer)
 	if !writer.copy(r, answer) {
+		writer.result = tracing.Result{Reason: "caller gone", Failed: true}
 		answer.Close()
 		h.core.Gone(id)
 	}
@@ -174,6 +181,8 @@
 	// chunked is false for HTTP/1.0, which ends a body by closing.
 	chunked bool
 	events  bool
+	// result is how the answer ended, for its span.
+	result tracing.Result
 }
 
 // copy writes pieces until the answer ends. It returns false when the caller
@@ -204,13 +213,16 @@
 func (a *answerWriter) write(piece node.Output) (bool, error) {
 	switch piece := piece.(type) {
 	case node.AnswerHead:
+		a.result.Status = piece.Status
 		a.writeHead(piece)
 		return false, nil
 	case node.AnswerChunk:
 		return false, a.writeChunk(piece)
 	case node.AnswerEnd:
+		a.result.Reason, a.result.Failed = string(piece.Reason), piece.Broken
 		return true, a.writeEnd(piece)
 	case node.AnswerError:
+		a.result = tracing.Result{Status: piece.Status, Reason: string(piece.Reason), Failed: true}
 		writeError(a.response, piece.Status, string(piece.Reason), piece.Detail, piece.Outcome, piece.RetryAfter)
 		return true, nil
 	}
--- a/transport/callers/callers_test.go
+++ b/transport/callers/callers_test.go
@@ -69,7 +69,7 @@
 	limits.MaxBodyBytes = 1000
 	limits.HeaderTimeoutMS, limits.BodyTimeoutMS, limits.WriteTimeoutMS = 200, 200, 200
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = New(core, limits, "r1").Server()
+	server.Config = New(core, limits, "r1", nil).Server()
 	server.Start()
 	t.Cleanup(server.Close)
 	return core, server.Listener.Addr().String()
--- /dev/null
+++ b/transport/tracing/tracing_test.go
@@ -0,0 +1,131 @@
+package tracing
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/protocol/fleet"
+	"endiveplank/settings"
+)
+
+const (
+	callersTrace = "0af7651916cd43dd8448eb211c80319c"
+	callersSpan  = "b7ad6b7169203331"
+)
+
+func callersHeaders(flags string) []fleet.Header {
+	return []fleet.Header{
+		{Name: "Accept", Value: "a"},
+		{Name: "Traceparent", Value: "00-" + callersTrace + "-" + callersSpan + "-" + flags},
+		{Name: "Tracestate", Value: "vendor=1"},
+	}
+}
+
+// recorded returns a tracer whose spans stay in memory.
+func recorded(ratio float64) (*Tracer, *tracetest.SpanRecorder) {
+	recorder := tracetest.NewSpanRecorder()
+	t := &Tracer{}
+	t.provide(sdktrace.WithSpanProcessor(recorder), ratio, "r1", "dc1")
+	return t, recorder
+}
+
+func TestEachHopIsAChildOfTheOneBefore(t *testing.T) {
+	tracer, recorder := recorded(1)
+	place := fleet.Place{Attempt: fleet.Attempt{Request: "r1-1", Number: 1}, Upstream: "e1"}
+	entry, headers := tracer.Entry("r1-1", callersHeaders("00"))
+	place.Headers = headers
+	owner, headers := tracer.Owner(place)
+	place.Headers = headers
+	upstream, headers := tracer.Upstream(place)
+	upstream.End(Result{Status: 500, Reason: "upstream_failed", Failed: true})
+	owner.End(Result{})
+	entry.End(Result{Status: 200})
+
+	assert.Equal(t, ID(headers), callersTrace)
+	assert.Equal(t, len(headers), 3)
+	spans := recorder.Ended()
+	assert.Equal(t, len(spans), 3)
+	parents := []string{spans[1].SpanContext().SpanID().String(), spans[2].SpanContext().SpanID().String(), callersSpan}
+	for i, span := range spans {
+		assert.Equal(t, span.SpanContext().TraceID().String(), callersTrace)
+		assert.Equal(t, span.Parent().SpanID().String(), parents[i])
+		assert.Equal(t, span.SpanContext().TraceState().String(), "vendor=1")
+	}
+	found := map[string]string{}
+	for _, attribute := range spans[0].Attributes() {
+		found[string(attribute.Key)] = attribute.Value.String()
+	}
+	assert.DeepEqual(t, found, map[string]string{
+		"endiveplank.request": "r1-1", "endiveplank.attempt": "1", "endiveplank.upstream": "e1", "endiveplank.class": "0",
+		"endiveplank.reason": "upstream_failed", "http.response.status_code": "500",
+	})
+}
+
+// A caller sets the sampled flag on everything it sends. The operators asked
+// for no traces but left the exporter on; the fleet must not trace for it.
+func TestEntryDecidesWhatIsTraced(t *testing.T) {
+	tracer, recorder := recorded(0)
+	span, headers := tracer.Entry("r1-1", callersHeaders("01"))
+	owner, _ := tracer.Owner(fleet.Place{Headers: headers})
+	owner.End(Result{})
+	span.End(Result{})
+	assert.Equal(t, len(recorder.Ended()), 0)
+	assert.Equal(t, ID(headers), callersTrace)
+}
+
+func TestBrokenContextStartsATraceOfItsOwn(t *testing.T) {
+	tracer, recorder := recorded(1)
+	for _, value := range []string{"", "00-zz", "00-00000000000000000000000000000000-0000000000000000-01"} {
+		span, headers := tracer.Entry("r1-1", []fleet.Header{{Name: "Traceparent", Value: value}})
+		span.End(Result{})
+		assert.Equal(t, len(ID(headers)), 32)
+	}
+	assert.Equal(t, len(recorder.Ended()), 3)
+}
+
+func TestTracesThatAreOffCostNoAllocation(t *testing.T) {
+	tracer, err := New(settings.Traces{Exporter: "none"}, "r1", "dc1")
+	assert.NilError(t, err)
+	headers := callersHeaders("01")
+	place := fleet.Place{Headers: headers}
+	allocations := testing.AllocsPerRun(100, func() {
+		entry, _ := tracer.Entry("r1-1", headers)
+		owner, _ := tracer.Owner(place)
+		upstream, kept := tracer.Upstream(place)
+		upstream.End(Result{Status: 200})
+		owner.End(Result{Reason: "x"})
+		entry.End(Result{})
+		if ID(kept) != callersTrace {
+			t.Fatal("the caller's context is gone")
+		}
+	})
+	assert.Equal(t, allocations, 0.0)
+	assert.NilError(t, tracer.Close(context.Background()))
+}
+
+func TestExportersTakeSpans(t *testing.T) {
+	var posts atomic.Int32
+	collector := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { posts.Add(1) }))
+	defer collector.Close()
+	for _, s := range []settings.Traces{
+		{Exporter: "file", File: filepath.Join(t.TempDir(), "spans.json"), SampleRatio: 1},
+		{Exporter: "otlp", Endpoint: collector.URL + "/v1/traces", SampleRatio: 1},
+	} {
+		tracer, err := New(s, "r1", "dc1")
+		assert.NilError(t, err)
+		span, _ := tracer.Entry("r1-1", nil)
+		span.End(Result{})
+		assert.NilError(t, tracer.Close(context.Background()))
+	}
+	assert.Equal(t, posts.Load(), int32(1))
+	_, err := New(settings.Traces{Exporter: "file", File: t.TempDir()}, "r1", "dc1")
+	assert.Assert(t, err != nil)
+}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -34,6 +34,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
+	"endiveplank/transport/tracing"
 )
 
 const (
@@ -54,6 +55,7 @@
 // Client makes the calls of one router.
 type Client struct {
 	sink      Sink
+	tracer    *tracing.Tracer
 	transport *http.Transport
 
 	mu    sync.Mutex
@@ -61,11 +63,13 @@
 	done  sync.WaitGroup
 }
 
-// New returns a client that reports to sink.
-func New(sink Sink) *Client {
+// New returns a client that reports to sink and makes spans with tracer, which
+// may be nil.
+func New(sink Sink, tracer *tracing.Tracer) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		sink: sink,
+		sink:   sink,
+		tracer: tracer,
 		transport: &http.Transport{
 			DialContext:       dialer.DialContext,
 			DisableKeepAlives: true,
@@ -85,7 +89,7 @@
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
-		end := c.run(ctx, call)
+		end := c.traced(ctx, call)
 		c.forget(call.Attempt)
 		c.sink.Input(end)
 	}()
@@ -125,6 +129,15 @@
 	}
 }
 
+// traced makes one call within a span.
+func (c *Client) traced(ctx context.Context, call node.CallUpstream) node.UpstreamEnd {
+	span, headers := c.tracer.Upstream(call.Place)
+	call.Place.Headers = headers
+	end := c.run(ctx, call)
+	span.End(tracing.Result{Status: end.Status, Failed: !end.Complete})
+	return end
+}
+
 // run makes one call and returns how it ended.
 func (c *Client) run(ctx context.Context, call node.CallUpstream) node.UpstreamEnd {
 	end := node.UpstreamEnd{Attempt: call.Attempt}
--- a/transport/upstream/client_test.go
+++ b/transport/upstream/client_test.go
@@ -65,7 +65,7 @@
 func call(t *testing.T, address string, headers ...fleet.Header) (node.UpstreamEnd, *record) {
 	t.Helper()
 	sink := &record{ended: make(chan node.UpstreamEnd, 1)}
-	client := New(sink)
+	client := New(sink, nil)
 	attempt := fleet.Attempt{Request: "r1-1", Number: 1}
 	client.Call(node.CallUpstream{Attempt: attempt, Address: address, Place: fleet.Place{
 		Attempt: attempt, Method: http.MethodPost, Path: "/orders", Body: []byte(`{"gallons":900}`), Headers: headers,
@@ -92,7 +92,7 @@
 		}
 	})
 	sink := &record{ended: make(chan node.UpstreamEnd, 1)}
-	client := New(sink)
+	client := New(sink, nil)
 	key := []fleet.Header{{Name: protocol.IdempotencyKeyHeader, Value: "o-1"}}
 	for n := range uint32(3) {
 		attempt := fleet.Attempt{Request: "r1-1", Number: n}
@@ -202,7 +202,7 @@
 		close(gone)
 	})
 	sink := &record{ended: make(chan node.UpstreamEnd, 1)}
-	client := New(sink)
+	client := New(sink, nil)
 	attempt := fleet.Attempt{Request: "r1-1", Number: 1}
 	client.Call(node.CallUpstream{Attempt: attempt, Address: address, Place: fleet.Place{Attempt: attempt, Method: http.MethodPost, Path: "/orders"}})
 	time.Sleep(20 * time.Millisecond)
