--- a/cmd/endiveplankd/main.go
+++ b/cmd/endiveplankd/main.go
@@ -89,10 +89,12 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if err := process.Start(); err != nil {
 		return err
 	}
-	<-signals
+	awaitStop(signals, hangups, func() { reload(process, path) })
 	ctx, cancel := context.WithTimeout(context.Background(), loaded.Timing.Drain())
 	defer cancel()
 	go func() {
@@ -104,3 +106,27 @@
 	}
 	return nil
 }
+
+// awaitStop returns with the first signal to stop, and reloads at each hangup.
+func awaitStop(stop, hangups <-chan os.Signal, reload func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-hangups:
+			reload()
+		}
+	}
+}
+
+// reload reads the settings again. A document with mistakes changes nothing.
+func reload(process *daemon.Daemon, path string) {
+	changed, err := settings.ReadFile(path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "endiveplankd: settings not reloaded:\n%v\n", err)
+		return
+	}
+	for _, field := range process.Reload(changed) {
+		fmt.Fprintf(os.Stderr, "endiveplankd: %s has changed and needs a restart\n", field)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"endiveplank/settings"
 	"endiveplank/state/disk"
 	"endiveplank/state/replica"
+	"endiveplank/transport/admin"
 	"endiveplank/transport/announce"
 	"endiveplank/transport/callers"
 	"endiveplank/transport/peer"
@@ -56,6 +57,7 @@
 	servers   []*http.Server
 	questions *questions
 	tracer    *tracing.Tracer
+	admin     *admin.Handler
 	quit      chan struct{}
 }
 
@@ -77,6 +79,7 @@
 		return nil, err
 	}
 	d.tracer = tracer
+	d.admin = admin.New(d, s.Operators)
 	d.provisionRunner()
 	d.provisionMember(incarnation)
 	if s.KeepsState() {
@@ -231,7 +234,7 @@
 	prefix := string(d.settings.RouterID) + "-" + strconv.FormatInt(d.epoch.UnixMilli(), 36)
 	callersServer := callers.New(d.runner, d.settings.Callers, prefix, d.tracer).Server()
 	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: askTimeout * 5}
-	adminServer := &http.Server{Handler: d.adminHandler(), ReadTimeout: askTimeout * 30}
+	adminServer := &http.Server{Handler: d.admin, ReadTimeout: askTimeout * 30}
 	for _, item := range []struct {
 		address string
 		server  *http.Server
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -21,11 +20,6 @@
 	"endiveplank/transport/admin"
 )
 
-// adminHandler serves operators.
-func (d *Daemon) adminHandler() http.Handler {
-	return admin.New(d, d.settings.Operators)
-}
-
 // Rows implements admin.Fleet.
 func (d *Daemon) Rows(sheet table.Sheet) []table.Row {
 	rows := []table.Row{}
--- /dev/null
+++ b/settings/reload.go
@@ -0,0 +1,18 @@
+package settings
+
+import "reflect"
+
+// NeedRestart returns the JSON names of the fields that differ and that a
+// running process doesn't take over: all but operators and log.level.
+func NeedRestart(running, changed Settings) []string {
+	running.Operators, changed.Operators = nil, nil
+	running.Log.Level, changed.Log.Level = "", ""
+	before, after := reflect.ValueOf(running), reflect.ValueOf(changed)
+	var names []string
+	for i := range before.NumField() {
+		if !reflect.DeepEqual(before.Field(i).Interface(), after.Field(i).Interface()) {
+			names = append(names, before.Type().Field(i).Tag.Get("json"))
+		}
+	}
+	return names
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -40,3 +41,27 @@
 		})
 	}
 }
+
+// Every example must be one that the daemon starts with.
+func TestExamplesAreGood(t *testing.T) {
+	files, err := filepath.Glob("../examples/*.json")
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 3)
+	for _, file := range files {
+		parsed, err := ReadFile(file)
+		assert.NilError(t, err, file)
+		assert.Equal(t, string(parsed.Role)+".json", filepath.Base(file))
+	}
+}
+
+func TestOnlyOperatorsAndLogLevelReload(t *testing.T) {
+	running, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	changed := running
+	changed.Operators = []Operator{{Name: "a"}}
+	changed.Log.Level = "debug"
+	assert.Equal(t, len(NeedRestart(running, changed)), 0)
+	changed.Log.Format = "text"
+	changed.Listen.Peers = "127.0.0.1:9"
+	assert.DeepEqual(t, NeedRestart(running, changed), []string{"listen", "log"})
+}
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"endiveplank/coordination/explain"
@@ -154,7 +155,7 @@
 // Handler serves the operators' listener.
 type Handler struct {
 	fleet     Fleet
-	operators []settings.Operator
+	operators atomic.Pointer[[]settings.Operator]
 	mux       *http.ServeMux
 }
 
@@ -167,7 +168,8 @@
 
 // New returns a handler.
 func New(fleet Fleet, operators []settings.Operator) *Handler {
-	h := &Handler{fleet: fleet, operators: operators, mux: http.NewServeMux()}
+	h := &Handler{fleet: fleet, mux: http.NewServeMux()}
+	h.SetOperators(operators)
 	h.mux.HandleFunc("GET /metrics", h.metrics)
 	h.handle("GET /admin/v1/status", settings.OperatorRead, h.status)
 	h.handle("GET /admin/v1/events", settings.OperatorRead, h.events)
@@ -184,6 +186,9 @@
 	return h
 }
 
+// SetOperators puts other operators' keys in force, from the next call on.
+func (h *Handler) SetOperators(operators []settings.Operator) { h.operators.Store(&operators) }
+
 // ServeHTTP routes one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
@@ -214,7 +219,7 @@
 	digest := sha256.Sum256([]byte(key))
 	var found settings.Operator
 	ok := false
-	for _, operator := range h.operators {
+	for _, operator := range *h.operators.Load() {
 		want, err := hex.DecodeString(operator.KeySHA256)
 		if err == nil && subtle.ConstantTimeCompare(want, digest[:]) == 1 {
 			found, ok = operator, true
