--- a/tool/status.go
+++ b/tool/status.go
@@ -53,11 +53,7 @@
 	row(w)
 	row(w, "ROUTER", "DATA CENTRE", "ADDRESS", "UPSTREAMS", "STATE")
 	for _, router := range status.Routers {
-		state := "serving"
-		if router.Stopping {
-			state = "stopping"
-		}
-		row(w, router.Router, router.DataCentre, router.Address, router.Upstreams, state)
+		row(w, router.Router, router.DataCentre, router.Address, router.Upstreams, stateOf(router))
 	}
 	row(w)
 	row(w, "UPSTREAM", "KIND", "DATA CENTRE", "SERVES", "OWNER", "ADDRESS", "DRAIN")
--- a/tool/table.go
+++ b/tool/table.go
@@ -23,7 +23,7 @@
 		Use:   "table",
 		Short: "Read and edit the table that drives the fleet",
 	}
-	command.AddCommand(tableGet(o), tableSet(o), tableDelete(o), tableHistory(o), tableUndo(o))
+	command.AddCommand(tableGet(o), tableSet(o), tableDelete(o), tableExport(o), tableImport(o), tableDiff(o), tableHistory(o), tableUndo(o))
 	return command
 }
 
