--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -21,11 +20,6 @@
 	"endiveplank/transport/admin"
 )
 
-// adminHandler serves operators.
-func (d *Daemon) adminHandler() http.Handler {
-	return admin.New(d, d.settings.Operators)
-}
-
 // Rows implements admin.Fleet.
 func (d *Daemon) Rows(sheet table.Sheet) []table.Row {
 	rows := []table.Row{}
@@ -92,6 +86,8 @@
 	}
 	d.counters.set("peer_connections_stalled_total", float64(counts.Stalled))
 	d.counters.set("peer_connections_refused_total", float64(counts.RefusedInbound))
+	d.counters.set("peer_connections_broken_total", float64(counts.BrokenInbound))
+	d.counters.set("peer_connections_replaced_total", float64(counts.Reconnected))
 }
 
 // Status implements admin.Fleet.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -88,6 +88,9 @@
 	// KindCheck and KindAlive find out whether an owner still has an attempt.
 	KindCheck Kind = 25
 	KindAlive Kind = 26
+	// KindProbe carries nothing; its acknowledgement shows that a connection
+	// works.
+	KindProbe Kind = 27
 )
 
 // kindNames are the names of kinds in metrics.
@@ -101,6 +104,7 @@
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
 	KindCheck: "check", KindAlive: "alive",
+	KindProbe: "probe",
 }
 
 // String returns the kind's name.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,7 +38,7 @@
 	Peers []Peer `json:"peers"`
 	// Voters are the voters of a new fleet. They matter only when a voter
 	// starts with an empty data folder for the first time.
-	Voters    []protocol.RouterID `json:"voters"`
+	Voters []protocol.RouterID `json:"voters"`
 	// Spares are processes with the role spare, the same list everywhere. A
 	// voter that is lost is replaced by one of them.
 	Spares    []protocol.RouterID `json:"spares"`
