Membership: detector core, first form

Cause: the fleet finds lost routers by leases alone, and quarantine notices go from each router to all others. Change: a step machine for membership with probes on several rings, refutable suspicion, rumours under a byte budget, and a bench in memory. Conclusion: not wired into the daemon yet.

--- /dev/null
+++ b/coordination/membership/memberbench/heartbeat.go
@@ -0,0 +1,64 @@
+package memberbench
+
+import (
+	"time"
+
+	"endiveplank/coordination/membership"
+	"endiveplank/protocol"
+)
+
+const (
+	// heartbeatPeriod and heartbeatTimeout are those of the leases: a renewal
+	// a second, and 3.5 s until a session is closed.
+	heartbeatPeriod  = time.Second
+	heartbeatTimeout = 3500 * time.Millisecond
+)
+
+// heartbeats is the baseline: each member tells all others each second that
+// it lives, and holds for dead who was silent for too long.
+type heartbeats struct {
+	self   protocol.RouterID
+	others []protocol.RouterID
+	heard  map[protocol.RouterID]time.Duration
+	dead   map[protocol.RouterID]bool
+	next   time.Duration
+	bytes  uint64
+}
+
+func newHeartbeats(self protocol.RouterID, all []protocol.RouterID, first time.Duration) *heartbeats {
+	h := &heartbeats{self: self, heard: map[protocol.RouterID]time.Duration{}, dead: map[protocol.RouterID]bool{}, next: first}
+	for _, id := range all {
+		if id != self {
+			h.others = append(h.others, id)
+		}
+	}
+	return h
+}
+
+// Tick implements stepper.
+func (h *heartbeats) Tick(now time.Duration) membership.Output {
+	var out membership.Output
+	for _, id := range h.others {
+		if !h.dead[id] && now-h.heard[id] > heartbeatTimeout {
+			h.dead[id] = true
+			out.Events = append(out.Events, membership.Event{Kind: membership.Died, Member: membership.Member{ID: id}})
+		}
+	}
+	if now < h.next {
+		return out
+	}
+	h.next += heartbeatPeriod
+	for _, id := range h.others {
+		h.bytes += uint64(membership.PacketOverhead + len(h.self))
+		out.Packets = append(out.Packets, membership.Packet{To: id, Data: []byte(h.self)})
+	}
+	return out
+}
+
+// Receive implements stepper.
+func (h *heartbeats) Receive(now time.Duration, data []byte) membership.Output {
+	id := protocol.RouterID(data)
+	h.heard[id] = now
+	delete(h.dead, id)
+	return membership.Output{}
+}
--- /dev/null
+++ b/coordination/membership/overlay.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"endiveplank/protocol"
+)
+
+// idHash is the base of a member's positions on the rings.
+func idHash(id protocol.RouterID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// position returns a member's place on a ring: the base mixed with the ring's
+// number, so that neighbours on one ring are strangers on the next.
+func position(base uint64, ring int) uint64 {
+	z := base + uint64(ring+1)*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// neighbours finds the successor and the predecessor of self on each ring.
+// Targets are what self probes; both together are whom it gossips with. On
+// several random rings news reaches everyone in a number of hops that grows
+// with the logarithm of the fleet, and neighbours on one rack are rare.
+func (c *Core) findNeighbours() {
+	c.targets = c.targets[:0]
+	c.neighbours = c.neighbours[:0]
+	self := idHash(c.config.Self)
+	for ring := range c.config.Rings {
+		next, previous := c.around(self, ring)
+		c.targets = appendOnce(c.targets, next)
+		c.neighbours = appendOnce(appendOnce(c.neighbours, next), previous)
+	}
+	c.shuffle(c.targets)
+	c.nextTarget = 0
+	c.stale = false
+}
+
+// around returns the living members next to self on a ring, "" if alone.
+func (c *Core) around(self uint64, ring int) (next, previous protocol.RouterID) {
+	own := position(self, ring)
+	var nearest, farthest uint64
+	for _, m := range c.order {
+		if !m.State.living() || m.ID == c.config.Self {
+			continue
+		}
+		distance := position(m.hash, ring) - own
+		if next == "" || distance < nearest {
+			next, nearest = m.ID, distance
+		}
+		if previous == "" || distance > farthest {
+			previous, farthest = m.ID, distance
+		}
+	}
+	return next, previous
+}
+
+func appendOnce(ids []protocol.RouterID, id protocol.RouterID) []protocol.RouterID {
+	if id == "" || slices.Contains(ids, id) {
+		return ids
+	}
+	return append(ids, id)
+}
+
+func (c *Core) shuffle(ids []protocol.RouterID) {
+	c.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
