--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -37,9 +37,12 @@
 
 	sequence  uint64
 	probes    []*probe
+	failed    []*probe
 	urgent    []protocol.RouterID
 	relays    []relay
 	nextProbe time.Duration
+	// lastAnswer is when a probe was last answered.
+	lastAnswer time.Duration
 
 	health  health
 	rumours queue
@@ -49,6 +52,7 @@
 	// differsSince is when the digests of others began to differ; 0 if not.
 	differsSince time.Duration
 
+	born       time.Duration
 	lastTick   time.Duration
 	nextGossip time.Duration
 	nextSeed   time.Duration
@@ -67,6 +71,7 @@
 		rumours:  queue{limit: config.MaxRumours},
 		budget:   newBudget(config.BytesPerSecond),
 		items:    itemStore{seen: map[rumourKey]itemSeen{}},
+		born:     now,
 		lastTick: now,
 		stale:    true,
 	}
--- a/coordination/membership/doc.go
+++ b/coordination/membership/doc.go
@@ -6,9 +6,10 @@
 // each Config.ProbePeriod, so that every member has as many monitors as there
 // are rings, and connections stay warm because partners rarely change. A probe
 // that is not answered is repeated, directly and through helpers. When it
-// fails, the member is suspected, its other monitors probe it out of turn, and
-// each of them that fails too shortens the time the suspect has to answer. A
-// suspect refutes by raising its incarnation; one that doesn't is dead. News
+// fails, the member is suspected. The suspect and its monitors are told; they
+// probe it out of turn, and each that fails too shortens the time the suspect
+// has to answer. It refutes by raising its incarnation, which every packet of
+// its own carries; one that doesn't is dead, and all are told. News
 // travels as rumours on every packet and, while they are fresh, on packets of
 // their own. A digest of the membership in each packet shows when two members
 // disagree for long; one then fetches the other's list in pieces.
--- a/coordination/membership/hear.go
+++ b/coordination/membership/hear.go
@@ -8,6 +8,9 @@
 	"endiveplank/protocol"
 )
 
+// joining is the time in which a new member is expected to fetch its list.
+const joining = time.Minute
+
 // hear takes the news of a packet: its rumours, and what the sender's own
 // incarnation and digest say.
 func (c *Core) hear(now time.Duration, m message) {
@@ -15,11 +18,12 @@
 		c.hearRumour(now, r, m.Kind == List)
 	}
 	from := c.members[m.From]
-	if from != nil && from.State.living() && from.Incarnation.Started == m.Incarnation.Started {
-		// A refutation reaches those it talks to without any rumour.
+	if from != nil && from.State != Left && from.Incarnation.Started == m.Incarnation.Started {
+		// A refutation reaches those it talks to without any rumour. One that
+		// comes too late has to reach all that were told of a death.
 		known := from.Member
 		known.Incarnation = m.Incarnation
-		c.alive(now, known)
+		c.alive(now, known, !from.State.living())
 	}
 	if m.Kind != Join {
 		c.compare(now, m)
@@ -29,7 +33,9 @@
 func (c *Core) hearRumour(now time.Duration, r rumour, fromList bool) {
 	switch r.Kind {
 	case rumourAlive:
-		c.alive(now, r.Member)
+		// What a list tells a new member is news to it and not to the fleet:
+		// passing it all on would spend the budget that it needs to join.
+		c.alive(now, r.Member, !fromList || now-c.born > joining)
 	case rumourSuspect:
 		c.suspect(now, r.Member, r.By, WhyTold)
 	case rumourDead:
@@ -47,15 +53,16 @@
 	}
 }
 
-// alive takes the news that a member lives in an incarnation.
-func (c *Core) alive(now time.Duration, m Member) {
+// alive takes the news that a member lives in an incarnation, and passes on
+// what came as a rumour.
+func (c *Core) alive(now time.Duration, m Member, passOn bool) {
 	if m.ID == c.config.Self {
 		c.adopt(m.Incarnation)
 		return
 	}
 	known := c.members[m.ID]
 	if known == nil {
-		c.join(now, m)
+		c.join(now, m, passOn)
 		return
 	}
 	if m.Incarnation.Compare(known.Incarnation) <= 0 {
@@ -63,7 +70,9 @@
 	}
 	was := known.Member
 	c.update(now, known, m)
-	c.rumours.add(rumour{Kind: rumourAlive, Member: known.Member})
+	if passOn {
+		c.rumours.add(rumour{Kind: rumourAlive, Member: known.Member})
+	}
 	switch {
 	case !was.State.living():
 		c.event(Joined, known, WhyTold, "")
@@ -90,13 +99,15 @@
 
 // join adds a member. Forged or broken news can't make the list grow without
 // bound.
-func (c *Core) join(now time.Duration, m Member) {
+func (c *Core) join(now time.Duration, m Member, passOn bool) {
 	if len(c.order) >= c.config.MaxMembers {
 		return
 	}
 	m.State = Alive
 	added := c.insert(now, m)
-	c.rumours.add(rumour{Kind: rumourAlive, Member: m})
+	if passOn {
+		c.rumours.add(rumour{Kind: rumourAlive, Member: m})
+	}
 	c.event(Joined, added, WhyTold, "")
 	c.evict(now, added)
 }
@@ -114,10 +125,13 @@
 	}
 }
 
-// suspect takes an accusation.
+// suspect takes an accusation. It is for the suspect and its monitors only,
+// and the accuser sends it to them. Told to all, the accusations of a fleet
+// that loses packets would be more than the byte budget can carry, refutations
+// would wait behind them, and living members would die.
 func (c *Core) suspect(now time.Duration, m Member, by protocol.RouterID, why Why) {
 	if m.ID == c.config.Self {
-		c.refute(m.Incarnation)
+		c.refute(now, m.Incarnation, false)
 		return
 	}
 	known := c.members[m.ID]
@@ -125,22 +139,30 @@
 		return
 	}
 	if known.State == Alive {
+		// tickSuspicions probes it until it answers or dies.
 		known.State = Suspect
 		known.Incarnation = m.Incarnation
 		known.changed = now
-		known.suspicion = suspicion{since: now, by: []protocol.RouterID{by}}
+		known.suspicion = suspicion{since: now}
 		c.suspects = append(c.suspects, known)
 		c.event(Suspected, known, why, by)
-		c.rumours.add(rumour{Kind: rumourSuspect, Member: known.Member, By: by})
-		if by != c.config.Self && slices.Contains(c.targets, m.ID) {
-			c.probeSoon(m.ID)
-		}
-		return
 	}
 	accusers := known.suspicion.by
-	if len(accusers) <= c.config.Confirmations && !slices.Contains(accusers, by) {
-		known.suspicion.by = append(accusers, by)
-		c.rumours.add(rumour{Kind: rumourSuspect, Member: known.Member, By: by})
+	if len(accusers) > c.config.Confirmations || slices.Contains(accusers, by) {
+		return
+	}
+	known.suspicion.by = append(accusers, by)
+	if by == c.config.Self {
+		c.accuse(now, known)
+	}
+}
+
+// accuse tells a suspect's other monitors, who confirm it or don't. The
+// suspect itself hears it on the next probe.
+func (c *Core) accuse(now time.Duration, known *record) {
+	accusation := []rumour{{Kind: rumourSuspect, Member: known.Member, By: c.config.Self}}
+	for _, id := range c.monitors(known) {
+		c.send(now, c.members[id], message{Kind: Gossip, Rumours: accusation}, classProbe)
 	}
 }
 
@@ -154,7 +176,7 @@
 // gone takes the news that a member died or left.
 func (c *Core) gone(now time.Duration, m Member, state State, why Why, by protocol.RouterID) {
 	if m.ID == c.config.Self {
-		c.refute(m.Incarnation)
+		c.refute(now, m.Incarnation, true)
 		return
 	}
 	known := c.members[m.ID]
@@ -176,8 +198,10 @@
 }
 
 // refute answers an accusation of this member by a higher incarnation. Being
-// accused is a reason to doubt itself as well.
-func (c *Core) refute(accused Incarnation) {
+// accused is a reason to doubt itself as well. Every packet carries the
+// incarnation, so monitors learn of it by any; only an accusation that all
+// believe has to be refuted to all.
+func (c *Core) refute(now time.Duration, accused Incarnation, toAll bool) {
 	c.adopt(accused)
 	own := &c.self.Incarnation
 	if c.leaving || accused.Started != own.Started || accused.Refuted < own.Refuted {
@@ -185,8 +209,16 @@
 	}
 	own.Refuted = accused.Refuted + 1
 	c.health.worse(1)
-	c.rumours.add(rumour{Kind: rumourAlive, Member: c.self.Member})
 	c.event(Doubted, c.self, WhyAccused, "")
+	if toAll {
+		c.rumours.add(rumour{Kind: rumourAlive, Member: c.self.Member})
+		return
+	}
+	for _, id := range c.neighbours {
+		if to := c.members[id]; to != nil {
+			c.send(now, to, message{Kind: Gossip}, classProbe)
+		}
+	}
 }
 
 // maxAdoptions bounds how often a process moves its start time on. Two
@@ -213,10 +245,26 @@
 		if m.State == Suspect && now-m.suspicion.since >= c.timeToRefute(m) {
 			c.gone(now, m.Member, Dead, WhyNoRefutation, c.config.Self)
 		}
+		if m.State == Suspect && now >= m.suspicion.nextProbe {
+			m.suspicion.nextProbe = now + c.config.ProbePeriod/2
+			c.probeSoon(m.ID)
+		}
 		return m.State != Suspect
 	})
 }
 
+// answered takes a suspicion back when the suspect answered a probe after it,
+// through a helper perhaps, whose answer carries no incarnation.
+func (c *Core) answered(now time.Duration, m *record) {
+	if m.State != Suspect {
+		return
+	}
+	m.State = Alive
+	m.changed = now
+	m.suspicion = suspicion{}
+	c.event(Refuted, m, WhyAnswered, "")
+}
+
 // timeToRefute shrinks from SuspicionMax to SuspicionMin with the logarithm of
 // the confirmations: the first says most. One accuser may be wrong about
 // its own network, four in different places hardly.
--- a/coordination/membership/list.go
+++ b/coordination/membership/list.go
@@ -56,7 +56,7 @@
 	}
 	c.fetch.tries--
 	c.fetch.due = now + fetchTimeout
-	c.send(now, from, message{Kind: ListRequest, Target: c.fetch.after}, classList)
+	c.send(now, from, message{Kind: ListRequest, Target: c.fetch.after}, classNews)
 }
 
 // sendList sends the piece of the list after a member.
--- a/coordination/membership/overlay.go
+++ b/coordination/membership/overlay.go
@@ -27,9 +27,8 @@
 func (c *Core) findNeighbours() {
 	c.targets = c.targets[:0]
 	c.neighbours = c.neighbours[:0]
-	self := idHash(c.config.Self)
 	for ring := range c.config.Rings {
-		next, previous := c.around(self, ring)
+		next, previous := c.around(c.self, ring)
 		c.targets = appendOnce(c.targets, next)
 		c.neighbours = appendOnce(appendOnce(c.neighbours, next), previous)
 	}
@@ -38,12 +37,12 @@
 	c.stale = false
 }
 
-// around returns the living members next to self on a ring, "" if alone.
-func (c *Core) around(self uint64, ring int) (next, previous protocol.RouterID) {
-	own := position(self, ring)
+// around returns the living members next to one on a ring, "" if it is alone.
+func (c *Core) around(of *record, ring int) (next, previous protocol.RouterID) {
+	own := position(of.hash, ring)
 	var nearest, farthest uint64
 	for _, m := range c.order {
-		if !m.State.living() || m.ID == c.config.Self {
+		if !m.State.living() || m == of {
 			continue
 		}
 		distance := position(m.hash, ring) - own
@@ -57,6 +56,17 @@
 	return next, previous
 }
 
+// monitors returns the members that probe one, except for this member.
+func (c *Core) monitors(of *record) []protocol.RouterID {
+	var found []protocol.RouterID
+	for ring := range c.config.Rings {
+		if _, previous := c.around(of, ring); previous != c.config.Self {
+			found = appendOnce(found, previous)
+		}
+	}
+	return found
+}
+
 func appendOnce(ids []protocol.RouterID, id protocol.RouterID) []protocol.RouterID {
 	if id == "" || slices.Contains(ids, id) {
 		return ids
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -17,6 +17,11 @@
 	// helpers included, make an accusation all the same: a fleet that lost
 	// all others would otherwise never notice.
 	silentFailures = 3
+	// deafPatience is how long a member that hears nobody accuses nobody.
+	// It covers an overload of seconds.
+	deafPatience = 15 * time.Second
+	// maxFailed is how many failed probes are remembered for late answers.
+	maxFailed = 32
 	// maxRelays bounds the probes made for others. Eight monitors with two
 	// repeats each are far below it.
 	maxRelays = 64
@@ -27,6 +32,7 @@
 	sequence    uint64
 	target      protocol.RouterID
 	incarnation Incarnation
+	began       time.Duration
 	stage       int
 	due         time.Duration
 	helpers     int
@@ -76,7 +82,7 @@
 		return
 	}
 	c.sequence++
-	p := &probe{sequence: c.sequence, target: id, incarnation: target.Incarnation}
+	p := &probe{sequence: c.sequence, target: id, incarnation: target.Incarnation, began: now}
 	p.due = now + c.health.stretch(c.config.ProbeTimeout)
 	c.probes = append(c.probes, p)
 	c.ping(now, target, p)
@@ -131,10 +137,17 @@
 // got no answer either shows that this member is heard and hears in time.
 // Without such a word the fault is more likely here.
 func (c *Core) probeFailed(now time.Duration, target *record, p *probe) {
+	c.failed = append(c.failed, p)
+	if len(c.failed) > maxFailed {
+		c.failed = slices.Delete(c.failed, 0, 1)
+	}
 	if p.nacks == 0 {
 		c.health.worse(1)
+		if target.failures == 0 {
+			target.silentSince = p.began
+		}
 		target.failures++
-		if target.failures < silentFailures {
+		if target.failures < silentFailures || c.deaf(now, target) {
 			c.event(Doubted, c.self, WhyUnanswered, "")
 			c.probeSoon(p.target)
 			return
@@ -144,17 +157,32 @@
 	c.suspect(now, target.Member, c.config.Self, WhyProbeFailed)
 }
 
+// deaf says that silence says nothing about one member, because no other has
+// answered this one since either. It doesn't hold for ever: a member that lost
+// all others has to notice.
+func (c *Core) deaf(now time.Duration, target *record) bool {
+	return c.lastAnswer <= target.silentSince && now-target.silentSince < deafPatience
+}
+
 // acknowledged ends a probe, or passes the answer on to whom it is for.
 func (c *Core) acknowledged(now time.Duration, m message) {
 	at := slices.IndexFunc(c.probes, func(p *probe) bool { return p.sequence == m.Sequence && p.target == m.Target })
 	if at >= 0 {
+		p := c.probes[at]
 		c.probes = slices.Delete(c.probes, at, at+1)
 		c.health.better()
+		c.lastAnswer = now
 		if target := c.members[m.Target]; target != nil {
 			target.failures = 0
+			if p.began >= target.suspicion.since {
+				c.answered(now, target)
+			}
 		}
 		return
 	}
+	if c.late(now, m) {
+		return
+	}
 	at = slices.IndexFunc(c.relays, func(r relay) bool { return r.sequence == m.Sequence && r.target == m.Target })
 	if at < 0 {
 		return
@@ -166,6 +194,22 @@
 	}
 }
 
+// late takes an answer to a probe that had failed. It is this member that is
+// slow, and what it concluded from the failure doesn't hold.
+func (c *Core) late(now time.Duration, m message) bool {
+	at := slices.IndexFunc(c.failed, func(p *probe) bool { return p.sequence == m.Sequence && p.target == m.Target })
+	if at < 0 {
+		return false
+	}
+	c.failed = slices.Delete(c.failed, at, at+1)
+	c.health.worse(1)
+	if target := c.members[m.Target]; target != nil {
+		target.failures = 0
+		c.answered(now, target)
+	}
+	return true
+}
+
 // relay probes a member for another.
 func (c *Core) relay(now time.Duration, origin *record, m message) {
 	target := c.members[m.Target]
@@ -180,13 +224,17 @@
 	c.send(now, target, message{Kind: Ping, Sequence: c.sequence, Target: m.Target}, classProbe)
 }
 
+// witnessDoubt is the most doubt with which a member bears witness. One that
+// is late itself finds that nobody answers it in time.
+const witnessDoubt = 1
+
 // tickRelays tells the askers of probes that were not answered.
 func (c *Core) tickRelays(now time.Duration) {
 	c.relays = slices.DeleteFunc(c.relays, func(r relay) bool {
 		if now < r.due {
 			return false
 		}
-		if origin := c.members[r.origin]; origin != nil {
+		if origin := c.members[r.origin]; origin != nil && c.health.doubt <= witnessDoubt {
 			c.send(now, origin, message{Kind: Nack, Sequence: r.theirs, Target: r.target}, classAnswer)
 		}
 		return true
--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -75,6 +75,7 @@
 
 // Reasons of events.
 const (
+	WhyAnswered     Why = "answered-a-probe"
 	WhyProbeFailed  Why = "probe-failed"
 	WhyNoRefutation Why = "no-refutation"
 	WhyTold         Why = "told-by-a-member"
@@ -137,6 +138,8 @@
 	since time.Duration
 	// by are the members that accuse, the first ones only.
 	by []protocol.RouterID
+	// nextProbe is when the suspect is probed again.
+	nextProbe time.Duration
 }
 
 // record is a member with what the detector needs.
@@ -145,6 +148,8 @@
 	hash      uint64
 	changed   time.Duration
 	suspicion suspicion
-	// failures counts probes that failed with no answer from anybody.
-	failures int
+	// failures counts probes that failed with no answer from anybody, since
+	// silentSince.
+	failures    int
+	silentSince time.Duration
 }
