Membership: lists are fetched from whom the digest differs

Change: only the member that differed can take the difference back, and a list may be fetched from a member that is not on the list.

--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -49,8 +49,7 @@
 	budget  budget
 	items   itemStore
 	fetch   fetch
-	// differsSince is when the digests of others began to differ; 0 if not.
-	differsSince time.Duration
+	differs difference
 
 	born       time.Duration
 	lastTick   time.Duration
@@ -214,11 +213,7 @@
 	if c.leaving {
 		return
 	}
-	from := c.members[m.From]
-	if from == nil {
-		// Its rumours did not say where it is; the reply goes to the ID alone.
-		from = &record{Member: Member{ID: m.From, State: Alive}}
-	}
+	from := c.orStranger(m.From)
 	switch m.Kind {
 	case Ping:
 		if m.Target == c.config.Self {
--- a/coordination/membership/core_test.go
+++ b/coordination/membership/core_test.go
@@ -170,6 +170,10 @@
 	assert.Equal(t, len(out.Packets), 1)
 	c.gone(0, testMember("b"), Dead, WhyTold, "c")
 	assert.Equal(t, c.Living(), 3)
+	unknown := reborn
+	unknown.Incarnation.Started++
+	c.gone(0, unknown, Dead, WhyTold, "c")
+	assert.Equal(t, c.Living(), 3, "nor the death of a life that was never heard of")
 }
 
 // A VM is replaced: a process with another ID answers at the address of one
--- a/coordination/membership/list.go
+++ b/coordination/membership/list.go
@@ -26,21 +26,32 @@
 	tries int
 }
 
+// difference is a member whose digest differs from this one's.
+type difference struct {
+	from  protocol.RouterID
+	since time.Duration
+}
+
 // compare looks at another's digest. Digests differ while news is on its way;
-// when they differ for longer, some news was lost for one of the two.
+// when they differ for longer, some news was lost for one of the two. Only the
+// member that differed can end that: after a partition, those of the same side
+// agree with each other all the time.
 func (c *Core) compare(now time.Duration, m message) {
+	stale := now-c.differs.since > 3*c.config.SyncPeriod
 	if m.Digest == c.digest {
-		c.differsSince = 0
+		if c.differs.from == m.From {
+			c.differs = difference{}
+		}
 		return
 	}
-	if c.differsSince == 0 {
-		c.differsSince = now
+	if c.differs.from == "" || (stale && c.differs.from != m.From) {
+		c.differs = difference{from: m.From, since: now}
 		return
 	}
-	if now-c.differsSince < c.config.SyncPeriod || c.fetch.from != "" || m.Kind == List {
+	if c.differs.from != m.From || now-c.differs.since < c.config.SyncPeriod || c.fetch.from != "" || m.Kind == List {
 		return
 	}
-	c.differsSince = now
+	c.differs = difference{}
 	c.fetch = fetch{from: m.From, due: now, tries: fetchTries}
 }
 
@@ -49,16 +60,26 @@
 	if c.fetch.from == "" || now < c.fetch.due {
 		return
 	}
-	from := c.members[c.fetch.from]
-	if c.fetch.tries == 0 || from == nil {
+	if c.fetch.tries == 0 {
 		c.fetch = fetch{}
 		return
 	}
+	from := c.orStranger(c.fetch.from)
 	c.fetch.tries--
 	c.fetch.due = now + fetchTimeout
 	c.send(now, from, message{Kind: ListRequest, Target: c.fetch.after}, classNews)
 }
 
+// orStranger returns a member, or a record with the ID alone. One that knows
+// this member may itself be missing from the list here: after a partition, it
+// is the one to ask. The driver knows its address from its connection.
+func (c *Core) orStranger(id protocol.RouterID) *record {
+	if known := c.members[id]; known != nil {
+		return known
+	}
+	return &record{Member: Member{ID: id, State: Alive}}
+}
+
 // sendList sends the piece of the list after a member.
 func (c *Core) sendList(now time.Duration, to *record, after protocol.RouterID) {
 	m := message{Kind: List, Target: after}
