Daemon: routers find dead peers and spread quarantine notices by gossip

Cause: a dead router was noticed only by whoever had a frame for it, or by the end of its lease; a quarantine notice was sent by one router to all others, which at 330 routers is 329 reliable frames at once. Ruled out: datagrams of their own for now; the mesh proves who a peer is, and partners on the rings are few enough to keep connections open. Conclusion: ownership still goes by leases alone.

--- a/coordination/node/crash.go
+++ b/coordination/node/crash.go
@@ -9,7 +9,6 @@
 	"endiveplank/coordination/reason"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/upstreamapi"
-	"endiveplank/protocol/wire"
 )
 
 const (
@@ -137,11 +136,7 @@
 // shareNotices tells every router of crashes and quarantines.
 func (n *Node) shareNotices(notices []quarantine.Notice) {
 	for _, notice := range notices {
-		for _, router := range n.view.Routers {
-			if router != n.config.Self {
-				n.emit(Send{To: router, Kind: wire.KindQuarantine, Payload: notice, Reliable: true})
-			}
-		}
+		n.emit(Spread{Notice: notice})
 	}
 }
 
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -19,6 +19,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/upstreamapi"
+	"endiveplank/protocol/wire"
 )
 
 const (
@@ -319,6 +320,8 @@
 	switch out := out.(type) {
 	case node.Send:
 		f.send(r, out)
+	case node.Spread:
+		f.spread(r, out)
 	case node.CallUpstream:
 		f.call(r, out)
 	case node.CancelUpstream:
@@ -355,6 +358,15 @@
 	})
 }
 
+// spread delivers a notice to every other router that can be reached.
+func (f *Fleet) spread(from *Router, out node.Spread) {
+	for _, id := range f.routerIDs() {
+		if id != from.ID {
+			f.send(from, node.Send{To: id, Kind: wire.KindQuarantine, Payload: out.Notice})
+		}
+	}
+}
+
 // journal commits an order's command.
 func (f *Fleet) journal(r *Router, out node.Journal) {
 	f.after(journalTime, func() {
--- a/coordination/node/outputs.go
+++ b/coordination/node/outputs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endiveplank/coordination/orders"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/coordination/reason"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
@@ -22,6 +23,10 @@
 	Reliable bool
 }
 
+// Spread tells every other router of a crash or quarantine, as a PeerNotice
+// there. The driver chooses how; it may reach a router twice.
+type Spread struct{ Notice quarantine.Notice }
+
 // CallUpstream starts an HTTP call. Its answer comes back as UpstreamChunk
 // and one UpstreamEnd.
 type CallUpstream struct {
@@ -114,6 +119,7 @@
 }
 
 func (Send) output()             {}
+func (Spread) output()           {}
 func (CallUpstream) output()     {}
 func (CancelUpstream) output()   {}
 func (ProbeUpstream) output()    {}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	runner    *runner
 	mesh      *peer.Mesh
 	member    *member
+	gossip    *gossip
 	host      *stateHost
 	replica   *replica.Replica
 	servers   []*http.Server
@@ -70,6 +71,7 @@
 		return nil, err
 	}
 	d.provisionRunner()
+	d.provisionGossip(incarnation)
 	d.provisionMember(incarnation)
 	if s.KeepsState() {
 		if err := d.provisionState(); err != nil {
@@ -214,6 +216,7 @@
 	}
 	d.member.start()
 	go d.runner.tick(d.quit)
+	go d.gossip.run(d.quit)
 	return d.listenAll()
 }
 
@@ -265,6 +268,7 @@
 	d.member.leave(ctx)
 	whole := d.awaitIdle(ctx)
 	d.member.closeSession(ctx)
+	d.gossip.leave()
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -47,9 +47,10 @@
 // labelOf names the label that the part of a metric's name after the dot
 // becomes. The registry has no labels of its own.
 var labelOf = map[string]string{
-	"refused_total":    "reason",
-	"decisions_total":  "kind",
-	"peer_bytes_total": "message",
+	"refused_total":          "reason",
+	"decisions_total":        "kind",
+	"peer_bytes_total":       "message",
+	"membership_bytes_total": "packet",
 }
 
 // writeText writes the metrics in the Prometheus text form, sorted by name.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -86,6 +86,7 @@
 		ready = 1
 	}
 	d.counters.set("ready", ready)
+	d.gossip.measure(d.counters)
 	counts := d.mesh.Counts()
 	for kind, bytes := range counts.BytesSent {
 		d.counters.set("peer_bytes_total."+kind.String(), float64(bytes))
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -10,6 +10,7 @@
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
@@ -38,6 +39,8 @@
 	mesh     *peer.Mesh
 	client   *upstream.Client
 	proposer Proposer
+	// spread tells all routers of a crash or quarantine.
+	spread   func(quarantine.Notice)
 	log      zerolog.Logger
 	self     protocol.RouterID
 	counters *counters
@@ -78,6 +81,8 @@
 	switch out := out.(type) {
 	case node.Send:
 		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
+	case node.Spread:
+		r.spread(out.Notice)
 	case node.CallUpstream:
 		r.client.Call(out)
 	case node.ProbeUpstream:
--- a/settings/check.go
+++ b/settings/check.go
@@ -35,6 +35,7 @@
 	c.timing(s.Timing)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
+	c.between("membership.bytes_per_second", float64(s.Membership.BytesPerSecond), 1_500, 1_000_000)
 	c.traces(s.Traces)
 	return c.problems
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,14 +38,15 @@
 	Peers []Peer `json:"peers"`
 	// Voters are the voters of a new fleet. They matter only when a voter
 	// starts with an empty data folder for the first time.
-	Voters    []protocol.RouterID `json:"voters"`
-	TLS       TLS                 `json:"tls"`
-	Operators []Operator          `json:"operators"`
-	Callers   Callers             `json:"callers"`
-	Load      Load                `json:"load"`
-	Timing    Timing              `json:"timing"`
-	Log       Log                 `json:"log"`
-	Traces    Traces              `json:"traces"`
+	Voters     []protocol.RouterID `json:"voters"`
+	TLS        TLS                 `json:"tls"`
+	Operators  []Operator          `json:"operators"`
+	Callers    Callers             `json:"callers"`
+	Load       Load                `json:"load"`
+	Timing     Timing              `json:"timing"`
+	Membership Membership          `json:"membership"`
+	Log        Log                 `json:"log"`
+	Traces     Traces              `json:"traces"`
 }
 
 // Listen holds the IP:port of each listener.
@@ -133,6 +134,13 @@
 	DrainMS int `json:"drain_ms"`
 }
 
+// Membership bounds the traffic by which routers find each other and the dead.
+type Membership struct {
+	// BytesPerSecond is what one router may send for it, with the cost of the
+	// packets below it.
+	BytesPerSecond int `json:"bytes_per_second"`
+}
+
 // Log selects level and form of log lines.
 type Log struct {
 	// Level is one of debug, info, warn, error.
@@ -165,10 +173,11 @@
 			WriteTimeoutMS:  10_000,
 			DeadlineMS:      120_000,
 		},
-		Load:   Load{Multiple: 1.25, ReuseWeight: 0.5, QueueLimit: 256},
-		Timing: Timing{LeaseMS: 3_000, StallMS: 3_000, UnreadyMS: 2_000, DrainMS: 60_000},
-		Log:    Log{Level: "info", Format: "json"},
-		Traces: Traces{Exporter: "none", SampleRatio: 0.01},
+		Load:       Load{Multiple: 1.25, ReuseWeight: 0.5, QueueLimit: 256},
+		Timing:     Timing{LeaseMS: 3_000, StallMS: 3_000, UnreadyMS: 2_000, DrainMS: 60_000},
+		Membership: Membership{BytesPerSecond: 3_000},
+		Log:        Log{Level: "info", Format: "json"},
+		Traces:     Traces{Exporter: "none", SampleRatio: 0.01},
 	}
 }
 
