--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,7 @@
 	runner    *runner
 	mesh      *peer.Mesh
 	member    *member
+	gossip    *gossip
 	host      *stateHost
 	replica   *replica.Replica
 	servers   []*http.Server
@@ -86,6 +87,7 @@
 	d.tracer = tracer
 	d.admin = admin.New(d, s.Operators)
 	d.provisionRunner()
+	d.provisionGossip(incarnation)
 	d.provisionMember(incarnation)
 	if s.KeepsState() {
 		if err := d.provisionState(); err != nil {
@@ -225,6 +227,7 @@
 	}
 	d.member.start()
 	go d.runner.tick(d.quit)
+	go d.gossip.run(d.quit)
 	return d.listenAll()
 }
 
@@ -276,6 +279,7 @@
 	d.member.leave(ctx)
 	whole := d.awaitIdle(ctx)
 	d.member.closeSession(ctx)
+	d.gossip.leave()
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
