Engine orders: replicated orders, issuer and owner's gate

Cause: nothing orders engines to load, unload or change role, and an order that comes late from a former issuer would undo its successor's. Ruled out: numbers drawn from the issuer's term alone (two orders of one issuer could not be told apart); believing an engine's 202 (an engine that ignores numbers may have taken another order since).

--- a/coordination/fleetstate/command.go
+++ b/coordination/fleetstate/command.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
@@ -28,6 +29,8 @@
 	// Register and Remove change what is known of an upstream.
 	Register *registry.Register `msgpack:"g,omitempty"`
 	Remove   *registry.Remove   `msgpack:"d,omitempty"`
+	// Engine is about orders to engines.
+	Engine *engineorders.Command `msgpack:"e,omitempty"`
 }
 
 // Outcome says whether a command could be run at all. What it did is in the
@@ -51,6 +54,8 @@
 	Order     *orders.Result    `msgpack:"r,omitempty"`
 	Ownership *ownership.Answer `msgpack:"w,omitempty"`
 	Registry  *registry.Answer  `msgpack:"g,omitempty"`
+	// Engine answers a command about orders to engines.
+	Engine *engineorders.Answer `msgpack:"e,omitempty"`
 }
 
 // Encode returns the bytes to propose to consensus.
@@ -79,7 +84,7 @@
 	for _, set := range []bool{
 		c.Change != nil, c.Order != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
 		c.Assign != nil, c.Move != nil, c.Release != nil, c.Forget != nil,
-		c.Register != nil, c.Remove != nil,
+		c.Register != nil, c.Remove != nil, c.Engine != nil,
 	} {
 		if set {
 			count++
--- a/coordination/fleetstate/machine.go
+++ b/coordination/fleetstate/machine.go
@@ -1,9 +1,10 @@
 // Package fleetstate is the fleet's one replicated state machine. Consensus
 // gives every voter the same commands in the same order; Machine applies them.
 //
-// It is put together from three parts: the operators' table (package table),
-// the journal of orders (package orders), and router sessions with the
-// ownership of upstreams (package ownership). Machine routes each command to
+// It is put together from parts: the operators' table (package table), the
+// journal of orders (package orders), router sessions with the ownership of
+// upstreams (package ownership), what is known of upstreams (package registry)
+// and the orders to engines (package engineorders). Machine routes each command to
 // its part and notes which rows, sessions and assignments changed at which
 // revision. A revision is a log index.
 //
@@ -27,6 +28,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
@@ -59,6 +61,7 @@
 	journal   *orders.Journal
 	ownership *ownership.State
 	registry  *registry.State
+	engines   *engineorders.State
 	log       *revlog.Log[Item]
 }
 
@@ -70,6 +73,7 @@
 		journal:   orders.NewJournal(settings.Orders),
 		ownership: ownership.NewState(),
 		registry:  registry.NewState(),
+		engines:   engineorders.NewState(),
 		log:       revlog.New(CompareItems, maxTombstones),
 	}
 }
@@ -93,6 +97,9 @@
 // Registry returns what is known of the upstreams, for reading.
 func (m *Machine) Registry() *registry.State { return m.registry }
 
+// Engines returns the orders to engines, for reading.
+func (m *Machine) Engines() *engineorders.State { return m.engines }
+
 // Apply runs the command at a log index and returns its encoded Result.
 // Indexes must grow; consensus may leave some out (its own entries).
 func (m *Machine) Apply(index uint64, encoded []byte) []byte {
@@ -126,7 +133,13 @@
 	case command.Remove != nil:
 		answer, changed := m.registry.Remove(*command.Remove)
 		m.recordDescriptor(index, command.Remove.ID, changed, true)
+		if changed {
+			m.engines.Removed(command.Remove.ID)
+		}
 		return Result{Registry: &answer}
+	case command.Engine != nil:
+		answer := m.engines.Apply(index, *command.Engine)
+		return Result{Engine: &answer}
 	}
 	answer, touched := m.runOwnership(index, command)
 	m.recordOwnership(index, touched)
@@ -198,6 +211,8 @@
 	Gone      []goneItem            `msgpack:"g,omitempty"`
 	Registry  []registry.Descriptor `msgpack:"r,omitempty"`
 	Floor     uint64                `msgpack:"l"`
+	// Engines is missing in snapshots of a version that ordered nothing.
+	Engines engineorders.Snapshot `msgpack:"e"`
 }
 
 type goneItem struct {
@@ -216,6 +231,7 @@
 		Ownership: m.ownership.Snapshot(),
 		Registry:  m.registry.All(),
 		Floor:     m.log.Floor(),
+		Engines:   m.engines.Snapshot(),
 	}
 	for _, entry := range m.log.Tombstones() {
 		s.Gone = append(s.Gone, goneItem{entry.Revision, entry.Item})
@@ -238,6 +254,7 @@
 	m.journal = orders.FromSnapshot(m.settings.Orders, s.Orders)
 	m.ownership = ownership.FromSnapshot(s.Ownership)
 	m.registry = registry.FromSnapshot(s.Registry)
+	m.engines = engineorders.FromSnapshot(s.Engines)
 	m.log = revlog.New(CompareItems, maxTombstones)
 	m.log.Restore(s.Floor, m.logEntries(s.Gone))
 	return nil
--- a/coordination/fleetstate/machine_test.go
+++ b/coordination/fleetstate/machine_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/table"
@@ -19,7 +20,7 @@
 	small := func(label string) string { return fmt.Sprint(rapid.IntRange(0, 4).Draw(t, label)) }
 	session := ownership.SessionID(rapid.Uint64Range(1, m.index+1).Draw(t, "session"))
 	upstreams := []protocol.UpstreamID{protocol.UpstreamID(small("upstream")), protocol.UpstreamID(small("upstream"))}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		return Command{Open: &ownership.Open{Router: protocol.RouterID(small("router")), Incarnation: m.index, DataCentre: "a", Address: "x", Capacity: 1}}
 	case 1:
@@ -38,6 +39,8 @@
 	case 7:
 		op := orders.Op(rapid.IntRange(0, 8).Draw(t, "op"))
 		return Command{Order: &orders.Command{Op: op, Key: orders.Key{Customer: "c", Key: small("order")}, Holder: orders.Holder{Session: session, Attempt: 1}, At: int64(m.index) * 1000, Answer: &orders.Answer{Status: 200}}}
+	case 8:
+		return Command{Engine: drawEngineCommand(t, m, upstreams[0])}
 	}
 	key := small("key")
 	expect := m.table.Revision(table.Routes, key)
@@ -54,6 +57,23 @@
 	return Command{Change: &table.Change{ID: small("change") + small("change") + small("change"), Who: "w", At: 1, Edits: []table.Edit{edit, customer}[:1+rapid.IntRange(0, 1).Draw(t, "edits")]}}
 }
 
+// drawEngineCommand draws a command about orders to engines.
+func drawEngineCommand(t *rapid.T, m *Machine, upstream protocol.UpstreamID) *engineorders.Command {
+	office, _ := m.engines.Office()
+	open, _ := m.engines.OpenOf(upstream)
+	settle := &engineorders.Settle{Office: office, Upstream: upstream, Fence: open.Fence, Ending: engineorders.Overdue}
+	switch rapid.IntRange(0, 4).Draw(t, "engine") {
+	case 0:
+		return &engineorders.Command{Take: &engineorders.Take{Router: "r"}}
+	case 1:
+		return &engineorders.Command{Confirm: settle}
+	case 2:
+		return &engineorders.Command{Abandon: settle}
+	}
+	intent := engineorders.Intent{Action: "load", Model: "m", Version: "v"}
+	return &engineorders.Command{Issue: &engineorders.Issue{Office: office, Upstream: upstream, Intent: intent}}
+}
+
 // assertSame checks that a view shows exactly what the machine holds.
 func assertSame(t *rapid.T, m *Machine, v *View) {
 	rows := 0
