--- a/coordination/engineorders/demand.go
+++ b/coordination/engineorders/demand.go
@@ -59,10 +59,11 @@
 	usedAt       time.Duration
 }
 
-// NewScaler returns a scaler for a model that has some replicas now, as a new
-// issuer finds it.
-func NewScaler(config ScalerConfig, replicas int) *Scaler {
-	return &Scaler{config: config, wanted: replicas}
+// NewScaler returns a scaler for a model that has some replicas at now, as a
+// new issuer finds it. A model with replicas counts as used at that moment:
+// the issuer doesn't know when its last request was.
+func NewScaler(config ScalerConfig, now time.Duration, replicas int) *Scaler {
+	return &Scaler{config: config, wanted: replicas, used: replicas > 0, usedAt: now}
 }
 
 // Wanted returns the replicas that the model should have.
