Node: an engine's owner passes orders through the gate

Cause: nothing carries the issuer's orders to engines. Ruled out: the issuer calling engines itself (an engine that ignores fencing numbers would then take a thawed issuer's order). Change: PeerEngineAsk, EngineAnswered, OrderEngine and ReplyIssuer; wire kinds 40 and 41; fake engines of both kinds in nodetest.

--- a/coordination/engineorders/gate.go
+++ b/coordination/engineorders/gate.go
@@ -97,6 +97,3 @@
 	g.engines[ask.Upstream] = known
 	return Passed
 }
-
-// Forget drops what is known of an engine that this router no longer owns.
-func (g *Gate) Forget(upstream protocol.UpstreamID) { delete(g.engines, upstream) }
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/orders"
@@ -164,6 +165,22 @@
 	Result orders.Result
 }
 
+// PeerEngineAsk asks this router, as the owner of an engine, to pass an order
+// to it or to read its state.
+type PeerEngineAsk struct {
+	From protocol.RouterID
+	Ask  engineorders.Ask
+}
+
+// EngineAnswered is the end of an OrderEngine. Status is that of the order, 0
+// when none was sent or no answer came; State is nil when it wasn't read.
+type EngineAnswered struct {
+	From   protocol.RouterID
+	Ask    engineorders.Ask
+	Status int
+	State  *upstreamapi.EngineState
+}
+
 // Tick passes time. The driver sends one each TickInterval.
 type Tick struct{}
 
@@ -194,6 +211,8 @@
 func (ViewChanged) input()     {}
 func (LeaseChanged) input()    {}
 func (JournalResult) input()   {}
+func (PeerEngineAsk) input()   {}
+func (EngineAnswered) input()  {}
 func (Tick) input()            {}
 func (Drain) input()           {}
 func (PeerLimitAsk) input()    {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -27,6 +27,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/ownership"
@@ -85,6 +86,9 @@
 	home    *limits.Home
 	budget  *retry.Budget
 	crashes *quarantine.Tracker
+	// orderGate and engineCalls see to orders to the engines owned here.
+	orderGate   *engineorders.Gate
+	engineCalls map[protocol.UpstreamID]bool
 	// local holds messages to itself until the current step has handled them.
 	local   []Input
 	outputs []Output
@@ -115,6 +119,9 @@
 		home:     limits.NewHome(limits.DefaultConfig(), nil),
 		budget:   retry.New(retry.DefaultConfig()),
 		crashes:  quarantine.New(quarantine.DefaultConfig()),
+
+		orderGate:   engineorders.NewGate(),
+		engineCalls: map[protocol.UpstreamID]bool{},
 	}
 }
 
@@ -198,6 +205,10 @@
 		n.journalResult(now, in)
 	case PeerOrderReport:
 		n.orderReport(now, in)
+	case PeerEngineAsk:
+		n.engineAsked(now, in)
+	case EngineAnswered:
+		n.engineAnswered(in)
 	case Tick:
 		n.tick(now)
 	case Drain:
--- a/coordination/node/nodetest/engine.go
+++ b/coordination/node/nodetest/engine.go
@@ -31,6 +31,11 @@
 	// NoConnect refuses connections while announcements go on.
 	NoConnect bool
 	Crashes   int
+	// Held is what orders made of the engine; it refuses older numbers only
+	// with ChecksFence. OrderTime is how long an order is under way to it.
+	Held        upstreamapi.EngineState
+	ChecksFence bool
+	OrderTime   time.Duration
 	// Runs counts the calls for each body.
 	Runs map[string]int
 
--- /dev/null
+++ b/coordination/node/nodetest/engineorder.go
@@ -0,0 +1,51 @@
+package nodetest
+
+import (
+	"net/http"
+
+	"endiveplank/coordination/engineorders"
+	"endiveplank/coordination/node"
+	"endiveplank/protocol"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// Tenure is the fencing number of an upstream's present ownership.
+func (f *Fleet) Tenure(upstream protocol.UpstreamID) protocol.Fence {
+	return f.upstreams[upstream].Fence
+}
+
+// Ask sends an ask about an engine to a router.
+func (f *Fleet) Ask(to protocol.RouterID, ask engineorders.Ask) {
+	r := f.Routers[to]
+	f.after(latency, func() {
+		f.toRouter(r, func() { f.step(r, node.PeerEngineAsk{From: "issuer", Ask: ask}) })
+	})
+}
+
+// orderEngine carries an order to an engine and its state back. Like the
+// real client it sends nothing from NotAfter on.
+func (f *Fleet) orderEngine(r *Router, out node.OrderEngine) {
+	engine := f.Engines[out.Ask.Upstream]
+	f.after(latency+engine.OrderTime, func() {
+		answered := node.EngineAnswered{From: out.From, Ask: out.Ask}
+		if f.Now < out.NotAfter {
+			answered.Status = engine.order(out.Ask)
+			state := engine.Held
+			answered.State = &state
+		}
+		f.after(latency, func() { f.toRouter(r, func() { f.step(r, answered) }) })
+	})
+}
+
+// order carries an order out at once and returns its HTTP status.
+func (e *Engine) order(ask engineorders.Ask) int {
+	if ask.ReadOnly {
+		return 0
+	}
+	if e.ChecksFence && ask.Fence < e.Held.Fence {
+		return http.StatusConflict
+	}
+	e.Held.Fence = ask.Fence
+	e.Held.Models = []upstreamapi.LoadedModel{{Model: ask.Intent.Model, Version: ask.Intent.Version, Ready: true}}
+	return http.StatusAccepted
+}
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/ownership"
@@ -42,6 +43,8 @@
 	Events  []node.Event
 	// Journal is the replicated state, for orders.
 	Journal *fleetstate.Machine
+	// Replies are what owners answered to asks about orders to engines.
+	Replies []engineorders.Reply
 	// OnCall is called when a router sends a request to an engine, after the
 	// engine has it.
 	OnCall func(router protocol.RouterID, call node.CallUpstream)
@@ -335,6 +338,10 @@
 		f.journal(r, out)
 	case node.Event:
 		f.Events = append(f.Events, out)
+	case node.OrderEngine:
+		f.orderEngine(r, out)
+	case node.ReplyIssuer:
+		f.after(latency, func() { f.Replies = append(f.Replies, out.Reply) })
 	case node.RegisterUpstream, node.RemoveUpstream:
 	default:
 		f.answer(out)
--- a/coordination/node/outputs.go
+++ b/coordination/node/outputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/reason"
 	"endiveplank/protocol"
@@ -98,6 +99,23 @@
 	Reason      reason.Code
 }
 
+// OrderEngine sends an order to an engine, unless the ask is to read only, and
+// then reads the engine's state. Exactly one EngineAnswered comes back. At
+// NotAfter or later nothing may be sent: the ownership may have ended.
+type OrderEngine struct {
+	From     protocol.RouterID
+	Ask      engineorders.Ask
+	Address  string
+	NotAfter time.Duration
+}
+
+// ReplyIssuer sends the answer to an ask back to the issuer, which may be on
+// this router.
+type ReplyIssuer struct {
+	To    protocol.RouterID
+	Reply engineorders.Reply
+}
+
 // Event explains a decision.
 type Event struct {
 	Request  protocol.RequestID
@@ -124,4 +142,6 @@
 func (Journal) output()          {}
 func (RegisterUpstream) output() {}
 func (RemoveUpstream) output()   {}
+func (OrderEngine) output()      {}
+func (ReplyIssuer) output()      {}
 func (Event) output()            {}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -85,6 +85,10 @@
 	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
 	KindLimitAsk    Kind = 23
 	KindLimitAnswer Kind = 24
+	// KindEngineAsk and KindEngineReply carry orders to engines, from the
+	// issuer to an engine's owner and back.
+	KindEngineAsk   Kind = 40
+	KindEngineReply Kind = 41
 )
 
 // kindNames are the names of kinds in metrics.
@@ -97,6 +101,7 @@
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
+	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
 }
 
 // String returns the kind's name.
