Daemon: the leader issues orders to engines through their owners

Cause: a version written into the models sheet reached no engine. Ruled out: planning from announcements (they name no versions and may be older than the last order); planning before every engine was read. Change: the state host takes office as issuer once the models sheet has a row, surveys the engines, plans, commits and sends; the HTTP client posts an order and reads the state within the rest of the owner's lease; a busy engine is asked again after the reading interval. Busy retry seen red with its case off. Conclusion: versions and replica bounds of the sheet are carried out; replicas don't follow demand yet, as no leader knows it.

--- a/coordination/engineorders/issuer.go
+++ b/coordination/engineorders/issuer.go
@@ -193,6 +193,10 @@
 		return
 	}
 	switch {
+	case reply.Verdict == CallBusy:
+		// The call under way is short; the order needn't wait as for a lost
+		// answer.
+		f.askedAt = now - i.timing.Resend + i.timing.ReadEvery
 	case reply.Verdict != Passed:
 		// Asked again after Resend, of whoever is the owner then.
 	case !reply.ReadOnly && refused(reply.Status):
--- a/coordination/engineorders/plan.go
+++ b/coordination/engineorders/plan.go
@@ -118,6 +118,12 @@
 	return c
 }
 
+// Serving is how many engines serve a model.
+func Serving(engines []Engine, model protocol.Model) int {
+	p := plan{engines: engines}
+	return p.count(Model{Name: model}).serving
+}
+
 func (m Model) current(held upstreamapi.LoadedModel) bool {
 	return m.Version == "" || held.Version == m.Version
 }
--- a/coordination/engineorders/stories_test.go
+++ b/coordination/engineorders/stories_test.go
@@ -109,6 +109,16 @@
 	})
 }
 
+// The owner is just reading the engine when the order comes. The order must
+// not wait as long as for an answer that may be lost.
+func TestBusyEngineIsAskedAgainSoon(t *testing.T) {
+	w := newWorld(t, true)
+	w.busy = 1
+	w.issue(w.issuer, "v1")
+	w.run(4 * time.Second)
+	assert.Equal(t, w.posts, 1)
+}
+
 // An engine refuses every load, for want of memory. The order must end with
 // that reason, and the engine must be left alone for longer each time, while
 // orders to others go on.
--- a/coordination/engineorders/world_test.go
+++ b/coordination/engineorders/world_test.go
@@ -34,6 +34,8 @@
 	hold bool
 	// loseAnswers drops what the engine answered, with the order carried out.
 	loseAnswers int
+	// busy is how many asks find a call under way.
+	busy int
 	// refuse is the engine's answer to every order, 0 for its own.
 	refuse int
 	posts  int
@@ -104,6 +106,10 @@
 	ask := send.Ask
 	reply := Reply{Upstream: ask.Upstream, Office: ask.Office, Fence: ask.Fence, ReadOnly: ask.ReadOnly}
 	reply.Verdict = w.gate.Admit(ask, tenure)
+	if w.busy > 0 {
+		w.busy--
+		reply.Verdict = CallBusy
+	}
 	if reply.Verdict == Passed {
 		w.call(ask, &reply)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,6 +128,7 @@
 		}),
 	}
 	d.runner.client = upstream.New(d.runner)
+	d.runner.replyIssuer = d.sendEngineReply
 }
 
 // newRandom returns a random source with a seed of its own.
@@ -170,6 +171,8 @@
 		return eris.Wrap(err, "open data folder")
 	}
 	d.host = newStateHost(d.now, d.log, d.sendPush)
+	d.host.self = d.settings.RouterID
+	d.host.sendAsk = d.sendEngineAsk
 	d.replica, err = replica.New(replica.Config{
 		Self:          d.settings.RouterID,
 		Peers:         d.stateKeepers(),
--- a/daemon/frames.go
+++ b/daemon/frames.go
@@ -46,6 +46,8 @@
 		}
 		d.member.onProposeReply(reply)
 		return nil
+	case wire.KindEngineAsk, wire.KindEngineReply:
+		return d.handleEngineOrder(from, frame)
 	case wire.KindQuery, wire.KindQueryReply:
 		return d.handleQuery(from, frame)
 	}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -41,6 +41,8 @@
 	log      zerolog.Logger
 	self     protocol.RouterID
 	counters *counters
+	// replyIssuer carries an owner's answer to the issuer without blocking.
+	replyIssuer func(node.ReplyIssuer)
 
 	mu      sync.Mutex
 	core    *node.Node
@@ -99,6 +101,10 @@
 		r.proposer.RegisterUpstream(out)
 	case node.RemoveUpstream:
 		r.proposer.RemoveUpstream(out)
+	case node.OrderEngine:
+		r.client.Order(out, out.NotAfter-r.now())
+	case node.ReplyIssuer:
+		r.replyIssuer(out)
 	case node.Event:
 		r.explain(out)
 	default:
--- a/daemon/statehost.go
+++ b/daemon/statehost.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/lease"
 	"endiveplank/coordination/ownership"
@@ -60,6 +61,11 @@
 	planned  time.Duration
 	waiters  map[lease.Waiter]chan struct{}
 	waiter   lease.Waiter
+	// orders is the issuer of orders to engines while in office; sendAsk
+	// carries its asks to owners without blocking.
+	orders  *orderOffice
+	self    protocol.RouterID
+	sendAsk func(to protocol.RouterID, ask engineorders.Ask)
 }
 
 func newStateHost(now func() time.Duration, zlog zerolog.Logger, push func(protocol.RouterID, lease.Push)) *stateHost {
@@ -144,6 +150,7 @@
 	}
 	h.tellInForce()
 	h.plan(now)
+	h.orderEngines(now)
 }
 
 // leaveOffice ends the leader's side. Whoever waits for a revision to be in
@@ -153,6 +160,7 @@
 		return
 	}
 	h.inOffice = false
+	h.orders = nil
 	h.closing = map[ownership.SessionID]bool{}
 	h.waiters = map[lease.Waiter]chan struct{}{}
 	h.zlog.Info().Msg("state: left office")
--- /dev/null
+++ b/transport/upstream/engineorder.go
@@ -0,0 +1,83 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"endiveplank/coordination/node"
+	"endiveplank/protocol/upstreamapi"
+)
+
+// maxStateBytes is the largest engine state taken.
+const maxStateBytes = 1 << 20
+
+// Order sends an order to an engine and reads its state back, both within a
+// time. Exactly one EngineAnswered comes of it.
+//
+// Failure: this process is frozen between the owner's decision and the call,
+// and another owner has ordered since. The time is the rest of the lease on
+// the monotonic clock, which goes on during a freeze, and a context that has
+// ended sends nothing. Bytes that the kernel had already taken can't be called
+// back; what they did is found when the engine is read.
+func (c *Client) Order(order node.OrderEngine, within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		defer cancel()
+		answered := node.EngineAnswered{From: order.From, Ask: order.Ask}
+		if !order.Ask.ReadOnly {
+			answered.Status = c.postOrder(ctx, order)
+		}
+		answered.State = c.readState(ctx, order.Address)
+		c.sink.Input(answered)
+	}()
+}
+
+// postOrder returns the status of an order, 0 when no answer came.
+func (c *Client) postOrder(ctx context.Context, order node.OrderEngine) int {
+	body, err := json.Marshal(upstreamapi.EngineOrder{
+		Fence:   order.Ask.Fence,
+		Action:  order.Ask.Intent.Action,
+		Model:   order.Ask.Intent.Model,
+		Version: order.Ask.Intent.Version,
+		Role:    order.Ask.Intent.Role,
+	})
+	if err != nil {
+		return 0
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.Address+upstreamapi.OrderPath, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// readState returns what an engine holds, nil when it can't be read.
+func (c *Client) readState(ctx context.Context, address string) *upstreamapi.EngineState {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+upstreamapi.StatePath, nil)
+	if err != nil {
+		return nil
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var state upstreamapi.EngineState
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes))
+	if response.StatusCode != http.StatusOK || decoder.Decode(&state) != nil {
+		return nil
+	}
+	return &state
+}
