Node: a leaving or drained engine's hot chats are moved

Cause: the owner knew which chats ran on a leaving engine, and let their caches go with it. Ruled out: asking the engine for its cache (it can't name the chats that placement would send elsewhere). Conclusion: wired for the node and the daemon's client.

--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -89,6 +89,8 @@
 	// orderGate and engineCalls see to orders to the engines owned here.
 	orderGate   *engineorders.Gate
 	engineCalls map[protocol.UpstreamID]bool
+	// heats knows the chats of the engines owned here.
+	heats map[protocol.UpstreamID]*heat
 	// local holds messages to itself until the current step has handled them.
 	local   []Input
 	outputs []Output
@@ -121,6 +123,7 @@
 		crashes:  quarantine.New(quarantine.DefaultConfig()),
 
 		orderGate:   engineorders.NewGate(),
+		heats:       map[protocol.UpstreamID]*heat{},
 		engineCalls: map[protocol.UpstreamID]bool{},
 	}
 }
@@ -192,6 +195,7 @@
 	case UpstreamChunk:
 		n.ownerChunk(now, in)
 	case UpstreamEnd:
+		n.noteTurn(now, in)
 		n.ownerEnd(now, in)
 	case Announced:
 		n.announced(now, in)
@@ -207,6 +211,8 @@
 		n.orderReport(now, in)
 	case PeerEngineAsk:
 		n.engineAsked(now, in)
+	case CacheMoved:
+		n.cacheMoved(in)
 	case EngineAnswered:
 		n.engineAnswered(in)
 	case Tick:
@@ -236,6 +242,7 @@
 	n.tickOwned(now)
 	n.askLimits(now)
 	n.shareTotals(now)
+	n.tickMoves(now)
 }
 
 // peerLost repairs what hung on a peer that can't be reached.
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -45,6 +45,8 @@
 	Journal *fleetstate.Machine
 	// Replies are what owners answered to asks about orders to engines.
 	Replies []engineorders.Reply
+	// Moves are the caches that routers moved.
+	Moves []node.MoveCache
 	// OnCall is called when a router sends a request to an engine, after the
 	// engine has it.
 	OnCall func(router protocol.RouterID, call node.CallUpstream)
@@ -340,6 +342,11 @@
 		f.Events = append(f.Events, out)
 	case node.OrderEngine:
 		f.orderEngine(r, out)
+	case node.MoveCache:
+		f.Moves = append(f.Moves, out)
+		f.after(latency, func() {
+			f.toRouter(r, func() { f.step(r, node.CacheMoved{Upstream: out.Upstream, Hash: out.Hash, Moved: true}) })
+		})
 	case node.ReplyIssuer:
 		f.after(latency, func() { f.Replies = append(f.Replies, out.Reply) })
 	case node.RegisterUpstream, node.RemoveUpstream:
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -103,6 +103,8 @@
 		r.proposer.RemoveUpstream(out)
 	case node.OrderEngine:
 		r.client.Order(out, out.NotAfter-r.now())
+	case node.MoveCache:
+		r.client.Move(out)
 	case node.ReplyIssuer:
 		r.replyIssuer(out)
 	case node.Event:
