--- a/coordination/fleetstate/command.go
+++ b/coordination/fleetstate/command.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
@@ -30,6 +31,8 @@
 	// Register and Remove change what is known of an upstream.
 	Register *registry.Register `msgpack:"n,omitempty"`
 	Remove   *registry.Remove   `msgpack:"d,omitempty"`
+	// Engine is about orders to engines.
+	Engine *engineorders.Command `msgpack:"e,omitempty"`
 }
 
 // Outcome says whether a command could be run at all. What it did is in the
@@ -53,6 +56,8 @@
 	Order     *orders.Result    `msgpack:"r,omitempty"`
 	Ownership *ownership.Answer `msgpack:"w,omitempty"`
 	Registry  *registry.Answer  `msgpack:"g,omitempty"`
+	// Engine answers a command about orders to engines.
+	Engine *engineorders.Answer `msgpack:"e,omitempty"`
 }
 
 // Encode returns the bytes to propose to consensus.
@@ -81,7 +86,7 @@
 	for _, set := range []bool{
 		c.Change != nil, c.Order != nil, c.Configure != nil, c.Open != nil, c.Stop != nil, c.Close != nil,
 		c.Assign != nil, c.Move != nil, c.Release != nil, c.Forget != nil,
-		c.Register != nil, c.Remove != nil,
+		c.Register != nil, c.Remove != nil, c.Engine != nil,
 	} {
 		if set {
 			count++
--- a/coordination/fleetstate/machine.go
+++ b/coordination/fleetstate/machine.go
@@ -1,9 +1,10 @@
 // Package fleetstate is the fleet's one replicated state machine. Consensus
 // gives every voter the same commands in the same order; Machine applies them.
 //
-// It is put together from three parts: the operators' table (package table),
-// the journal of orders (package orders), and router sessions with the
-// ownership of upstreams (package ownership). Machine routes each command to
+// It is put together from parts: the operators' table (package table), the
+// journal of orders (package orders), router sessions with the ownership of
+// upstreams (package ownership), what is known of upstreams (package registry)
+// and the orders to engines (package engineorders). Machine routes each command to
 // its part and notes which rows, sessions and assignments changed at which
 // revision. A revision is a log index.
 //
@@ -24,6 +25,7 @@
 import (
 	"fmt"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
@@ -56,6 +58,7 @@
 	journal   *orders.Journal
 	ownership *ownership.State
 	registry  *registry.State
+	engines   *engineorders.State
 	log       *revlog.Log[Item]
 }
 
@@ -66,6 +69,7 @@
 		journal:   orders.NewJournal(settings.Orders),
 		ownership: ownership.NewState(),
 		registry:  registry.NewState(),
+		engines:   engineorders.NewState(),
 		log:       revlog.New(CompareItems, maxTombstones),
 	}
 }
@@ -89,6 +93,9 @@
 // Registry returns what is known of the upstreams, for reading.
 func (m *Machine) Registry() *registry.State { return m.registry }
 
+// Engines returns the orders to engines, for reading.
+func (m *Machine) Engines() *engineorders.State { return m.engines }
+
 // Apply runs the command at a log index and returns its encoded Result.
 // Indexes must grow; consensus may leave some out (its own entries).
 func (m *Machine) Apply(index uint64, encoded []byte) []byte {
@@ -125,7 +132,13 @@
 	case command.Remove != nil:
 		answer, changed := m.registry.Remove(*command.Remove)
 		m.recordDescriptor(index, command.Remove.ID, changed, true)
+		if changed {
+			m.engines.Removed(command.Remove.ID)
+		}
 		return Result{Registry: &answer}
+	case command.Engine != nil:
+		answer := m.engines.Apply(index, *command.Engine)
+		return Result{Engine: &answer}
 	}
 	answer, touched := m.runOwnership(index, command)
 	m.recordOwnership(index, touched)
--- a/coordination/fleetstate/snapshot.go
+++ b/coordination/fleetstate/snapshot.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
@@ -22,7 +23,9 @@
 	Ownership ownership.Snapshot    `msgpack:"w"`
 	Gone      []goneItem            `msgpack:"g,omitempty"`
 	Registry  []registry.Descriptor `msgpack:"r,omitempty"`
-	Floor     uint64                `msgpack:"l"`
+	// Engines is missing in snapshots of a version that ordered nothing.
+	Engines engineorders.Snapshot `msgpack:"e"`
+	Floor   uint64                `msgpack:"l"`
 }
 
 type goneItem struct {
@@ -47,6 +50,7 @@
 		Orders:    m.journal.Snapshot(),
 		Ownership: m.ownership.Snapshot(),
 		Registry:  m.registry.All(),
+		Engines:   m.engines.Snapshot(),
 		Floor:     m.log.Floor(),
 	}
 	for _, entry := range m.log.Tombstones() {
@@ -70,6 +74,7 @@
 	m.journal = orders.FromSnapshot(s.Orders)
 	m.ownership = ownership.FromSnapshot(s.Ownership)
 	m.registry = registry.FromSnapshot(s.Registry)
+	m.engines = engineorders.FromSnapshot(s.Engines)
 	m.log = revlog.New(CompareItems, maxTombstones)
 	m.log.Restore(s.Floor, m.logEntries(s.Gone))
 	return nil
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -27,6 +27,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/ownership"
@@ -88,6 +89,11 @@
 	home    *limits.Home
 	budget  *retry.Budget
 	crashes *quarantine.Tracker
+	// orderGate and engineCalls see to orders to the engines owned here.
+	orderGate   *engineorders.Gate
+	engineCalls map[protocol.UpstreamID]bool
+	// heats knows the chats of the engines owned here.
+	heats map[protocol.UpstreamID]*heat
 	// local holds messages to itself until the current step has handled them.
 	local   []Input
 	outputs []Output
@@ -118,6 +124,10 @@
 		home:     limits.NewHome(limits.DefaultConfig(), nil),
 		budget:   retry.New(retry.DefaultConfig()),
 		crashes:  quarantine.New(quarantine.DefaultConfig()),
+
+		orderGate:   engineorders.NewGate(),
+		heats:       map[protocol.UpstreamID]*heat{},
+		engineCalls: map[protocol.UpstreamID]bool{},
 	}
 }
 
@@ -193,6 +203,7 @@
 	case UpstreamChunk:
 		n.ownerChunk(now, in)
 	case UpstreamEnd:
+		n.noteTurn(now, in)
 		n.ownerEnd(now, in)
 	case Announced:
 		n.announced(now, in)
@@ -206,6 +217,12 @@
 		n.journalResult(now, in)
 	case PeerOrderReport:
 		n.orderReport(now, in)
+	case PeerEngineAsk:
+		n.engineAsked(now, in)
+	case CacheMoved:
+		n.cacheMoved(in)
+	case EngineAnswered:
+		n.engineAnswered(in)
 	case Tick:
 		n.tick(now)
 	case Drain:
@@ -234,6 +251,7 @@
 	n.tickOwned(now)
 	n.askLimits(now)
 	n.shareTotals(now)
+	n.tickMoves(now)
 }
 
 // peerLost repairs what hung on a peer that can't be reached.
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/ownership"
@@ -44,6 +45,10 @@
 	Events  []node.Event
 	// Journal is the replicated state, for orders.
 	Journal *fleetstate.Machine
+	// Replies are what owners answered to asks about orders to engines.
+	Replies []engineorders.Reply
+	// Moves are the caches that routers moved.
+	Moves []node.MoveCache
 	// OnCall is called when a router sends a request to an engine, after the
 	// engine has it.
 	OnCall func(router protocol.RouterID, call node.CallUpstream)
@@ -344,6 +349,15 @@
 		f.journal(r, out)
 	case node.Event:
 		f.Events = append(f.Events, out)
+	case node.OrderEngine:
+		f.orderEngine(r, out)
+	case node.MoveCache:
+		f.Moves = append(f.Moves, out)
+		f.after(latency, func() {
+			f.toRouter(r, func() { f.step(r, node.CacheMoved{Upstream: out.Upstream, Hash: out.Hash, Moved: true}) })
+		})
+	case node.ReplyIssuer:
+		f.after(latency, func() { f.Replies = append(f.Replies, out.Reply) })
 	case node.RegisterUpstream, node.RemoveUpstream:
 	default:
 		f.answer(out)
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -91,6 +91,10 @@
 	// KindProbe carries nothing; its acknowledgement shows that a connection
 	// works.
 	KindProbe Kind = 27
+	// KindEngineAsk and KindEngineReply carry orders to engines, from the
+	// issuer to an engine's owner and back.
+	KindEngineAsk   Kind = 40
+	KindEngineReply Kind = 41
 )
 
 // kindNames are the names of kinds in metrics.
@@ -104,7 +108,8 @@
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
 	KindCheck: "check", KindAlive: "alive",
-	KindProbe: "probe",
+	KindProbe:     "probe",
+	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
 }
 
 // String returns the kind's name.
