Engine orders: replicas follow the demand that owners report

Cause: the leader knew no model's demand, so replicas stayed as found. Ruled out: rates reported by owners (a lost report would be a gap); counting an engine without reports as idle (replicas would go and come back). Change: an owner's answer to a survey carries the work its engines have completed for each model in its tenure; Meter makes rates of two reports, the daemon feeds the scaler with it. Conclusion: wired, tested in parts; no test scales a whole fleet yet.

--- a/coordination/engineorders/demand.go
+++ b/coordination/engineorders/demand.go
@@ -76,6 +76,14 @@
 	return s.bounded(now, floor)
 }
 
+// Held returns the replicas that a model keeps while its demand isn't known.
+func (s *Scaler) Held(floor Floor) int {
+	if floor.Max > 0 {
+		return max(min(s.wanted, floor.Max), floor.Min)
+	}
+	return max(s.wanted, floor.Min)
+}
+
 func (s *Scaler) follow(now time.Duration, demand Demand) {
 	per := max(1, demand.PerReplica)
 	s.mark(now, demand.Tokens > s.config.Up*per*float64(s.wanted), &s.isAbove, &s.above)
--- a/coordination/engineorders/gate.go
+++ b/coordination/engineorders/gate.go
@@ -48,6 +48,10 @@
 	Status int `msgpack:"s,omitempty"`
 	// State is what the engine then held; nil when it couldn't be read.
 	State *upstreamapi.EngineState `msgpack:"e,omitempty"`
+	// Done is the work that the engine has completed for each model, as this
+	// owner counted it in its tenure, in tokens as the load bound counts.
+	Tenure protocol.Fence             `msgpack:"t,omitempty"`
+	Done   map[protocol.Model]float64 `msgpack:"d,omitempty"`
 }
 
 // Gate is the owner's side: it stands in for the check that some engines
--- a/coordination/engineorders/plan.go
+++ b/coordination/engineorders/plan.go
@@ -106,7 +106,7 @@
 		unloading := engine.Open.Action == upstreamapi.ActionUnload && engine.Open.Model == model.Name
 		switch {
 		case unloading:
-		case holds && held.Ready && !loading:
+		case engine.Serves(model.Name):
 			c.serving++
 			if model.current(held) {
 				c.wanted++
@@ -118,10 +118,10 @@
 	return c
 }
 
-// Serving is how many engines serve a model.
-func Serving(engines []Engine, model protocol.Model) int {
-	p := plan{engines: engines}
-	return p.count(Model{Name: model}).serving
+// Serves says whether the engine serves a model and goes on to do so.
+func (e Engine) Serves(model protocol.Model) bool {
+	held, holds := e.held(model)
+	return holds && held.Ready && e.Open.Model != model
 }
 
 func (m Model) current(held upstreamapi.LoadedModel) bool {
--- a/coordination/engineorders/plan_test.go
+++ b/coordination/engineorders/plan_test.go
@@ -61,6 +61,11 @@
 	engine.Busy = false
 }
 
+func serving(engines []Engine, model protocol.Model) int {
+	p := plan{engines: engines}
+	return p.count(Model{Name: model}).serving
+}
+
 // Operators change versions and replicas while loads end in any order. A model
 // that several engines serve must never fall to none, no more than the share
 // may change at a time, no engine may get two orders in one plan, and loads
@@ -118,7 +123,7 @@
 }
 
 func checkCapacity(t *rapid.T, engines []Engine, model protocol.Model, was counts, share float64, rolling map[protocol.UpstreamID]protocol.Model) {
-	now := Serving(engines, model)
+	now := serving(engines, model)
 	if was.serving > 0 {
 		assert.Assert(t, now > 0, "model %s fell to none", model)
 	}
@@ -148,7 +153,7 @@
 			steps = append(steps, fmt.Sprint(planned.Upstream, " ", planned.Intent.Action))
 			begin(engines, planned)
 		}
-		assert.Assert(t, Serving(engines, "m") > 0)
+		assert.Assert(t, serving(engines, "m") > 0)
 		finish(&engines[0])
 		finish(&engines[1])
 	}
--- a/coordination/node/engineorder.go
+++ b/coordination/node/engineorder.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"endiveplank/coordination/engineorders"
@@ -50,11 +51,16 @@
 // engineAnswered takes the end of a call to an engine.
 func (n *Node) engineAnswered(in EngineAnswered) {
 	delete(n.engineCalls, in.Ask.Upstream)
-	n.replyIssuer(in.From, in.Ask, engineorders.Reply{
+	reply := engineorders.Reply{
 		Verdict: engineorders.Passed,
 		Status:  in.Status,
 		State:   in.State,
-	})
+		Tenure:  in.Ask.Tenure,
+	}
+	if known := n.heats[in.Ask.Upstream]; known != nil {
+		reply.Done = maps.Clone(known.done)
+	}
+	n.replyIssuer(in.From, in.Ask, reply)
 }
 
 func (n *Node) replyIssuer(to protocol.RouterID, ask engineorders.Ask, reply engineorders.Reply) {
--- a/coordination/node/engineorder_test.go
+++ b/coordination/node/engineorder_test.go
@@ -60,6 +60,32 @@
 	})
 }
 
+// The issuer asks what an engine has done, to follow demand. The owner must
+// tell the work of its own tenure: two answers of 100 tokens, and after a
+// change of owner nothing of what was before.
+func TestOwnerTellsTheWorkOfItsTenure(t *testing.T) {
+	f := nodetest.New(seed, 2)
+	f.AddEngine("e1", "r1", 1000, 8)
+	f.Run(2 * time.Second)
+	done := func() float64 {
+		ask := loadAsk(f, 10, "")
+		ask.Fence, ask.ReadOnly = 0, true
+		f.Ask("r1", ask)
+		f.Run(time.Second)
+		return lastReply(t, f).Done["m"]
+	}
+	f.Submit("r2", "q1", "key", "fuel?", 100)
+	f.Submit("r2", "q2", "key", "tyres?", 100)
+	f.Run(10 * time.Second)
+	assert.Assert(t, done() >= 200 && done() < 210, "%v", done())
+	f.Own("e1", "r2")
+	f.Own("e1", "r1")
+	f.Run(time.Second)
+	f.Submit("r2", "q3", "key", "oil?", 100)
+	f.Run(10 * time.Second)
+	assert.Assert(t, done() >= 100 && done() < 105, "%v", done())
+}
+
 // An issuer is frozen with an order to the owner in its hands, its successor
 // orders another version, and the first one thaws. The engine must keep the
 // successor's version, also where it ignores numbers.
--- a/coordination/node/kvmove.go
+++ b/coordination/node/kvmove.go
@@ -20,6 +20,10 @@
 // heat is what an owner knows of the chats of one engine, and their move.
 type heat struct {
 	hot map[protocol.Model]*kvmove.Hot
+	// done is the work completed for each model in the present tenure, in
+	// tokens as the load bound counts them.
+	done   map[protocol.Model]float64
+	tenure protocol.Fence
 	// mover is set while the engine drains.
 	mover *kvmove.Mover
 }
@@ -39,6 +43,11 @@
 		known = &heat{hot: map[protocol.Model]*kvmove.Hot{}}
 		n.heats[target.id] = known
 	}
+	if known.done == nil || known.tenure != target.config.Fence {
+		known.done = map[protocol.Model]float64{}
+		known.tenure = target.config.Fence
+	}
+	known.done[r.place.Model] += r.cost
 	hot := known.hot[r.place.Model]
 	if hot == nil {
 		hot = kvmove.NewHot(hotChats)
--- a/daemon/engineorders.go
+++ b/daemon/engineorders.go
@@ -32,8 +32,10 @@
 	survey *engineorders.Survey
 	office engineorders.Office
 	tookAt time.Duration
-	// replicas is what each model keeps, from its first full survey on.
-	replicas   map[protocol.Model]int
+	// scalers follow the demand that meter counts, from the replicas that
+	// each model had when it was first planned.
+	scalers    map[protocol.Model]*engineorders.Scaler
+	meter      *engineorders.Meter
 	stepped    time.Duration
 	committing bool
 }
@@ -47,7 +49,7 @@
 		return
 	}
 	if h.orders == nil {
-		h.orders = &orderOffice{replicas: map[protocol.Model]int{}, committing: true}
+		h.orders = &orderOffice{scalers: map[protocol.Model]*engineorders.Scaler{}, meter: engineorders.NewMeter(), committing: true}
 		h.commitOrders(h.orders, []engineorders.Command{{Take: &engineorders.Take{Router: h.self}}})
 	}
 	o := h.orders
@@ -125,7 +127,7 @@
 	}
 	var models []engineorders.Model
 	for _, row := range rows {
-		models = append(models, o.wanted(engines, table.ModelOf(row)))
+		models = append(models, h.wanted(now, o, engines, table.ModelOf(row)))
 	}
 	limits := engineorders.Limits{
 		Loads:     engineorders.MaxLoads - h.machine.Engines().Loads(),
@@ -141,18 +143,33 @@
 	return commands
 }
 
-// wanted is what a model should have: the replicas that it had when this
-// office began, within the bounds of its row. The demand of the fleet isn't
-// known here, so replicas don't follow it yet.
-func (o *orderOffice) wanted(engines []engineorders.Engine, row table.Model) engineorders.Model {
-	if _, known := o.replicas[row.Name]; !known {
-		o.replicas[row.Name] = engineorders.Serving(engines, row.Name)
+// wanted is what a model should have. While its demand isn't known it keeps
+// what it has, within the bounds of its row.
+func (h *stateHost) wanted(now time.Duration, o *orderOffice, engines []engineorders.Engine, row table.Model) engineorders.Model {
+	serving := h.servingCapacities(engines, row.Name)
+	scaler := o.scalers[row.Name]
+	if scaler == nil {
+		scaler = engineorders.NewScaler(engineorders.DefaultScalerConfig(), now, len(serving))
+		o.scalers[row.Name] = scaler
 	}
-	replicas := o.replicas[row.Name]
-	if row.MaxReplicas > 0 {
-		replicas = min(replicas, row.MaxReplicas)
+	floor := engineorders.Floor{Min: row.MinReplicas, Max: row.MaxReplicas}
+	demand, known := o.meter.Demand(now, row.Name, serving)
+	if !known {
+		return engineorders.Model{Name: row.Name, Version: row.Version, Replicas: scaler.Held(floor)}
 	}
-	return engineorders.Model{Name: row.Name, Version: row.Version, Replicas: max(replicas, row.MinReplicas)}
+	return engineorders.Model{Name: row.Name, Version: row.Version, Replicas: scaler.Wanted(now, demand, floor)}
+}
+
+// servingCapacities gives the capacity of each engine that serves a model.
+func (h *stateHost) servingCapacities(engines []engineorders.Engine, model protocol.Model) map[protocol.UpstreamID]float64 {
+	serving := map[protocol.UpstreamID]float64{}
+	for _, engine := range engines {
+		descriptor, known := h.machine.Registry().Get(engine.ID)
+		if known && engine.Serves(model) {
+			serving[engine.ID] = descriptor.Capacity
+		}
+	}
+	return serving
 }
 
 // plannedEngines lists the engines for a plan, and says whether all were read.
@@ -227,6 +244,7 @@
 		return
 	}
 	h.orders.survey.Reply(reply)
+	h.orders.meter.Reply(h.now(), reply)
 	if order, open := h.machine.Engines().OpenOf(reply.Upstream); open {
 		h.orders.issuer.Reply(h.now(), order, reply)
 	}
