Daemon: endiveplankd recover goes on from one voter's disk

Cause: replica.Recover had no command; after the loss of a quorum an operator could do nothing with the surviving disk. Daemon.Stop also kept the data folder locked. Stop releases the folder.

--- a/cmd/endiveplankd/main.go
+++ b/cmd/endiveplankd/main.go
@@ -73,6 +73,7 @@
 			return nil
 		},
 	})
+	root.AddCommand(recoverCommand(&path))
 	return root
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,6 +58,7 @@
 	questions *questions
 	tracer    *tracing.Tracer
 	admin     *admin.Handler
+	folder    *disk.OS
 	quit      chan struct{}
 }
 
@@ -181,6 +182,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open data folder")
 	}
+	d.folder = folder
 	d.host = newStateHost(d.now, d.log, d.sendPush)
 	d.replica, err = replica.New(replica.Config{
 		Self:          d.settings.RouterID,
@@ -286,6 +288,7 @@
 	if d.replica != nil {
 		d.host.stop()
 		d.replica.Stop()
+		_ = d.folder.Close()
 	}
 	d.mesh.Close()
 	d.closeTracer()
--- /dev/null
+++ b/daemon/recover.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"endiveplank/protocol"
+	"endiveplank/settings"
+	"endiveplank/state/disk"
+	"endiveplank/state/replica"
+)
+
+// Recover lets a stopped voter's data folder go on as the only voter after
+// the quorum is lost for good. lost must name exactly the other voters. A dry
+// run checks and reports and changes nothing in the log. The folder must
+// exist: a mistyped path must not become a new, empty state.
+func Recover(s settings.Settings, lost []protocol.RouterID, dryRun bool) (replica.RecoveryReport, error) {
+	if !s.KeepsState() {
+		return replica.RecoveryReport{}, eris.Errorf("the role %s keeps no state to recover", s.Role)
+	}
+	if _, err := os.Stat(s.DataFolder); err != nil {
+		return replica.RecoveryReport{}, eris.Wrap(err, "find the data folder")
+	}
+	folder, err := disk.Open(s.DataFolder)
+	if err != nil {
+		return replica.RecoveryReport{}, eris.Wrap(err, "open the data folder; is the process stopped?")
+	}
+	defer func() { _ = folder.Close() }()
+	return replica.Recover(replica.Recovery{Self: s.RouterID, Disk: folder, Lost: lost, DryRun: dryRun}, newRandom())
+}
--- a/state/replica/recover.go
+++ b/state/replica/recover.go
@@ -21,6 +21,8 @@
 	// Lost names all other voters, as the operator has found them gone for
 	// good. Recover refuses any other list.
 	Lost []protocol.RouterID
+	// DryRun checks and reports, and writes nothing to the log.
+	DryRun bool
 }
 
 // RecoveryReport says from where the state goes on. What the lost voters had
@@ -70,9 +72,11 @@
 	if others := otherVoters(log.Member(), stored); !sameRouters(others, request.Lost) {
 		return RecoveryReport{}, ErrRecoveryNotConfirmed{Voters: others}
 	}
-	log.Append(&state, []consensus.Entry{entry})
-	if err := log.Sync(); err != nil {
-		return RecoveryReport{}, eris.Wrap(err, "replica: write the recovery")
+	if !request.DryRun {
+		log.Append(&state, []consensus.Entry{entry})
+		if err := log.Sync(); err != nil {
+			return RecoveryReport{}, eris.Wrap(err, "replica: write the recovery")
+		}
 	}
 	report := RecoveryReport{Member: log.Member(), LastIndex: entry.Index - 1, LastTerm: stored.Snapshot.Term, Epoch: state.Epoch}
 	if n := len(stored.Entries); n > 0 {
