--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,6 +64,7 @@
 	questions *questions
 	tracer    *tracing.Tracer
 	admin     *admin.Handler
+	folder    *disk.OS
 	quit      chan struct{}
 }
 
@@ -189,6 +190,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open data folder")
 	}
+	d.folder = folder
 	d.host = newStateHost(d.now, d.log, d.sendPush)
 	d.host.self = d.settings.RouterID
 	d.host.sendAsk = d.sendEngineAsk
@@ -296,6 +298,7 @@
 		cancel()
 		sleep(context.Background(), handOverTime)
 		d.replica.Stop()
+		_ = d.folder.Close()
 	}
 	d.mesh.Close()
 	d.closeTracer()
