Wire: bytes from peers pass the list check before they are decoded

Cause: the msgpack library makes room for whatever length a list of structs promises; twelve bytes from a broken or hostile peer could end a process. Ruled out: a smaller frame limit (the promise isn't in the frame's length). Change: codec moves to protocol/codec, and wire.Decode uses it.

--- a/coordination/fleetstate/command.go
+++ b/coordination/fleetstate/command.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/rotisserie/eris"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
 	"endiveplank/coordination/table"
+	"endiveplank/protocol/codec"
 )
 
 // MaxCommand bounds one encoded command in bytes. It holds a change of 2,400
--- a/coordination/fleetstate/machine_test.go
+++ b/coordination/fleetstate/machine_test.go
@@ -10,12 +10,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/table"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
 // drawCommand draws a command over few names, so that commands meet.
--- a/coordination/fleetstate/snapshot.go
+++ b/coordination/fleetstate/snapshot.go
@@ -3,13 +3,13 @@
 import (
 	"github.com/rotisserie/eris"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/registry"
 	"endiveplank/coordination/revlog"
 	"endiveplank/coordination/table"
+	"endiveplank/protocol/codec"
 )
 
 // snapshotFormat is the version of the snapshot's encoding.
--- a/coordination/lease/sim_test.go
+++ b/coordination/lease/sim_test.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"time"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
 // frameBytes is what one message costs beside its content: the frame's length,
--- a/coordination/lease/simrelay_test.go
+++ b/coordination/lease/simrelay_test.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/ownership"
+	"endiveplank/protocol/codec"
 )
 
 // simRelay is a voter between routers and the leader.
--- a/coordination/orders/journal_test.go
+++ b/coordination/orders/journal_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
 func always(ownership.SessionID) bool { return true }
--- a/coordination/table/memory.go
+++ b/coordination/table/memory.go
@@ -4,7 +4,7 @@
 	"crypto/sha256"
 	"slices"
 
-	"endiveplank/coordination/codec"
+	"endiveplank/protocol/codec"
 )
 
 // Digest tells a resend from a reused change ID.
--- a/coordination/table/table_test.go
+++ b/coordination/table/table_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"endiveplank/coordination/codec"
+	"endiveplank/protocol/codec"
 )
 
 func hash(i int) string { return fmt.Sprintf("%064x", i) }
--- a/daemon/frames.go
+++ b/daemon/frames.go
@@ -6,13 +6,13 @@
 
 	"github.com/rotisserie/eris"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/consensus"
 	"endiveplank/coordination/lease"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/upstreamapi"
 	"endiveplank/protocol/wire"
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -6,11 +6,11 @@
 
 	"github.com/rs/zerolog"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/membership"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 	"endiveplank/protocol/wire"
 	"endiveplank/transport/peer"
 )
--- a/daemon/statehost.go
+++ b/daemon/statehost.go
@@ -8,12 +8,12 @@
 
 	"github.com/rs/zerolog"
 
-	"endiveplank/coordination/codec"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/fleetstate"
 	"endiveplank/coordination/lease"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 	"endiveplank/protocol/fleet"
 	"endiveplank/state/replica"
 )
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -21,6 +21,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
 // Version is the version of the frames and of all payloads. A process talks
@@ -249,9 +250,11 @@
 }
 
 // Decode reads a payload struct. Payloads come from peers, so a failure is an
-// error to drop the connection on.
+// error to drop the connection on. Package codec checks first that lists are no
+// longer than the bytes that hold them: the msgpack library would make room for
+// whatever length a few bytes promise, which ends the process.
 func Decode(encoded []byte, payload any) error {
-	if err := msgpack.Unmarshal(encoded, payload); err != nil {
+	if err := codec.Unmarshal(encoded, payload); err != nil {
 		return fmt.Errorf("wire: payload doesn't decode: %w", err)
 	}
 	return nil
