--- a/coordination/fleetstate/machine_test.go
+++ b/coordination/fleetstate/machine_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"endiveplank/coordination/codec"
+	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/table"
@@ -42,6 +44,8 @@
 	case 7:
 		op := orders.Op(rapid.IntRange(0, 8).Draw(t, "op"))
 		return Command{Order: &orders.Command{Op: op, Key: orders.Key{Customer: "c", Key: small("order")}, Holder: orders.Holder{Session: session, Attempt: 1}, At: int64(m.index) * 1000, Answer: &orders.Answer{Status: 200}}}
+	case 8:
+		return Command{Engine: drawEngineCommand(t, m, upstreams[0])}
 	}
 	key := small("key")
 	expect := m.table.Revision(table.Routes, key)
@@ -58,6 +62,23 @@
 	return Command{Change: &table.Change{ID: small("change") + small("change") + small("change"), Who: "w", At: 1, Edits: []table.Edit{edit, customer}[:1+rapid.IntRange(0, 1).Draw(t, "edits")]}}
 }
 
+// drawEngineCommand draws a command about orders to engines.
+func drawEngineCommand(t *rapid.T, m *Machine, upstream protocol.UpstreamID) *engineorders.Command {
+	office, _ := m.engines.Office()
+	open, _ := m.engines.OpenOf(upstream)
+	settle := &engineorders.Settle{Office: office, Upstream: upstream, Fence: open.Fence, Ending: engineorders.Overdue}
+	switch rapid.IntRange(0, 4).Draw(t, "engine") {
+	case 0:
+		return &engineorders.Command{Take: &engineorders.Take{Router: "r"}}
+	case 1:
+		return &engineorders.Command{Confirm: settle}
+	case 2:
+		return &engineorders.Command{Abandon: settle}
+	}
+	intent := engineorders.Intent{Action: "load", Model: "m", Version: "v"}
+	return &engineorders.Command{Issue: &engineorders.Issue{Office: office, Upstream: upstream, Intent: intent}}
+}
+
 // assertSame checks that a view shows exactly what the machine holds.
 func assertSame(t *rapid.T, m *Machine, v *View) {
 	rows := 0
@@ -114,6 +135,25 @@
 	})
 }
 
+// A snapshot of many orders is encoded while the voter goes on: it must show
+// the state as it was when it was taken, byte for byte.
+func TestCaptureIsASnapshotInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(DefaultSettings())
+		for index := uint64(1); index < 30; index++ {
+			m.Apply(index, drawCommand(t, m).Encode())
+		}
+		want := m.Snapshot()
+		encode := m.Capture()
+		got := make(chan []byte)
+		go func() { got <- encode() }()
+		for index := uint64(30); index < 60; index++ {
+			m.Apply(index, drawCommand(t, m).Encode())
+		}
+		assert.Assert(t, bytes.Equal(<-got, want))
+	})
+}
+
 // A router was away while more rows were deleted than are remembered. Sent
 // only the changes, it would serve the deleted rows for ever; it has to start
 // from an empty state.
@@ -222,7 +262,12 @@
 	}
 	b.StopTimer()
 	b.ReportMetric(float64(logged)/float64(b.N), "log-B/order")
-	b.ReportMetric(float64(len(m.Snapshot())-empty)/float64(b.N), "snapshot-B/order")
+	start := time.Now()
+	encode := m.Capture()
+	b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "capture-ms")
+	start = time.Now()
+	b.ReportMetric(float64(len(encode())-empty)/float64(b.N), "snapshot-B/order")
+	b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "encode-ms")
 }
 
 // BenchmarkView measures a router's copy of 2,400 customers, 790 assignments
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -38,10 +38,14 @@
 }
 
 // newTestFleet starts three voters.
-func newTestFleet(t *testing.T) *testFleet { return newTestFleetWith(t, 0) }
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	return newTestFleetWith(t, 0, func(*settings.Settings) {})
+}
 
-// newTestFleetWith starts three voters and some spares.
-func newTestFleetWith(t *testing.T, spares int) *testFleet {
+// newTestFleetWith starts three voters and some spares, and lets a test change
+// each daemon's settings.
+func newTestFleetWith(t *testing.T, spares int, change func(*settings.Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	var peers []settings.Peer
@@ -60,6 +64,7 @@
 			s.Role = settings.RoleSpare
 			spareIDs = append(spareIDs, s.RouterID)
 		}
+		change(&s)
 		peers = append(peers, settings.Peer{RouterID: s.RouterID, Address: s.Listen.Peers})
 		f.configs = append(f.configs, s)
 	}
@@ -300,7 +305,7 @@
 // operator is awake. A spare must take the first one's place, so that the fleet
 // goes on accepting edits after the second loss as well, and loses none.
 func TestSpareReplacesLostVoterAndASecondLossIsSurvived(t *testing.T) {
-	f := newTestFleetWith(t, 1)
+	f := newTestFleetWith(t, 1, func(*settings.Settings) {})
 	f.setUp()
 	f.kill(2)
 	f.await("the spare votes in place of the lost one", func() bool {
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -10,6 +10,7 @@
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
 	"endiveplank/coordination/node"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
@@ -38,13 +39,18 @@
 	mesh     *peer.Mesh
 	client   *upstream.Client
 	proposer Proposer
+	// spread tells all routers of a crash or quarantine.
+	spread   func(quarantine.Notice)
 	log      zerolog.Logger
 	self     protocol.RouterID
 	counters *counters
+	// replyIssuer carries an owner's answer to the issuer without blocking.
+	replyIssuer func(node.ReplyIssuer)
 
 	mu      sync.Mutex
 	core    *node.Node
 	answers map[protocol.RequestID]*callers.Answer
+	hops    hops
 	// after holds inputs that came up while outputs were carried out.
 	after []node.Input
 
@@ -68,7 +74,7 @@
 }
 
 func (r *runner) step(in node.Input) {
-	for _, out := range r.core.Step(r.now(), in) {
+	for _, out := range r.core.Step(r.now(), r.hops.input(in)) {
 		r.perform(out)
 	}
 }
@@ -77,7 +83,10 @@
 func (r *runner) perform(out node.Output) {
 	switch out := out.(type) {
 	case node.Send:
+		r.hops.sent(out.Payload)
 		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
+	case node.Spread:
+		r.spread(out.Notice)
 	case node.CallUpstream:
 		r.client.Call(out)
 	case node.ProbeUpstream:
@@ -99,6 +108,12 @@
 		r.proposer.RegisterUpstream(out)
 	case node.RemoveUpstream:
 		r.proposer.RemoveUpstream(out)
+	case node.OrderEngine:
+		r.client.Order(out, out.NotAfter-r.now())
+	case node.MoveCache:
+		r.client.Move(out)
+	case node.ReplyIssuer:
+		r.replyIssuer(out)
 	case node.Event:
 		r.explain(out)
 	default:
@@ -178,6 +193,7 @@
 		What:     event.What,
 		Reason:   event.Reason,
 		Detail:   event.Detail,
+		Trace:    r.traceOf(event),
 	})
 	r.log.Debug().Str("request", string(event.Request)).Str("upstream", string(event.Upstream)).
 		Str("reason", string(event.Reason)).Msg("node: " + event.What)
@@ -218,6 +234,10 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindCheck:
+		return decoded[fleet.Check](from, frame)
+	case wire.KindAlive:
+		return decoded[fleet.Alive](from, frame)
 	case wire.KindLimitAsk:
 		return decoded[limits.Ask](from, frame)
 	case wire.KindLimitAnswer:
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -85,6 +85,16 @@
 	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
 	KindLimitAsk    Kind = 23
 	KindLimitAnswer Kind = 24
+	// KindCheck and KindAlive find out whether an owner still has an attempt.
+	KindCheck Kind = 25
+	KindAlive Kind = 26
+	// KindProbe carries nothing; its acknowledgement shows that a connection
+	// works.
+	KindProbe Kind = 27
+	// KindEngineAsk and KindEngineReply carry orders to engines, from the
+	// issuer to an engine's owner and back.
+	KindEngineAsk   Kind = 40
+	KindEngineReply Kind = 41
 )
 
 // kindNames are the names of kinds in metrics.
@@ -97,6 +107,9 @@
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
+	KindCheck: "check", KindAlive: "alive",
+	KindProbe:     "probe",
+	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
 }
 
 // String returns the kind's name.
--- a/transport/callers/answer.go
+++ b/transport/callers/answer.go
@@ -14,6 +14,9 @@
 // Answer carries an answer from the node core to a caller's connection. The
 // core's side never blocks.
 type Answer struct {
+	// Trace is the request's trace ID, empty without one.
+	Trace string
+
 	mu      sync.Mutex
 	pieces  []node.Output
 	waiting int
@@ -36,9 +39,13 @@
 		a.waiting += len(chunk.Data)
 	}
 	if a.waiting > maxWaiting {
+		// The connection may hang in a write for a while yet; what waits goes
+		// at once.
 		a.closed = true
+		a.pieces = nil
+	} else {
+		a.pieces = append(a.pieces, piece)
 	}
-	a.pieces = append(a.pieces, piece)
 	select {
 	case a.wake <- struct{}{}:
 	default:
