Engine orders: an engine that wasn't read is asked about again soon

Cause: when a leader that owned engines stopped, its successor asked that owner once and then waited for the next survey; its plan stood still. Ruled out: planning without the engine (its replicas would count by what it announced, which names no version).

--- a/coordination/engineorders/survey.go
+++ b/coordination/engineorders/survey.go
@@ -13,6 +13,10 @@
 	// It bounds how long an order that took effect against the rules, on an
 	// engine that ignores numbers, stays unseen.
 	surveyEvery = 30 * time.Second
+	// unreadEvery is how soon an engine is asked about again whose state isn't
+	// known. Its owner may be gone and the next one not be known yet; waiting
+	// as long as for one that was read would hold the plan up for as long.
+	unreadEvery = 2 * time.Second
 	// surveyAtOnce bounds the asks of one step, so that an issuer that has
 	// just taken office doesn't ask 790 engines in the same moment.
 	surveyAtOnce = 16
@@ -40,8 +44,7 @@
 func (s *Survey) Step(now time.Duration, engines []protocol.UpstreamID, owner func(protocol.UpstreamID) (Owner, bool)) []Send {
 	var sends []Send
 	for _, engine := range engines {
-		at, asked := s.asked[engine]
-		if asked && now-at < surveyEvery {
+		if !s.due(now, engine) {
 			continue
 		}
 		holder, known := owner(engine)
@@ -59,6 +62,15 @@
 	return sends
 }
 
+func (s *Survey) due(now time.Duration, engine protocol.UpstreamID) bool {
+	at, asked := s.asked[engine]
+	wait := surveyEvery
+	if _, read := s.read[engine]; !read {
+		wait = unreadEvery
+	}
+	return !asked || now-at >= wait
+}
+
 // Reply takes any owner's answer that brings a state.
 func (s *Survey) Reply(reply Reply) {
 	if reply.Office == s.office && reply.State != nil {
