Membership: packets in another's name are refused

Cause: a faulty router could say goodbye in another's name over a connection that proves who it is. Change: ReceiveFrom takes the proven sender, and the daemon passes it. Conclusion: TestPacketInAnothersNameIsRefused failed without the check.

--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -158,11 +158,17 @@
 	return c.out
 }
 
-// Receive takes a packet from a member.
+// Receive takes a packet from a member whose ID the transport did not prove.
 func (c *Core) Receive(now time.Duration, data []byte) Output {
+	return c.ReceiveFrom(now, "", data)
+}
+
+// ReceiveFrom takes a packet from a member whose ID the transport proved. One
+// that names another sender is refused: it could make that one live or leave.
+func (c *Core) ReceiveFrom(now time.Duration, sender protocol.RouterID, data []byte) Output {
 	c.begin(now)
 	m, err := decode(data)
-	if err != nil || m.From == c.config.Self {
+	if err != nil || m.From == c.config.Self || (sender != "" && m.From != sender) {
 		c.counts.Refused++
 		return c.out
 	}
--- a/coordination/membership/packet_test.go
+++ b/coordination/membership/packet_test.go
@@ -83,6 +83,18 @@
 	assert.Equal(t, c.Known(), 1)
 }
 
+// A faulty router sends packets in another's name. What it says of that one
+// must not be believed where the connection shows who it is.
+func TestPacketInAnothersNameIsRefused(t *testing.T) {
+	c := newTestCore("a", "b", "c")
+	data := from("b", message{Kind: Gossip, Rumours: []rumour{{Kind: rumourLeft, Member: testMember("b")}}})
+	c.ReceiveFrom(0, "c", data)
+	assert.Equal(t, c.Living(), 3)
+	assert.Equal(t, c.Counts().Refused, uint64(1))
+	c.ReceiveFrom(0, "b", data)
+	assert.Equal(t, c.Living(), 2)
+}
+
 func FuzzReceive(f *testing.F) {
 	f.Add(encode(message{Kind: Ping, Sequence: 1, From: "b", Target: "a"}))
 	f.Add(encode(message{Kind: List, From: "b", More: true, Rumours: []rumour{{Kind: rumourAlive, Member: Member{ID: "c", Address: "10.0.0.1:1"}}}}))
--- a/daemon/frames.go
+++ b/daemon/frames.go
@@ -47,7 +47,7 @@
 		d.member.onProposeReply(reply)
 		return nil
 	case wire.KindGossip:
-		d.gossip.receive(frame.Payload)
+		d.gossip.receive(from, frame.Payload)
 		return nil
 	case wire.KindQuery, wire.KindQueryReply:
 		return d.handleQuery(from, frame)
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -71,8 +71,8 @@
 }
 
 // receive takes a packet from a peer.
-func (g *gossip) receive(data []byte) {
-	g.step(func(c *membership.Core) membership.Output { return c.Receive(g.now(), data) })
+func (g *gossip) receive(from protocol.RouterID, data []byte) {
+	g.step(func(c *membership.Core) membership.Output { return c.ReceiveFrom(g.now(), from, data) })
 }
 
 // leave says goodbye at a planned stop.
