Daemon: a fleet whose connections all go silent serves on, as a test

Cause: the peers' guard was tested between two meshes only. Change: three daemons, each behind a relay that forgets every connection while three answers are on their way: all come whole, an order runs once, a change is committed. Ports of the tests below the outgoing range. Probes are counted in peer_bytes_total. Green: go test ./daemon. Conclusion: routers without a lease meanwhile refuse as not run; the test sends the order again as a caller would.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,14 +49,7 @@
 	f := &testFleet{t: t}
 	var peers []settings.Peer
 	for i := range 3 {
-		s := settings.Defaults()
-		s.RouterID = protocol.RouterID(fmt.Sprintf("r%d", i+1))
-		s.Role = settings.RoleVoter
-		s.DataCentre = protocol.DataCentre(fmt.Sprintf("dc%d", i+1))
-		s.DataFolder = t.TempDir()
-		s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
-		s.Listen = settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: freeAddress(t)}
-		s.Timing.UnreadyMS = 0
+		s := f.settingsOf(i)
 		change(&s)
 		peers = append(peers, settings.Peer{RouterID: s.RouterID, Address: s.Listen.Peers})
 		f.configs = append(f.configs, s)
@@ -64,6 +59,26 @@
 		f.daemons = append(f.daemons, f.start(i))
 	}
 	t.Cleanup(f.stop)
+	f.awaitReady()
+	return f
+}
+
+// settingsOf returns the settings of one of three voters, without peers.
+func (f *testFleet) settingsOf(i int) settings.Settings {
+	f.t.Helper()
+	s := settings.Defaults()
+	s.RouterID = protocol.RouterID(fmt.Sprintf("r%d", i+1))
+	s.Role = settings.RoleVoter
+	s.DataCentre = protocol.DataCentre(fmt.Sprintf("dc%d", i+1))
+	s.DataFolder = f.t.TempDir()
+	s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
+	s.Listen = settings.Listen{Callers: freeAddress(f.t), Upstreams: freeAddress(f.t), Admin: freeAddress(f.t), Peers: freeAddress(f.t)}
+	s.Timing.UnreadyMS = 0
+	return s
+}
+
+func (f *testFleet) awaitReady() {
+	f.t.Helper()
 	f.await("every router is ready", func() bool {
 		for _, d := range f.daemons {
 			if !d.runner.Ready() {
@@ -72,15 +87,32 @@
 		}
 		return true
 	})
-	return f
 }
 
+// Ports of the tests lie below the range from which the system takes ports for
+// outgoing connections, so that no connection gets one between its being found
+// free and its use. Each test process begins elsewhere.
+const (
+	firstPort     = 10_000
+	portsEach     = 400
+	portProcesses = 50
+)
+
+var lastPort atomic.Int32
+
+func init() { lastPort.Store(int32(firstPort + os.Getpid()%portProcesses*portsEach)) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portsEach {
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, listener.Close())
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (f *testFleet) start(i int) *Daemon {
--- /dev/null
+++ b/daemon/silent_test.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/table"
+	"endiveplank/protocol"
+	"endiveplank/protocol/upstreamapi"
+	"endiveplank/settings"
+	"endiveplank/standin/engine"
+	"endiveplank/standin/relay"
+)
+
+// behindRelays puts a relay before each daemon's peer listener, under whose
+// address the others know it.
+func behindRelays(t *testing.T) (*testFleet, []*relay.Relay) {
+	t.Helper()
+	f := &testFleet{t: t}
+	var relays []*relay.Relay
+	var listening []string
+	var peers []settings.Peer
+	for i := range 3 {
+		s := f.settingsOf(i)
+		listening = append(listening, s.Listen.Peers)
+		between, err := relay.Start("127.0.0.1:0", s.Listen.Peers)
+		assert.NilError(t, err)
+		t.Cleanup(between.Close)
+		relays = append(relays, between)
+		s.Listen.Peers = between.Address()
+		peers = append(peers, settings.Peer{RouterID: s.RouterID, Address: s.Listen.Peers})
+		f.configs = append(f.configs, s)
+	}
+	t.Cleanup(f.stop)
+	for i := range f.configs {
+		f.configs[i].Peers = peers
+		d, err := New(f.configs[i], zerolog.Nop())
+		assert.NilError(t, err)
+		d.settings.Listen.Peers = listening[i]
+		assert.NilError(t, d.Start())
+		f.daemons = append(f.daemons, d)
+	}
+	f.awaitReady()
+	return f, relays
+}
+
+// A firewall between the data centres restarts and forgets every connection.
+// None is closed and no error comes; new ones work. Answers that were on their
+// way must still reach their callers whole, orders must run once, and an
+// operator's change must take hold.
+func TestFleetWhoseConnectionsAllGoSilentServesOn(t *testing.T) {
+	f, relays := behindRelays(t)
+	f.setUp()
+	// A token takes 20 ms, so that an answer is on its way for a second.
+	f.engine("e1", func(s *engine.Settings) { s.Model.IterationBase = 20 * time.Millisecond })
+	f.desk()
+	body := strings.Replace(chatBody, `"max_tokens":6`, `"max_tokens":50`, 1)
+	_, _, want := f.call(0, upstreamapi.CompletionsPath, body)
+	bodies := make([]string, len(f.daemons))
+	var calls sync.WaitGroup
+	for i := range f.daemons {
+		calls.Go(func() { _, _, bodies[i] = f.call(i, upstreamapi.CompletionsPath, body) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, between := range relays {
+		between.Forget(relay.Both)
+	}
+	calls.Wait()
+	for i, got := range bodies {
+		assert.Assert(t, strings.HasSuffix(got, "data: [DONE]\n\n"), "router %d: %s", i, got)
+		assert.Equal(t, contents(got), contents(want))
+	}
+	f.awaitReady()
+	for i := range f.daemons {
+		f.await("the order is answered", func() bool {
+			// A router whose lease ran out meanwhile says that the order was not
+			// run, and the caller sends it again.
+			status, headers, answer := f.call(i, "/svc/orders/orders", `{"gallons":900}`, protocol.IdempotencyKeyHeader, "o-1")
+			assert.Assert(t, status == 200 || headers.Get(protocol.RunOutcomeHeader) == "not-run", answer)
+			return status == 200
+		})
+	}
+	edit := table.Edit{Sheet: table.Routes, Key: "/svc/x", Cells: []table.Cell{{Column: "service", Value: "x"}, {Column: "idempotent", Value: "yes"}}}
+	assert.Equal(t, f.change(f.daemons[1], "after", edit).Outcome, table.Committed)
+}
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -281,20 +281,26 @@
 
 // writeQueued writes all queued frames with one write.
 func (l *link) writeQueued(connection net.Conn) error {
-	batch := l.take()
+	batch, probed := l.take()
 	if len(batch) == 0 {
 		return nil
 	}
+	if probed {
+		l.mesh.count(func(c *Counts) {
+			c.FramesSent[wire.KindProbe]++
+			c.BytesSent[wire.KindProbe] += frameOverhead
+		})
+	}
 	_ = connection.SetWriteDeadline(time.Now().Add(l.mesh.options.Stall))
 	_, err := connection.Write(batch)
 	return err
 }
 
-// take encodes the queue and moves its reliable frames to unacked.
-func (l *link) take() []byte {
+// take encodes the queue and moves its reliable frames to unacked. It says
+// whether a probe rides along.
+func (l *link) take() (batch []byte, probed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var batch []byte
 	for _, item := range l.queue {
 		longer, err := wire.Append(batch, item.frame)
 		if err != nil {
@@ -306,12 +312,12 @@
 		}
 	}
 	if len(l.queue) > 0 && l.unproved() {
-		batch = l.appendProbe(batch)
+		batch, probed = l.appendProbe(batch), true
 	}
 	clear(l.queue)
 	l.queue = l.queue[:0]
 	l.queuedBytes = 0
-	return batch
+	return batch, probed
 }
 
 // unproved says whether only frames without acknowledgement have been sent for
