Daemon: the two long tests run beside each other

Cause: the silent network and the recovery mostly wait, and made the package's tests 26.6 s long on a busy machine. Change: both run in parallel, each with a fleet, ports and folders of its own. Nothing they check has changed.

--- a/daemon/recover_test.go
+++ b/daemon/recover_test.go
@@ -15,6 +15,7 @@
 // commit or give a lease alone, and stays unready for good. The operator says
 // that the others are lost, and the fleet goes on from the third's disk.
 func TestSurvivorGoesOnAloneOnceTheOthersAreSaidLost(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t)
 	f.setUp()
 	_, err := Recover(f.configs[0], []protocol.RouterID{"r2", "r3"}, true)
--- a/daemon/silent_test.go
+++ b/daemon/silent_test.go
@@ -54,6 +54,7 @@
 // way must still reach their callers whole, orders must run once, and an
 // operator's change must take hold.
 func TestFleetWhoseConnectionsAllGoSilentServesOn(t *testing.T) {
+	t.Parallel()
 	f, relays := behindRelays(t)
 	f.setUp()
 	// A token takes 20 ms, so that an answer is on its way for a second.
