--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,15 +53,7 @@
 	var peers []settings.Peer
 	var spareIDs []protocol.RouterID
 	for i := range 3 + spares {
-		s := settings.Defaults()
-		s.RouterID = protocol.RouterID(fmt.Sprintf("r%d", i+1))
-		s.Role = settings.RoleVoter
-		s.DataCentre = protocol.DataCentre(fmt.Sprintf("dc%d", i+1))
-		s.DataFolder = t.TempDir()
-		s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
-		s.Listen = settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: freeAddress(t)}
-		s.Timing.UnreadyMS = 0
-		s.Timing.ReplaceVoterMS = 2_000
+		s := f.settingsOf(i)
 		if i >= 3 {
 			s.Role = settings.RoleSpare
 			spareIDs = append(spareIDs, s.RouterID)
@@ -75,6 +68,27 @@
 		f.configs[i].Spares = spareIDs
 		f.daemons = append(f.daemons, f.start(i))
 	}
+	f.awaitReady()
+	return f
+}
+
+// settingsOf returns the settings of one process as a voter, without peers.
+func (f *testFleet) settingsOf(i int) settings.Settings {
+	f.t.Helper()
+	s := settings.Defaults()
+	s.RouterID = protocol.RouterID(fmt.Sprintf("r%d", i+1))
+	s.Role = settings.RoleVoter
+	s.DataCentre = protocol.DataCentre(fmt.Sprintf("dc%d", i+1))
+	s.DataFolder = f.t.TempDir()
+	s.Voters = []protocol.RouterID{"r1", "r2", "r3"}
+	s.Listen = settings.Listen{Callers: freeAddress(f.t), Upstreams: freeAddress(f.t), Admin: freeAddress(f.t), Peers: freeAddress(f.t)}
+	s.Timing.UnreadyMS = 0
+	s.Timing.ReplaceVoterMS = 2_000
+	return s
+}
+
+func (f *testFleet) awaitReady() {
+	f.t.Helper()
 	f.await("every router is ready", func() bool {
 		for _, d := range f.daemons {
 			if !d.runner.Ready() {
@@ -83,7 +97,6 @@
 		}
 		return true
 	})
-	return f
 }
 
 // freeAddress returns an address that nobody uses. It is drawn from the whole
