--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
