Operators list and lift quarantines

Cause: docs/FAILURES.md named commands that were not there; a request could be freed only by waiting. Ruled out: lifting on one router (others would go on refusing).

--- a/coordination/node/crash.go
+++ b/coordination/node/crash.go
@@ -140,6 +140,12 @@
 	}
 }
 
+// liftQuarantine lets a request run again, on every router.
+func (n *Node) liftQuarantine(in LiftQuarantine) {
+	n.shareNotices([]quarantine.Notice{n.crashes.Lift(in.Digest)})
+	n.emit(Event{What: "quarantine-lifted", Reason: reason.Quarantined, Detail: fmt.Sprintf("digest %016x", uint64(in.Digest))})
+}
+
 // holdFor says whether a request must wait for a trial.
 func (n *Node) holdFor(now time.Duration, target *owned, r *relay) quarantine.Hold {
 	by := r.deadline - n.runTime(target, r)
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -99,6 +99,9 @@
 // PeerNotice carries news of crashes and quarantines.
 type PeerNotice struct{ Notice quarantine.Notice }
 
+// LiftQuarantine is an operator's order to let a request run again.
+type LiftQuarantine struct{ Digest quarantine.Digest }
+
 // UpstreamProbed answers ProbeUpstream.
 type UpstreamProbed struct {
 	Upstream protocol.UpstreamID
@@ -228,3 +231,5 @@
 func (PeerLimitAnswer) input() {}
 func (PeerCheck) input()       {}
 func (PeerAlive) input()       {}
+
+func (LiftQuarantine) input() {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -155,6 +155,9 @@
 	return len(n.entries) + len(n.parkedRequests), len(n.running)
 }
 
+// Quarantined lists the requests that are refused for crashes.
+func (n *Node) Quarantined(now time.Duration) []quarantine.Entry { return n.crashes.List(now) }
+
 // Revision returns the revision of the configuration in force here.
 func (n *Node) Revision() uint64 { return n.view.Revision }
 
@@ -196,6 +199,8 @@
 		n.moved(now, in)
 	case PeerNotice:
 		n.crashes.Merge(now, in.Notice)
+	case LiftQuarantine:
+		n.liftQuarantine(in)
 	case UpstreamProbed:
 		n.probed(now, in)
 	case PeerLost:
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -172,6 +172,14 @@
 	last := f.Answers["bad-29"]
 	assert.Equal(t, last.Reason, "quarantined")
 	assert.Equal(t, last.Outcome, protocol.NotRun)
+	// An operator finds it in the list of any router and lifts it.
+	listed := f.Routers["r2"].Core.Quarantined(f.Now)
+	assert.Equal(t, len(listed), 1)
+	f.Input("r2", node.LiftQuarantine{Digest: listed[0].Digest})
+	f.Run(2 * time.Second)
+	for _, router := range f.Routers {
+		assert.Equal(t, len(router.Core.Quarantined(f.Now)), 0)
+	}
 }
 
 // An engine says goodbye. No new work may reach it, and what it runs must end
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -241,6 +241,12 @@
 	return answer
 }
 
+// Input gives a router any input.
+func (f *Fleet) Input(router protocol.RouterID, in node.Input) {
+	r := f.Routers[router]
+	f.toRouter(r, func() { f.step(r, in) })
+}
+
 // Freeze stops a router's process; Thaw lets it go on with all that piled up.
 func (f *Fleet) Freeze(router protocol.RouterID) { f.Routers[router].Frozen = true }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -12,8 +13,10 @@
 
 	"endiveplank/coordination/explain"
 	"endiveplank/coordination/fleetstate"
+	"endiveplank/coordination/node"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/ownership"
+	"endiveplank/coordination/quarantine"
 	"endiveplank/coordination/registry"
 	"endiveplank/coordination/table"
 	"endiveplank/protocol"
@@ -43,6 +46,26 @@
 	return *result.Change, nil
 }
 
+// Quarantine implements admin.Fleet.
+func (d *Daemon) Quarantine() []admin.QuarantineEntry {
+	listed, now := d.runner.quarantined()
+	entries := make([]admin.QuarantineEntry, 0, len(listed))
+	for _, entry := range listed {
+		entries = append(entries, admin.QuarantineEntry{
+			Digest:   fmt.Sprintf("%016x", uint64(entry.Digest)),
+			Customer: entry.Customer,
+			Strikes:  entry.Strikes,
+			Seconds:  int((entry.Expires - now).Seconds()),
+		})
+	}
+	return entries
+}
+
+// LiftQuarantine implements admin.Fleet.
+func (d *Daemon) LiftQuarantine(digest uint64) {
+	d.runner.Input(node.LiftQuarantine{Digest: quarantine.Digest(digest)})
+}
+
 // Settle implements admin.Fleet.
 func (d *Daemon) Settle(ctx context.Context, settle admin.Settle) (orders.Result, error) {
 	command := orders.Command{
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -163,6 +163,15 @@
 	r.Input(node.CallerGone{ID: id})
 }
 
+// quarantined lists the requests that are refused for crashes, with the time
+// that is left.
+func (r *runner) quarantined() ([]quarantine.Entry, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	return r.core.Quarantined(now), now
+}
+
 // Ready says whether callers should come here.
 func (r *runner) Ready() bool {
 	r.mu.Lock()
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -59,6 +59,10 @@
 	Order(ctx context.Context, key orders.Key) (orders.Record, bool, error)
 	// Settle records what the service itself says about an unknown order.
 	Settle(ctx context.Context, settle Settle) (orders.Result, error)
+	// Quarantine lists the requests that are refused for crashes of upstreams,
+	// and LiftQuarantine lets one run again, on every router.
+	Quarantine() []QuarantineEntry
+	LiftQuarantine(digest uint64)
 	// WriteMetrics writes this process's metrics.
 	WriteMetrics(w io.Writer) error
 }
@@ -131,6 +135,22 @@
 	Who    string `json:"-"`
 }
 
+// QuarantineEntry is one request that is refused for crashes of upstreams.
+type QuarantineEntry struct {
+	// Digest identifies customer and body, 16 hexadecimal digits.
+	Digest string `json:"digest"`
+	// Customer is empty on routers that haven't met the request themselves.
+	Customer protocol.CustomerID `json:"customer,omitempty"`
+	// Strikes counts how often it was condemned, Seconds what is left.
+	Strikes int `json:"strikes"`
+	Seconds int `json:"seconds"`
+}
+
+// LiftRequest is the body of a lifted quarantine.
+type LiftRequest struct {
+	Digest string `json:"digest"`
+}
+
 // ChangeRequest is the body of a table change.
 type ChangeRequest struct {
 	ID    string       `json:"id"`
@@ -179,6 +199,8 @@
 	h.handle("POST /admin/v1/undo", settings.OperatorEdit, h.undo)
 	h.handle("GET /admin/v1/orders/{customer}/{key}", settings.OperatorRead, h.order)
 	h.handle("POST /admin/v1/orders/settle", settings.OperatorEdit, h.settle)
+	h.handle("GET /admin/v1/quarantine", settings.OperatorRead, h.quarantine)
+	h.handle("POST /admin/v1/quarantine/lift", settings.OperatorControl, h.lift)
 	h.handle("GET /debug/pprof/profile", settings.OperatorControl, func(w http.ResponseWriter, r *http.Request, _ string) { pprof.Profile(w, r) })
 	h.handle("GET /debug/pprof/{name}", settings.OperatorControl, func(w http.ResponseWriter, r *http.Request, _ string) {
 		pprof.Handler(r.PathValue("name")).ServeHTTP(w, r)
@@ -387,6 +409,30 @@
 	writeJSON(w, http.StatusOK, describeOrder(*result.Record))
 }
 
+func (h *Handler) quarantine(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, h.fleet.Quarantine())
+}
+
+// hexadecimal is the base of digests in JSON, and digestBits their size.
+const (
+	hexadecimal = 16
+	digestBits  = 64
+)
+
+func (h *Handler) lift(w http.ResponseWriter, r *http.Request, _ string) {
+	var request LiftRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	digest, err := strconv.ParseUint(request.Digest, hexadecimal, digestBits)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "digest must have 16 hexadecimal digits", "endiveplank quarantine list shows them")
+		return
+	}
+	h.fleet.LiftQuarantine(digest)
+	writeJSON(w, http.StatusOK, h.fleet.Quarantine())
+}
+
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
