--- a/settings/check.go
+++ b/settings/check.go
@@ -165,11 +165,9 @@
 func (c *checker) load(l Load) {
 	c.between("load.multiple", l.Multiple, 1.05, 10)
 	c.between("load.reuse_weight", l.ReuseWeight, 0, 1)
-	c.between("load.queue_limit", float64(l.QueueLimit), 1, 100_000)
 }
 
 func (c *checker) timing(t Timing) {
-	c.between("timing.lease_ms", float64(t.LeaseMS), 1_000, 30_000)
 	c.between("timing.stall_ms", float64(t.StallMS), 200, 60_000)
 	c.between("timing.replace_voter_ms", float64(t.ReplaceVoterMS), 1_000, 86_400_000)
 	c.between("timing.unready_ms", float64(t.UnreadyMS), 0, 60_000)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -118,14 +118,10 @@
 	Multiple float64 `json:"multiple"`
 	// ReuseWeight moves placement from skew first (0) to cache reuse first (1).
 	ReuseWeight float64 `json:"reuse_weight"`
-	// QueueLimit is the most requests one upstream's queue holds.
-	QueueLimit int `json:"queue_limit"`
 }
 
 // Timing holds the intervals of failure detection, in milliseconds.
 type Timing struct {
-	// LeaseMS is the router's side of a configuration lease.
-	LeaseMS int `json:"lease_ms"`
 	// StallMS is the longest an upstream or peer may go without progress while
 	// work is on it.
 	StallMS int `json:"stall_ms"`
@@ -179,17 +175,14 @@
 			WriteTimeoutMS:  10_000,
 			DeadlineMS:      120_000,
 		},
-		Load:       Load{Multiple: 1.25, ReuseWeight: 0.5, QueueLimit: 256},
-		Timing:     Timing{LeaseMS: 3_000, StallMS: 3_000, ReplaceVoterMS: 30_000, UnreadyMS: 2_000, DrainMS: 60_000},
+		Load:       Load{Multiple: 1.25, ReuseWeight: 0.5},
+		Timing:     Timing{StallMS: 3_000, ReplaceVoterMS: 30_000, UnreadyMS: 2_000, DrainMS: 60_000},
 		Membership: Membership{BytesPerSecond: 3_000},
 		Log:        Log{Level: "info", Format: "json"},
 		Traces:     Traces{Exporter: "none", SampleRatio: 0.01},
 	}
 }
 
-// Lease returns the lease length.
-func (t Timing) Lease() time.Duration { return time.Duration(t.LeaseMS) * time.Millisecond }
-
 // Stall returns the progress deadline.
 func (t Timing) Stall() time.Duration { return time.Duration(t.StallMS) * time.Millisecond }
 
