Node: answers go through the stream assembler, once and in order

Cause: the node had its own check of chunk indexes beside stream.Assembler, which is the one that the property test proves; the logic stood twice. Ruled out: dropping the assembler (its test states the promise best). Change: the entry passes each chunk to the assembler; a missing chunk fails the attempt as before; a chunk for an order is dropped.

--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -73,9 +73,9 @@
 	// attempt, 0 without an open question; aliveAt is when it last said so.
 	checkedAt time.Duration
 	aliveAt   time.Duration
-	// delivered counts the chunks the caller has.
-	delivered int
-	headSent  bool
+	// answer passes each chunk on once and in order.
+	answer   *stream.Assembler
+	headSent bool
 	// reached means that an earlier attempt may have reached an upstream.
 	reached bool
 	// limited means that the request was charged to its customer's limits.
@@ -111,6 +111,7 @@
 		return
 	}
 	e.watch = stream.NewWatch(now, stream.DefaultWatchConfig())
+	e.answer = stream.NewAssembler(e.request.ID, stream.DefaultWatchConfig().MaxHeld)
 	n.place(now, e)
 }
 
@@ -124,7 +125,7 @@
 
 // work is the expected work of a request from where it stands, in tokens.
 func (e *entry) work() int {
-	return e.template.PromptTokens + max(1, e.template.OutputTokens-e.delivered)
+	return e.template.PromptTokens + max(1, e.template.OutputTokens-e.delivered())
 }
 
 // current is the attempt under way.
@@ -146,7 +147,8 @@
 // under way, and nothing else.
 func (n *Node) entryChunk(now time.Duration, in PeerChunk) {
 	e := n.live(in.Chunk.Attempt)
-	if e == nil {
+	if e == nil || e.answer == nil {
+		// Abandoned, or an order, whose answer comes in a report.
 		return
 	}
 	e.progress = now
@@ -154,26 +156,45 @@
 	if e.phase == phaseAsking || e.phase == phaseQueued {
 		e.phase = phaseRunning
 	}
-	if in.Chunk.Index != e.delivered {
-		n.wrongChunk(now, e, in.Chunk)
-		return
+	accepted := e.answer.Accept(stream.Chunk{
+		Request: e.request.ID,
+		Attempt: int(in.Chunk.Attempt.Number),
+		Index:   in.Chunk.Index,
+		Data:    in.Chunk.Data,
+	})
+	switch accepted.Verdict {
+	case stream.Delivered:
+		n.deliver(now, e, in.Chunk, accepted.Deliver)
+	case stream.Duplicate, stream.Abandoned:
+	default:
+		n.chunkMissing(now, e)
 	}
+}
+
+// deliver passes chunks to the caller, behind the head of the answer.
+func (n *Node) deliver(now time.Duration, e *entry, first fleet.Chunk, chunks []stream.Chunk) {
 	if !e.headSent {
 		e.headSent = true
-		n.emit(AnswerHead{Request: e.request.ID, Status: in.Chunk.Status, Headers: in.Chunk.Headers, Outcome: protocol.Ran})
+		n.emit(AnswerHead{Request: e.request.ID, Status: first.Status, Headers: first.Headers, Outcome: protocol.Ran})
+	}
+	e.watch.Progress(now, e.delivered())
+	for _, chunk := range chunks {
+		n.emit(AnswerChunk{Request: e.request.ID, Index: chunk.Index, Data: chunk.Data})
 	}
-	e.delivered++
-	e.watch.Progress(now, e.delivered)
-	n.emit(AnswerChunk{Request: e.request.ID, Index: in.Chunk.Index, Data: in.Chunk.Data})
 }
 
-// wrongChunk drops a piece that the caller has, as from an engine that begins
-// again at the start, and fails an attempt that left one out: the answer could
-// not become whole.
-func (n *Node) wrongChunk(now time.Duration, e *entry, chunk fleet.Chunk) {
-	if chunk.Index < e.delivered {
-		return
+// delivered counts the chunks the caller has.
+func (e *entry) delivered() int {
+	if e.answer == nil {
+		return 0
 	}
+	return e.answer.Next()
+}
+
+// chunkMissing fails an attempt that left a chunk out. Chunks of one attempt
+// come in order, so it will not come any more, and the answer could not become
+// whole.
+func (n *Node) chunkMissing(now time.Duration, e *entry) {
 	n.abandon(e)
 	e.reached = true
 	n.attemptFailed(now, e, reason.UpstreamFailed)
@@ -206,7 +227,7 @@
 	e.failures++
 	e.phase = phaseWaiting
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, What: "attempt-failed", Reason: why})
-	if !e.template.Streamed && e.delivered > 0 {
+	if !e.template.Streamed && e.delivered() > 0 {
 		// A body that is not a stream of tokens can't be resumed inside.
 		n.giveUp(now, e, 502, why, "the answer broke off", statusRetryAfter)
 		return
--- a/coordination/node/seek.go
+++ b/coordination/node/seek.go
@@ -191,6 +191,9 @@
 // ask sends a Place for a new attempt.
 func (n *Node) ask(now time.Duration, e *entry, upstream *Upstream, stage placement.Stage, home bool) {
 	e.attempt++
+	if e.answer != nil && e.attempt > 1 {
+		e.answer.Begin(int(e.attempt))
+	}
 	e.upstream = upstream
 	e.phase = phaseAsking
 	e.progress = now
@@ -199,7 +202,7 @@
 	message.Attempt = e.current()
 	message.Upstream = upstream.ID
 	message.Fence = upstream.Fence
-	message.ResumeAt = e.delivered
+	message.ResumeAt = e.delivered()
 	message.Stage = uint8(stage)
 	message.Home = home
 	message.Seen = e.seenBeside(upstream.ID)
