--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -207,6 +208,27 @@
 	}
 }
 
+// An engine's announcements stop: it is cut off, or its process hangs. Callers
+// must not be sent there any more after three missed ones, and it must be taken
+// out of the state after ten seconds.
+func TestEngineThatStopsAnnouncingGetsNothingNew(t *testing.T) {
+	f := newFleet(3)
+	f.Engines["e1"].Quiet = true
+	f.Run(2500 * time.Millisecond)
+	f.OnCall = func(_ protocol.RouterID, call node.CallUpstream) {
+		assert.Assert(t, call.Place.Upstream != "e1")
+	}
+	for i := range 12 {
+		f.Submit("r2", protocol.RequestID(fmt.Sprint(i)), "key", fmt.Sprint("p", i), 10)
+	}
+	f.Run(10 * time.Second)
+	for i := range 12 {
+		whole(t, f.Answers[protocol.RequestID(fmt.Sprint(i))], fmt.Sprint("p", i), 10)
+	}
+	removed := slices.ContainsFunc(f.Events, func(e node.Event) bool { return e.Upstream == "e1" && e.What == "removed" })
+	assert.Assert(t, removed)
+}
+
 // Every engine refuses connections. A caller must be told soon, and that
 // nothing was run, because no byte left.
 func TestUnreachableEnginesAreNotRun(t *testing.T) {
--- a/coordination/node/nodetest/engine.go
+++ b/coordination/node/nodetest/engine.go
@@ -28,6 +28,8 @@
 	// Down engines take no connections; silent ones take them and send
 	// nothing; Stuck stops the answers that are under way.
 	Down, Silent bool
+	// Quiet engines announce nothing, though they work.
+	Quiet bool
 	// NoConnect refuses connections while announcements go on.
 	NoConnect bool
 	Crashes   int
@@ -91,7 +93,7 @@
 // announce reports to a random router twice a second.
 func (e *Engine) announce() {
 	f := e.fleet
-	if !e.Down {
+	if !e.Down && !e.Quiet {
 		e.sequence++
 		ids := f.routerIDs()
 		r := f.Routers[ids[f.random.IntN(len(ids))]]
