Node: a chat without messages is refused, not a panic

Cause: the core trusted the callers' listener to have looked for messages. Ruled out: - Change: a typed refusal; a case in TestBadRequestsAreRefusedWithTheirReason, red without it.

--- a/coordination/node/classify.go
+++ b/coordination/node/classify.go
@@ -63,6 +63,9 @@
 	if in.Chat == nil {
 		return refusal(in.ID, 400, reason.BodyInvalid, in.ChatError, 0)
 	}
+	if len(in.Chat.Messages) == 0 {
+		return refusal(in.ID, 400, reason.BodyInvalid, "the body has no messages", 0)
+	}
 	model := protocol.Model(in.Chat.Model)
 	if _, known := n.view.Models[model]; !known {
 		return refusal(in.ID, 404, reason.ModelUnknown, fmt.Sprintf("no upstream serves model %q", in.Chat.Model), 0)
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -12,6 +12,7 @@
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/node/nodetest"
 	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
 )
 
 const seed = 1
@@ -257,6 +258,7 @@
 		"no key":        {node.CallerRequest{Path: "/v1/chat/completions"}, 401, "key_missing"},
 		"no route":      {keyed(node.CallerRequest{Path: "/nowhere"}), 404, "route_unknown"},
 		"bad body":      {keyed(node.CallerRequest{Path: "/v1/chat/completions", ChatError: "no model"}), 400, "body_invalid"},
+		"no messages":   {keyed(node.CallerRequest{Path: "/v1/chat/completions", Chat: &chat.Request{Model: "m"}}), 400, "body_invalid"},
 		"order, no key": {keyed(node.CallerRequest{Path: "/svc/orders/new"}), 400, "idempotency_key_missing"},
 	} {
 		t.Run(name, func(t *testing.T) {
