Node: answers cut by an engine's death wait for the retry budget

Cause: in a small fleet one dead engine leaves more begun answers than a tenth of the fresh work can pay; their callers' answers were cut in the middle. Ruled out: a larger share (it grows storms in saturation); waiting for credit alone (a quiet fleet earns none; seen: answers still open after 55 s). TestBegunAnswersWaitForTheRetryBudget is red with the wait off (retry_budget).

--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -63,6 +63,11 @@
 	// to go to the same upstream.
 	failures int
 	again    *Upstream
+	// owing is why the last attempt failed while the next one waits for the
+	// retry budget, empty otherwise.
+	owing reason.Code
+	// creditSince is when the budget first could not pay, or zero.
+	creditSince time.Duration
 	// avoid holds the upstreams this request has failed on.
 	avoid    []protocol.UpstreamID
 	deadline time.Duration
@@ -232,23 +237,84 @@
 		n.giveUp(now, e, 502, why, "the answer broke off", statusRetryAfter)
 		return
 	}
+	n.chooseAgain(now, e, why)
+	n.suspectAgain(now, e)
+	n.tryAgain(now, e, why)
+}
+
+// repeatedWork is what another attempt would do a second time, in tokens. The
+// rest of a begun answer was paid for as fresh work and has not been done by
+// anybody; only its prompt is read again.
+func (e *entry) repeatedWork() int {
+	if e.delivered() > 0 {
+		return max(1, e.template.PromptTokens)
+	}
+	return e.work()
+}
+
+const (
+	// creditWait is how long a begun answer waits for the retry budget before
+	// it asks again.
+	creditWait = 500 * time.Millisecond
+	// loanEvery is how often a router goes on with a request that the budget
+	// can't pay. A fleet of 330 routers adds 330 resumptions a second by it at
+	// most, 3% of its peak; a quiet one, which earns nearly no credit, resumes
+	// all within seconds.
+	loanEvery = time.Second
+	// freshPatience is how long a request that has not begun may wait for the
+	// budget. Its caller can come back, so it waits for a loan or two at most.
+	freshPatience = 2 * time.Second
+)
+
+// tryAgain asks the retry budget for another attempt.
+//
+// Load: an engine dies with many streams on it, in a fleet with little fresh
+// work. Harm: the budget is spent on the first few, and the other callers'
+// answers are cut in the middle. An answer that has begun waits for credit
+// instead, while there is time, and beyond the budget each router resumes one
+// a second. A request that has not begun waits two seconds at most, because
+// its caller can come back.
+func (n *Node) tryAgain(now time.Duration, e *entry, why reason.Code) {
 	decision := n.budget.Decide(now, n.config.Random, retry.Failure{
 		Attempt:    e.failures,
-		Tokens:     e.work(),
+		Tokens:     e.repeatedWork(),
 		Run:        e.outcome(),
 		Repeatable: e.template.Idempotent,
 		Deadline:   e.deadline,
 	})
-	if !decision.Retry {
+	e.owing = ""
+	switch {
+	case decision.Retry:
+		e.wakeAt = now + decision.Delay
+		if decision.Delay <= 0 {
+			n.wake(now, e)
+		}
+	case decision.Reason == retry.ReasonBudget && e.mayWaitForCredit(now):
+		n.waitForCredit(now, e, why)
+	default:
 		n.giveUp(now, e, 502, retryReason(decision.Reason), "the upstream failed ("+string(why)+") and the request is not tried again", statusRetryAfter)
-		return
 	}
-	n.chooseAgain(now, e, why)
-	n.suspectAgain(now, e)
-	e.wakeAt = now + decision.Delay
-	if decision.Delay <= 0 {
+}
+
+// mayWaitForCredit says whether waiting for the budget is better than telling
+// the caller to come back.
+func (e *entry) mayWaitForCredit(now time.Duration) bool {
+	if e.creditSince == 0 {
+		e.creditSince = now
+	}
+	return e.headSent || now-e.creditSince < freshPatience
+}
+
+// waitForCredit lets a request go on beyond the budget if none did for a while,
+// or makes it wait.
+func (n *Node) waitForCredit(now time.Duration, e *entry, why reason.Code) {
+	if now-n.lastLoan >= loanEvery {
+		n.lastLoan = now
 		n.wake(now, e)
+		return
 	}
+	e.owing = why
+	e.wakeAt = now + creditWait
 }
 
 // retryReason is the retry budget's reason as callers and events see it.
@@ -291,6 +357,10 @@
 
 // wake starts the next attempt of a request that waited.
 func (n *Node) wake(now time.Duration, e *entry) {
+	if e.owing != "" {
+		n.tryAgain(now, e, e.owing)
+		return
+	}
 	if e.template.Model != "" && e.order == nil {
 		verdict := n.crashes.Check(now, quarantine.Digest(e.template.Digest))
 		if verdict.Standing == quarantine.Quarantined {
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -88,7 +88,9 @@
 	limiter *limits.Limiter
 	home    *limits.Home
 	budget  *retry.Budget
-	crashes *quarantine.Tracker
+	// lastLoan is when a begun answer last went on beyond the budget.
+	lastLoan time.Duration
+	crashes  *quarantine.Tracker
 	// orderGate and engineCalls see to orders to the engines owned here.
 	orderGate   *engineorders.Gate
 	engineCalls map[protocol.UpstreamID]bool
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -69,6 +69,34 @@
 	whole(t, second, "short", 10)
 }
 
+// An engine dies with many long answers on it, all from one router, in a fleet
+// that has little other work to earn retries by. No caller's answer may be cut:
+// what the retry budget can't pay at once waits for it.
+func TestBegunAnswersWaitForTheRetryBudget(t *testing.T) {
+	f := nodetest.New(seed, 2)
+	f.Removes = true
+	f.AddEngine("e1", "r1", 4000, 32)
+	f.Run(2 * time.Second)
+	prompt := func(i int) string { return fmt.Sprint("p", i, strings.Repeat(" long prompt", 80)) }
+	for i := range 16 {
+		f.Submit("r2", protocol.RequestID(fmt.Sprint(i)), "key", prompt(i), 500)
+	}
+	f.Run(2 * time.Second)
+	for i := range 6 {
+		f.AddEngine(protocol.UpstreamID(fmt.Sprint("other-", i)), "r2", 4000, 32)
+	}
+	f.Run(time.Second)
+	f.Engines["e1"].Crash(time.Hour)
+	for i := range 100 {
+		f.Submit("r2", protocol.RequestID(fmt.Sprint("later-", i)), "key", fmt.Sprint("later", i), 100)
+		f.Run(200 * time.Millisecond)
+	}
+	f.Run(30 * time.Second)
+	for i := range 16 {
+		whole(t, f.Answers[protocol.RequestID(fmt.Sprint(i))], prompt(i), 500)
+	}
+}
+
 // An engine's connections go silent in mid-answer: no error comes, and nothing
 // more arrives. The caller must get the rest from another engine.
 func TestSilentEngineIsLeftAndTheAnswerResumed(t *testing.T) {
--- a/coordination/node/nodetest/engine.go
+++ b/coordination/node/nodetest/engine.go
@@ -93,7 +93,7 @@
 // announce reports to a random router twice a second.
 func (e *Engine) announce() {
 	f := e.fleet
-	if !e.Down && !e.Quiet {
+	if !e.Down && !e.Quiet && f.upstreams[e.ID] != nil {
 		e.sequence++
 		ids := f.routerIDs()
 		r := f.Routers[ids[f.random.IntN(len(ids))]]
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -43,6 +43,9 @@
 	Engines map[protocol.UpstreamID]*Engine
 	Answers map[protocol.RequestID]*Answer
 	Events  []node.Event
+	// Removes says whether upstreams that routers report gone are taken out of
+	// the configuration.
+	Removes bool
 	// Journal is the replicated state, for orders.
 	Journal *fleetstate.Machine
 	// Replies are what owners answered to asks about orders to engines.
@@ -171,6 +174,12 @@
 	f.showAll()
 }
 
+// remove takes an upstream out of the configuration.
+func (f *Fleet) remove(upstream protocol.UpstreamID) {
+	delete(f.upstreams, upstream)
+	f.showAll()
+}
+
 // showAll puts the present configuration in force on every router at once.
 func (f *Fleet) showAll() {
 	f.revision++
@@ -364,7 +373,11 @@
 		})
 	case node.ReplyIssuer:
 		f.after(latency, func() { f.Replies = append(f.Replies, out.Reply) })
-	case node.RegisterUpstream, node.RemoveUpstream:
+	case node.RemoveUpstream:
+		if f.Removes {
+			f.after(journalTime, func() { f.remove(out.Upstream) })
+		}
+	case node.RegisterUpstream:
 	default:
 		f.answer(out)
 	}
