Daemon: events of the failure detector don't read the requests' map

Cause: explained events look up their request's trace under the runner's lock, but the failure detector explained its events from a goroutine of its own; Go ends a process that reads a map while another goroutine writes it. Ruled out: taking the runner's lock in the detector (it would wait on every request's step). Figures: go test -race ./daemon: a race reported in TestFleetWhoseConnectionsAllGoSilentServesOn before, none after (39.5 s).

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -178,7 +178,7 @@
 	d.gossip = &gossip{
 		packets: meshPackets{d.mesh},
 		input:   d.runner.Input,
-		explain: d.runner.explain,
+		explain: d.runner.explainApart,
 		learn:   d.mesh.SetAddress,
 		now:     d.now,
 		log:     d.log,
--- a/daemon/hops.go
+++ b/daemon/hops.go
@@ -81,7 +81,7 @@
 }
 
 // traceOf returns the trace ID of an event's request, empty when none is
-// known.
+// known. The runner's lock is held.
 func (r *runner) traceOf(event node.Event) string {
 	if answer := r.answers[event.Request]; answer != nil {
 		return answer.Trace
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -115,7 +115,7 @@
 	case node.ReplyIssuer:
 		r.replyIssuer(out)
 	case node.Event:
-		r.explain(out)
+		r.explain(out, r.traceOf(out))
 	default:
 		panic("daemon: output of a type that the runner doesn't know")
 	}
@@ -187,7 +187,7 @@
 }
 
 // explain keeps an event and logs the notable ones.
-func (r *runner) explain(event node.Event) {
+func (r *runner) explain(event node.Event, trace string) {
 	r.eventsMu.Lock()
 	defer r.eventsMu.Unlock()
 	r.counters.decision(event.What)
@@ -202,12 +202,16 @@
 		What:     event.What,
 		Reason:   event.Reason,
 		Detail:   event.Detail,
-		Trace:    r.traceOf(event),
+		Trace:    trace,
 	})
 	r.log.Debug().Str("request", string(event.Request)).Str("upstream", string(event.Upstream)).
 		Str("reason", string(event.Reason)).Msg("node: " + event.What)
 }
 
+// explainApart keeps an event that no request caused. Other parts call it from
+// their own goroutines, so it must not look at the core's requests.
+func (r *runner) explainApart(event node.Event) { r.explain(event, "") }
+
 // find answers an operator's query from this router's events.
 func (r *runner) find(query explain.Query) []explain.Event {
 	r.eventsMu.Lock()
