--- a/coordination/table/sheets.go
+++ b/coordination/table/sheets.go
@@ -62,6 +62,7 @@
 		{Name: "requests_per_s", Default: "0", parse: parseNumber(0, maxLimit), Help: "limit over the whole fleet, 0 for none"},
 		{Name: "concurrent", Default: "0", parse: parseNumber(0, maxLimit), Help: "requests in flight over the whole fleet, 0 for no limit"},
 		{Name: "home", Default: "", parse: parseName(true), Help: "home region, empty for any"},
+		{Name: "disabled", Default: "no", parse: parseYesNo, Help: "yes: every request of the customer is refused"},
 	},
 	Models: {
 		{Name: "version", Default: "", parse: parseName(true), Help: "version of the weights to serve, empty for any"},
--- a/coordination/table/view.go
+++ b/coordination/table/view.go
@@ -26,6 +26,8 @@
 	RequestsPerSecond int
 	Concurrent        int
 	Home              string
+	// Disabled customers are refused.
+	Disabled bool
 }
 
 // Model is a row of the models sheet, typed.
@@ -64,6 +66,7 @@
 		RequestsPerSecond: row.number("requests_per_s"),
 		Concurrent:        row.number("concurrent"),
 		Home:              row.cell("home"),
+		Disabled:          row.cell("disabled") == "yes",
 	}
 }
 
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -271,6 +271,24 @@
 	}
 }
 
+// A key leaks, and the operator switches its customer off. From the moment that
+// the edit is accepted no router may serve it.
+func TestDisabledCustomerIsForbiddenEverywhere(t *testing.T) {
+	f := newTestFleet(t)
+	f.setUp()
+	f.engine("e1", nil)
+	revision := f.daemons[0].Rows(table.Customers)[0].Revision
+	answer := f.change(f.daemons[1], "off", table.Edit{
+		Sheet: table.Customers, Key: "a", Expect: revision, Cells: []table.Cell{{Column: "disabled", Value: "yes"}},
+	})
+	assert.Equal(t, answer.Outcome, table.Committed)
+	for i := range f.daemons {
+		status, headers, _ := f.call(i, upstreamapi.CompletionsPath, chatBody)
+		assert.Equal(t, status, 403)
+		assert.Equal(t, headers.Get(protocol.RunOutcomeHeader), "not-run")
+	}
+}
+
 // A dispatcher's order is sent, and sent again through another router because
 // the first answer took long to come back. The truck must be sent once, and
 // both callers must get the same answer; the same key with another order is
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -39,6 +39,7 @@
 func addCustomer(built *node.View, customer table.Customer) {
 	row := &node.Customer{
 		ID:                customer.ID,
+		Disabled:          customer.Disabled,
 		Class:             customer.Class,
 		Weight:            float64(customer.Weight),
 		RequestsPerSecond: float64(customer.RequestsPerSecond),
