--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,6 +15,8 @@
 await_well
 if [ "${1:-}" = "--" ]; then
   shift
+  export ROUTER_PIDS="${router_pid[1]} ${router_pid[2]} ${router_pid[3]}"
+  export ENGINES="127.0.0.1:$(port 4 1) 127.0.0.1:$(port 4 2)"
   "$@"
   exit
 fi
