Customers' keys are compared in constant time

Cause: a customer was found by a map access on the digest of its key. That is hard to use, but the promise is a comparison in constant time. Ruled out: comparing with every customer (2,400 comparisons a request). Change: the first eight bytes of a digest choose a bucket, and the whole digest is compared in constant time within it.

--- a/coordination/node/bench_test.go
+++ b/coordination/node/bench_test.go
@@ -41,11 +41,11 @@
 	})}
 	view := &node.View{
 		Revision:  1,
-		Customers: map[[32]byte]*node.Customer{sha256.Sum256([]byte("key")): {ID: "a", Weight: 100}},
 		Upstreams: map[protocol.UpstreamID]*node.Upstream{},
 		Models:    map[protocol.Model][]*node.Upstream{},
 		Routers:   []protocol.RouterID{"r1"},
 	}
+	view.Customers.Add(sha256.Sum256([]byte("key")), &node.Customer{ID: "a", Weight: 100})
 	for i := range engines {
 		upstream := &node.Upstream{
 			ID: protocol.UpstreamID(fmt.Sprintf("e%03d", i)), Kind: upstreamapi.KindEngine, Address: "127.0.0.1:1",
--- a/coordination/node/classify.go
+++ b/coordination/node/classify.go
@@ -28,7 +28,7 @@
 	if !in.HasKey {
 		return nil, refusal(in.ID, 401, reason.KeyMissing, "send your key as Authorization: Bearer KEY", 0)
 	}
-	customer := n.view.Customers[in.KeyHash]
+	customer := n.view.Customers.Find(in.KeyHash)
 	if customer == nil {
 		return nil, refusal(in.ID, 401, reason.KeyUnknown, "no customer has this key", 0)
 	}
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -429,3 +429,15 @@
 	t.Logf("served %d in %d s", served, seconds)
 	assert.Assert(t, served >= 8*seconds && served <= 12*seconds, "%d", served)
 }
+
+// Two keys whose digests agree in their first eight bytes, as an attacker could
+// search for, must not open each other's customer.
+func TestKeysThatShareTheirFirstBytesAreToldApart(t *testing.T) {
+	var keys node.Keys
+	first, second, third := [32]byte{0: 1, 31: 1}, [32]byte{0: 1, 31: 2}, [32]byte{0: 1, 31: 3}
+	keys.Add(first, &node.Customer{ID: "a"})
+	keys.Add(second, &node.Customer{ID: "b"})
+	assert.Equal(t, keys.Find(first).ID, protocol.CustomerID("a"))
+	assert.Equal(t, keys.Find(second).ID, protocol.CustomerID("b"))
+	assert.Assert(t, keys.Find(third) == nil)
+}
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -202,13 +202,15 @@
 func (f *Fleet) view(r *Router) *node.View {
 	v := &node.View{
 		Revision:  f.revision,
-		Customers: f.customers,
 		Routes:    f.routes,
 		Upstreams: map[protocol.UpstreamID]*node.Upstream{},
 		Models:    map[protocol.Model][]*node.Upstream{},
 		Services:  map[protocol.Service][]*node.Upstream{},
 		Routers:   f.routerIDs(),
 	}
+	for hash, customer := range f.customers {
+		v.Customers.Add(hash, customer)
+	}
 	ids := make([]protocol.UpstreamID, 0, len(f.upstreams))
 	for id := range f.upstreams {
 		ids = append(ids, id)
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -14,10 +14,8 @@
 // once built.
 type View struct {
 	Revision uint64
-	// Customers is indexed by the SHA-256 of each bearer key. A lookup by
-	// digest tells a timing attacker nothing useful, because the digest of a
-	// guess says nothing about the digest of the key.
-	Customers map[[32]byte]*Customer
+	// Customers finds customers by the digests of their bearer keys.
+	Customers Keys
 	Routes    []Route
 	Upstreams map[protocol.UpstreamID]*Upstream
 	// Models and Services list the upstreams that serve each, sorted by ID.
@@ -106,9 +104,7 @@
 // limits lists the customers that have limits.
 func (v *View) limits() map[protocol.CustomerID]limits.Limit {
 	listed := map[protocol.CustomerID]limits.Limit{}
-	for _, customer := range v.Customers {
-		listed[customer.ID] = customer.limit()
-	}
+	v.Customers.Each(func(customer *Customer) { listed[customer.ID] = customer.limit() })
 	return listed
 }
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -19,7 +19,6 @@
 func buildView(view *fleetstate.View, session ownership.SessionID) *node.View {
 	built := &node.View{
 		Revision:  view.Revision(),
-		Customers: map[[32]byte]*node.Customer{},
 		Upstreams: map[protocol.UpstreamID]*node.Upstream{},
 		Models:    map[protocol.Model][]*node.Upstream{},
 		Services:  map[protocol.Service][]*node.Upstream{},
@@ -49,7 +48,7 @@
 	for _, text := range customer.KeyHashes {
 		var hash [32]byte
 		if n, err := hex.Decode(hash[:], []byte(text)); err == nil && n == len(hash) {
-			built.Customers[hash] = row
+			built.Customers.Add(hash, row)
 		}
 	}
 }
