--- a/coordination/loadbound/views.go
+++ b/coordination/loadbound/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"endiveplank/protocol"
@@ -77,21 +78,23 @@
 }
 
 // Receive takes a neighbour's summary. A summary that is not newer than the
-// last one is ignored. One whose echo cannot be dated counts from this
-// router's first contact, so its floor is the lowest that can hold. A
-// neighbour that restarted numbers from 1 again; membership sees the restart
-// and must call Forget for it.
+// last one is ignored. One whose echo cannot be dated counts for
+// nothing for sure. A neighbour that restarted, or that forgot this router for
+// a while, numbers from 1 again; its message counts as newer once its echo
+// proves that it was made after the last one arrived.
 //
 // Failure guarded: a message that sat in a stalled connection for seconds
 // looks fresh on arrival, and its old total overstates the mean. The echo
 // dates it by this router's own clock, so a stalled message counts as old.
 func (l *Ledger) Receive(now time.Duration, from protocol.RouterID, summary Summary) {
 	v := l.viewOf(from)
-	if v.summary.Sequence != 0 && int32(summary.Sequence-v.summary.Sequence) <= 0 {
+	madeAfter, dated := v.date(summary)
+	newer := v.summary.Sequence == 0 || int32(summary.Sequence-v.summary.Sequence) > 0
+	provenNewer := dated && madeAfter >= v.receivedAt
+	if !newer && !provenNewer {
 		return
 	}
 	v.receivedAt = now
-	madeAfter, dated := v.date(summary)
 	v.summary = summary
 	if dated {
 		v.madeAfter = madeAfter
@@ -123,6 +126,16 @@
 	return mark.at + summary.Held, true
 }
 
+// Keep drops every neighbour that is not among the peers, as after a change
+// of the exchange tree.
+func (l *Ledger) Keep(peers []protocol.RouterID) {
+	for i := len(l.viewOrder) - 1; i >= 0; i-- {
+		if from := l.viewOrder[i].from; !slices.Contains(peers, from) {
+			l.Forget(from)
+		}
+	}
+}
+
 // Forget drops a neighbour that membership removed: its upstreams pass to
 // other owners, who report them from then on.
 func (l *Ledger) Forget(from protocol.RouterID) {
--- /dev/null
+++ b/coordination/placement/fleetbench/cache.go
@@ -0,0 +1,96 @@
+package fleetbench
+
+import "endiveplank/protocol/chat"
+
+// promptCache is an engine's cache of prompt prefixes: whole chats and shared
+// system prompts, least recently used evicted first.
+type promptCache struct {
+	capacity int
+	used     int
+	entries  map[chat.ChainHash]*cacheEntry
+	// head is the most recently used, tail the least.
+	head, tail *cacheEntry
+	// evicted is called with the deepest link of an evicted chat.
+	evicted func(deepest chat.ChainHash)
+}
+
+// cacheEntry is a chat, keyed by its root, or a system prompt, keyed by its
+// own hash.
+type cacheEntry struct {
+	key        chat.ChainHash
+	deepest    chat.ChainHash
+	tokens     int
+	prev, next *cacheEntry
+}
+
+func newPromptCache(capacity int) *promptCache {
+	return &promptCache{capacity: capacity, entries: make(map[chat.ChainHash]*cacheEntry)}
+}
+
+// saved is the number of prompt tokens the cache holds.
+func (c *promptCache) saved(chain []chat.Link) int {
+	prompt := chain[len(chain)-1].Tokens
+	if e, ok := c.entries[chain[rootLink].Hash]; ok {
+		return min(e.tokens, prompt)
+	}
+	if e, ok := c.entries[chain[0].Hash]; ok {
+		return min(e.tokens, prompt)
+	}
+	return 0
+}
+
+// use marks a chat's prefix as used, with its length now.
+func (c *promptCache) use(chain []chat.Link, tokens int) {
+	system := chain[0]
+	c.touch(system.Hash, system.Hash, system.Tokens)
+	c.touch(chain[rootLink].Hash, chain[len(chain)-1].Hash, tokens)
+	for c.used > c.capacity && c.tail != c.head {
+		c.evict(c.tail)
+	}
+}
+
+// touch puts an entry in front. A chat's own tokens are those beyond the
+// system prompt, but the model counts them whole.
+func (c *promptCache) touch(key, deepest chat.ChainHash, tokens int) {
+	e, ok := c.entries[key]
+	if !ok {
+		e = &cacheEntry{key: key}
+		c.entries[key] = e
+	} else {
+		c.unlink(e)
+	}
+	c.used += tokens - e.tokens
+	e.tokens = tokens
+	e.deepest = deepest
+	e.next = c.head
+	if c.head != nil {
+		c.head.prev = e
+	}
+	c.head = e
+	if c.tail == nil {
+		c.tail = e
+	}
+}
+
+func (c *promptCache) unlink(e *cacheEntry) {
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		c.head = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		c.tail = e.prev
+	}
+	e.prev, e.next = nil, nil
+}
+
+func (c *promptCache) evict(e *cacheEntry) {
+	c.unlink(e)
+	delete(c.entries, e.key)
+	c.used -= e.tokens
+	if c.evicted != nil {
+		c.evicted(e.deepest)
+	}
+}
--- /dev/null
+++ b/coordination/placement/fleetbench/owners.go
@@ -0,0 +1,297 @@
+package fleetbench
+
+import (
+	"fmt"
+	"time"
+
+	"endiveplank/coordination/loadbound"
+	"endiveplank/coordination/placement"
+	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+)
+
+// Sizes of the tables of an owner in the model.
+const (
+	indexEntries   = 4096
+	pointerEntries = 16384
+)
+
+// OwnerAdmission is the way of this project, with a policy.
+func OwnerAdmission(name string, policy placement.Policy) Way {
+	return Way{Name: name, build: func(w *world) strategy { return newOwners(w, policy) }}
+}
+
+// owners drives packages placement and loadbound.
+type owners struct {
+	w       *world
+	policy  placement.Policy
+	names   []protocol.RouterID
+	numbers map[protocol.RouterID]int
+	ledgers []*loadbound.Ledger
+	owners  []*placement.Owner
+	sets    []*placement.Set
+	// ownerOf is the router that holds an engine's lease, -1 for none.
+	ownerOf []int
+	// live is the routers that live, sorted.
+	live []protocol.RouterID
+	// capacity is that of the engines that are up.
+	capacity float64
+}
+
+// admitted is what a request keeps of its admission.
+type admitted struct {
+	router int
+	answer placement.Answer
+}
+
+func newOwners(w *world, policy placement.Policy) *owners {
+	s := &owners{w: w, policy: policy, numbers: make(map[protocol.RouterID]int)}
+	s.w.meter.sent = make([]int, len(w.routers))
+	for r := range w.routers {
+		name := protocol.RouterID(fmt.Sprintf("r%03d", r))
+		s.names = append(s.names, name)
+		s.numbers[name] = r
+		s.ledgers = append(s.ledgers, nil)
+		s.owners = append(s.owners, nil)
+		s.sets = append(s.sets, setOf(w, w.views[r]))
+		s.fresh(r)
+	}
+	s.ownerOf = make([]int, len(w.engines))
+	s.refreshLive()
+	for i := range w.engines {
+		s.grant(0, i, s.chooseOwner(i))
+	}
+	s.refreshCapacity()
+	for r := range w.routers {
+		first := time.Duration(w.rng.Int64N(int64(loadbound.ExchangePeriod)))
+		w.every(first, loadbound.ExchangePeriod, w.end, func(now time.Duration) { s.exchange(now, r) })
+	}
+	return s
+}
+
+// fresh gives a router the state of a process that has just started.
+func (s *owners) fresh(router int) {
+	config := loadbound.DefaultConfig()
+	config.Multiple = s.policy.Multiple
+	s.ledgers[router] = loadbound.NewLedger(config)
+	s.owners[router] = placement.NewOwner(s.ledgers[router], s.policy, pointerEntries)
+}
+
+func (s *owners) refreshLive() {
+	s.live = s.live[:0:0]
+	for r, up := range s.w.routers {
+		if up {
+			s.live = append(s.live, s.names[r])
+		}
+	}
+}
+
+func (s *owners) refreshCapacity() {
+	s.capacity = 0
+	for _, e := range s.w.engines {
+		if e.up {
+			s.capacity += e.capacity
+		}
+	}
+	for _, l := range s.ledgers {
+		l.SetFleetCapacity(s.capacity)
+	}
+}
+
+// chooseOwner is the live router that rendezvous hashing gives an engine.
+func (s *owners) chooseOwner(engine int) int {
+	var list []placement.Member
+	for _, name := range s.live {
+		list = append(list, placement.Member{ID: protocol.UpstreamID(name), Weight: 1})
+	}
+	set, err := placement.NewSet(0, list)
+	if err != nil {
+		panic("fleetbench: routers are listed once: " + err.Error())
+	}
+	var first [1]int32
+	key := chat.ChainHash(placement.ShortID(s.w.engines[engine].id))
+	set.Order(key, first[:])
+	return s.numbers[protocol.RouterID(set.Member(first[0]).ID)]
+}
+
+// grant gives an engine's lease to a router.
+func (s *owners) grant(now time.Duration, engine, router int) {
+	e := s.w.engines[engine]
+	e.fence++
+	s.ownerOf[engine] = router
+	s.ledgers[router].Own(now, e.id, loadbound.Grant{
+		Fence:    e.fence,
+		Until:    s.w.end + time.Hour,
+		Capacity: e.capacity,
+		Reported: e.reported,
+	})
+	s.owners[router].Hold(now, e.id, e.incarnation, indexEntries)
+}
+
+// place walks the order as an entry router does.
+func (s *owners) place(now time.Duration, r *request) (int, bool) {
+	request := placement.Request{Chain: r.turn.chain, Root: rootLink, OutputTokens: r.turn.expected}
+	walk := placement.Begin(s.sets[r.entry], s.policy, request)
+	for step, ok := walk.Next(); ok; step, ok = walk.Next() {
+		walk.Answered(s.ask(now, step.Ask))
+	}
+	result := walk.Result()
+	s.count(now, result)
+	if result.Verdict != placement.Admitted {
+		return 0, false
+	}
+	if result.Moved {
+		if home := s.ownerOf[numberOf(result.Home)]; home >= 0 {
+			s.owners[home].Moved(now, r.turn.chain[rootLink].Hash, result.Upstream)
+		}
+	}
+	engine := numberOf(result.Upstream)
+	r.own = admitted{router: s.ownerOf[engine], answer: result.Answer}
+	return engine, true
+}
+
+// ask carries a question to the owner.
+func (s *owners) ask(now time.Duration, ask placement.Ask) placement.Answer {
+	engine := numberOf(ask.Upstream)
+	owner := s.ownerOf[engine]
+	if owner < 0 || !s.w.engines[engine].up {
+		return placement.Silent
+	}
+	return s.owners[owner].Ask(now, ask)
+}
+
+func (s *owners) count(now time.Duration, result placement.Result) {
+	m := &s.w.meter
+	if now < s.w.config.WarmUp {
+		return
+	}
+	m.asked++
+	m.asks += result.Asks
+	if result.Moved {
+		m.moved++
+	}
+	if reason := result.Reason(); reason == loadbound.Idle || reason == loadbound.OneOver {
+		m.few++
+	}
+}
+
+func (s *owners) finished(now time.Duration, r *request) {
+	a := r.own.(admitted)
+	cached := r.saved
+	if r.lost {
+		cached = -1
+	}
+	s.owners[a.router].Finished(now, a.answer.Ticket, a.answer.Hit, cached)
+}
+
+func (s *owners) members(_ time.Duration, router int) {
+	s.sets[router] = setOf(s.w, s.w.views[router])
+}
+
+// exchange sends a router's summaries.
+func (s *owners) exchange(now time.Duration, router int) {
+	if !s.w.routers[router] {
+		return
+	}
+	peers, relay := loadbound.Neighbours(s.names[router], s.live)
+	for _, peer := range peers {
+		summary := s.ledgers[router].Summary(now, peer, relay)
+		s.w.meter.sent[router] += loadbound.SummaryBytes
+		to := s.numbers[peer]
+		delay := time.Millisecond + time.Duration(s.w.rng.Int64N(int64(4*time.Millisecond)))
+		target := s.ledgers[to]
+		s.w.schedule(now+delay, func(now time.Duration) {
+			if s.ledgers[to] == target {
+				target.Receive(now, s.names[router], summary)
+			}
+		})
+	}
+}
+
+// forget drops a lost router's summaries everywhere.
+func (s *owners) forget(router int) {
+	for _, l := range s.ledgers {
+		l.Forget(s.names[router])
+	}
+}
+
+// routerLost takes a router out; its engines are without an owner until its
+// lease has run out.
+func (s *owners) routerLost(now time.Duration, router int) {
+	s.refreshLive()
+	s.rewire()
+	s.fresh(router)
+	s.forget(router)
+	s.ledgers[router].SetFleetCapacity(s.capacity)
+	for i, owner := range s.ownerOf {
+		if owner != router {
+			continue
+		}
+		s.ownerOf[i] = -1
+		s.w.schedule(now+ownerLease, func(now time.Duration) { s.takeOver(now, i) })
+	}
+}
+
+// takeOver gives an engine whose lease ran out to a live router.
+func (s *owners) takeOver(now time.Duration, engine int) {
+	s.grant(now, engine, s.chooseOwner(engine))
+	if !s.w.engines[engine].up {
+		s.ledgers[s.ownerOf[engine]].Disown(s.w.engines[engine].id)
+	}
+}
+
+// rewire drops views along links that the exchange no longer uses.
+func (s *owners) rewire() {
+	for r, l := range s.ledgers {
+		peers, _ := loadbound.Neighbours(s.names[r], s.live)
+		l.Keep(peers)
+	}
+}
+
+// routerBack adds a router again; it takes engines only when owners change,
+// so that a restart does not move them twice.
+func (s *owners) routerBack(_ time.Duration, _ int) {
+	s.refreshLive()
+	s.rewire()
+}
+
+// reported feeds an engine's late report and cache events to its owner.
+func (s *owners) reported(now time.Duration, engine int, batch eventBatch) {
+	owner := s.ownerOf[engine]
+	e := s.w.engines[engine]
+	if owner < 0 {
+		return
+	}
+	s.ledgers[owner].Reported(now, e.id, e.reported)
+	if batch.incarnation != e.incarnation {
+		return
+	}
+	if len(batch.events) > 0 {
+		s.owners[owner].CacheEvents(now, e.id, batch.first, batch.events)
+	}
+}
+
+// engineChanged tells the owner, whom the engine itself has told. Work that a
+// leaver still runs is no longer the fleet's; when it returns, what is left of
+// it is the floor.
+func (s *owners) engineChanged(now time.Duration, engine int) {
+	s.refreshCapacity()
+	owner := s.ownerOf[engine]
+	if owner < 0 {
+		return
+	}
+	if s.w.engines[engine].up {
+		s.grant(now, engine, owner)
+		return
+	}
+	s.ledgers[owner].Disown(s.w.engines[engine].id)
+}
+
+// numberOf is the number in an engine's name.
+func numberOf(id protocol.UpstreamID) int {
+	number := 0
+	for _, digit := range id[1:] {
+		number = number*10 + int(digit-'0')
+	}
+	return number
+}
--- /dev/null
+++ b/coordination/placement/fleetbench/trace.go
@@ -0,0 +1,172 @@
+package fleetbench
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"endiveplank/protocol/chat"
+)
+
+// TraceConfig describes a trace.
+type TraceConfig struct {
+	Seed         uint64
+	Duration     time.Duration
+	Customers    int
+	ZipfExponent float64
+	// RequestsPerSecond is the rate that turns reach in the long run.
+	RequestsPerSecond float64
+	// SurgeAt starts a surge of the third largest customer to ten times its
+	// rate; 0 for none.
+	SurgeAt time.Duration
+}
+
+// Parameters of the trace model, see the package comment.
+const (
+	meanTurns     = 5
+	surgeFactor   = 10
+	surgeFor      = 2 * time.Minute
+	surgeCustomer = 2
+)
+
+// turn is one request of the trace.
+type turn struct {
+	at       time.Duration
+	chat     int32
+	chain    []chat.Link
+	expected int
+	output   int
+}
+
+// prompt is the length of the turn's prompt in tokens.
+func (t *turn) prompt() int { return t.chain[len(t.chain)-1].Tokens }
+
+// rootLink is the position of the root in chains of the trace: after the
+// system prompt.
+const rootLink = 1
+
+// Trace is a list of requests in order of time.
+type Trace struct {
+	config TraceConfig
+	turns  []turn
+	chats  int
+}
+
+// generator holds what one trace is drawn from.
+type generator struct {
+	config  TraceConfig
+	rng     *rand.Rand
+	shares  []float64
+	prompts []chat.Link
+	trace   *Trace
+}
+
+// NewTrace draws a trace.
+func NewTrace(config TraceConfig) *Trace {
+	g := &generator{config: config, rng: rand.New(rand.NewPCG(config.Seed, 1)), trace: &Trace{config: config}}
+	g.drawCustomers()
+	rate := config.RequestsPerSecond / meanTurns
+	for customer, share := range g.shares {
+		g.drawChats(customer, rate*share, 0, config.Duration)
+		if customer == surgeCustomer && config.SurgeAt > 0 {
+			g.drawChats(customer, rate*share*(surgeFactor-1), config.SurgeAt, config.SurgeAt+surgeFor)
+		}
+	}
+	slices.SortFunc(g.trace.turns, func(a, b turn) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return int(a.chat - b.chat)
+	})
+	return g.trace
+}
+
+// Requests is the number of requests, and Chats the number of chats.
+func (t *Trace) Requests() int { return len(t.turns) }
+
+// Chats is the number of chats.
+func (t *Trace) Chats() int { return t.chats }
+
+func (g *generator) drawCustomers() {
+	sum := 0.0
+	for i := range g.config.Customers {
+		share := math.Pow(float64(i+1), -g.config.ZipfExponent)
+		g.shares = append(g.shares, share)
+		sum += share
+		system := chat.Link{Hash: chat.ChainHash(g.rng.Uint64()), Tokens: 200 + g.rng.IntN(1800)}
+		g.prompts = append(g.prompts, system)
+	}
+	for i := range g.shares {
+		g.shares[i] /= sum
+	}
+}
+
+// drawChats draws the chats of one customer that start in a span.
+func (g *generator) drawChats(customer int, rate float64, from, until time.Duration) {
+	at := from
+	for {
+		at += seconds(g.rng.ExpFloat64() / rate)
+		if at >= until {
+			return
+		}
+		g.drawTurns(customer, at)
+	}
+}
+
+// drawTurns draws one chat.
+func (g *generator) drawTurns(customer int, at time.Duration) {
+	id := int32(g.trace.chats)
+	g.trace.chats++
+	chain := []chat.Link{g.prompts[customer]}
+	for at < g.config.Duration {
+		chain = g.grow(chain, g.drawMessage())
+		expected := g.drawExpected()
+		output := 1 + int(g.rng.ExpFloat64()*float64(expected))
+		g.trace.turns = append(g.trace.turns, turn{
+			at: at, chat: id, chain: slices.Clip(chain), expected: expected, output: output,
+		})
+		if g.rng.IntN(meanTurns) == 0 {
+			return
+		}
+		chain = g.grow(chain, output)
+		at += g.drawGap()
+	}
+}
+
+// grow adds a message to a chain.
+func (g *generator) grow(chain []chat.Link, tokens int) []chat.Link {
+	last := chain[len(chain)-1]
+	return append(chain, chat.Link{Hash: chat.ChainHash(g.rng.Uint64()), Tokens: last.Tokens + tokens})
+}
+
+func (g *generator) drawMessage() int {
+	if g.rng.IntN(10) == 0 {
+		return 1000 + g.rng.IntN(5000)
+	}
+	return 20 + g.rng.IntN(180)
+}
+
+func (g *generator) drawExpected() int {
+	if g.rng.IntN(10) < 7 {
+		return 100
+	}
+	return 900
+}
+
+func (g *generator) drawGap() time.Duration {
+	spread := g.rng.Float64()
+	switch n := g.rng.IntN(10); {
+	case n < 6:
+		return seconds(20 + spread*280)
+	case n < 9:
+		return seconds(300 + spread*3300)
+	default:
+		return seconds(3600 + spread*18000)
+	}
+}
+
+// seconds turns a number of seconds into a duration.
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
