--- a/coordination/loadbound/doc.go
+++ b/coordination/loadbound/doc.go
@@ -52,7 +52,9 @@
 // A new owner does not know what its predecessor admitted. It takes the
 // upstream's reported load as a floor under its own count, lowers it with
 // each later report, and drops it when the upstream reports no more requests
-// than the new owner itself has running. A former owner that wakes from a
+// than the new owner itself has running. Entry routers that relay streams from
+// the upstream resume them through the new owner, which then counts them
+// itself in place of that part of the floor. A former owner that wakes from a
 // freeze finds its lease run out and admits nothing; tickets from its old
 // tenure no longer change the count.
 //
@@ -69,6 +71,7 @@
 //	ledger.Own(now, id, loadbound.Grant{...})       // lease obtained
 //	decision := ledger.Admit(now, id, loadbound.Ask{Cost: 800, Multiple: 1.1})
 //	ledger.Finish(now, decision.Ticket)             // answer ended
+//	ticket, ok := ledger.Resume(now, id, cost)      // stream of a former owner
 //	ledger.Reported(now, id, load)                  // announcement arrived
 //	summary := ledger.Summary(now, neighbour, relay)// every ExchangePeriod
 //	ledger.Receive(now, neighbour, summary)
--- a/coordination/loadbound/exchange_test.go
+++ b/coordination/loadbound/exchange_test.go
@@ -65,6 +65,25 @@
 	assert.Assert(t, math.Abs(floor-650) < 1e-9, "floor %v", floor)
 }
 
+// A router restarts within a second and numbers its summaries from 1 again.
+// Judged by number alone they look like late ones, and its neighbours count
+// with its last total from before the restart until the numbers catch up.
+func TestRestartedNeighbourIsHeard(t *testing.T) {
+	a, b := owning(100), owning(100)
+	b.Admit(0, upstream(0), Ask{Cost: 1000})
+	for range 5 {
+		a.Receive(0, "b", b.Summary(0, "a", false))
+	}
+	b = owning(100)
+	now := time.Second
+	a.Receive(now, "b", b.Summary(now, "a", false))
+	now += time.Second
+	b.Receive(now, "a", a.Summary(now, "b", false))
+	a.Receive(now+1, "b", b.Summary(now+1, "a", false))
+	_, reported, _ := a.Fleet(now + 1)
+	assert.Equal(t, reported, 0.0)
+}
+
 // world is a fleet of ledgers that exchange summaries with delays, with the
 // true load known.
 type world struct {
--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -31,8 +31,13 @@
 	// tokens, and requests its count.
 	running  float64
 	requests int
-	// inherited is the floor for work of former owners, in tokens.
+	// inherited is the most work of former owners that can be left, in
+	// tokens. It is counted against this upstream, not for the fleet.
 	inherited float64
+	// reported is the upstream's last report, received at reportedAt.
+	reported   float64
+	reportedAt time.Duration
+	ownedAt    time.Duration
 	// lowRequests is the fewest requests this owner had running since
 	// lowSince; lowBefore is the same for the window before that.
 	lowRequests int
@@ -102,6 +107,9 @@
 	fresh := &account{
 		grant:      grant,
 		inherited:  float64(grant.Reported.OutstandingTokens),
+		reported:   float64(grant.Reported.OutstandingTokens),
+		reportedAt: now,
+		ownedAt:    now,
 		lowSince:   now,
 		promisedAt: now,
 	}
@@ -125,23 +133,43 @@
 	}
 }
 
-// Reported takes an upstream's own, late count of its load. It only ever
-// lowers the floor of inherited work: the upstream's whole load is at least
-// what is left of the inherited part, and when it reports no more requests
-// than this owner had running all the while, nothing is left.
+// Reported takes an upstream's own, late count of its load and lowers what
+// can be left of inherited work. The requests reported less those this owner
+// had running all the while are the most that can be old ones. Their tokens
+// are at most the report's, and of the first report's at most twice their
+// share by count, because the longer ones outlast the rest.
 func (l *Ledger) Reported(now time.Duration, id protocol.UpstreamID, load upstreamapi.Load) {
 	a, ok := l.accounts[id]
 	if !ok || a.inherited == 0 {
 		return
 	}
+	a.reported = float64(load.OutstandingTokens)
+	a.reportedAt = now
 	a.rollWindow(now)
-	a.inherited = math.Min(a.inherited, float64(load.OutstandingTokens))
+	a.inherited = math.Min(a.inherited, a.reported)
 	own := min(a.lowRequests, a.lowBefore)
-	if load.Running+load.Waiting <= own {
+	old := load.Running + load.Waiting - own
+	if old <= 0 || now-a.ownedAt > inheritFor {
 		a.inherited = 0
+		return
 	}
+	first := a.grant.Reported
+	count := max(1, first.Running+first.Waiting)
+	left := stragglerFactor * float64(old) / float64(count) * float64(first.OutstandingTokens)
+	a.inherited = math.Min(a.inherited, left)
 }
 
+// Limits of inherited work.
+const (
+	// stragglerFactor is how much longer than the mean the requests are that
+	// are left last.
+	stragglerFactor = 2
+	// inheritFor ends inherited work. Nearly all answers end within a
+	// minute, and a count that is off by one lost request must not hold an
+	// upstream back for ever.
+	inheritFor = time.Minute
+)
+
 // reportLag is the longest lag of an upstream's report that hand-over counts
 // with: two announcements.
 const reportLag = 2 * upstreamapi.AnnounceInterval
@@ -234,6 +262,25 @@
 	return d
 }
 
+// Resume counts a request that an entry router had running on the upstream
+// through a former owner, and that it now relays through this one. It is
+// never turned away, because its work is on the engine already; it replaces
+// its part of the inherited floor. Each request is resumed once a tenure.
+//
+// Failure guarded: after an owner's loss the engine's own report is all that
+// its successor knows. Counted until it drained, beside new work, it held
+// engines back for a minute; the entries' own counts settle it at once.
+func (l *Ledger) Resume(now time.Duration, id protocol.UpstreamID, cost float64) (Ticket, bool) {
+	a, ok := l.accounts[id]
+	if !ok || now >= a.grant.Until || !(cost > 0) || math.IsInf(cost, 0) {
+		return Ticket{}, false
+	}
+	a.running += cost
+	a.requests++
+	a.inherited = math.Max(0, a.inherited-cost)
+	return Ticket{Upstream: id, Fence: a.grant.Fence, Cost: cost}, true
+}
+
 // Finish takes a request off the count: its answer ended, was cancelled, or
 // was handed to another upstream. A ticket of an earlier tenure is ignored,
 // because the floor of inherited work counts that request.
@@ -265,12 +312,31 @@
 	return l.counted(now, a), a.requests, true
 }
 
-// counted is the load that the bound is kept over: work running here, work
-// inherited, and never less than the line other owners count with.
+// counted is the load that the upstream's own bound is kept over: never less
+// than the truth. It is work running here, what can be left of inherited
+// work, and never less than the line other owners count with.
 func (l *Ledger) counted(now time.Duration, a *account) float64 {
 	return math.Max(a.running+a.inherited, l.promised(now, a))
 }
 
+// contributed is what the upstream adds to the fleet's total: never more than
+// the truth, but for the line other owners count with.
+//
+// Failure guarded: an engine changes owner, and the most that can be left of
+// its old work is counted beside the new for some ten seconds. Added to the
+// fleet's total it would raise the mean for all others, who would overfill
+// their engines. Only work known to run is added: the owner's own, or the
+// engine's last report less what can have drained since.
+func (l *Ledger) contributed(now time.Duration, a *account) float64 {
+	known := a.running
+	if a.inherited > 0 {
+		age := (now - a.reportedAt + reportLag).Seconds()
+		left := a.reported - l.config.DrainFactor*a.grant.Capacity*age
+		known = math.Max(known, math.Min(left, a.running+a.inherited))
+	}
+	return math.Max(known, l.promised(now, a))
+}
+
 // promised is the line below which an upstream's counted load does not fall.
 //
 // Failure guarded: a customer cancels a third of all requests at once. Other
--- a/coordination/loadbound/ledger_test.go
+++ b/coordination/loadbound/ledger_test.go
@@ -107,6 +107,50 @@
 	assert.Equal(t, report(5*time.Second, 1, 50), 50.0)
 }
 
+// An engine with a new owner has 500 tokens of work: 200 old, 300 new. What
+// could be left of the old is counted against the engine, but added to the
+// fleet's total it would raise the mean that other engines are filled to.
+func TestInheritedWorkDoesNotRaiseTheMean(t *testing.T) {
+	l := NewLedger(DefaultConfig())
+	l.Own(0, "e", Grant{Fence: 2, Until: forever, Capacity: 100,
+		Reported: upstreamapi.Load{Running: 5, OutstandingTokens: 1000}})
+	l.Admit(0, "e", Ask{Cost: 300, Final: true})
+	l.Reported(time.Second, "e", upstreamapi.Load{Running: 3, OutstandingTokens: 500})
+	load, _, _ := l.Load(time.Second, "e")
+	floor, _, _ := l.Fleet(time.Second)
+	assert.Assert(t, load >= 500 && floor <= 500, "load %v floor %v", load, floor)
+}
+
+// One of four owners dies. For the five seconds until its lease has run out
+// nobody reports its engines, whose capacity still counts: the mean looks
+// lower than what every other engine carries, and all requests would queue.
+func TestEnginesAdmitWhileAnOwnerIsLost(t *testing.T) {
+	l := owning(100, 100, 100)
+	l.SetFleetCapacity(400)
+	for _, a := range l.order {
+		a.running, a.requests = 1000, 10
+	}
+	d := l.Admit(0, upstream(0), Ask{Cost: 10, Final: true})
+	assert.Equal(t, d.Reason, OneOver)
+	assert.Equal(t, l.Admit(0, upstream(0), Ask{Cost: 10, Final: true}).Outcome, Queue)
+}
+
+// An owner dies while five streams run on its engine. Their entries resume
+// them through the next owner; counted beside the floor as well, they would
+// hold the engine back at twice its load.
+func TestResumedStreamsReplaceInheritedWork(t *testing.T) {
+	l := NewLedger(DefaultConfig())
+	l.Own(0, "e", Grant{Fence: 2, Until: forever, Capacity: 100,
+		Reported: upstreamapi.Load{Running: 5, OutstandingTokens: 1000}})
+	ticket, ok := l.Resume(0, "e", 700)
+	assert.Assert(t, ok && ticket.Fence == 2)
+	load, requests, _ := l.Load(0, "e")
+	assert.Equal(t, load, 1000.0)
+	assert.Equal(t, requests, 1)
+	_, ok = l.Resume(0, "e", math.Inf(1))
+	assert.Assert(t, !ok)
+}
+
 func TestTicketFinishedTwicePanics(t *testing.T) {
 	l := owning(1)
 	d := l.Admit(0, upstream(0), Ask{Cost: 1})
--- a/coordination/loadbound/summary.go
+++ b/coordination/loadbound/summary.go
@@ -45,7 +45,7 @@
 	v.sequence++
 	s := Summary{Sequence: v.sequence}
 	for _, a := range l.order {
-		load := l.counted(now, a)
+		load := l.contributed(now, a)
 		a.promise = math.Max((1-l.config.CancelShare)*load, l.promised(now, a))
 		a.promisedAt = now
 		s.Outstanding += load
--- a/coordination/loadbound/views.go
+++ b/coordination/loadbound/views.go
@@ -56,7 +56,7 @@
 func (l *Ledger) fleet(now time.Duration) fleetView {
 	var f fleetView
 	for _, a := range l.order {
-		load := l.counted(now, a)
+		load := l.contributed(now, a)
 		f.floor += load
 		f.reported += load
 		f.capacity += a.grant.Capacity
--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/fleetbench/owners.go
@@ -57,6 +57,9 @@
 		s.fresh(r)
 	}
 	s.ownerOf = make([]int, len(w.engines))
+	for i := range s.ownerOf {
+		s.ownerOf[i] = -1
+	}
 	s.refreshLive()
 	for i := range w.engines {
 		s.grant(0, i, s.chooseOwner(i))
@@ -98,7 +101,8 @@
 	}
 }
 
-// chooseOwner is the live router that rendezvous hashing gives an engine.
+// chooseOwner is the first live router in the order that rendezvous hashing
+// gives an engine which owns no more than its even share, rounded up.
 func (s *owners) chooseOwner(engine int) int {
 	var list []placement.Member
 	for _, name := range s.live {
@@ -108,10 +112,27 @@
 	if err != nil {
 		panic("fleetbench: routers are listed once: " + err.Error())
 	}
-	var first [1]int32
+	var order [placement.MaxChoices]int32
 	key := chat.ChainHash(placement.ShortID(s.w.engines[engine].id))
-	set.Order(key, first[:])
-	return s.numbers[protocol.RouterID(set.Member(first[0]).ID)]
+	n := set.Order(key, order[:])
+	share := (len(s.w.engines) + len(s.live) - 1) / len(s.live)
+	for _, position := range order[:n] {
+		if router := numberOf(set.Member(position).ID); s.owned(router) < share {
+			return router
+		}
+	}
+	return numberOf(set.Member(order[0]).ID)
+}
+
+// owned counts a router's engines.
+func (s *owners) owned(router int) int {
+	count := 0
+	for _, owner := range s.ownerOf {
+		if owner == router {
+			count++
+		}
+	}
+	return count
 }
 
 // grant gives an engine's lease to a router.
@@ -126,6 +147,22 @@
 		Reported: e.reported,
 	})
 	s.owners[router].Hold(now, e.id, e.incarnation, indexEntries)
+	for _, r := range e.running {
+		s.resume(now, engine, r)
+	}
+}
+
+// resume is what the entry of a running request does at a new owner.
+func (s *owners) resume(now time.Duration, engine int, r *request) {
+	router := s.ownerOf[engine]
+	a := r.own.(admitted)
+	ticket, ok := s.ledgers[router].Resume(now, s.w.engines[engine].id, a.answer.Ticket.Cost)
+	if !ok {
+		panic("fleetbench: an owner that was just granted takes running work")
+	}
+	a.router = router
+	a.answer.Ticket = ticket
+	r.own = a
 }
 
 // place walks the order as an entry router does.
