--- a/coordination/placement/fleetbench/meter.go
+++ b/coordination/placement/fleetbench/meter.go
@@ -128,3 +128,29 @@
 	}
 	return r
 }
+
+// merge adds the result of another seed: the worst of the maxima, the mean of
+// the rest by requests.
+func (r *Result) merge(other Result) {
+	old, add := float64(r.Requests), float64(other.Requests)
+	if old+add == 0 {
+		return
+	}
+	mean := func(into *float64, value float64) {
+		*into = (*into*old + value*add) / (old + add)
+	}
+	r.Requests += other.Requests
+	r.SkewMax = max(r.SkewMax, other.SkewMax)
+	r.SkewAny = max(r.SkewAny, other.SkewAny)
+	r.ControlMost = max(r.ControlMost, other.ControlMost)
+	mean(&r.SkewP99, other.SkewP99)
+	mean(&r.OverPct, other.OverPct)
+	mean(&r.ReusePct, other.ReusePct)
+	mean(&r.MeanStreams, other.MeanStreams)
+	mean(&r.Asks, other.Asks)
+	mean(&r.MovedPct, other.MovedPct)
+	mean(&r.FewPct, other.FewPct)
+	mean(&r.WaitPct, other.WaitPct)
+	mean(&r.ControlBytes, other.ControlBytes)
+	mean(&r.StateBytes, other.StateBytes)
+}
