--- a/coordination/loadbound/config.go
+++ b/coordination/loadbound/config.go
@@ -8,7 +8,7 @@
 
 // ExchangePeriod is how often an owner sends its summary to each neighbour.
 // Four a second keeps the drain allowance for age near 0.3 s of work; at
-// SummaryBytes each it costs a mesh of nine 640 payload bytes a second.
+// SummaryBytes each it costs a mesh of nine 768 payload bytes a second.
 const ExchangePeriod = 250 * time.Millisecond
 
 // Defaults of Config.
--- a/coordination/loadbound/doc.go
+++ b/coordination/loadbound/doc.go
@@ -73,7 +73,11 @@
 //	ledger.Finish(now, decision.Ticket)             // answer ended
 //	ticket, ok := ledger.Resume(now, id, cost)      // stream of a former owner
 //	ledger.Reported(now, id, load)                  // announcement arrived
-//	summary := ledger.Summary(now, neighbour, relay)// every ExchangePeriod
-//	ledger.Receive(now, neighbour, summary)
+//	exchange := loadbound.NewExchange(self, members, start)
+//	for _, peer := range exchange.Due(now) {        // at exchange.Wake()
+//		summary := ledger.Summary(now, peer, exchange.Relay())
+//	}
+//	ledger.Receive(now, neighbour, summary)         // then exchange.Heard, Due
+//	ledger.Keep(exchange.Peers())                   // membership changed
 //	ledger.Forget(neighbour)                        // membership removed it
 package loadbound
--- a/coordination/loadbound/neighbours.go
+++ b/coordination/loadbound/neighbours.go
@@ -4,13 +4,14 @@
 
 // MeshLimit is the most routers that exchange summaries with each other
 // directly; above it they use a tree. Nine routers in a mesh send 32 messages
-// a second each; a larger mesh would leave the control budget of 3 KB/s.
+// a second each, 768 bytes of summaries; a larger mesh would leave the
+// control budget of 3 KB/s once framing is counted.
 const MeshLimit = 9
 
-// TreeArity is the most children of a router in the exchange tree. Five
-// children and a parent make 24 messages a second at ExchangePeriod, and
-// bring 330 routers within four levels.
-const TreeArity = 5
+// TreeArity is the most children of a router in the exchange tree. Four
+// children and a parent make 20 messages a second at ExchangePeriod, and
+// bring 330 routers within four levels of the root.
+const TreeArity = 4
 
 // Neighbours returns with whom self exchanges summaries and whether messages
 // relay what other neighbours said. Members must be sorted and hold self; all
