--- a/coordination/placement/fleetbench/doc.go
+++ b/coordination/placement/fleetbench/doc.go
@@ -13,7 +13,7 @@
 // 1 h (three in ten) or 1 h to 6 h. A turn adds a message of 20 to 200 tokens
 // (nine in ten) or a document of 1,000 to 6,000, and the prompt holds all
 // earlier turns. Answers are short, 100 tokens in the mean (seven in ten), or
-// long, 900. One customer surges to ten times its rate for two minutes.
+// long, 900; the next turn follows after the answer. One customer surges to ten times its rate for two minutes.
 //
 // # Model of an engine
 //
--- a/coordination/placement/fleetbench/trace.go
+++ b/coordination/placement/fleetbench/trace.go
@@ -28,6 +28,7 @@
 	surgeFactor   = 10
 	surgeFor      = 2 * time.Minute
 	surgeCustomer = 2
+	answerMargin  = 1.5
 )
 
 // turn is one request of the trace.
@@ -134,7 +135,7 @@
 			return
 		}
 		chain = g.grow(chain, output)
-		at += g.drawGap()
+		at += answerTime(output) + g.drawGap()
 	}
 }
 
@@ -158,6 +159,12 @@
 	return 900
 }
 
+// answerTime is how long an answer takes at the usual speed with a margin: a
+// caller reads it before the next turn, whatever the way under test does.
+func answerTime(output int) time.Duration {
+	return seconds(answerMargin * float64(output) / streamSpeed)
+}
+
 func (g *generator) drawGap() time.Duration {
 	spread := g.rng.Float64()
 	switch n := g.rng.IntN(10); {
--- a/coordination/placement/index.go
+++ b/coordination/placement/index.go
@@ -145,13 +145,13 @@
 
 // Placed notes that a request was sent to the engine, which caches its whole
 // prompt. The entry of its earlier turn is dropped, so that a chat takes one
-// entry however long it grows; links up to root are shared and stay.
+// entry however long it grows; links before the root are shared and stay.
 func (x *Index) Placed(now time.Duration, chain []chat.Link, root int, hit Hit) {
 	if len(chain) == 0 {
 		return
 	}
 	deepest := len(chain) - 1
-	if hit.Link > root && hit.Link < deepest {
+	if hit.Link >= root && hit.Link < deepest {
 		x.table.remove(uint64(chain[hit.Link].Hash))
 	}
 	if root > 0 {
--- a/coordination/placement/set.go
+++ b/coordination/placement/set.go
@@ -167,10 +167,10 @@
 
 // Limits of Spread.
 const (
-	// spreadFactor keeps a customer's chats to about four times the engines
+	// spreadFactor keeps a customer's chats to about eight times the engines
 	// that its share of the work fills, so that none of them lives off one
 	// customer and a surge finds room.
-	spreadFactor = 4
+	spreadFactor = 8
 	// leastSpread is the fewest engines: enough that the group has a few
 	// members whatever the draw, and that one loss matters little.
 	leastSpread = 8
