--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/fleetbench/owners.go
@@ -192,6 +192,7 @@
 		}
 	}
 	engine := numberOf(result.Upstream)
+	s.measure(now, engine, result.Reason())
 	r.own = admitted{router: s.ownerOf[engine], answer: result.Answer}
 	return engine, true
 }
@@ -221,6 +222,27 @@
 	}
 }
 
+// measure compares an admission with what all owners count together. At 790
+// engines one admission in a hundred is enough.
+func (s *owners) measure(now time.Duration, engine int, reason loadbound.Reason) {
+	if now < s.w.config.WarmUp || reason != loadbound.WithinBound {
+		return
+	}
+	if len(s.w.engines) > 100 && s.w.rng.IntN(100) != 0 {
+		return
+	}
+	total := 0.0
+	for i, owner := range s.ownerOf {
+		if owner >= 0 {
+			load, _, _ := s.ledgers[owner].Load(now, s.w.engines[i].id)
+			total += load
+		}
+	}
+	load, _, _ := s.ledgers[s.ownerOf[engine]].Load(now, s.w.engines[engine].id)
+	skew := load / s.w.engines[engine].capacity / (total / s.capacity)
+	s.w.meter.counted = max(s.w.meter.counted, skew)
+}
+
 func (s *owners) finished(now time.Duration, r *request) {
 	a := r.own.(admitted)
 	cached := r.saved
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -258,5 +258,7 @@
 		bytes += held.index.Bytes()
 		entries += held.index.Len()
 	}
-	return bytes + o.pointers.Bytes(), entries + o.pointers.Len()
+	bytes += o.pointers.Bytes()
+	entries += o.pointers.Len()
+	return bytes, entries
 }
--- a/coordination/placement/table.go
+++ b/coordination/placement/table.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // EntryBytes is the size of one entry of an Index or Pointers table.
 const EntryBytes = 8
@@ -27,19 +30,14 @@
 // entry.
 type table struct {
 	buckets [][bucketEntries]uint64
-	mask    uint64
 	live    int
 }
 
 // newTable returns a table that holds at least the given entries before
 // buckets overflow more than rarely: buckets are planned four fifths full.
 func newTable(entries int) table {
-	planned := max(1, entries*5/(4*bucketEntries))
-	size := 1
-	for size < planned {
-		size *= 2
-	}
-	return table{buckets: make([][bucketEntries]uint64, size), mask: uint64(size - 1)}
+	planned := max(1, (entries*5+4*bucketEntries-1)/(4*bucketEntries))
+	return table{buckets: make([][bucketEntries]uint64, planned)}
 }
 
 // stampOf turns a time into a stamp.
@@ -61,11 +59,13 @@
 func entryValue(e uint64) uint64 { return e >> stampBits & valueMask }
 func entryStamp(e uint64) uint64 { return e & stampMask }
 
-// place returns the bucket and tag of a hash.
+// place returns the bucket, chosen by the upper bits of a hash, and the tag,
+// its lower bits.
 func (t *table) place(hash uint64) (*[bucketEntries]uint64, uint64) {
 	mixed := mix(hash)
-	tag := max(1, mixed>>(64-tagBits))
-	return &t.buckets[mixed&t.mask], tag
+	tag := max(1, mixed&(1<<tagBits-1))
+	bucket, _ := bits.Mul64(mixed, uint64(len(t.buckets)))
+	return &t.buckets[bucket], tag
 }
 
 // get returns an entry's value and stamp.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -16,12 +16,17 @@
 	// probeChoices is how many choices behind a young home are probed: one
 	// join makes the former home the second choice, two joins the third.
 	probeChoices = 2
-	// wideChoices is how many upstreams outside its group a request asks
-	// when the group has no room: a customer that surges fills its group.
-	wideChoices = 3
+	// wideChoices is how many further upstreams are asked when all of the
+	// first are above the hard bound.
+	wideChoices = 6
+	// wideRounds is how often that is repeated. In a fleet with four engines
+	// of five busy, a walk misses all idle ones once in a hundred times.
+	wideRounds = 3
 	// maxForwards is how many pointers are followed: one from the home, and
 	// one from a former home that had sent the chat on.
 	maxForwards = 2
+	// MaxAsks is the most questions of one walk.
+	MaxAsks = 1 + maxForwards + probeChoices + openChoices + wideRounds*wideChoices + maxFinals
 	// maxFinals is how many final asks are made when owners do not answer.
 	maxFinals = 3
 )
@@ -117,13 +122,13 @@
 	forward    int32
 	homePoints int32
 	// candidates are the positions that the load bound turned down.
-	candidates [MaxChoices + wideChoices + maxForwards]candidate
+	candidates [MaxAsks]candidate
 	candidateN int
 
 	phase    phase
 	current  int32
 	next     int
-	widened  bool
+	widened  int
 	forwards int
 	finals   int
 	result   Result
@@ -253,6 +258,9 @@
 	case phaseHome:
 		w.phase = phaseOpen
 		w.next = 0
+		if answer.Verdict == Refused {
+			w.next = 1
+		}
 		if answer.Verdict == Unknown && w.orderN > 1 {
 			w.phase = phaseProbe
 			w.next = 1
@@ -297,6 +305,9 @@
 func (w *Walk) nextOpen() bool {
 	for {
 		limit := min(openChoices, w.orderN)
+		if w.widened > 0 {
+			limit = w.orderN
+		}
 		for w.next < limit && w.judged(w.order[w.next]) {
 			w.next++
 		}
@@ -309,23 +320,29 @@
 	}
 }
 
-// widen goes on with choices from the whole set, once, when those of the
-// group have no room.
+// widen goes on with other choices from the whole set when all so far are above
+// the hard bound and a final ask would queue.
 //
-// Load: one customer surges to ten times its rate. Harm: all its chats queue
-// at the few engines of its group while the rest of the fleet has room.
+// Load: one customer surges to ten times its rate, or the fleet is nearly
+// idle and the few engines asked are the busy ones. Harm: chats queue at the
+// engines of their group, or behind the one request of an engine, while the
+// rest of the fleet has room.
 func (w *Walk) widen() bool {
-	key := w.request.key()
-	if w.widened || key.Spread == 0 || key.Spread >= 1 {
+	if w.widened == wideRounds || w.anyWithinBound() {
 		return false
 	}
-	w.widened = true
-	key.Spread = 0
+	w.widened++
+	key := Key{Root: chat.ChainHash(mix(uint64(w.request.key().Root) + uint64(w.widened)))}
 	w.orderN = w.set.Order(key, w.order[:wideChoices])
 	w.next = 0
 	return true
 }
 
+// anyWithinBound says whether some upstream asked is within the hard bound.
+func (w *Walk) anyWithinBound() bool {
+	return w.candidateN > 0 && w.candidates[w.best()].value > -overBoundPenalty
+}
+
 // best returns the candidate to ask finally.
 func (w *Walk) best() int {
 	best := 0
