--- a/coordination/placement/fleetbench/scenario.go
+++ b/coordination/placement/fleetbench/scenario.go
@@ -48,6 +48,18 @@
 	return s
 }
 
+// BriefTree is a fleet large enough for the exchange tree and for customers'
+// groups, for a check in CI.
+func BriefTree() Scenario {
+	s := Goal()
+	s.Fleet.Routers = 40
+	s.Fleet.Engines = 60
+	s.Fleet.Churn = 20 * time.Second
+	s.Trace.Customers = 200
+	s.Trace.RequestsPerSecond = 180
+	return s
+}
+
 // Measure runs each way on the traces of the seeds and returns the results
 // merged over seeds, in the order of the ways.
 func Measure(s Scenario, seeds []uint64, ways []Way) []Result {
