--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -32,10 +32,10 @@
 //
 // Policy.ReuseWeight, from 0 (skew first) to 1 (reuse first), sets how far
 // above the fleet's mean an engine may go for a cached prefix. The soft bound
-// of a request is 1 + (c-1) x weight x (ColdShare + (1-ColdShare) x saved),
-// where c is the set multiple and saved is the share of the prompt cached
-// there. A request with nothing cached balances the fleet; one with all of
-// its prompt cached may use the whole bound.
+// of a request is 1 + (c-1) x weight x (ColdShare + (1-ColdShare) x gain),
+// where c is the set multiple and gain is s / (s + HalfGain) for s prompt
+// tokens cached there. A request with nothing cached balances the fleet; one
+// with a long prompt cached may use nearly the whole bound.
 //
 // # Failures guarded
 //
--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/fleetbench/owners.go
@@ -233,8 +233,11 @@
 	}
 	total := 0.0
 	for i, owner := range s.ownerOf {
+		load := s.w.engines[i].load
 		if owner >= 0 {
-			load, _, _ := s.ledgers[owner].Load(now, s.w.engines[i].id)
+			load, _, _ = s.ledgers[owner].Load(now, s.w.engines[i].id)
+		}
+		if s.w.engines[i].up {
 			total += load
 		}
 	}
--- a/coordination/placement/index.go
+++ b/coordination/placement/index.go
@@ -41,12 +41,14 @@
 	// returning chat adds two or three messages a turn, so its last cached
 	// prefix is among them.
 	maxProbes = 16
-	// staleConfidence is the weight of an entry that is probably evicted:
-	// older than what the engine evicts, with events missing.
-	staleConfidence = 0.1
-	// leastConfidence keeps uncertain entries worth a probe, because being
-	// wrong costs one round trip and being right saves a prefill.
-	leastConfidence = 0.3
+	// Entries younger than evictsFrom, in usual ages of eviction, are hardly
+	// ever evicted; one age later all but leastKept of them are.
+	evictsFrom = 0.5
+	leastKept  = 0.02
+	// missedShare is the divisor of a hit under which an answer's cached
+	// tokens mean an eviction; a smaller shortfall is a message that the
+	// caller changed or an answer cut off.
+	missedShare = 2
 	// horizonSmoothing is the weight of a newly seen eviction age.
 	horizonSmoothing = 1.0 / 64
 )
@@ -70,17 +72,19 @@
 //
 // Failure guarded: events come late or not at all. A lost "stored" costs
 // nothing, since placements are known here first. A lost "evicted" leaves an
-// entry that promises a prefix that is gone. A gap in the numbers makes all
-// older entries uncertain in proportion to what was missed, and those older
-// than the engine's usual age of eviction nearly worthless. Answers set
+// entry that promises a prefix that is gone. A gap in the numbers makes older
+// entries uncertain by the share of events missed and by their age against
+// that at which the engine usually evicts. Answers set
 // entries right one by one, which resynchronises the index without any
 // control traffic.
 type Index struct {
 	table table
 	// next is the number of the next event, 0 before the first batch.
 	next uint64
-	// lost is the number of missed events that still count, as of gapAt.
-	lost  float64
+	// lost and seen count events of late; both are halved once a horizon.
+	lost, seen float64
+	halvedAt   time.Duration
+	// gapAt is when events were last known to be missed.
 	gapAt time.Duration
 	// horizon is the usual age at which the engine evicts, 0 when unknown.
 	horizon time.Duration
@@ -129,18 +133,18 @@
 	return Hit{Tokens: chain[i].Tokens, Confidence: x.confidence(now, stamp), Link: i}, true
 }
 
-// confidence is the chance that an entry survived the events that were
-// missed.
+// confidence is the chance that an entry is still cached, given that no
+// event has said it is not: the chance that an entry of its age is kept,
+// against that of being evicted with the event missed.
 func (x *Index) confidence(now time.Duration, stamp uint64) float64 {
 	age := ageOf(now, stamp)
-	if x.lost == 0 || age <= now-x.gapAt {
+	if x.lost == 0 || x.horizon == 0 || age <= now-x.gapAt {
 		return 1
 	}
-	if x.horizon > 0 && age > x.horizon {
-		return staleConfidence
-	}
-	survived := 1 - x.lost/float64(max(1, x.table.live))
-	return max(leastConfidence, survived)
+	evicted := float64(age)/float64(x.horizon) - evictsFrom
+	kept := min(1, max(leastKept, 1-evicted))
+	missed := (1 - kept) * x.lost / (x.lost + x.seen)
+	return kept / (kept + missed)
 }
 
 // Placed notes that a request was sent to the engine, which caches its whole
@@ -168,13 +172,12 @@
 // Observed takes what an answer reported as served from cache. When that is
 // less than the hit, the prefix had been evicted unseen.
 func (x *Index) Observed(now time.Duration, hit Hit, cached int) {
-	if hit.Link < 0 || cached >= hit.Tokens {
+	if hit.Link < 0 || cached >= hit.Tokens/missedShare {
 		return
 	}
 	// The request itself has put its prompt back, so the entry is right
-	// again; what is learnt is that evictions go unseen at this age.
-	x.gapAt = max(x.gapAt, now-stampUnit)
-	x.lost++
+	// again; what is learnt is that an eviction went unseen.
+	x.miss(now, 1)
 }
 
 // Apply takes a run of events numbered from first.
@@ -191,20 +194,30 @@
 		result = BatchAfterGap
 	}
 	x.next = end
+	x.seen += float64(len(events))
+	x.fade(now)
 	for _, event := range events {
 		x.event(now, event)
 	}
 	return result
 }
 
-// miss notes a gap. Older misses fade over one eviction horizon, because by
-// then the entries they concerned have been replaced.
+// miss notes missed events.
 func (x *Index) miss(now time.Duration, count uint64) {
-	if x.horizon > 0 && now-x.gapAt > x.horizon {
-		x.lost = 0
-	}
-	x.lost = min(x.lost+float64(count), float64(x.table.live))
+	x.lost = min(x.lost+float64(count), float64(max(1, x.table.live)))
 	x.gapAt = now
+	x.fade(now)
+}
+
+// fade halves the counts once a horizon: by then most entries that older
+// misses concerned have been replaced.
+func (x *Index) fade(now time.Duration) {
+	if x.horizon == 0 || now-x.halvedAt < x.horizon {
+		return
+	}
+	x.lost /= 2
+	x.seen /= 2
+	x.halvedAt = now
 }
 
 // event applies one event. Stored events of links that no placement put here
@@ -229,6 +242,7 @@
 	x.table.clear()
 	x.next = 0
 	x.lost = 0
+	x.seen = 0
 	x.horizon = 0
 }
 
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -66,11 +66,10 @@
 	Reason loadbound.Reason
 	// Forward is the short identifier of the upstream to probe.
 	Forward uint32
-	// SavedShare is the expected share of the prompt cached here.
-	SavedShare float64
 	// Ratio is the load over mean with the request.
 	Ratio float64
-	// Hit and Ticket go back with Owner.Finished.
+	// Hit is what is cached here; it goes back with Owner.Finished, as does
+	// Ticket.
 	Hit    Hit
 	Ticket loadbound.Ticket
 }
@@ -186,22 +185,17 @@
 func (o *Owner) admit(now time.Duration, ask Ask, held *holding, hit Hit) Answer {
 	prompt := ask.Chain[len(ask.Chain)-1].Tokens
 	saved := hit.Expected()
-	share := 0.0
-	if prompt > 0 {
-		share = saved / float64(prompt)
-	}
 	decision := o.ledger.Admit(now, ask.Upstream, loadbound.Ask{
 		Cost:     o.policy.Cost(prompt, saved, ask.OutputTokens),
-		Multiple: o.policy.SoftMultiple(share),
+		Multiple: o.policy.SoftMultiple(saved),
 		Final:    ask.Stage == Final,
 	})
 	answer := Answer{
-		Verdict:    verdictOf(decision.Outcome),
-		Reason:     decision.Reason,
-		SavedShare: share,
-		Ratio:      decision.Ratio,
-		Hit:        hit,
-		Ticket:     decision.Ticket,
+		Verdict: verdictOf(decision.Outcome),
+		Reason:  decision.Reason,
+		Ratio:   decision.Ratio,
+		Hit:     hit,
+		Ticket:  decision.Ticket,
 	}
 	if answer.Verdict != Admitted {
 		return answer
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -9,7 +9,7 @@
 // Presets of ReuseWeight.
 const (
 	// SkewFirst suits callers for whom one late answer is the harm.
-	SkewFirst = 0.25
+	SkewFirst = 0.35
 	// ReuseFirst suits callers who return to long chats again and again.
 	ReuseFirst = 1.0
 )
@@ -19,10 +19,13 @@
 	// DefaultColdShare is the part of the soft bound's room that a request
 	// gets with nothing cached: a little, so that most new chats stay at
 	// home and need no pointer.
-	DefaultColdShare = 0.25
+	DefaultColdShare = 0.3
 	// DefaultPrefillSpeedup says an engine prefills ten prompt tokens in the
 	// time of one generated token of a full batch.
 	DefaultPrefillSpeedup = 10
+	// DefaultHalfGain is the saved prompt tokens that are worth half of the
+	// soft bound's room: about a prompt of five turns.
+	DefaultHalfGain = 1500
 )
 
 // Policy is the settings of placement. All routers must hold the same.
@@ -36,6 +39,8 @@
 	ColdShare float64
 	// PrefillSpeedup is how many prompt tokens weigh as one generated.
 	PrefillSpeedup float64
+	// HalfGain is the saved prompt tokens that are worth half of the room.
+	HalfGain float64
 }
 
 // DefaultPolicy returns the settings for a knob.
@@ -45,6 +50,7 @@
 		Multiple:       loadbound.DefaultMultiple,
 		ColdShare:      DefaultColdShare,
 		PrefillSpeedup: DefaultPrefillSpeedup,
+		HalfGain:       DefaultHalfGain,
 	}
 }
 
@@ -66,17 +72,22 @@
 	if !(p.PrefillSpeedup > 0) {
 		return eris.Wrapf(ErrBadPolicy, "prefill speedup %v must be above 0", p.PrefillSpeedup)
 	}
+	if !(p.HalfGain > 0) {
+		return eris.Wrapf(ErrBadPolicy, "half gain %v must be above 0", p.HalfGain)
+	}
 	return nil
 }
 
 // SoftMultiple is the load over mean that a request accepts on an engine
-// that holds the given share of its prompt.
+// that saves it the given prompt tokens.
 //
 // Load: chats return to engines that are busier than others. Harm: sending
 // all of them away prefills everything twice; sending none away keeps the
-// busy engine at its bound. What the request saves decides.
-func (p Policy) SoftMultiple(savedShare float64) float64 {
-	room := p.ColdShare + (1-p.ColdShare)*savedShare
+// busy engine at its bound. What the request saves decides, in tokens: the
+// share of its prompt would give a short chat the same room as a long one.
+func (p Policy) SoftMultiple(saved float64) float64 {
+	gain := saved / (saved + p.HalfGain)
+	room := p.ColdShare + (1-p.ColdShare)*gain
 	return 1 + (p.Multiple-1)*p.ReuseWeight*room
 }
 
@@ -94,7 +105,7 @@
 // bound: the higher, the better.
 func (p Policy) value(answer Answer) float64 {
 	if answer.Reason == loadbound.OverSoftBound {
-		return p.SoftMultiple(answer.SavedShare) - answer.Ratio
+		return p.SoftMultiple(answer.Hit.Expected()) - answer.Ratio
 	}
 	return -overBoundPenalty - answer.Ratio
 }
