--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -10,8 +10,10 @@
 const (
 	// SkewFirst suits callers for whom one late answer is the harm.
 	SkewFirst = 0.35
-	// ReuseFirst suits callers who return to long chats again and again.
-	ReuseFirst = 1.0
+	// ReuseFirst suits callers who return to long chats again and again. At
+	// 0.75 the bench keeps all of its aims: at 1 it saves another 0.6% of the
+	// prompt tokens, and five admissions in 100,000 end above the bound.
+	ReuseFirst = 0.75
 )
 
 // Defaults of Policy.
