--- a/coordination/placement/fleetbench/bounds_test.go
+++ b/coordination/placement/fleetbench/bounds_test.go
@@ -49,6 +49,9 @@
 	lossy := scenarios["brief-loss"]
 	lossy.Fleet.EventLoss = 0.5
 	scenarios["brief-loss"] = lossy
+	late := Brief()
+	late.Fleet.DetectLoss = Today().Fleet.DetectLoss
+	scenarios["brief-detect"] = late
 	for name, ways := range readBounds(t).Runs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/placement/fleetbench/doc.go
+++ b/coordination/placement/fleetbench/doc.go
@@ -29,7 +29,8 @@
 // Requests enter at a router drawn at random. Routers learn of a join or
 // leave up to three seconds apart. Engines leave and return cold, flap for
 // five seconds and return warm, or crash with all work placed again. Routers
-// die; after their lease of five seconds others own their upstreams. Owners
+// die; the others notice after two seconds, and after the lease of five own
+// their upstreams. Owners
 // exchange totals over the mesh or tree with a delay of one to five
 // milliseconds.
 //
--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/fleetbench/owners.go
@@ -300,14 +300,22 @@
 	}
 }
 
-// routerLost takes a router out; its engines are without an owner until its
-// lease has run out.
+// routerLost takes a router out: its engines are without an owner until its
+// lease has run out, and membership notices only after a while.
 func (s *owners) routerLost(now time.Duration, router int) {
-	s.refreshLive()
-	s.rewire(now)
+	s.exchanges[router] = nil
 	s.fresh(router)
-	s.forget(router)
 	s.ledgers[router].SetFleetCapacity(s.capacity)
+	notice := func(now time.Duration) {
+		s.refreshLive()
+		s.forget(router)
+		s.rewire(now)
+	}
+	if s.w.config.DetectLoss == 0 {
+		notice(now)
+	} else {
+		s.w.schedule(now+s.w.config.DetectLoss, notice)
+	}
 	for i, owner := range s.ownerOf {
 		if owner != router {
 			continue
--- a/coordination/placement/fleetbench/scenario.go
+++ b/coordination/placement/fleetbench/scenario.go
@@ -16,6 +16,7 @@
 		Fleet: Config{
 			Routers: 9, Engines: 12, Batch: 32, CacheTokens: 1_000_000,
 			Unequal: true, Churn: 2 * time.Minute, WarmUp: 20 * time.Minute,
+			DetectLoss: 2 * time.Second,
 		},
 		Trace: TraceConfig{
 			Duration: 2 * time.Hour, Customers: 10, ZipfExponent: 0.9,
@@ -31,6 +32,7 @@
 		Fleet: Config{
 			Routers: 330, Engines: 790, Batch: 32, CacheTokens: 1_000_000,
 			Unequal: true, Churn: 10 * time.Second, WarmUp: 4 * time.Minute,
+			DetectLoss: 2 * time.Second,
 		},
 		Trace: TraceConfig{
 			Duration: 12 * time.Minute, Customers: 2400, ZipfExponent: 0.9,
@@ -39,12 +41,14 @@
 	}
 }
 
-// Brief is Today cut down for a check in CI.
+// Brief is Today cut down for a check in CI, with the loss of a router noticed
+// at once.
 func Brief() Scenario {
 	s := Today()
 	s.Trace.Duration = 40 * time.Minute
 	s.Trace.SurgeAt = 25 * time.Minute
 	s.Fleet.WarmUp = 10 * time.Minute
+	s.Fleet.DetectLoss = 0
 	return s
 }
 
@@ -52,6 +56,7 @@
 // groups, for a check in CI.
 func BriefTree() Scenario {
 	s := Goal()
+	s.Fleet.DetectLoss = 0
 	s.Fleet.Routers = 40
 	s.Fleet.Engines = 60
 	s.Fleet.Churn = 20 * time.Second
--- a/coordination/placement/fleetbench/world.go
+++ b/coordination/placement/fleetbench/world.go
@@ -23,6 +23,8 @@
 	// Churn is the mean time between events of joining, leaving, flapping,
 	// crashing and losing a router; 0 for none.
 	Churn time.Duration
+	// DetectLoss is how long after a router's loss the others notice it.
+	DetectLoss time.Duration
 	// EventLoss is the share of batches of cache events that are lost.
 	EventLoss float64
 	// WarmUp is not measured.
