--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"endiveplank/protocol"
@@ -40,6 +39,7 @@
 	manyChangesAtOnce   bool
 	blankVotes          bool
 	serveAfterLeaseEnds bool
+	leadAfterHandOver   bool
 }
 
 // persistPoint remembers what one output persists.
@@ -68,7 +68,14 @@
 	role   Role
 	term   uint64
 	vote   Member
+	epoch  uint64
 	leader Member
+	// superseded says that the cluster was recovered without this member.
+	superseded bool
+	// handOverUntil is set while this leader looks for a successor.
+	handOverUntil time.Duration
+	// forced marks a campaign after a hand-over.
+	forced bool
 	log    memoryLog
 
 	// contact is when a leader was last heard, or when this member started:
@@ -80,11 +87,13 @@
 	electedAt   time.Duration
 	// ownStart is the index of the entry a leader wrote at its start.
 	ownStart uint64
-	votes    []Member
-	progress map[Member]*progress
-	reads    []pendingRead
-	budget   bucket
-	incoming incomingSnapshot
+	// uncommitted counts the bytes this leader has taken and not committed.
+	uncommitted int
+	votes       []Member
+	progress    map[Member]*progress
+	reads       []pendingRead
+	budget      bucket
+	incoming    incomingSnapshot
 
 	sightings     []sighting
 	clusterExists bool
@@ -104,6 +113,7 @@
 		now:            now,
 		term:           stored.HardState.Term,
 		vote:           stored.HardState.Vote,
+		epoch:          stored.HardState.Epoch,
 		savedHardState: stored.HardState,
 		log:            newMemoryLog(stored),
 		contact:        now,
@@ -111,8 +121,7 @@
 	}
 	c.term = max(c.term, c.log.lastTerm())
 	c.resetElection(now)
-	if c.isSoleVoter() {
-		// Nobody else can have been promised a lease.
+	if c.wasAlwaysAlone() {
 		c.electionAt = now
 	}
 	return c
@@ -121,7 +130,7 @@
 // resetElection draws the next time to campaign. The draw spreads candidates,
 // so that they rarely split the votes.
 func (c *Core) resetElection(now time.Duration) {
-	spread := time.Duration(c.random.Int64N(int64(c.settings.ElectionTimeout)))
+	spread := time.Duration(c.random.Int64N(int64(c.settings.ElectionSpread)))
 	c.electionAt = now + c.settings.ElectionTimeout + spread
 }
 
@@ -131,6 +140,19 @@
 	return len(configuration.Voters) == 1 && configuration.IsVoter(c.settings.Self)
 }
 
+// wasAlwaysAlone reports whether no configuration in the log has another voter,
+// so that nobody else can hold a lease and there is nothing to wait for. The
+// newest one alone does not show it: the leader that wrote its own removal may
+// still lead.
+func (c *Core) wasAlwaysAlone() bool {
+	for _, placed := range c.log.configurations {
+		if len(placed.configuration.Voters) > 1 {
+			return false
+		}
+	}
+	return c.isSoleVoter()
+}
+
 // Tick lets time pass. Call it several times in a heartbeat interval.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
@@ -150,14 +172,36 @@
 	if now < c.electionAt {
 		return
 	}
-	configuration, _ := c.log.configuration()
-	if configuration.IsVoter(c.settings.Self) {
+	if c.mayCampaign() {
 		c.campaign(now)
 		return
 	}
 	c.sendHellos(now)
 }
 
+// mayCampaign reports whether this member is a voter, or one whose removal is
+// not known to be committed.
+//
+// Failure: a leader writes its own removal, cannot commit it and steps down.
+// The voters that are left lack the entry, so they need its vote, which their
+// shorter logs do not get; the cluster stands still for good. The removed one
+// campaigns without counting itself, wins, commits its removal and retires.
+// After a restart the commit index is unknown, so that every configuration in
+// the log may be the one in force.
+func (c *Core) mayCampaign() bool {
+	if c.superseded {
+		return false
+	}
+	placed := c.log.configurations
+	for i, p := range placed {
+		superseded := i+1 < len(placed) && placed[i+1].index <= c.log.commit
+		if !superseded && p.configuration.IsVoter(c.settings.Self) {
+			return true
+		}
+	}
+	return false
+}
+
 // Receive takes a message. A message for another member, as one meant for a
 // wiped disk of this router, is dropped.
 func (c *Core) Receive(now time.Duration, m Message) {
@@ -169,7 +213,12 @@
 	if m.To != c.settings.Self || !wellFormed(m) {
 		return
 	}
+	if !c.sameEpoch(now, m) {
+		return
+	}
 	switch m.Kind {
+	case MessageHandOver:
+		c.receiveHandOver(now, m)
 	case MessageGenesis:
 		c.receiveGenesis(now, m)
 	case MessagePreVote:
@@ -211,12 +260,11 @@
 // committed. Errors: ErrNotLeader, ErrBusy.
 func (c *Core) Propose(now time.Duration, command []byte) (index, term uint64, err error) {
 	c.now = now
-	if c.role != Leader {
+	if c.role != Leader || c.handOverUntil > 0 {
 		return 0, 0, ErrNotLeader{Leader: c.Leader()}
 	}
-	waiting := c.log.last() - c.log.commit
-	if waiting >= c.settings.MaxUncommitted {
-		return 0, 0, ErrBusy{Uncommitted: waiting}
+	if c.uncommitted >= c.settings.MaxUncommittedBytes {
+		return 0, 0, ErrBusy{UncommittedBytes: c.uncommitted}
 	}
 	return c.appendOwn(EntryCommand, command), c.term, nil
 }
@@ -225,6 +273,7 @@
 func (c *Core) appendOwn(kind EntryKind, data []byte) uint64 {
 	e := Entry{Index: c.log.last() + 1, Term: c.term, Kind: kind, Data: data}
 	c.log.append([]Entry{e})
+	c.uncommitted += e.size()
 	return e.Index
 }
 
@@ -258,12 +307,14 @@
 	if c.role == Leader {
 		c.replicateAll()
 		c.confirmReads()
+		c.tryHandOver()
 	}
 	out := c.out
 	c.out = Output{}
 	out.Committed = c.log.unapplied()
+	c.countCommitted(out.Committed)
 	out.Entries = c.log.unhanded()
-	if state := (HardState{Term: c.term, Vote: c.vote}); state != c.savedHardState {
+	if state := (HardState{Term: c.term, Vote: c.vote, Epoch: c.epoch}); state != c.savedHardState {
 		c.savedHardState = state
 		out.HardState = &state
 	}
@@ -276,6 +327,13 @@
 	return out
 }
 
+// countCommitted makes room for new proposals.
+func (c *Core) countCommitted(entries []Entry) {
+	for _, e := range entries {
+		c.uncommitted = max(0, c.uncommitted-e.size())
+	}
+}
+
 // becomeFollower enters a term without knowing its leader.
 func (c *Core) becomeFollower(now time.Duration, term uint64, reason string) {
 	if c.role == Leader {
@@ -290,6 +348,8 @@
 		c.vote = Member{}
 	}
 	c.role = Follower
+	c.forced = false
+	c.handOverUntil = 0
 	c.leader = Member{}
 	c.progress = nil
 	c.votes = nil
@@ -299,6 +359,7 @@
 func (c *Core) send(m Message) {
 	m.From = c.settings.Self
 	m.Term = c.term
+	m.Epoch = c.epoch
 	c.out.Messages = append(c.out.Messages, m)
 }
 
@@ -306,6 +367,7 @@
 func (c *Core) sendAfterSync(m Message) {
 	m.From = c.settings.Self
 	m.Term = c.term
+	m.Epoch = c.epoch
 	c.out.AfterSync = append(c.out.AfterSync, m)
 }
 
@@ -314,73 +376,19 @@
 	c.out.Events = append(c.out.Events, Event{Kind: kind, Term: c.term, Member: member, Reason: fmt.Sprintf(format, args...)})
 }
 
-// Leader returns the leader's router, or "" if none is known.
-func (c *Core) Leader() protocol.RouterID {
-	return c.leader.Router
-}
-
-// Status is a view of a member for operators and for the repair policy.
-type Status struct {
-	Self          Member
-	Role          Role
-	Term          uint64
-	Leader        Member
-	Last          uint64
-	Commit        uint64
-	Applied       uint64
-	SnapshotIndex uint64
-	Configuration Configuration
-	// ChangePending says that a membership change waits for its commit, or
-	// that this leader may not start one yet.
-	ChangePending bool
-	// Peers is set on a leader: the other members and how far they are.
-	Peers []PeerStatus
-	// Sightings are routers heard of that are in no configuration.
-	Sightings []Sighting
-}
-
-// PeerStatus is a leader's view of another member.
-type PeerStatus struct {
-	Member Member
-	Voter  bool
-	Match  uint64
-	// Heard is when the member last answered, by the leader's clock.
-	Heard time.Duration
-	// CaughtUp says that it holds all but the newest few entries.
-	CaughtUp bool
+// Role returns what this member does at the moment.
+func (c *Core) Role() Role {
+	return c.role
 }
 
-// Sighting is a member outside the configuration that asked to join.
-type Sighting struct {
-	Member Member
-	Heard  time.Duration
+// Term returns the highest term seen.
+func (c *Core) Term() uint64 {
+	return c.term
 }
 
-// Status returns a view of the member.
-func (c *Core) Status() Status {
-	configuration, _ := c.log.configuration()
-	s := Status{
-		Self: c.settings.Self, Role: c.role, Term: c.term, Leader: c.leader,
-		Last: c.log.last(), Commit: c.log.commit, Applied: c.log.applied,
-		SnapshotIndex: c.log.snapshot.Index, Configuration: configuration,
-		ChangePending: c.changePending(),
-	}
-	for _, m := range configuration.Members() {
-		p := c.progress[m]
-		if p == nil {
-			continue
-		}
-		s.Peers = append(s.Peers, PeerStatus{
-			Member: m, Voter: configuration.IsVoter(m), Match: p.match,
-			Heard: p.heard, CaughtUp: c.isCaughtUp(p),
-		})
-	}
-	for _, seen := range c.sightings {
-		if !configuration.Contains(seen.member) {
-			s.Sightings = append(s.Sightings, Sighting{Member: seen.member, Heard: seen.at})
-		}
-	}
-	return s
+// Leader returns the leader's router, or "" if none is known.
+func (c *Core) Leader() protocol.RouterID {
+	return c.leader.Router
 }
 
 // Compact tells that the state machine has written data at index. It returns
@@ -407,11 +415,3 @@
 	}
 	return from
 }
-
-// addVote adds a member to a set of votes.
-func addVote(votes []Member, m Member) []Member {
-	if slices.Contains(votes, m) {
-		return votes
-	}
-	return append(votes, m)
-}
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -1,11 +1,15 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // campaign starts a pre-vote. A member that was cut off asks here first and
 // gets no, so it never raises the term of a cluster that has a leader.
 func (c *Core) campaign(now time.Duration) {
 	c.role = PreCandidate
+	c.forced = false
 	c.leader = Member{}
 	c.votes = nil
 	c.resetElection(now)
@@ -27,7 +31,7 @@
 		}
 		// The term asked for travels in Hint: in a pre-vote it is not yet
 		// the sender's own.
-		m := Message{Kind: kind, To: voter, Index: c.log.last(), LogTerm: c.log.lastTerm(), Hint: term}
+		m := Message{Kind: kind, To: voter, Index: c.log.last(), LogTerm: c.log.lastTerm(), Hint: term, Forced: c.forced}
 		c.sendAfterSync(m)
 	}
 }
@@ -67,6 +71,7 @@
 	c.electedAt = now
 	c.heartbeatAt = now
 	c.progress = map[Member]*progress{}
+	c.uncommitted = 0
 	c.ownStart = c.appendOwn(EntryNoop, nil)
 	c.syncProgress()
 	c.event(EventBecameLeader, Member{}, "elected by %d voters", len(c.votes))
@@ -76,7 +81,7 @@
 // heardLeaderLately reports whether a leader may still hold a lease that this
 // member's answer supports.
 func (c *Core) heardLeaderLately(now time.Duration) bool {
-	if c.off.ignoreLease || c.isSoleVoter() {
+	if c.off.ignoreLease {
 		return false
 	}
 	if c.role == Leader {
@@ -108,7 +113,7 @@
 		return refusedBlank
 	case m.Hint < c.term:
 		return refusedOld
-	case c.heardLeaderLately(now):
+	case c.heardLeaderLately(now) && !m.Forced:
 		return refusedLease
 	case !c.log.isUpToDate(m.Index, m.LogTerm) && !c.off.ignoreLogOfVoter:
 		return refusedBehind
@@ -169,3 +174,11 @@
 		c.countVote(now, m.From)
 	}
 }
+
+// addVote adds a member to a set of votes.
+func addVote(votes []Member, m Member) []Member {
+	if slices.Contains(votes, m) {
+		return votes
+	}
+	return append(votes, m)
+}
--- a/state/replica/config.go
+++ b/state/replica/config.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/protocol"
 	"endiveplank/state/disk"
 )
@@ -25,7 +27,8 @@
 	// Apply carries out a committed command. It must depend on nothing but
 	// the commands before it.
 	Apply(index uint64, command []byte) (result []byte)
-	// Snapshot encodes the whole state.
+	// Snapshot encodes the whole state. Nothing commits while it runs: keep
+	// it well under the election timeout.
 	Snapshot() []byte
 	// Restore replaces the state by an encoded one; an error stops the member.
 	Restore(data []byte) error
@@ -47,7 +50,11 @@
 	// Consensus may set timings and limits; Self, Peers and InitialVoters in
 	// it are filled from here.
 	Consensus consensus.Settings
-	// SnapshotEvery is the number of entries between two snapshots.
+	// Repair says when a voter is replaced. Voters 0 means as many as
+	// InitialVoters.
+	Repair repair.Settings
+	// SnapshotEvery is the least number of entries between two snapshots. The
+	// commands since must also be as large as the last snapshot.
 	SnapshotEvery uint64
 	// SegmentBytes is the size of a log segment; 0 means the log's default.
 	SegmentBytes int64
@@ -73,6 +80,9 @@
 	TickInterval = 50 * time.Millisecond
 )
 
+// entryOverhead is the fixed part of an entry in the log, in bytes.
+const entryOverhead = 22
+
 // Limits of the queues in front of the loop.
 const (
 	// inputQueue holds the inputs that gather during one sync: some
@@ -89,9 +99,17 @@
 	if c.Self == "" || len(c.Peers) == 0 || c.Disk == nil || c.Transport == nil || c.Machine == nil || c.Random == nil {
 		return c, eris.New("replica: Self, Peers, Disk, Transport, Machine and Random are required")
 	}
+	for _, router := range append([]protocol.RouterID{c.Self}, c.InitialVoters...) {
+		if !slices.Contains(c.Peers, router) {
+			return c, eris.Errorf("replica: %s is not among the peers", router)
+		}
+	}
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.Repair.Voters == 0 {
+		c.Repair.Voters = len(c.InitialVoters)
+	}
 	if c.Now == nil {
 		start := time.Now()
 		c.Now = func() time.Duration { return time.Since(start) }
--- a/state/replica/loop.go
+++ b/state/replica/loop.go
@@ -23,6 +23,7 @@
 		case <-ticks:
 			r.drain()
 			r.core.Tick(r.config.Now())
+			r.repair()
 		case input := <-r.inputs:
 			input()
 			r.drain()
@@ -31,6 +32,15 @@
 	}
 }
 
+// repair makes the membership step that the policy asks for. The core refuses
+// one that would endanger the quorum; the policy asks again at a later tick.
+func (r *Replica) repair() {
+	now := r.config.Now()
+	if change := r.policy.Decide(now, r.core.Status()); change.Kind != 0 {
+		_ = r.core.ChangeMembership(now, change)
+	}
+}
+
 // drain takes the inputs that wait, up to the batch limit. A tick drains them
 // first: after a long sync or a freeze the answers that prove a quorum alive
 // are in the queue.
@@ -71,6 +81,7 @@
 // persist and sync, then promise, then apply.
 func (r *Replica) carryOut(out consensus.Output) {
 	r.report(out.Events)
+	r.withdrawLease()
 	r.sendAll(out.Messages)
 	if out.MustSync() {
 		if err := r.persist(out); err != nil {
@@ -117,15 +128,15 @@
 // noteLeadership fails the waiting proposals when leadership ends, and tells
 // of a change of leader.
 func (r *Replica) noteLeadership() {
-	status := r.core.Status()
-	leads := status.Role == consensus.Leader
+	leader := r.core.Leader()
+	leads := r.core.Role() == consensus.Leader
 	if r.wasLeader && !leads {
-		r.loseProposals(status.Leader.Router)
+		r.loseProposals(leader)
 	}
 	r.wasLeader = leads
-	if leader := status.Leader.Router; leader != r.leader {
+	if leader != r.leader {
 		r.leader = leader
-		r.tellLeader(leader, status.Term)
+		r.tellLeader(leader, r.core.Term())
 	}
 }
 
@@ -187,6 +198,8 @@
 		}
 		r.applied = out.Snapshot.Index
 		r.snapshotAt = out.Snapshot.Index
+		r.snapshotBytes = len(out.Snapshot.Data)
+		r.loggedBytes = 0
 	}
 	for _, e := range out.Committed {
 		r.applyEntry(e)
@@ -200,6 +213,7 @@
 		result = r.config.Machine.Apply(e.Index, e.Data)
 	}
 	r.applied = e.Index
+	r.loggedBytes += entryOverhead + len(e.Data)
 	if w, ok := r.waiting[e.Index]; ok {
 		delete(r.waiting, e.Index)
 		w.reply <- outcome(w, e, result, r.leader)
@@ -220,11 +234,14 @@
 
 // compact writes a snapshot when enough entries have gathered.
 func (r *Replica) compact() {
-	if r.failure != nil || r.applied-r.snapshotAt < r.config.SnapshotEvery {
+	if r.failure != nil || !snapshotDue(r.applied-r.snapshotAt, r.config.SnapshotEvery, r.loggedBytes, r.snapshotBytes) {
 		return
 	}
-	s, ok := r.core.Compact(r.applied, r.config.Machine.Snapshot())
+	data := r.config.Machine.Snapshot()
+	s, ok := r.core.Compact(r.applied, data)
 	r.snapshotAt = r.applied
+	r.snapshotBytes = len(data)
+	r.loggedBytes = 0
 	if !ok {
 		return
 	}
@@ -233,10 +250,34 @@
 	}
 }
 
+// snapshotDue says whether a snapshot is worth its writing.
+//
+// Load: a journal of tens of megabytes that takes a thousand commands a
+// second. Harm prevented: with a bound on entries alone, the whole state would
+// be written every few seconds, and nothing commits meanwhile. The log grows to
+// the size of the state first, so snapshots at most double what is written.
+func snapshotDue(entries, every uint64, logged, snapshot int) bool {
+	return entries >= every && logged >= snapshot
+}
+
 // publish makes status and lease visible to other goroutines.
 func (r *Replica) publish() {
 	status := r.core.Status()
 	r.status.Store(&status)
+	r.publishLease()
+}
+
+// withdrawLease ends a lease that was given up, before messages leave: nobody
+// may read under it once a successor has been told.
+func (r *Replica) withdrawLease() {
+	if !r.core.HoldsLease(r.config.Now()) {
+		r.leaseUntil.Store(0)
+	}
+}
+
+// publishLease makes the end of the lease visible, after the state machine has
+// applied what the lease covers.
+func (r *Replica) publishLease() {
 	now := r.config.Now()
 	until := r.core.LeaseUntil(now)
 	if until <= now {
--- a/state/replica/replica.go
+++ b/state/replica/replica.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/protocol"
 	"endiveplank/state/wal"
 )
@@ -17,6 +18,7 @@
 type Replica struct {
 	config Config
 	core   *consensus.Core
+	policy repair.Policy
 	log    *wal.Log
 
 	inputs  chan func()
@@ -37,8 +39,12 @@
 	nextBarrier uint64
 	applied     uint64
 	snapshotAt  uint64
-	leader      protocol.RouterID
-	wasLeader   bool
+	// snapshotBytes is the size of the newest snapshot, and loggedBytes that
+	// of the commands since.
+	snapshotBytes int
+	loggedBytes   int
+	leader        protocol.RouterID
+	wasLeader     bool
 }
 
 // answer is the outcome of a proposal.
@@ -77,6 +83,7 @@
 	settings.InitialVoters = config.InitialVoters
 	r := &Replica{
 		config: config, log: log,
+		policy:     repair.New(config.Repair),
 		core:       consensus.New(settings, stored, config.Now(), config.Random),
 		inputs:     make(chan func(), inputQueue),
 		stop:       make(chan struct{}),
@@ -84,7 +91,7 @@
 		waiting:    map[uint64]waiter{},
 		barriers:   map[uint64]chan error{},
 		applied:    stored.Snapshot.Index,
-		snapshotAt: stored.Snapshot.Index,
+		snapshotAt: stored.Snapshot.Index, snapshotBytes: len(stored.Snapshot.Data),
 	}
 	r.publish()
 	return r, nil
@@ -102,7 +109,9 @@
 	r.once.Do(func() { close(r.stop) })
 	if r.started.Load() {
 		<-r.done
+		return
 	}
+	_ = r.log.Close()
 }
 
 // Done is closed when the loop has ended, by Stop or by a failure.
@@ -162,6 +171,18 @@
 	return r.await(ctx, reply)
 }
 
+// HandOver makes this member, if it leads, give leadership to a caught-up voter
+// before a planned stop. It answers at once; leadership ends within
+// milliseconds, or stays if no voter is ready within an election timeout.
+// Proposals that wait are answered with ErrLostLeadership.
+func (r *Replica) HandOver(ctx context.Context) error {
+	reply := make(chan error, 1)
+	if err := r.enqueue(ctx, func() { reply <- r.core.HandOver(r.config.Now()) }); err != nil {
+		return err
+	}
+	return r.await(ctx, reply)
+}
+
 // await waits for an answer of the loop.
 func (r *Replica) await(ctx context.Context, reply <-chan error) error {
 	select {
--- a/state/wal/record.go
+++ b/state/wal/record.go
@@ -16,15 +16,17 @@
 
 // Lengths of the fixed part of the records, in bytes, without the kind.
 const (
-	hardStateSize = 8 + 8 + 2
+	hardStateSize = 8 + 8 + 8 + 2
 	entrySize     = 8 + 8 + 1 + 4
 	resetSize     = 8 + 8
 )
 
-// appendHardState adds a hard state record: term, disk and router of the vote.
+// appendHardState adds a hard state record: term, epoch, disk and router of
+// the vote.
 func appendHardState(b []byte, s consensus.HardState) []byte {
 	b = append(b, recordHardState)
 	b = binary.LittleEndian.AppendUint64(b, s.Term)
+	b = binary.LittleEndian.AppendUint64(b, s.Epoch)
 	b = binary.LittleEndian.AppendUint64(b, uint64(s.Vote.Disk))
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(s.Vote.Router)))
 	return append(b, s.Vote.Router...)
@@ -52,8 +54,10 @@
 	hardState      consensus.HardState
 	base, baseTerm uint64
 	entries        []consensus.Entry
-	// started says that base is known.
+	// started says that an entry or reset was read.
 	started bool
+	// anchored says that base comes from a reset.
+	anchored bool
 	// highest is the highest index among the entries of the segment at hand.
 	highest uint64
 }
@@ -92,13 +96,14 @@
 	if len(b) < hardStateSize {
 		return nil, "short hard state"
 	}
-	length := int(binary.LittleEndian.Uint16(b[16:]))
+	length := int(binary.LittleEndian.Uint16(b[24:]))
 	if len(b) < hardStateSize+length {
 		return nil, "short router name"
 	}
 	r.hardState.Term = binary.LittleEndian.Uint64(b)
+	r.hardState.Epoch = binary.LittleEndian.Uint64(b[8:])
 	r.hardState.Vote = consensus.Member{
-		Disk:   consensus.DiskID(binary.LittleEndian.Uint64(b[8:])),
+		Disk:   consensus.DiskID(binary.LittleEndian.Uint64(b[16:])),
 		Router: protocol.RouterID(b[hardStateSize : hardStateSize+length]),
 	}
 	return b[hardStateSize+length:], ""
@@ -124,11 +129,14 @@
 }
 
 // add puts an entry after the last, or in place of an earlier one and all
-// after it.
+// after it. Segments that a snapshot covers are gone, so the first entry read
+// may be any; a later one may still replace entries from before it.
 func (r *replay) add(e consensus.Entry) string {
-	if !r.started && e.Index > 0 {
+	first := !r.started || !r.anchored && e.Index <= r.base
+	if first && e.Index > 0 {
 		r.started = true
 		r.base = e.Index - 1
+		r.entries = nil
 	}
 	if e.Index <= r.base || e.Index > r.last()+1 {
 		return "entry out of order"
@@ -146,5 +154,6 @@
 	r.baseTerm = binary.LittleEndian.Uint64(b[8:])
 	r.entries = nil
 	r.started = true
+	r.anchored = true
 	return b[resetSize:], ""
 }
