--- a/coordination/placement/fleetbench/cache.go
+++ b/coordination/placement/fleetbench/cache.go
@@ -1,6 +1,10 @@
 package fleetbench
 
-import "endiveplank/protocol/chat"
+import (
+	"time"
+
+	"endiveplank/protocol/chat"
+)
 
 // promptCache is an engine's cache of prompt prefixes: whole chats and shared
 // system prompts, least recently used evicted first.
@@ -17,9 +21,13 @@
 // cacheEntry is a chat, keyed by its root, or a system prompt, keyed by its
 // own hash.
 type cacheEntry struct {
-	key        chat.ChainHash
-	deepest    chat.ChainHash
-	tokens     int
+	key     chat.ChainHash
+	deepest chat.ChainHash
+	tokens  int
+	// turn is the chat's last turn here and usedAt its time, as far as the
+	// cache was told; turn is nil for a system prompt.
+	turn       *turn
+	usedAt     time.Duration
 	prev, next *cacheEntry
 }
 
--- a/coordination/placement/fleetbench/engine.go
+++ b/coordination/placement/fleetbench/engine.go
@@ -104,6 +104,7 @@
 	prompt := r.turn.prompt()
 	r.saved = e.cache.saved(r.turn.chain)
 	e.cache.use(r.turn.chain, prompt)
+	e.cache.noteTurn(now, r.turn)
 	prefill := float64(prompt-r.saved) / prefillSpeedup
 	r.cost = prefill + float64(r.turn.expected)
 	r.ends = e.virtual + prefill + float64(r.turn.output)
--- a/coordination/placement/fleetbench/meter.go
+++ b/coordination/placement/fleetbench/meter.go
@@ -26,6 +26,12 @@
 	OverPct float64
 	// ReusePct is the share of prompt tokens served from cache.
 	ReusePct float64
+	// LeaverReusePct is the same for the first turn after a planned leave of
+	// each chat that the leaver held, LeaverTurns how many these are, and
+	// MovedTokens the tokens moved.
+	LeaverReusePct float64
+	LeaverTurns    int
+	MovedTokens    int
 	// MeanStreams is the mean number of requests on an engine.
 	MeanStreams float64
 	// Asks is the mean number of questions to owners for one request.
@@ -60,6 +66,7 @@
 	sent    []int
 	bytes   int
 	entries int
+	leaver  leaverMeter
 }
 
 // admitted measures the fleet right after an admission.
@@ -68,6 +75,7 @@
 		m.waits = 0
 		return
 	}
+	m.leaver.admitted(r)
 	m.prompt += r.turn.prompt()
 	m.saved += r.saved
 	load, capacity, streams, up := 0.0, 0.0, 0, 0
@@ -113,6 +121,7 @@
 		MeanStreams: m.streams / count,
 		WaitPct:     100 * float64(m.waits) / count,
 	}
+	m.leaver.result(&r)
 	if m.asked > 0 {
 		r.Asks = float64(m.asks) / float64(m.asked)
 		r.MovedPct = 100 * float64(m.moved) / float64(m.asked)
@@ -139,6 +148,7 @@
 	mean := func(into *float64, value float64) {
 		*into = (*into*old + value*add) / (old + add)
 	}
+	r.mergeLeaver(other)
 	r.Requests += other.Requests
 	r.SkewMax = max(r.SkewMax, other.SkewMax)
 	r.SkewAny = max(r.SkewAny, other.SkewAny)
--- a/coordination/placement/fleetbench/world.go
+++ b/coordination/placement/fleetbench/world.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"endiveplank/coordination/kvmove"
 	"endiveplank/protocol"
 )
 
@@ -25,6 +26,12 @@
 	Churn time.Duration
 	// EventLoss is the share of batches of cache events that are lost.
 	EventLoss float64
+	// Planned is the time between planned leaves of one engine after the
+	// other, each for PlannedAway; 0 for none. With Moves, the leaver's hot
+	// chats are moved first.
+	Planned     time.Duration
+	PlannedAway time.Duration
+	Moves       *kvmove.Costs
 	// WarmUp is not measured.
 	WarmUp time.Duration
 }
@@ -96,6 +103,7 @@
 	w.way = way.build(w)
 	w.scheduleReports()
 	w.scheduleChurn()
+	w.schedulePlanned()
 	w.scheduleTurn(0)
 	w.runUntil(w.end)
 	return w.meter.result(w)
