--- a/coordination/loadbound/decision.go
+++ b/coordination/loadbound/decision.go
@@ -51,6 +51,8 @@
 	OverBound Reason = "over-bound"
 	// UpstreamFull: the upstream's own limit of requests is reached.
 	UpstreamFull Reason = "upstream-full"
+	// QueueAhead: other requests wait for the upstream already.
+	QueueAhead Reason = "queue-ahead"
 	// NotOwner: this router does not hold the upstream, or its lease has run
 	// out.
 	NotOwner Reason = "not-owner"
@@ -91,4 +93,6 @@
 	// Fence is the owner's tenure under which the request was admitted.
 	Fence protocol.Fence
 	Cost  float64
+	// ID tells the ledger's tickets apart.
+	ID uint64
 }
--- a/coordination/loadbound/ledger.go
+++ b/coordination/loadbound/ledger.go
@@ -20,7 +20,8 @@
 	// no limit.
 	MaxRequests int
 	// Reported is the upstream's last report. For a fresh upstream it is
-	// zero; after a loss of the former owner it becomes the floor.
+	// zero; after a loss of the former owner it becomes the floor, and must
+	// have been made after the former lease ended, or it can miss work.
 	Reported upstreamapi.Load
 }
 
@@ -37,7 +38,6 @@
 	// reported is the upstream's last report, received at reportedAt.
 	reported   float64
 	reportedAt time.Duration
-	ownedAt    time.Duration
 	// lowRequests is the fewest requests this owner had running since
 	// lowSince; lowBefore is the same for the window before that.
 	lowRequests int
@@ -60,6 +60,10 @@
 	viewOrder []*view
 	// capacityFloor is the fleet's capacity by the replicated state.
 	capacityFloor float64
+	// tickets numbers the tickets, and corrected holds what Correct has added
+	// to the cost of running ones.
+	tickets   uint64
+	corrected map[uint64]float64
 }
 
 // NewLedger returns an empty ledger. It panics when config.Check fails.
@@ -71,6 +75,8 @@
 		config:   config,
 		accounts: make(map[protocol.UpstreamID]*account),
 		views:    make(map[protocol.RouterID]*view),
+
+		corrected: make(map[uint64]float64),
 	}
 }
 
@@ -109,7 +115,6 @@
 		inherited:  float64(grant.Reported.OutstandingTokens),
 		reported:   float64(grant.Reported.OutstandingTokens),
 		reportedAt: now,
-		ownedAt:    now,
 		lowSince:   now,
 		promisedAt: now,
 	}
@@ -134,10 +139,10 @@
 }
 
 // Reported takes an upstream's own, late count of its load and lowers what
-// can be left of inherited work. The requests reported less those this owner
-// had running all the while are the most that can be old ones. Their tokens
-// are at most the report's, and of the first report's at most twice their
-// share by count, because the longer ones outlast the rest.
+// can be left of inherited work. That is at most the load reported, because
+// inherited work only drains; and nothing, once the upstream reports no more
+// requests than this owner had running all the while. No guess about the
+// length of what is left is made: a single straggler can be nearly all of it.
 func (l *Ledger) Reported(now time.Duration, id protocol.UpstreamID, load upstreamapi.Load) {
 	a, ok := l.accounts[id]
 	if !ok || a.inherited == 0 {
@@ -147,29 +152,11 @@
 	a.reportedAt = now
 	a.rollWindow(now)
 	a.inherited = math.Min(a.inherited, a.reported)
-	own := min(a.lowRequests, a.lowBefore)
-	old := load.Running + load.Waiting - own
-	if old <= 0 || now-a.ownedAt > inheritFor {
+	if load.Running+load.Waiting <= min(a.lowRequests, a.lowBefore) {
 		a.inherited = 0
-		return
 	}
-	first := a.grant.Reported
-	count := max(1, first.Running+first.Waiting)
-	left := stragglerFactor * float64(old) / float64(count) * float64(first.OutstandingTokens)
-	a.inherited = math.Min(a.inherited, left)
 }
 
-// Limits of inherited work.
-const (
-	// stragglerFactor is how much longer than the mean the requests are that
-	// are left last.
-	stragglerFactor = 2
-	// inheritFor ends inherited work. Nearly all answers end within a
-	// minute, and a count that is off by one lost request must not hold an
-	// upstream back for ever.
-	inheritFor = time.Minute
-)
-
 // reportLag is the longest lag of an upstream's report that hand-over counts
 // with: two announcements.
 const reportLag = 2 * upstreamapi.AnnounceInterval
@@ -198,7 +185,7 @@
 	a := l.accounts[id]
 	a.running += ask.Cost
 	a.requests++
-	decision.Ticket = Ticket{Upstream: id, Fence: a.grant.Fence, Cost: ask.Cost}
+	decision.Ticket = l.ticket(id, a, ask.Cost)
 	return decision
 }
 
@@ -300,13 +287,36 @@
 	a.running += cost
 	a.requests++
 	a.inherited = math.Max(0, a.inherited-cost)
-	return Ticket{Upstream: id, Fence: a.grant.Fence, Cost: cost}, true
+	return l.ticket(id, a, cost), true
+}
+
+// ticket numbers a request that was counted.
+func (l *Ledger) ticket(id protocol.UpstreamID, a *account, cost float64) Ticket {
+	l.tickets++
+	return Ticket{Upstream: id, Fence: a.grant.Fence, Cost: cost, ID: l.tickets}
+}
+
+// Correct changes the cost of a running request once more is known of it.
+//
+// Failure guarded: a long prompt is admitted as cached an instant after the
+// engine evicted it. Its upstream counts too low for as long as it runs, and
+// takes more requests above the bound.
+func (l *Ledger) Correct(ticket Ticket, cost float64) {
+	a, ok := l.accounts[ticket.Upstream]
+	if !ok || a.grant.Fence != ticket.Fence || !(cost > 0) || math.IsInf(cost, 0) {
+		return
+	}
+	extra := cost - ticket.Cost
+	a.running += extra - l.corrected[ticket.ID]
+	l.corrected[ticket.ID] = extra
 }
 
 // Finish takes a request off the count: its answer ended, was cancelled, or
 // was handed to another upstream. A ticket of an earlier tenure is ignored,
 // because the floor of inherited work counts that request.
 func (l *Ledger) Finish(now time.Duration, ticket Ticket) {
+	extra := l.corrected[ticket.ID]
+	delete(l.corrected, ticket.ID)
 	a, ok := l.accounts[ticket.Upstream]
 	if !ok || a.grant.Fence != ticket.Fence {
 		return
@@ -315,7 +325,7 @@
 		panic("loadbound: every ticket is finished once: more finished than admitted")
 	}
 	a.rollWindow(now)
-	a.running -= ticket.Cost
+	a.running -= ticket.Cost + extra
 	a.requests--
 	if a.requests == 0 {
 		// Sums of floats do not cancel exactly; no work is exactly none.
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -61,6 +61,9 @@
 	config     Config
 	view       *View
 	leaseUntil time.Duration
+	// leaseLost is when the last lease ended, as far as it was known.
+	leaseLost      time.Duration
+	parkedRequests []parked
 	// session names this router's lease in the journal of orders.
 	session ownership.SessionID
 	// unready tells the platform to send callers elsewhere; draining refuses
@@ -139,7 +142,7 @@
 
 // InFlight returns the number of callers' requests and of relayed attempts.
 func (n *Node) InFlight() (entries, relayed int) {
-	return len(n.entries), len(n.running)
+	return len(n.entries) + len(n.parkedRequests), len(n.running)
 }
 
 // Revision returns the revision of the configuration in force here.
@@ -155,6 +158,7 @@
 	case CallerRequest:
 		n.callerRequest(now, in)
 	case CallerGone:
+		n.unparkGone(in)
 		n.callerGone(now, in)
 	case PeerPlace:
 		n.ownerPlace(now, in)
@@ -166,6 +170,10 @@
 		n.entryEnd(now, in)
 	case PeerCancel:
 		n.ownerCancel(now, in)
+	case PeerCheck:
+		n.ownerChecked(in)
+	case PeerAlive:
+		n.entryAlive(now, in)
 	case PeerTotals:
 		n.ledger.Receive(now, in.From, in.Summary)
 		n.exchange.Heard(now, in.From)
@@ -221,6 +229,7 @@
 
 // tick meets deadlines.
 func (n *Node) tick(now time.Duration) {
+	n.unpark(now)
 	n.tickEntries(now)
 	n.tickOwned(now)
 	n.askLimits(now)
@@ -267,6 +276,10 @@
 		return PeerOrderReport{From: from, Report: message}
 	case fleet.Moved:
 		return PeerMoved{Moved: message}
+	case fleet.Check:
+		return PeerCheck{From: from, Check: message}
+	case fleet.Alive:
+		return PeerAlive{Alive: message}
 	case limits.Ask:
 		return PeerLimitAsk{From: from, Ask: message}
 	case limits.Answer:
@@ -291,6 +304,10 @@
 		return wire.KindOrderReport
 	case fleet.Moved:
 		return wire.KindMoved
+	case fleet.Check:
+		return wire.KindCheck
+	case fleet.Alive:
+		return wire.KindAlive
 	case limits.Ask:
 		return wire.KindLimitAsk
 	case limits.Answer:
--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -32,15 +32,16 @@
 //
 // Policy.ReuseWeight, from 0 (skew first) to 1 (reuse first), sets how far
 // above the fleet's mean an engine may go for a cached prefix. The soft bound
-// of a request is 1 + (c-1) x weight x (ColdShare + (1-ColdShare) x saved),
-// where c is the set multiple and saved is the share of the prompt cached
-// there. A request with nothing cached balances the fleet; one with all of
-// its prompt cached may use the whole bound.
+// of a request is 1 + (c-1) x weight x (ColdShare + (1-ColdShare) x gain),
+// where c is the set multiple and gain is s / (s + HalfGain) for s prompt
+// tokens cached there. A request with nothing cached balances the fleet; one
+// with a long prompt cached may use nearly the whole bound.
 //
 // # Failures guarded
 //
 // Cache events that are late or lost: Index. Joins, leaves, owner changes:
-// Walk and Pointers. Engines that turn slow without failing: Slowness. Bad
+// Walk and Pointers. Engines that turn slow: package slowness lowers the
+// capacity that the load bound and the order count with. Bad
 // input gives a typed outcome with a reason, never a panic.
 //
 // # State
--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/fleetbench/owners.go
@@ -192,6 +192,7 @@
 		}
 	}
 	engine := numberOf(result.Upstream)
+	s.measure(now, engine, result.Reason())
 	r.own = admitted{router: s.ownerOf[engine], answer: result.Answer}
 	return engine, true
 }
@@ -221,6 +222,30 @@
 	}
 }
 
+// measure compares an admission with what all owners count together. At 790
+// engines one admission in a hundred is enough.
+func (s *owners) measure(now time.Duration, engine int, reason loadbound.Reason) {
+	if now < s.w.config.WarmUp || reason != loadbound.WithinBound {
+		return
+	}
+	if len(s.w.engines) > 100 && s.w.rng.IntN(100) != 0 {
+		return
+	}
+	total := 0.0
+	for i, owner := range s.ownerOf {
+		load := s.w.engines[i].load
+		if owner >= 0 {
+			load, _, _ = s.ledgers[owner].Load(now, s.w.engines[i].id)
+		}
+		if s.w.engines[i].up {
+			total += load
+		}
+	}
+	load, _, _ := s.ledgers[s.ownerOf[engine]].Load(now, s.w.engines[engine].id)
+	skew := load / s.w.engines[engine].capacity / (total / s.capacity)
+	s.w.meter.counted = max(s.w.meter.counted, skew)
+}
+
 func (s *owners) finished(now time.Duration, r *request) {
 	a := r.own.(admitted)
 	cached := r.saved
@@ -275,14 +300,22 @@
 	}
 }
 
-// routerLost takes a router out; its engines are without an owner until its
-// lease has run out.
+// routerLost takes a router out: its engines are without an owner until its
+// lease has run out, and membership notices only after a while.
 func (s *owners) routerLost(now time.Duration, router int) {
-	s.refreshLive()
-	s.rewire(now)
+	s.exchanges[router] = nil
 	s.fresh(router)
-	s.forget(router)
 	s.ledgers[router].SetFleetCapacity(s.capacity)
+	notice := func(now time.Duration) {
+		s.refreshLive()
+		s.forget(router)
+		s.rewire(now)
+	}
+	if s.w.config.DetectLoss == 0 {
+		notice(now)
+	} else {
+		s.w.schedule(now+s.w.config.DetectLoss, notice)
+	}
 	for i, owner := range s.ownerOf {
 		if owner != router {
 			continue
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,23 +23,31 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"endiveplank/coordination/consensus/repair"
 	"endiveplank/coordination/explain"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/ownership"
 	"endiveplank/protocol"
+	"endiveplank/protocol/fleet"
 	"endiveplank/protocol/wire"
 	"endiveplank/settings"
 	"endiveplank/state/disk"
 	"endiveplank/state/replica"
+	"endiveplank/transport/admin"
 	"endiveplank/transport/announce"
 	"endiveplank/transport/callers"
 	"endiveplank/transport/peer"
+	"endiveplank/transport/tracing"
 	"endiveplank/transport/upstream"
 )
 
 // lostAfter is how long a peer may be unreachable before its work is moved.
 const lostAfter = 2 * time.Second
 
+// handOverTime is what a leader that stops as planned needs to pass its office
+// on. Without it the fleet would elect one after an election timeout.
+const handOverTime = 100 * time.Millisecond
+
 // Daemon is one running process.
 type Daemon struct {
 	settings  settings.Settings
@@ -54,6 +62,8 @@
 	replica   *replica.Replica
 	servers   []*http.Server
 	questions *questions
+	tracer    *tracing.Tracer
+	admin     *admin.Handler
 	quit      chan struct{}
 }
 
@@ -70,6 +80,12 @@
 	if err := d.provisionMesh(incarnation); err != nil {
 		return nil, err
 	}
+	tracer, err := tracing.New(s.Traces, s.RouterID, s.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	d.tracer = tracer
+	d.admin = admin.New(d, s.Operators)
 	d.provisionRunner()
 	d.provisionGossip(incarnation)
 	d.provisionMember(incarnation)
@@ -118,6 +134,7 @@
 		counters: d.counters,
 		answers:  map[protocol.RequestID]*callers.Answer{},
 		events:   explain.NewRing(eventRingSize),
+		hops:     hops{tracer: d.tracer, open: map[fleet.Attempt]hop{}},
 		core: node.New(node.Config{
 			Self:        d.settings.RouterID,
 			DataCentre:  d.settings.DataCentre,
@@ -129,7 +146,7 @@
 			Random:      newRandom(),
 		}),
 	}
-	d.runner.client = upstream.New(d.runner)
+	d.runner.client = upstream.New(d.runner, d.tracer)
 }
 
 // newRandom returns a random source with a seed of its own.
@@ -148,7 +165,7 @@
 			Address:     d.settings.Listen.Peers,
 			Capacity:    ordinaryCapacity,
 		},
-		voters: d.settings.Voters,
+		voters: stateKeepers(d.settings),
 		send:   d.mesh.Send,
 		input:  d.runner.Input,
 		learn:  d.mesh.SetAddress,
@@ -174,13 +191,14 @@
 	d.host = newStateHost(d.now, d.log, d.sendPush)
 	d.replica, err = replica.New(replica.Config{
 		Self:          d.settings.RouterID,
-		Peers:         d.stateKeepers(),
+		Peers:         stateKeepers(d.settings),
 		InitialVoters: d.settings.Voters,
 		Disk:          folder,
 		Transport:     consensusTransport{d.mesh},
 		Machine:       d.host,
 		Random:        newRandom(),
 		Now:           d.now,
+		Repair:        repair.Settings{SilentAfter: time.Duration(d.settings.Timing.ReplaceVoterMS) * time.Millisecond},
 		OnFailed: func(err error) {
 			d.log.Error().Err(err).Msg("state: voter stopped")
 		},
@@ -193,16 +211,9 @@
 	return nil
 }
 
-// stateKeepers lists all processes that may keep state: the first voters and
-// this one.
-func (d *Daemon) stateKeepers() []protocol.RouterID {
-	keepers := append([]protocol.RouterID(nil), d.settings.Voters...)
-	for _, keeper := range keepers {
-		if keeper == d.settings.RouterID {
-			return keepers
-		}
-	}
-	return append(keepers, d.settings.RouterID)
+// stateKeepers lists all processes that may keep state.
+func stateKeepers(s settings.Settings) []protocol.RouterID {
+	return append(append([]protocol.RouterID(nil), s.Voters...), s.Spares...)
 }
 
 // Start listens and begins to serve. On an error the process can't run.
@@ -223,9 +234,9 @@
 // listenAll opens the HTTP listeners.
 func (d *Daemon) listenAll() error {
 	prefix := string(d.settings.RouterID) + "-" + strconv.FormatInt(d.epoch.UnixMilli(), 36)
-	callersServer := callers.New(d.runner, d.settings.Callers, prefix).Server()
+	callersServer := callers.New(d.runner, d.settings.Callers, prefix, d.tracer).Server()
 	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: askTimeout * 5}
-	adminServer := &http.Server{Handler: d.adminHandler(), ReadTimeout: askTimeout * 30}
+	adminServer := &http.Server{Handler: d.admin, ReadTimeout: askTimeout * 30}
 	for _, item := range []struct {
 		address string
 		server  *http.Server
@@ -277,13 +288,27 @@
 	d.member.done.Wait()
 	if d.replica != nil {
 		d.host.stop()
+		handOver, cancel := context.WithTimeout(context.Background(), askTimeout)
+		_ = d.replica.HandOver(handOver)
+		cancel()
+		sleep(context.Background(), handOverTime)
 		d.replica.Stop()
 	}
 	d.mesh.Close()
+	d.closeTracer()
 	d.log.Info().Bool("whole", whole).Msg("daemon: stopped")
 	return whole
 }
 
+// closeTracer sends the last spans, also when the stop's own patience is over.
+func (d *Daemon) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if err := d.tracer.Close(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("daemon: spans dropped")
+	}
+}
+
 // sleep waits, at most until the context ends.
 func sleep(ctx context.Context, length time.Duration) {
 	select {
@@ -292,6 +317,19 @@
 	}
 }
 
+// abort ends the process's parts at once, as a crash would, for tests.
+func (d *Daemon) abort() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.mesh.Close()
+	close(d.quit)
+	if d.replica != nil {
+		d.replica.Stop()
+		d.host.stop()
+	}
+}
+
 // awaitIdle waits until no request is in flight.
 func (d *Daemon) awaitIdle(ctx context.Context) bool {
 	for {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -21,11 +20,6 @@
 	"endiveplank/transport/admin"
 )
 
-// adminHandler serves operators.
-func (d *Daemon) adminHandler() http.Handler {
-	return admin.New(d, d.settings.Operators)
-}
-
 // Rows implements admin.Fleet.
 func (d *Daemon) Rows(sheet table.Sheet) []table.Row {
 	rows := []table.Row{}
@@ -93,6 +87,8 @@
 	}
 	d.counters.set("peer_connections_stalled_total", float64(counts.Stalled))
 	d.counters.set("peer_connections_refused_total", float64(counts.RefusedInbound))
+	d.counters.set("peer_connections_broken_total", float64(counts.BrokenInbound))
+	d.counters.set("peer_connections_replaced_total", float64(counts.Reconnected))
 }
 
 // Status implements admin.Fleet.
@@ -106,10 +102,28 @@
 		Upstreams:  []admin.UpstreamStatus{},
 	}
 	d.member.read(func(view *fleetstate.View) { fillStatus(&status, view) })
+	status.Voters = d.voters()
 	status.Problems = problemsOf(status)
 	return status
 }
 
+// voters describes the members of the replicated log as this one knows them; a
+// router without a disk knows none.
+func (d *Daemon) voters() []admin.VoterStatus {
+	if d.replica == nil {
+		return nil
+	}
+	known := d.replica.Status()
+	var list []admin.VoterStatus
+	for _, voter := range known.Configuration.Voters {
+		list = append(list, admin.VoterStatus{Router: voter.Router, Role: "voter"})
+	}
+	for _, learner := range known.Configuration.Learners {
+		list = append(list, admin.VoterStatus{Router: learner.Router, Role: "learner"})
+	}
+	return list
+}
+
 // fillStatus describes routers and upstreams from a view.
 func fillStatus(status *admin.Status, view *fleetstate.View) {
 	status.Revision = view.Revision()
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -48,6 +48,7 @@
 	mu      sync.Mutex
 	core    *node.Node
 	answers map[protocol.RequestID]*callers.Answer
+	hops    hops
 	// after holds inputs that came up while outputs were carried out.
 	after []node.Input
 
@@ -71,7 +72,7 @@
 }
 
 func (r *runner) step(in node.Input) {
-	for _, out := range r.core.Step(r.now(), in) {
+	for _, out := range r.core.Step(r.now(), r.hops.input(in)) {
 		r.perform(out)
 	}
 }
@@ -80,6 +81,7 @@
 func (r *runner) perform(out node.Output) {
 	switch out := out.(type) {
 	case node.Send:
+		r.hops.sent(out.Payload)
 		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
 	case node.Spread:
 		r.spread(out.Notice)
@@ -183,6 +185,7 @@
 		What:     event.What,
 		Reason:   event.Reason,
 		Detail:   event.Detail,
+		Trace:    r.traceOf(event),
 	})
 	r.log.Debug().Str("request", string(event.Request)).Str("upstream", string(event.Upstream)).
 		Str("reason", string(event.Reason)).Msg("node: " + event.What)
@@ -223,6 +226,10 @@
 		return decoded[fleet.End](from, frame)
 	case wire.KindCancel:
 		return decoded[fleet.Cancel](from, frame)
+	case wire.KindCheck:
+		return decoded[fleet.Check](from, frame)
+	case wire.KindAlive:
+		return decoded[fleet.Alive](from, frame)
 	case wire.KindLimitAsk:
 		return decoded[limits.Ask](from, frame)
 	case wire.KindLimitAnswer:
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -85,6 +85,12 @@
 	// KindLimitAsk and KindLimitAnswer carry credit for customers' limits.
 	KindLimitAsk    Kind = 23
 	KindLimitAnswer Kind = 24
+	// KindCheck and KindAlive find out whether an owner still has an attempt.
+	KindCheck Kind = 25
+	KindAlive Kind = 26
+	// KindProbe carries nothing; its acknowledgement shows that a connection
+	// works.
+	KindProbe Kind = 27
 )
 
 // kindNames are the names of kinds in metrics.
@@ -97,6 +103,8 @@
 	KindQuery: "query", KindQueryReply: "query-reply", KindTotals: "totals",
 	KindQuarantine: "quarantine", KindOrderReport: "order-report", KindMoved: "moved",
 	KindLimitAsk: "limit-ask", KindLimitAnswer: "limit-answer",
+	KindCheck: "check", KindAlive: "alive",
+	KindProbe: "probe",
 }
 
 // String returns the kind's name.
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -34,6 +34,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
+	"endiveplank/transport/tracing"
 )
 
 const (
@@ -54,6 +55,7 @@
 // Client makes the calls of one router.
 type Client struct {
 	sink      Sink
+	tracer    *tracing.Tracer
 	transport *http.Transport
 
 	mu    sync.Mutex
@@ -61,11 +63,13 @@
 	done  sync.WaitGroup
 }
 
-// New returns a client that reports to sink.
-func New(sink Sink) *Client {
+// New returns a client that reports to sink and makes spans with tracer, which
+// may be nil.
+func New(sink Sink, tracer *tracing.Tracer) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		sink: sink,
+		sink:   sink,
+		tracer: tracer,
 		transport: &http.Transport{
 			DialContext:       dialer.DialContext,
 			DisableKeepAlives: true,
@@ -85,7 +89,7 @@
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
-		end := c.run(ctx, call)
+		end := c.traced(ctx, call)
 		c.forget(call.Attempt)
 		c.sink.Input(end)
 	}()
@@ -125,6 +129,15 @@
 	}
 }
 
+// traced makes one call within a span.
+func (c *Client) traced(ctx context.Context, call node.CallUpstream) node.UpstreamEnd {
+	span, headers := c.tracer.Upstream(call.Place)
+	call.Place.Headers = headers
+	end := c.run(ctx, call)
+	span.End(tracing.Result{Status: end.Status, Failed: !end.Complete})
+	return end
+}
+
 // run makes one call and returns how it ended.
 func (c *Client) run(ctx context.Context, call node.CallUpstream) node.UpstreamEnd {
 	end := node.UpstreamEnd{Attempt: call.Attempt}
@@ -199,6 +212,7 @@
 func (a *answerReader) relayEvents() bool {
 	scanner := bufio.NewScanner(a.response.Body)
 	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	scanner.Split(splitWholeLines)
 	for scanner.Scan() {
 		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
 		if !found {
@@ -213,6 +227,22 @@
 	return false
 }
 
+// doneLine is the line of the done marker.
+var doneLine = []byte("data: " + chat.DoneMarker)
+
+// splitWholeLines is bufio.ScanLines but for a last line without its end.
+//
+// An engine that dies in mid-write leaves half an event behind. Passed on, it
+// would count as a token that the caller has, and the engine that resumes
+// would leave that token out. Only the done marker is taken without line end:
+// nothing can be missing behind it.
+func splitWholeLines(data []byte, atEnd bool) (int, []byte, error) {
+	if atEnd && bytes.IndexByte(data, '\n') < 0 && !bytes.Equal(data, doneLine) {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEnd)
+}
+
 // usageMark is in every event that carries usage; looking for it first saves
 // parsing the others.
 var usageMark = []byte(`"usage":{`)
@@ -270,58 +300,3 @@
 	a.index++
 	a.sink.Input(node.UpstreamChunk{Chunk: piece})
 }
-
-// answerHeaders picks the headers of an answer that go to the caller: all but
-// those about the connection to the upstream.
-func answerHeaders(header http.Header) []fleet.Header {
-	var kept []fleet.Header
-	for name, values := range header {
-		if hopByHop[name] {
-			continue
-		}
-		for _, value := range values {
-			kept = append(kept, fleet.Header{Name: name, Value: value})
-		}
-	}
-	return kept
-}
-
-// hopByHop are the headers that belong to one connection.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Date":                true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
-// RequestHeaders picks the headers of a caller's request that go to the
-// upstream: all but the caller's key, those about its connection, and those
-// that the fleet sets itself.
-func RequestHeaders(header http.Header) []fleet.Header {
-	var kept []fleet.Header
-	for name, values := range header {
-		if hopByHop[name] || name == "Authorization" || fleetHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			kept = append(kept, fleet.Header{Name: name, Value: value})
-		}
-	}
-	return kept
-}
-
-// fleetHeaders are set by the fleet, whatever a caller sends under them.
-var fleetHeaders = map[string]bool{
-	protocol.RequestIDHeader: true,
-	protocol.AttemptHeader:   true,
-	protocol.PriorityHeader:  true,
-	protocol.ResumeAtHeader:  true,
-	"Accept-Encoding":        true,
-	"X-Forwarded-For":        true,
-}
