--- a/coordination/loadbound/doc.go
+++ b/coordination/loadbound/doc.go
@@ -72,6 +72,7 @@
 //	decision := ledger.Admit(now, id, loadbound.Ask{Cost: 800, Multiple: 1.1})
 //	ledger.Finish(now, decision.Ticket)             // answer ended
 //	ticket, ok := ledger.Resume(now, id, cost)      // stream of a former owner
+//	ledger.Correct(ticket, cost)                    // its prompt was not cached
 //	ledger.Reported(now, id, load)                  // announcement arrived
 //	exchange := loadbound.NewExchange(self, members, start)
 //	for _, peer := range exchange.Due(now) {        // at exchange.Wake()
--- a/coordination/placement/fleetbench/cache.go
+++ b/coordination/placement/fleetbench/cache.go
@@ -59,9 +59,12 @@
 	} else {
 		c.unlink(e)
 	}
-	c.used += tokens - e.tokens
-	e.tokens = tokens
-	e.deepest = deepest
+	// An earlier turn that ends late does not shorten what is cached.
+	if tokens >= e.tokens {
+		c.used += tokens - e.tokens
+		e.tokens = tokens
+		e.deepest = deepest
+	}
 	e.next = c.head
 	if c.head != nil {
 		c.head.prev = e
