--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -41,8 +41,8 @@
 //
 // Cache events that are late or lost: Index. Joins, leaves, owner changes:
 // Walk and Pointers. Engines that turn slow: package slowness lowers the
-// capacity that the load bound and the order count with. Bad
-// input gives a typed outcome with a reason, never a panic.
+// capacity that the load bound and the order count with. Bad input gives a
+// typed outcome with a reason, never a panic.
 //
 // # State
 //
--- a/coordination/placement/fleetbench/doc.go
+++ b/coordination/placement/fleetbench/doc.go
@@ -30,9 +30,8 @@
 // leave up to three seconds apart. Engines leave and return cold, flap for
 // five seconds and return warm, or crash with all work placed again. Routers
 // die; the others notice after two seconds, and after the lease of five own
-// their upstreams. Owners
-// exchange totals over the mesh or tree with a delay of one to five
-// milliseconds.
+// their upstreams. Owners exchange totals over the mesh or tree with a delay
+// of one to five milliseconds.
 //
 // # What is measured
 //
