--- /dev/null
+++ b/cmd/endiveplankd/direct.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"endiveplank/coordination/routing"
+	"endiveplank/daemon/diskvm"
+	"endiveplank/daemon/loglines"
+	"endiveplank/daemon/router"
+	"endiveplank/platform"
+	"endiveplank/settings/direct"
+)
+
+const (
+	// settingsVariable may name the settings file.
+	settingsVariable = "ENDIVEPLANK_CONFIG"
+	// memoryShare is the part of the memory limit at which the collector works
+	// harder; the rest is for stacks, buffers of the kernel and bursts.
+	memoryShare = 0.6
+	// collectPercent makes the collector run early: peak memory costs more
+	// here than processor time.
+	collectPercent = 50
+	// logPatience is how long the last log lines may take.
+	logPatience = 200 * time.Millisecond
+	// controlHeaderTimeout bounds the header, and controlReadTimeout the whole,
+	// of an operator's or upstream's call.
+	controlHeaderTimeout = 3 * time.Second
+	controlReadTimeout   = 10 * time.Second
+)
+
+// process is a role of a fleet whose routers send to upstreams themselves.
+type process interface {
+	Reload(direct.Settings)
+	// Stop ends the process as planned and reports whether nothing was cut.
+	Stop() bool
+}
+
+// directCommand returns the command that runs one such role.
+func directCommand(path *string, role direct.Role, short string, start func(direct.Settings, zerolog.Logger, *rand.Rand) (process, error)) *cobra.Command {
+	return &cobra.Command{
+		Use:   string(role),
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runDirect(settingsPath(command, *path), role, start)
+		},
+	}
+}
+
+// settingsPath prefers the flag over the environment.
+func settingsPath(command *cobra.Command, flag string) string {
+	if named := os.Getenv(settingsVariable); named != "" && !command.Flags().Changed("config") {
+		return named
+	}
+	return flag
+}
+
+// runDirect runs a role until a signal ends it.
+func runDirect(path string, role direct.Role, start func(direct.Settings, zerolog.Logger, *rand.Rand) (process, error)) error {
+	// Signals are taken from the first moment on: one that comes while the
+	// process starts must not end it without a word.
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	settings, err := direct.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if settings.Role != role {
+		return eris.Errorf("the settings are for the role %s, not %s", settings.Role, role)
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory.LimitMB) * (1 << 20)))
+	lines := loglines.New(os.Stdout, settings.Log.LinesPerSecond)
+	defer lines.Close(logPatience)
+	log := newDirectLogger(settings, lines)
+	running, err := start(settings, log, newRandom())
+	if err != nil {
+		log.Error().Str("event", "not-started").Err(err).Send()
+		return err
+	}
+	log.Info().Str("event", "started").Str("role", string(role)).Strs("seeds", settings.Seeds).Send()
+	awaitStop(stop, hangups, func() { reloadDirect(running, path, log) })
+	if !running.Stop() {
+		return errCut
+	}
+	return nil
+}
+
+// newDirectLogger returns the logger of a role.
+func newDirectLogger(settings direct.Settings, lines *loglines.Writer) zerolog.Logger {
+	level, err := zerolog.ParseLevel(settings.Log.Level)
+	if err != nil {
+		panic("endiveplankd: settings with a log level that was not checked: " + settings.Log.Level)
+	}
+	zerolog.TimeFieldFormat = "15:04:05.000"
+	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
+}
+
+// newRandom returns a source that differs between two starts, also where two
+// VMs start at the same moment.
+func newRandom() *rand.Rand {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		panic("endiveplankd: the system has no random numbers: " + err.Error())
+	}
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// reloadDirect reads the settings again. A document with mistakes changes
+// nothing.
+func reloadDirect(running process, path string, log zerolog.Logger) {
+	changed, err := direct.ReadFile(path)
+	if err != nil {
+		log.Error().Str("event", "settings-not-reloaded").Err(err).Send()
+		return
+	}
+	running.Reload(changed)
+}
+
+// startRouter starts the role router.
+func startRouter(settings direct.Settings, log zerolog.Logger, random *rand.Rand) (process, error) {
+	return router.New(router.Options{
+		Settings: settings, Dialect: platform.Dialect{}, Log: log, Random: random,
+		ReadTable: func(_ uint64, body []byte) (*routing.Table, error) { return platform.ReadTable(body) },
+	})
+}
+
+// diskVM joins a disk VM with the server for operators and upstreams.
+type diskVM struct {
+	*diskvm.VM
+	server *http.Server
+}
+
+// startDiskVM starts the role disk-vm.
+func startDiskVM(settings direct.Settings, log zerolog.Logger, random *rand.Rand) (process, error) {
+	vm, err := diskvm.New(diskvm.Options{Settings: settings, CheckTable: platform.CheckTable, Log: log, Random: random})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", settings.Listen.Control)
+	if err != nil {
+		vm.Stop()
+		return nil, eris.Wrap(err, "listen for operators and upstreams")
+	}
+	server := &http.Server{
+		Handler:           platform.NewControlHandler(vm, log),
+		ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout,
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Str("event", "server-ended").Err(err).Send()
+		}
+	}()
+	return &diskVM{VM: vm, server: server}, nil
+}
+
+// Stop implements process.
+func (d *diskVM) Stop() bool {
+	if err := d.server.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, "endiveplankd:", err)
+	}
+	d.VM.Stop()
+	return true
+}
--- a/cmd/endiveplankd/main.go
+++ b/cmd/endiveplankd/main.go
@@ -14,6 +14,7 @@
 
 	"endiveplank/daemon"
 	"endiveplank/settings"
+	"endiveplank/settings/direct"
 )
 
 // Exit statuses.
@@ -74,6 +75,8 @@
 		},
 	})
 	root.AddCommand(recoverCommand(&path))
+	root.AddCommand(directCommand(&path, direct.RoleRouter, "Run a router that sends to upstreams itself", startRouter))
+	root.AddCommand(directCommand(&path, direct.RoleDiskVM, "Run a VM with a disk, which keeps the table for such routers", startDiskVM))
 	return root
 }
 
--- /dev/null
+++ b/coordination/balance/book.go
@@ -0,0 +1,272 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// loadsLife is how long another router's Loads count. Each router sends them
+// whole every second, so two may be lost; a router that died stops counting
+// before a caller of it has come back elsewhere.
+const loadsLife = 2500 * time.Millisecond
+
+// Work is one router's part of an upstream's work.
+type Work struct {
+	ID protocol.UpstreamID `msgpack:"i"`
+	// InFlight counts the requests that the router has sent and not ended.
+	InFlight int `msgpack:"n"`
+	// Served and Failed count ended requests since the router started.
+	Served uint64 `msgpack:"s"`
+	Failed uint64 `msgpack:"f"`
+}
+
+// Loads tells other routers of this one's work.
+type Loads struct {
+	// Whole says that upstreams left out have no work from the sender.
+	Whole bool   `msgpack:"w"`
+	Works []Work `msgpack:"u"`
+}
+
+// others is what another router has told.
+type others struct {
+	at    time.Duration
+	works map[protocol.UpstreamID]Work
+}
+
+// upstream is what this router knows of one upstream.
+type upstream struct {
+	entry roster.Entry
+	own   Work
+	// told is own as the other routers have it.
+	told Work
+	// elsewhere is the work of the other routers.
+	elsewhere int
+	health    health
+	// heard is when the upstream last sent anything.
+	heard time.Duration
+	// quickest and typical follow the time to its first byte.
+	typical time.Duration
+}
+
+// load is the work on an upstream, as far as this router knows.
+func (u *upstream) load() int { return u.own.InFlight + u.elsewhere }
+
+// Book is not safe for concurrent use.
+type Book struct {
+	upstreams map[protocol.UpstreamID]*upstream
+	services  map[protocol.Service][]*upstream
+	routers   map[protocol.RouterID]*others
+	settings  Settings
+}
+
+// Settings of a Book.
+type Settings struct {
+	// Multiple and Slack bound an upstream's load: no more than Multiple times
+	// the mean of its service plus Slack.
+	Multiple float64
+	Slack    int
+	// DataCentre is the router's own; ties go to upstreams there.
+	DataCentre protocol.DataCentre
+}
+
+// NewBook returns a book without upstreams.
+func NewBook(settings Settings) *Book {
+	return &Book{
+		upstreams: map[protocol.UpstreamID]*upstream{},
+		services:  map[protocol.Service][]*upstream{},
+		routers:   map[protocol.RouterID]*others{},
+		settings:  settings,
+	}
+}
+
+// SetRoster takes the list of upstreams. Those that still have work from here
+// are kept until it has ended. It returns the changes of state.
+func (b *Book) SetRoster(entries []roster.Entry) []roster.Entry {
+	listed := map[protocol.UpstreamID]bool{}
+	var changed []roster.Entry
+	for _, e := range entries {
+		listed[e.ID] = true
+		u := b.upstreams[e.ID]
+		if u == nil {
+			if e.State == roster.Gone {
+				continue
+			}
+			u = &upstream{own: Work{ID: e.ID}, told: Work{ID: e.ID}}
+			b.upstreams[e.ID] = u
+		}
+		if u.entry.State != e.State || u.entry.Address != e.Address || u.entry.Born != e.Born {
+			changed = append(changed, e)
+		}
+		if u.entry.Born != e.Born {
+			u.health = health{}
+		}
+		u.entry = e
+	}
+	for id, u := range b.upstreams {
+		if !listed[id] {
+			u.entry.State = roster.Gone
+		}
+		if u.entry.State == roster.Gone && u.own.InFlight == 0 {
+			delete(b.upstreams, id)
+		}
+	}
+	b.index()
+	b.sumElsewhere()
+	return changed
+}
+
+// index lists the upstreams of each service, by name.
+func (b *Book) index() {
+	b.services = map[protocol.Service][]*upstream{}
+	for _, u := range b.upstreams {
+		b.services[u.entry.Service] = append(b.services[u.entry.Service], u)
+	}
+	for _, list := range b.services {
+		slices.SortFunc(list, func(x, y *upstream) int { return cmp.Compare(x.entry.ID, y.entry.ID) })
+	}
+}
+
+// Entry returns what the roster says of an upstream.
+func (b *Book) Entry(id protocol.UpstreamID) (roster.Entry, bool) {
+	u := b.upstreams[id]
+	if u == nil {
+		return roster.Entry{}, false
+	}
+	return u.entry, true
+}
+
+// Load returns the work on an upstream and whether it is known.
+func (b *Book) Load(id protocol.UpstreamID) (int, bool) {
+	u := b.upstreams[id]
+	if u == nil {
+		return 0, false
+	}
+	return u.load(), true
+}
+
+// Started notes that a request was sent to an upstream.
+func (b *Book) Started(id protocol.UpstreamID) {
+	if u := b.upstreams[id]; u != nil {
+		u.own.InFlight++
+	}
+}
+
+// Ended notes how a request ended.
+func (b *Book) Ended(now time.Duration, id protocol.UpstreamID, result Result) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.own.InFlight = max(0, u.own.InFlight-1)
+	switch result {
+	case Served:
+		u.own.Served++
+	case Failed, Unreachable:
+		u.own.Failed++
+	}
+	u.health.note(now, result, 1)
+	if u.entry.State == roster.Gone && u.own.InFlight == 0 {
+		delete(b.upstreams, id)
+		b.index()
+	}
+}
+
+// OwnLoads returns what the other routers don't know yet, or all of this
+// router's work. False means that there is nothing to tell.
+func (b *Book) OwnLoads(whole bool) (Loads, bool) {
+	loads := Loads{Whole: whole}
+	for _, u := range b.upstreams {
+		if whole && u.own != (Work{ID: u.own.ID}) || u.own != u.told {
+			loads.Works = append(loads.Works, u.own)
+		}
+		u.told = u.own
+	}
+	slices.SortFunc(loads.Works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
+	return loads, whole || len(loads.Works) > 0
+}
+
+// TakeLoads takes another router's work.
+func (b *Book) TakeLoads(now time.Duration, from protocol.RouterID, loads Loads) {
+	other := b.routers[from]
+	if other == nil {
+		other = &others{works: map[protocol.UpstreamID]Work{}}
+		b.routers[from] = other
+	}
+	other.at = now
+	if loads.Whole {
+		b.lapse(other, loads)
+	}
+	for _, work := range loads.Works {
+		b.replace(now, other, work)
+	}
+}
+
+// lapse drops what whole Loads leave out.
+func (b *Book) lapse(other *others, loads Loads) {
+	named := map[protocol.UpstreamID]bool{}
+	for _, work := range loads.Works {
+		named[work.ID] = true
+	}
+	for id, before := range other.works {
+		if named[id] {
+			continue
+		}
+		if u := b.upstreams[id]; u != nil {
+			u.elsewhere -= before.InFlight
+		}
+		delete(other.works, id)
+	}
+}
+
+// replace takes the work of another router on one upstream, and counts what
+// ended since the last time.
+func (b *Book) replace(now time.Duration, other *others, work Work) {
+	before, known := other.works[work.ID]
+	other.works[work.ID] = work
+	u := b.upstreams[work.ID]
+	if u == nil {
+		return
+	}
+	u.elsewhere += work.InFlight - before.InFlight
+	if known && work.Failed >= before.Failed && work.Served >= before.Served {
+		u.health.note(now, Failed, work.Failed-before.Failed)
+		u.health.note(now, Served, work.Served-before.Served)
+	}
+}
+
+// Expire drops the work of routers that have fallen silent.
+func (b *Book) Expire(now time.Duration) []protocol.RouterID {
+	var silent []protocol.RouterID
+	for id, other := range b.routers {
+		if now-other.at > loadsLife {
+			delete(b.routers, id)
+			silent = append(silent, id)
+		}
+	}
+	if len(silent) > 0 {
+		b.sumElsewhere()
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// Routers returns how many other routers' loads count.
+func (b *Book) Routers() int { return len(b.routers) }
+
+// sumElsewhere adds the other routers' work up anew.
+func (b *Book) sumElsewhere() {
+	for _, u := range b.upstreams {
+		u.elsewhere = 0
+	}
+	for _, other := range b.routers {
+		for id, work := range other.works {
+			if u := b.upstreams[id]; u != nil {
+				u.elsewhere += work.InFlight
+			}
+		}
+	}
+}
--- a/coordination/consensus/bootstrap.go
+++ b/coordination/consensus/bootstrap.go
@@ -17,6 +17,10 @@
 // replaced, later lose their disks, and the one that now holds the log is cut
 // off. The guard: whoever holds the log is among the peers and never says that
 // it is blank, and one hello of a member with a log stops the forming for good.
+//
+// In an open cluster nobody knows all peers, and the initial voters alone are
+// asked. There the guard is that a VM is told initial voters only at the very
+// first start of the whole fleet.
 
 // Limit: a disk that is lost in the seconds before entry 1 is on a quorum of
 // disks may leave voters that hold different first configurations, and no
@@ -40,17 +44,50 @@
 		return
 	}
 	c.helloAt = now + c.settings.ElectionTimeout/2
-	for _, router := range c.settings.Peers {
+	for _, router := range c.contacts() {
 		if router != c.settings.Self.Router {
 			c.sendHello(Member{Router: router, Disk: c.diskOf(router)})
 		}
 	}
 }
 
+// contacts returns the routers that hellos go to: those that were listed, and
+// in an open cluster also those of the newest configuration and the leader
+// that an answer named.
+//
+// Failure: the listed routers are replaced by others while this one is down;
+// it returns, asks only them and stays outside for good.
+func (c *Core) contacts() []protocol.RouterID {
+	contacts := slices.Clone(c.settings.Peers)
+	if !c.settings.Open {
+		return contacts
+	}
+	configuration, _ := c.log.configuration()
+	for _, m := range configuration.Members() {
+		contacts = append(contacts, m.Router)
+	}
+	if c.namedLeader != "" {
+		contacts = append(contacts, c.namedLeader)
+	}
+	slices.Sort(contacts)
+	return slices.Compact(contacts)
+}
+
+// SetContacts replaces the routers to ask first in an open cluster.
+func (c *Core) SetContacts(routers []protocol.RouterID) {
+	c.settings.Peers = slices.Clone(routers)
+}
+
 // sendHello tells one router of this member. To carries the disk this member
 // knows there.
+// A member of an open cluster names the leader that it follows: only the
+// leader takes newcomers in, and they can't know where it is.
 func (c *Core) sendHello(to Member) {
-	c.send(Message{Kind: MessageHello, To: to, Blank: c.log.blank()})
+	m := Message{Kind: MessageHello, To: to, Blank: c.log.blank()}
+	if c.settings.Open {
+		m.Leader = c.leader.Router
+	}
+	c.send(m)
 }
 
 // diskOf returns the disk last heard of at a router, or zero.
@@ -65,7 +102,7 @@
 
 // sight remembers the member that now speaks for a router.
 func (c *Core) sight(now time.Duration, m Message) {
-	if !slices.Contains(c.settings.Peers, m.From.Router) {
+	if !c.settings.Open && !slices.Contains(c.settings.Peers, m.From.Router) {
 		return
 	}
 	seen := sighting{member: m.From, at: now, blank: m.Blank, knows: m.To}
@@ -75,9 +112,17 @@
 			return
 		}
 	}
+	if len(c.sightings) >= maxSightings {
+		c.sightings = c.sightings[1:]
+	}
 	c.sightings = append(c.sightings, seen)
 }
 
+// maxSightings bounds the routers remembered outside the configuration: far
+// more than the disk VMs of any fleet, so that addresses which came and went
+// for months take no memory.
+const maxSightings = 64
+
 // receiveHello remembers the sender. A member with a log answers a blank one:
 // with the first configuration if the sender is in it, else with a hello that
 // keeps it from forming a cluster.
@@ -94,7 +139,15 @@
 		c.clusterExists = true
 		c.checkSuperseded(now, m)
 	}
-	if c.log.blank() || !m.Blank {
+	if m.Leader != "" && m.Leader != c.namedLeader {
+		c.namedLeader = m.Leader
+		c.helloAt = now
+	}
+	if c.log.blank() {
+		return
+	}
+	if !m.Blank {
+		c.directNewcomer(m)
 		return
 	}
 	if first, ok := c.genesis(); ok && first.IsVoter(m.From) {
@@ -104,6 +157,17 @@
 	c.sendHello(m.From)
 }
 
+// directNewcomer tells a router that was removed, and has come back with its
+// log, who leads an open cluster. The answer is marked, so that it is not
+// answered in its turn.
+func (c *Core) directNewcomer(m Message) {
+	configuration, _ := c.log.configuration()
+	known := c.settings.Open && !c.leader.IsZero()
+	if known && !m.Answer && !configuration.Contains(m.From) {
+		c.send(Message{Kind: MessageHello, To: m.From, Leader: c.leader.Router, Answer: true})
+	}
+}
+
 // genesis returns the configuration of entry 1 if the log still holds it.
 func (c *Core) genesis() (Configuration, bool) {
 	if c.log.base > 0 || len(c.log.configurations) == 0 || c.log.configurations[0].index != 1 {
@@ -119,7 +183,11 @@
 	if c.clusterExists || len(voters) == 0 || voters[0] != c.settings.Self.Router {
 		return false
 	}
-	for _, router := range c.settings.Peers {
+	blankNeeded := c.settings.Peers
+	if c.settings.Open {
+		blankNeeded = voters
+	}
+	for _, router := range blankNeeded {
 		if router == c.settings.Self.Router {
 			continue
 		}
--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -97,6 +97,8 @@
 
 	sightings     []sighting
 	clusterExists bool
+	// namedLeader is the leader that a hello named, "" if none did.
+	namedLeader protocol.RouterID
 
 	savedHardState HardState
 	sequence       uint64
--- a/coordination/consensus/message.go
+++ b/coordination/consensus/message.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "time"
+import (
+	"time"
+
+	"endiveplank/protocol"
+)
 
 // MessageKind says what a message asks or answers.
 type MessageKind uint8
@@ -66,6 +70,11 @@
 	Forced bool `msgpack:"w,omitempty"`
 	// Blank says that the sender has neither log nor snapshot.
 	Blank bool `msgpack:"b,omitempty"`
+	// Leader is set in MessageHello of an open cluster: the router that the
+	// sender takes for the leader.
+	Leader protocol.RouterID `msgpack:"d,omitempty"`
+	// Answer marks a MessageHello that answers another.
+	Answer bool `msgpack:"a,omitempty"`
 }
 
 // Chunk is a part of an encoded snapshot.
--- /dev/null
+++ b/coordination/consensus/repair/grow_test.go
@@ -0,0 +1,46 @@
+package repair
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/consensus"
+	"endiveplank/protocol"
+)
+
+func TestAGrowingFleetKeepsThreeCopies(t *testing.T) {
+	// Five disk VMs hold the table; nobody has told them that they are five.
+	// Two lose their disks at once. If the lost ones were taken out before
+	// their successors are in, three voters would be left, a change on two
+	// disks would be answered as accepted, and the next two lost disks would
+	// take it.
+	live := func(r protocol.RouterID) consensus.PeerStatus { return peer(r, true, 0) }
+	silent := func(r protocol.RouterID) consensus.PeerStatus { return peer(r, true, time.Minute) }
+	joining := func(r protocol.RouterID, disk consensus.DiskID) consensus.PeerStatus {
+		return consensus.PeerStatus{Member: member(r, disk), Heard: now, CaughtUp: true}
+	}
+	type peers = []consensus.PeerStatus
+	tests := map[string]struct {
+		peers peers
+		want  consensus.Change
+	}{
+		"a silent voter of five stays":             {peers: peers{live("r2"), live("r3"), live("r4"), silent("r5")}},
+		"a newcomer is promoted beside two silent": {peers: peers{live("r2"), live("r3"), silent("r4"), silent("r5"), joining("r6", 1)}, want: consensus.Change{Kind: consensus.Promote, Member: member("r6", 1)}},
+		"then one of the silent ones goes":         {peers: peers{live("r2"), live("r3"), silent("r4"), silent("r5"), live("r6")}, want: consensus.Change{Kind: consensus.Remove, Member: member("r4", 1)}},
+		"a VM with a new disk is promoted first":   {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), joining("r5", 2)}, want: consensus.Change{Kind: consensus.Promote, Member: member("r5", 2)}},
+		"a sixth and a seventh grow the fleet":     {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6"), joining("r7", 1)}, want: consensus.Change{Kind: consensus.Promote, Member: member("r7", 1)}},
+		"an eighth stays a learner":                {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6"), live("r7"), joining("r8", 1)}},
+		"six live voters are all kept":             {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6")}},
+	}
+	p := New(Settings{Voters: 7, Grow: true})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			status := consensus.Status{Self: member("r1", 1), Role: consensus.Leader, Peers: test.peers}
+			got := p.Decide(now, status)
+			got.Reason = ""
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
--- a/coordination/consensus/repair/repair.go
+++ b/coordination/consensus/repair/repair.go
@@ -31,8 +31,12 @@
 
 // Settings of a Policy. Zero values take the defaults.
 type Settings struct {
-	// Voters is the number of voters to keep: three or five.
+	// Voters is the number of voters to keep: three or five. With Grow it is
+	// the most there may be.
 	Voters int
+	// Grow makes a voter of every disk VM that joins, up to Voters, for fleets
+	// that are not told how many there are.
+	Grow bool
 	// SilentAfter is how long a voter may be silent before it is replaced.
 	SilentAfter time.Duration
 	// ForgetAfter is how long a learner may be silent before it is removed.
@@ -160,18 +164,33 @@
 // removeVoter takes out a lost voter once there are more than the set number,
 // or a live one too many.
 func (p Policy) removeVoter(v view) consensus.Change {
-	if v.voters() <= p.settings.Voters {
+	if !p.tooMany(v) {
 		return consensus.Change{}
 	}
 	if len(v.lost) > 0 && hasQuorum(len(v.live), v.voters()-1) {
 		return consensus.Change{Kind: consensus.Remove, Member: v.lost[0].member, Reason: v.lost[0].reason}
 	}
-	if len(v.lost) == 0 {
+	if len(v.lost) == 0 && v.voters() > p.settings.Voters {
 		return consensus.Change{Kind: consensus.Remove, Member: p.spareVoter(v), Reason: "more voters than set"}
 	}
 	return consensus.Change{}
 }
 
+// tooMany reports whether a voter may go.
+//
+// In a growing fleet a lost voter goes only from an even number. That makes
+// the quorum smaller by one and the number of losses that can be borne no
+// smaller. From an odd number it would lower what is borne: of five voters
+// with two lost disks, three would be left, and a change on two disks would
+// count as safe. A newcomer in the place of a lost voter is promoted first and
+// so makes the number even.
+func (p Policy) tooMany(v view) bool {
+	if p.settings.Grow && v.voters()%2 == 0 {
+		return true
+	}
+	return v.voters() > p.settings.Voters
+}
+
 // hasQuorum reports whether live voters are a majority of all.
 func hasQuorum(live, all int) bool {
 	return live >= all/2+1
--- a/coordination/consensus/settings.go
+++ b/coordination/consensus/settings.go
@@ -10,10 +10,18 @@
 // defaults below.
 type Settings struct {
 	Self Member
-	// Peers are all routers with a disk, this one included.
+	// Peers are all routers with a disk, this one included. With Open they are
+	// only those to ask first.
 	Peers []protocol.RouterID
+	// Open lets routers with a disk join that nobody has listed. A member then
+	// learns the others from the log and from hellos, and the initial voters
+	// alone have to be blank for the cluster to form. It fits platforms that
+	// tell a process a few addresses and not how many VMs there are.
+	Open bool
 	// InitialVoters are the routers that form the first configuration. They
-	// matter only while every one of Peers is blank.
+	// matter only while every one of Peers is blank. Leave them out on a VM
+	// that starts after the cluster has formed: with them, a VM that lost its
+	// disk together with all other initial voters would form a second one.
 	InitialVoters []protocol.RouterID
 	// Heartbeat is the interval of a leader's messages to an idle follower.
 	Heartbeat time.Duration
--- /dev/null
+++ b/coordination/control/messages.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// The messages between disk VMs and routers. All of them may be lost.
+
+// Watch says who follows and what it has.
+type Watch struct {
+	// Router is false for another disk VM, which follows the roster alone.
+	Router bool `msgpack:"r"`
+	// Version and Digest are of the table that the sender has in force.
+	Version uint64          `msgpack:"v,omitempty"`
+	Digest  document.Digest `msgpack:"d"`
+	// WantDocument asks for the newest table.
+	WantDocument bool `msgpack:"w,omitempty"`
+	// Incarnation and Revision say up to which change the sender has the
+	// receiver's roster.
+	Incarnation uint64 `msgpack:"i,omitempty"`
+	Revision    uint64 `msgpack:"n,omitempty"`
+	// Fleet is the digest of the last News.Fleet taken from the receiver.
+	Fleet uint64 `msgpack:"f,omitempty"`
+}
+
+// News tells a follower of the newest table and of the fleet.
+type News struct {
+	// Version is that of the table in force, 0 if there is none.
+	Version uint64 `msgpack:"v"`
+	// Fleet is left out where the follower has it.
+	Fleet *Fleet `msgpack:"f,omitempty"`
+}
+
+// Fleet lists the processes that a disk VM knows.
+type Fleet struct {
+	Digest  uint64              `msgpack:"d"`
+	DiskVMs []protocol.RouterID `msgpack:"c"`
+	Routers []protocol.RouterID `msgpack:"r"`
+}
+
+// Roster carries changed entries.
+type Roster struct {
+	// Incarnation is that of the sender's process, which counts revisions anew.
+	Incarnation uint64         `msgpack:"i"`
+	Revision    uint64         `msgpack:"n"`
+	Entries     []roster.Entry `msgpack:"e"`
+}
+
+// Document carries the newest table as a change from what the follower has, or
+// whole.
+type Document struct {
+	Change document.Change `msgpack:"c"`
+}
+
+// Heard tells another disk VM which upstreams still announce themselves.
+type Heard struct {
+	Upstreams []roster.Heard `msgpack:"u"`
+}
+
+// Put asks the leader to make a change the newest table.
+type Put struct {
+	Call   uint64          `msgpack:"n"`
+	Change document.Change `msgpack:"c"`
+}
+
+// PutReply answers Put. Outcome is 0 where nothing is known: the receiver
+// doesn't lead, or couldn't reach a quorum in time.
+type PutReply struct {
+	Call    uint64           `msgpack:"n"`
+	Outcome document.Outcome `msgpack:"o"`
+	// Held is the version in force at the leader.
+	Held uint64 `msgpack:"h"`
+}
+
+// Read asks the leader which table is in force.
+type Read struct {
+	Call uint64 `msgpack:"n"`
+}
+
+// ReadReply answers Read after a quorum has confirmed the leader. Known is
+// false where it couldn't.
+type ReadReply struct {
+	Call    uint64 `msgpack:"n"`
+	Known   bool   `msgpack:"k"`
+	Version uint64 `msgpack:"v"`
+}
--- /dev/null
+++ b/coordination/routing/check.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+
+	"endiveplank/protocol"
+)
+
+// Mistakes are all that is wrong with a table.
+type Mistakes []string
+
+// Error lists one mistake a line.
+func (m Mistakes) Error() string {
+	return strings.Join(m, "\n")
+}
+
+// place is what no two routes may share.
+type place struct{ host, prefix string }
+
+// checker gathers mistakes.
+type checker struct {
+	table    *Table
+	services map[protocol.Service]bool
+	places   map[place]string
+	mistakes Mistakes
+}
+
+func (c *checker) add(format string, values ...any) {
+	c.mistakes = append(c.mistakes, fmt.Sprintf(format, values...))
+}
+
+// Check returns every mistake in a table, nil if there is none. A table with a
+// mistake is refused whole: half of a change in force is worse than none.
+func Check(t *Table) Mistakes {
+	c := &checker{table: t, services: map[protocol.Service]bool{}, places: map[place]string{}}
+	c.checkServices()
+	for i := range t.Routes {
+		c.checkRoute(&t.Routes[i])
+	}
+	c.checkCustomers()
+	return c.mistakes
+}
+
+func (c *checker) checkServices() {
+	for i, s := range c.table.Services {
+		if s.Name == "" {
+			c.add("service %d has no name", i)
+		}
+		if c.services[s.Name] {
+			c.add("service %q is there twice", s.Name)
+		}
+		c.services[s.Name] = true
+	}
+}
+
+func (c *checker) checkRoute(r *Route) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		c.add("route %q: the path prefix %q doesn't begin and end with a slash", r.Name, r.PathPrefix)
+	}
+	at := place{r.Host, r.PathPrefix}
+	if other, taken := c.places[at]; taken {
+		c.add("routes %q and %q share host %q and prefix %q", other, r.Name, r.Host, r.PathPrefix)
+	}
+	c.places[at] = r.Name
+	if r.Timeout <= 0 {
+		c.add("route %q: the timeout must be above 0", r.Name)
+	}
+	c.checkSplit(r)
+}
+
+func (c *checker) checkSplit(r *Route) {
+	sum := 0
+	for _, share := range r.Split {
+		if !c.services[share.Service] {
+			c.add("route %q: the service %q isn't in the table", r.Name, share.Service)
+		}
+		if share.Weight < 0 {
+			c.add("route %q: the weight of service %q is below 0", r.Name, share.Service)
+		}
+		sum += max(share.Weight, 0)
+	}
+	if sum == 0 {
+		c.add("route %q: the weights add up to 0", r.Name)
+	}
+}
+
+func (c *checker) checkCustomers() {
+	holder := map[string]protocol.CustomerID{}
+	for _, customer := range c.table.Customers {
+		for _, key := range customer.Keys {
+			if other, taken := holder[key]; taken && other != customer.Name {
+				c.add("customers %q and %q share a key", other, customer.Name)
+			}
+			holder[key] = customer.Name
+		}
+	}
+}
--- /dev/null
+++ b/daemon/diskvm/upstreams.go
@@ -0,0 +1,41 @@
+package diskvm
+
+import (
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// Announce takes an upstream's announcement.
+func (vm *VM) Announce(e roster.Entry) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	now := vm.now()
+	if !vm.roster.Merge(now, e) {
+		return
+	}
+	vm.logUpstream(e.ID)
+	vm.fabric.SendAll(vm.publisher.RosterChanged(now))
+}
+
+// Leave notes that an upstream has left. born and sequence are 0 where it
+// doesn't tell them.
+func (vm *VM) Leave(id protocol.UpstreamID, born int64, sequence uint64) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	now := vm.now()
+	if !vm.roster.Leave(now, id, born, sequence) {
+		return
+	}
+	vm.logUpstream(id)
+	vm.fabric.SendAll(vm.publisher.RosterChanged(now))
+}
+
+// logUpstream writes what is believed of an upstream.
+func (vm *VM) logUpstream(id protocol.UpstreamID) {
+	e, known := vm.roster.Entry(id)
+	if !known {
+		return
+	}
+	vm.log.Info().Str("event", "upstream").Str("upstream", string(id)).Stringer("state", e.State).
+		Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
+}
--- /dev/null
+++ b/daemon/diskvm/vm.go
@@ -0,0 +1,270 @@
+package diskvm
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/control"
+	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
+	"endiveplank/daemon/fabric"
+	"endiveplank/protocol"
+	"endiveplank/settings/direct"
+	"endiveplank/state/disk"
+	"endiveplank/state/replica"
+)
+
+const (
+	// tickInterval is how often watches and the membership are looked at.
+	tickInterval = 100 * time.Millisecond
+	// shareInterval is how often disk VMs tell each other which upstreams they
+	// heard: half of the shortest interval between two announcements in use.
+	shareInterval = 500 * time.Millisecond
+	// expireInterval is how often silent upstreams are looked for.
+	expireInterval = time.Second
+)
+
+// Options of a VM.
+type Options struct {
+	Settings direct.Settings
+	// CheckTable finds what is wrong with a table that an operator sends.
+	CheckTable func(version uint64, body []byte) error
+	Log        zerolog.Logger
+	// Random is used by the VM alone from New on.
+	Random *rand.Rand
+}
+
+// VM is a running disk VM.
+type VM struct {
+	options     Options
+	log         zerolog.Logger
+	incarnation uint64
+	started     time.Time
+	folder      *disk.OS
+	fabric      *fabric.Fabric
+	machine     *document.Machine
+	member      atomic.Pointer[replica.Replica]
+	calls       calls
+	// putting lets one change at a time through on the leader.
+	putting sync.Mutex
+
+	mu        sync.Mutex
+	settings  direct.Settings
+	roster    *roster.Roster
+	publisher *control.Publisher
+	// follower follows the rosters of the other disk VMs.
+	follower  *control.Follower
+	shared    time.Duration
+	expired   time.Duration
+	published *document.Document
+	leader    protocol.RouterID
+
+	quit chan struct{}
+	done sync.WaitGroup
+}
+
+// New opens the data folder and starts all parts. Errors: those of the data
+// folder and of the listener.
+func New(options Options) (*VM, error) {
+	folder, err := disk.Open(options.Settings.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	vm := &VM{
+		options: options, settings: options.Settings, log: options.Log,
+		incarnation: options.Random.Uint64(), started: time.Now(),
+		folder: folder, machine: document.NewMachine(),
+		roster: roster.New(roster.DefaultSettings()),
+		quit:   make(chan struct{}),
+	}
+	self := options.Settings.Self()
+	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster)
+	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
+	vm.fabric, err = fabric.New(fabric.Options{
+		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
+		Receiver: vm, Log: options.Log,
+	})
+	if err != nil {
+		_ = folder.Close()
+		return nil, err
+	}
+	vm.done.Add(2)
+	go vm.keepMember()
+	go vm.run()
+	return vm, nil
+}
+
+// now is the time since the start, by the monotonic clock. It stands still
+// while the VM is suspended, which nothing here depends on.
+func (vm *VM) now() time.Duration { return time.Since(vm.started) }
+
+// run does what is due until the VM stops.
+func (vm *VM) run() {
+	defer vm.done.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		_, changed := vm.machine.InForce()
+		select {
+		case <-vm.quit:
+			return
+		case <-changed:
+		case <-ticker.C:
+			vm.tick()
+		}
+		vm.publishTable()
+	}
+}
+
+// tick sends watches, tells the other disk VMs what was heard, and forgets who
+// is silent.
+func (vm *VM) tick() {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	now := vm.now()
+	vm.noteMembership(now)
+	vm.fabric.SendAll(vm.follower.Tick(now))
+	vm.logBeliefs(vm.follower.Beliefs())
+	if now-vm.shared >= shareInterval {
+		vm.share(now)
+	}
+	if now-vm.expired >= expireInterval {
+		vm.expired = now
+		for _, id := range vm.roster.Expire(now) {
+			vm.log.Warn().Str("event", "upstream-silent").Str("upstream", string(id)).Msg("no announcement for long, not listed any more")
+		}
+	}
+}
+
+// share tells the other disk VMs which upstreams were heard here.
+func (vm *VM) share(now time.Duration) {
+	heard := vm.roster.HeardSince(vm.shared)
+	vm.shared = now
+	if len(heard) == 0 {
+		return
+	}
+	for _, id := range vm.follower.DiskVMs() {
+		vm.fabric.Send(id, control.Heard{Upstreams: heard})
+	}
+}
+
+// noteMembership takes the disk VMs from the newest configuration of the log.
+func (vm *VM) noteMembership(now time.Duration) {
+	member := vm.member.Load()
+	if member == nil {
+		return
+	}
+	status := member.Status()
+	var vms []protocol.RouterID
+	for _, m := range status.Configuration.Members() {
+		vms = append(vms, m.Router)
+	}
+	slices.Sort(vms)
+	vms = slices.Compact(vms)
+	vm.publisher.SetDiskVMs(vms)
+	for _, id := range vms {
+		vm.follower.Name(now, id)
+	}
+	if leader := status.Leader.Router; leader != vm.leader {
+		vm.leader = leader
+		vm.log.Info().Str("event", "leader").Str("leader", string(leader)).Uint64("term", status.Term).Send()
+	}
+}
+
+// publishTable tells the routers of a newer table.
+func (vm *VM) publishTable() {
+	inForce, _ := vm.machine.InForce()
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if inForce == nil || inForce == vm.published {
+		return
+	}
+	vm.published = inForce
+	sends := vm.publisher.SetDocument(vm.now(), inForce)
+	vm.log.Info().Str("event", "table-in-force").Uint64("version", inForce.Version).Int("bytes", len(inForce.Body)).Int("told", len(sends)).Send()
+	vm.fabric.SendAll(sends)
+}
+
+// Receive implements fabric.Receiver.
+func (vm *VM) Receive(from protocol.RouterID, body any) {
+	switch m := body.(type) {
+	case consensus.Message:
+		if member := vm.member.Load(); member != nil {
+			member.Receive(m)
+		}
+	case control.Put:
+		go vm.answerPut(from, m)
+	case control.Read:
+		go vm.answerRead(from, m)
+	case control.PutReply:
+		vm.calls.answer(m.Call, m)
+	case control.ReadReply:
+		vm.calls.answer(m.Call, m)
+	default:
+		vm.receiveShared(from, body)
+	}
+}
+
+// receiveShared takes the messages that concern roster and followers.
+func (vm *VM) receiveShared(from protocol.RouterID, body any) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	now := vm.now()
+	switch m := body.(type) {
+	case control.Watch:
+		vm.fabric.SendAll(vm.publisher.Watched(now, from, m))
+	case control.News:
+		vm.fabric.SendAll(vm.follower.TakeNews(now, from, m))
+	case control.Roster:
+		if vm.follower.TakeRoster(now, from, m) {
+			vm.fabric.SendAll(vm.publisher.RosterChanged(now))
+		}
+	case control.Heard:
+		for _, heard := range m.Upstreams {
+			// An unknown one comes with the sender's roster.
+			_ = vm.roster.Refresh(now, heard)
+		}
+	default:
+		vm.log.Warn().Str("event", "message-refused").Str("from", string(from)).Type("type", body).Send()
+	}
+}
+
+// logBeliefs writes a line for each change of what this VM believes of others.
+func (vm *VM) logBeliefs(beliefs []control.Belief) {
+	for _, b := range beliefs {
+		vm.log.Info().Str("event", b.What).Str("disk_vm", string(b.About)).Dur("age_ms", b.Age).Send()
+	}
+}
+
+// Reload takes changed settings: seeds and the log's level.
+func (vm *VM) Reload(changed direct.Settings) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	vm.settings = changed
+	vm.follower.SetSeeds(vm.now(), changed.SeedPeers())
+	if member := vm.member.Load(); member != nil {
+		vm.done.Add(1)
+		go func() {
+			defer vm.done.Done()
+			vm.setContacts(member, changed.SeedPeers())
+		}()
+	}
+	vm.log.Info().Str("event", "settings-reloaded").Strs("seeds", changed.Seeds).Send()
+}
+
+// Stop hands leadership over, ends all parts and closes the data folder.
+func (vm *VM) Stop() {
+	vm.handOver()
+	close(vm.quit)
+	vm.done.Wait()
+	vm.fabric.Close()
+	if err := vm.folder.Close(); err != nil {
+		vm.log.Warn().Str("event", "folder-not-closed").Err(err).Send()
+	}
+}
--- /dev/null
+++ b/daemon/fabric/fabric.go
@@ -0,0 +1,174 @@
+// Package fabric carries the typed messages between the processes of a fleet
+// whose routers send to upstreams themselves, over the connections of package
+// transport/peer. A process's name is the address it listens at, so whoever
+// knows a name can send.
+package fabric
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/control"
+	"endiveplank/coordination/crashes"
+	"endiveplank/protocol"
+	"endiveplank/protocol/wire"
+	"endiveplank/transport/peer"
+)
+
+const (
+	// stall is how long a connection may acknowledge nothing. Two of them pass
+	// before a silent one is replaced, which is about the time that consensus
+	// waits for a leader.
+	stall = 600 * time.Millisecond
+	// lostAfter is how long frames wait for a process that can't be reached.
+	// Every message here is sent again by who needs it.
+	lostAfter = 2 * time.Second
+)
+
+// Receiver takes messages. It is called from the connections' goroutines and
+// must not block for long. body is one of the types that Send takes.
+type Receiver interface {
+	Receive(from protocol.RouterID, body any)
+}
+
+// Fabric sends and receives.
+type Fabric struct {
+	mesh     *peer.Mesh
+	receiver Receiver
+	log      zerolog.Logger
+}
+
+// Options of a Fabric.
+type Options struct {
+	Self        protocol.RouterID
+	DataCentre  protocol.DataCentre
+	Incarnation uint64
+	Receiver    Receiver
+	Log         zerolog.Logger
+}
+
+// New starts to listen at the process's own name.
+func New(options Options) (*Fabric, error) {
+	f := &Fabric{receiver: options.Receiver, log: options.Log}
+	f.mesh = peer.New(peer.Options{
+		Self:        options.Self,
+		DataCentre:  options.DataCentre,
+		Incarnation: options.Incarnation,
+		Address:     string(options.Self),
+		Stall:       stall,
+		LostAfter:   lostAfter,
+		Handler:     f,
+		Log:         options.Log,
+	})
+	if err := f.mesh.Listen(string(options.Self)); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Close drops all connections.
+func (f *Fabric) Close() { f.mesh.Close() }
+
+// Counts returns the totals of the connections.
+func (f *Fabric) Counts() peer.Counts { return f.mesh.Counts() }
+
+// Send queues a message. It never waits, and the message may be lost.
+func (f *Fabric) Send(to protocol.RouterID, body any) {
+	kind := kindOf(body)
+	f.mesh.SetAddress(to, string(to))
+	if !f.mesh.Send(to, kind, wire.Encode(body), false) {
+		f.log.Debug().Str("event", "not-sent").Stringer("kind", kind).Str("to", string(to)).Send()
+	}
+}
+
+// SendAll queues several messages.
+func (f *Fabric) SendAll(sends []control.Send) {
+	for _, send := range sends {
+		f.Send(send.To, send.Body)
+	}
+}
+
+// Frame implements peer.Handler.
+func (f *Fabric) Frame(from protocol.RouterID, frame wire.Frame) {
+	body, err := decode(frame)
+	if err != nil {
+		f.log.Warn().Str("event", "message-refused").Str("from", string(from)).Stringer("kind", frame.Kind).Err(err).Send()
+		return
+	}
+	f.receiver.Receive(from, body)
+}
+
+// Lost implements peer.Handler. Who needs an answer asks again.
+func (f *Fabric) Lost(protocol.RouterID) {}
+
+// kindOf returns the kind under which a message travels.
+func kindOf(body any) wire.Kind {
+	switch body.(type) {
+	case consensus.Message:
+		return wire.KindConsensus
+	case control.Watch:
+		return wire.KindWatch
+	case control.News:
+		return wire.KindNews
+	case control.Roster:
+		return wire.KindRoster
+	case control.Document:
+		return wire.KindDocument
+	case control.Heard:
+		return wire.KindHeard
+	case control.Put:
+		return wire.KindPut
+	case control.PutReply:
+		return wire.KindPutReply
+	case control.Read:
+		return wire.KindRead
+	case control.ReadReply:
+		return wire.KindReadReply
+	case balance.Loads:
+		return wire.KindLoads
+	case crashes.Crash:
+		return wire.KindBlame
+	}
+	panic(fmt.Sprintf("fabric: a message of type %T", body))
+}
+
+// decode returns the message in a frame.
+func decode(frame wire.Frame) (any, error) {
+	switch frame.Kind {
+	case wire.KindConsensus:
+		return decodeAs[consensus.Message](frame)
+	case wire.KindWatch:
+		return decodeAs[control.Watch](frame)
+	case wire.KindNews:
+		return decodeAs[control.News](frame)
+	case wire.KindRoster:
+		return decodeAs[control.Roster](frame)
+	case wire.KindDocument:
+		return decodeAs[control.Document](frame)
+	case wire.KindHeard:
+		return decodeAs[control.Heard](frame)
+	case wire.KindPut:
+		return decodeAs[control.Put](frame)
+	case wire.KindPutReply:
+		return decodeAs[control.PutReply](frame)
+	case wire.KindRead:
+		return decodeAs[control.Read](frame)
+	case wire.KindReadReply:
+		return decodeAs[control.ReadReply](frame)
+	case wire.KindLoads:
+		return decodeAs[balance.Loads](frame)
+	case wire.KindBlame:
+		return decodeAs[crashes.Crash](frame)
+	}
+	return nil, fmt.Errorf("fabric: no message has kind %d", frame.Kind)
+}
+
+func decodeAs[T any](frame wire.Frame) (any, error) {
+	var body T
+	err := wire.Decode(frame.Payload, &body)
+	return body, err
+}
--- /dev/null
+++ b/daemon/loglines/loglines.go
@@ -0,0 +1,140 @@
+// Package loglines writes log lines to a pipe without ever making the process
+// wait, and within a budget.
+//
+// Failures guarded:
+//
+//   - Whoever reads the pipe has stopped. Lines are handed to one goroutine over
+//     a bounded queue; when it is full they are dropped and counted.
+//   - An outage makes every request a line, and writing them costs the processor
+//     time that the requests need. Each second has a budget of lines; what is
+//     over it is dropped and counted. Ordinary lines may use half of the budget,
+//     so that those that tell of a failure still have room.
+//
+// What was dropped is said in a line of its own as soon as there is room.
+package loglines
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// queueLines bounds the lines that wait for the pipe: 64 KB at the usual
+	// length.
+	queueLines = 256
+	// maxBatch bounds one write, in bytes, to what a pipe takes at once.
+	maxBatch = 32 << 10
+)
+
+// Writer is a zerolog.LevelWriter. It is safe for concurrent use.
+type Writer struct {
+	out       io.Writer
+	perSecond int
+	now       func() time.Time
+	queue     chan []byte
+	done      chan struct{}
+
+	mu      sync.Mutex
+	second  int64
+	written int
+	dropped uint64
+	closed  bool
+}
+
+// New starts a writer with a budget of lines a second.
+func New(out io.Writer, perSecond int) *Writer {
+	w := &Writer{out: out, perSecond: perSecond, now: time.Now, queue: make(chan []byte, queueLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer for lines without a level.
+func (w *Writer) Write(line []byte) (int, error) {
+	return w.WriteLevel(zerolog.NoLevel, line)
+}
+
+// WriteLevel implements zerolog.LevelWriter. It never waits and never fails.
+func (w *Writer) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || !w.withinBudget(level) {
+		w.dropped++
+		return len(line), nil
+	}
+	if w.dropped > 0 {
+		w.offer(fmt.Appendf(nil, `{"level":"warn","event":"log-lines-dropped","count":%d}`+"\n", w.dropped))
+	}
+	if !w.offer(append([]byte(nil), line...)) {
+		w.dropped++
+	}
+	return len(line), nil
+}
+
+// withinBudget counts a line against the budget of the second.
+func (w *Writer) withinBudget(level zerolog.Level) bool {
+	if second := w.now().Unix(); second != w.second {
+		w.second = second
+		w.written = 0
+	}
+	budget := w.perSecond
+	if level < zerolog.WarnLevel {
+		budget = (w.perSecond + 1) / 2
+	}
+	if w.written >= budget {
+		return false
+	}
+	w.written++
+	return true
+}
+
+// offer queues a line if there is room. A queued note of what was dropped
+// starts the count anew.
+func (w *Writer) offer(line []byte) bool {
+	select {
+	case w.queue <- line:
+		w.dropped = 0
+		return true
+	default:
+		return false
+	}
+}
+
+// run writes what waits, several lines at a time.
+func (w *Writer) run() {
+	defer close(w.done)
+	for line := range w.queue {
+		batch := line
+	gather:
+		for len(batch) < maxBatch {
+			select {
+			case next, open := <-w.queue:
+				if !open {
+					break gather
+				}
+				batch = append(batch, next...)
+			default:
+				break gather
+			}
+		}
+		// There is nowhere to tell of a log that can't be written.
+		_, _ = w.out.Write(batch)
+	}
+}
+
+// Close writes what waits, for as long as patience allows.
+func (w *Writer) Close(patience time.Duration) {
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.queue)
+	}
+	w.mu.Unlock()
+	select {
+	case <-w.done:
+	case <-time.After(patience):
+	}
+}
--- /dev/null
+++ b/daemon/router/fleet.go
@@ -0,0 +1,104 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/crashes"
+	"endiveplank/coordination/retry"
+	"endiveplank/coordination/routing"
+	"endiveplank/protocol"
+	"endiveplank/transport/forward"
+)
+
+// Table implements forward.Fleet.
+func (r *Router) Table() *routing.Index { return r.table.Load() }
+
+// homesOfPrompt is how many engines a prompt's beginning may be kept on: the
+// second one for when the first has more work than it may.
+const homesOfPrompt = 2
+
+// Choose implements forward.Fleet.
+func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	request := balance.Request{Service: job.Service, Tried: job.Tried}
+	if key, sticky := homeKey(job); sticky {
+		request.Homes = r.book.RendezvousHomes(now, job.Service, key, homesOfPrompt)
+	}
+	choice := r.book.Pick(now, r.random, request)
+	if choice.ID != "" {
+		r.book.Started(choice.ID)
+	}
+	return choice
+}
+
+// homeKey returns the key of the longest beginning that a prompt shares with
+// others: all parts but the last, which is its own.
+func homeKey(job forward.Job) (uint64, bool) {
+	if !job.Route.Sticky || job.Prompt == nil || len(job.Prompt.Parts) == 0 {
+		return 0, false
+	}
+	parts := job.Prompt.Parts
+	return parts[max(len(parts)-2, 0)].Key, true
+}
+
+// Ended implements forward.Fleet.
+func (r *Router) Ended(_ forward.Job, upstream protocol.UpstreamID, result balance.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.Ended(r.now(), upstream, result)
+}
+
+// window returns the retries of a service. The lock is held.
+func (r *Router) window(service protocol.Service) *retry.Window {
+	w := r.windows[service]
+	if w == nil {
+		w = retry.NewWindow(retry.WindowSettings{
+			Ratio: r.settings.Retries.Ratio, Slack: r.settings.Retries.Slack, Length: r.settings.Retries.Window(),
+		})
+		r.windows[service] = w
+	}
+	return w
+}
+
+// Arrived implements forward.Fleet.
+func (r *Router) Arrived(service protocol.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window(service).Request(r.now())
+}
+
+// MayRetry implements forward.Fleet.
+func (r *Router) MayRetry(service protocol.Service) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window(service).Retry(r.now(), r.fleetSize)
+}
+
+// Condemned implements forward.Fleet.
+func (r *Router) Condemned(digest uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes.Condemned(r.now(), digest)
+}
+
+// Crashed implements forward.Fleet.
+func (r *Router) Crashed(digest uint64, upstream protocol.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	crash := crashes.Crash{Digest: digest, Upstream: upstream, Attempt: r.random.Uint64()}
+	r.noteCrash(r.now(), crash)
+	for _, id := range r.routers {
+		r.fabric.Send(id, crash)
+	}
+}
+
+// noteCrash counts a crash. The lock is held.
+func (r *Router) noteCrash(now time.Duration, crash crashes.Crash) {
+	if r.crashes.Note(now, crash) {
+		r.log.Warn().Str("event", "request-condemned").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
+	}
+}
--- /dev/null
+++ b/daemon/router/router.go
@@ -0,0 +1,268 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/control"
+	"endiveplank/coordination/crashes"
+	"endiveplank/coordination/document"
+	"endiveplank/coordination/retry"
+	"endiveplank/coordination/roster"
+	"endiveplank/coordination/routing"
+	"endiveplank/daemon/fabric"
+	"endiveplank/protocol"
+	"endiveplank/protocol/dialect"
+	"endiveplank/settings/direct"
+	"endiveplank/transport/exchange"
+	"endiveplank/transport/forward"
+)
+
+const (
+	// tickInterval is how often watches and loads are looked at. Loads are
+	// that old at most on the other routers, in which time an upstream gets a
+	// request or two of all routers together.
+	tickInterval = 100 * time.Millisecond
+	// wholeInterval is how often loads are told whole, for routers that have
+	// missed some.
+	wholeInterval = time.Second
+	// sweepInterval is how often unused connections are looked at.
+	sweepInterval = time.Second
+)
+
+// Options of a Router.
+type Options struct {
+	Settings direct.Settings
+	Dialect  dialect.Dialect
+	// ReadTable makes a table of what the disk VMs keep.
+	ReadTable func(version uint64, body []byte) (*routing.Table, error)
+	Log       zerolog.Logger
+	Random    *rand.Rand
+}
+
+// Router is a running router.
+type Router struct {
+	options Options
+	log     zerolog.Logger
+	started time.Time
+	fabric  *fabric.Fabric
+	pool    *exchange.Pool
+	handler *forward.Handler
+	table   atomic.Pointer[routing.Index]
+	servers servers
+	metrics *instruments
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	settings direct.Settings
+	roster   *roster.Roster
+	follower *control.Follower
+	book     *balance.Book
+	crashes  *crashes.Record
+	windows  map[protocol.Service]*retry.Window
+	routers  []protocol.RouterID
+	// fleetSize is the largest number of routers known lately, this one
+	// included.
+	fleetSize   int
+	sizedAt     time.Duration
+	revision    uint64
+	toldWhole   time.Duration
+	swept       time.Duration
+	stopping    bool
+	quit        chan struct{}
+	done        sync.WaitGroup
+	readyBefore bool
+}
+
+// New starts all parts. Errors: those of the listeners.
+func New(options Options) (*Router, error) {
+	r := &Router{
+		options: options, settings: options.Settings, log: options.Log, started: time.Now(),
+		pool: exchange.NewPool(), random: options.Random, metrics: newInstruments(),
+		roster:  roster.New(roster.DefaultSettings()),
+		crashes: crashes.New(crashes.DefaultSettings()),
+		windows: map[protocol.Service]*retry.Window{},
+		quit:    make(chan struct{}),
+	}
+	self := options.Settings.Self()
+	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
+	r.book = balance.NewBook(balance.Settings{
+		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
+		DataCentre: options.Settings.DataCentre,
+	})
+	r.handler = forward.New(forward.Options{
+		Fleet: r, Dialect: options.Dialect, Pool: r.pool, Log: options.Log, Observe: r.metrics.observe,
+	})
+	var err error
+	r.fabric, err = fabric.New(fabric.Options{
+		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: options.Random.Uint64(),
+		Receiver: r, Log: options.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := r.serve(); err != nil {
+		r.fabric.Close()
+		return nil, err
+	}
+	r.done.Add(1)
+	go r.run()
+	return r, nil
+}
+
+// now is the time since the start, by the monotonic clock.
+func (r *Router) now() time.Duration { return time.Since(r.started) }
+
+// run does what is due until the router stops.
+func (r *Router) run() {
+	defer r.done.Done()
+	r.tick()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.quit:
+			return
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+}
+
+// tick asks the disk VMs, tells the other routers, and forgets who is silent.
+func (r *Router) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.fabric.SendAll(r.follower.Tick(now))
+	r.logBeliefs()
+	r.noteRouters(now)
+	r.tellLoads(now)
+	for _, id := range r.book.Expire(now) {
+		r.log.Info().Str("event", "router-silent").Str("router", string(id)).Msg("its work no longer counts")
+	}
+	r.takeRoster()
+	if now-r.swept >= sweepInterval {
+		r.swept = now
+		r.roster.Expire(now)
+		go r.pool.Sweep()
+	}
+	if ready := r.ready(); ready != r.readyBefore {
+		r.readyBefore = ready
+		r.log.Info().Str("event", "readiness").Bool("ready", ready).Uint64("table", r.tableVersion()).Send()
+	}
+}
+
+// noteRouters takes the list of routers from the disk VMs. The size that shares
+// of budgets are computed from shrinks only after a while: routers that one
+// can't see may still spend their share.
+func (r *Router) noteRouters(now time.Duration) {
+	self := r.settings.Self()
+	r.routers = slices.DeleteFunc(r.follower.Routers(now), func(id protocol.RouterID) bool { return id == self })
+	size := len(r.routers) + 1
+	if size >= r.fleetSize || now-r.sizedAt > 3*r.settings.Retries.Window() {
+		r.fleetSize = size
+		r.sizedAt = now
+	}
+}
+
+// tellLoads sends this router's work to the others.
+func (r *Router) tellLoads(now time.Duration) {
+	whole := now-r.toldWhole >= wholeInterval
+	if whole {
+		r.toldWhole = now
+	}
+	loads, any := r.book.OwnLoads(whole)
+	if !any {
+		return
+	}
+	for _, id := range r.routers {
+		r.fabric.Send(id, loads)
+	}
+}
+
+// takeRoster hands a changed list of upstreams to the book.
+func (r *Router) takeRoster() {
+	if r.roster.Revision() == r.revision {
+		return
+	}
+	r.revision = r.roster.Revision()
+	for _, e := range r.book.SetRoster(r.roster.Entries()) {
+		if e.State != roster.Ready {
+			r.pool.Forget(e.Address)
+		}
+		r.log.Info().Str("event", "upstream").Str("upstream", string(e.ID)).Stringer("state", e.State).
+			Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
+	}
+}
+
+// Receive implements fabric.Receiver.
+func (r *Router) Receive(from protocol.RouterID, body any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	switch m := body.(type) {
+	case control.News:
+		r.fabric.SendAll(r.follower.TakeNews(now, from, m))
+	case control.Roster:
+		r.follower.TakeRoster(now, from, m)
+		r.takeRoster()
+	case control.Document:
+		sends, _ := r.follower.TakeDocument(now, from, m, r.accept)
+		r.fabric.SendAll(sends)
+	case balance.Loads:
+		r.book.TakeLoads(now, from, m)
+	case crashes.Crash:
+		r.noteCrash(now, m)
+	default:
+		r.log.Warn().Str("event", "message-refused").Str("from", string(from)).Type("type", body).Send()
+	}
+	r.logBeliefs()
+}
+
+// accept puts a table in force.
+func (r *Router) accept(d *document.Document) error {
+	table, err := r.options.ReadTable(d.Version, d.Body)
+	if err != nil {
+		r.log.Error().Str("event", "table-unreadable").Uint64("version", d.Version).Err(err).Send()
+		return err
+	}
+	r.table.Store(routing.NewIndex(table))
+	return nil
+}
+
+// tableVersion is that of the table in force, 0 for none.
+func (r *Router) tableVersion() uint64 {
+	if index := r.table.Load(); index != nil {
+		return index.Table().Version
+	}
+	return 0
+}
+
+// logBeliefs writes a line for each change of what this router believes.
+func (r *Router) logBeliefs() {
+	for _, b := range r.follower.Beliefs() {
+		r.log.Info().Str("event", b.What).Str("disk_vm", string(b.About)).Uint64("version", b.Version).
+			Int64("age_ms", b.Age.Milliseconds()).Send()
+	}
+}
+
+// ready reports whether the balancer should send callers. The lock is held.
+func (r *Router) ready() bool {
+	return r.table.Load() != nil && !r.stopping
+}
+
+// Reload takes changed settings: seeds.
+func (r *Router) Reload(changed direct.Settings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settings.Seeds = changed.Seeds
+	r.follower.SetSeeds(r.now(), changed.SeedPeers())
+	r.log.Info().Str("event", "settings-reloaded").Strs("seeds", changed.Seeds).Send()
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -96,6 +96,22 @@
 	// issuer to an engine's owner and back.
 	KindEngineAsk   Kind = 40
 	KindEngineReply Kind = 41
+	// KindWatch to KindReadReply are the messages of coordination/control, between
+	// disk VMs and the routers that send to upstreams themselves.
+	KindWatch     Kind = 50
+	KindNews      Kind = 51
+	KindRoster    Kind = 52
+	KindDocument  Kind = 53
+	KindHeard     Kind = 54
+	KindPut       Kind = 55
+	KindPutReply  Kind = 56
+	KindRead      Kind = 57
+	KindReadReply Kind = 58
+	// KindLoads to KindHomeReply go between those routers.
+	KindLoads     Kind = 60
+	KindHome      Kind = 61
+	KindHomeReply Kind = 62
+	KindBlame     Kind = 63
 )
 
 // kindNames are the names of kinds in metrics.
@@ -111,6 +127,9 @@
 	KindCheck: "check", KindAlive: "alive",
 	KindProbe:     "probe",
 	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
+	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindDocument: "document",
+	KindHeard: "heard", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
+	KindLoads: "loads", KindHome: "home", KindHomeReply: "home-reply", KindBlame: "blame",
 }
 
 // String returns the kind's name.
--- /dev/null
+++ b/settings/direct/check.go
@@ -0,0 +1,56 @@
+package direct
+
+import (
+	"fmt"
+
+	"endiveplank/settings/strict"
+)
+
+// check finds every value that is out of range.
+func check(s Settings) strict.Problems {
+	c := &strict.Checker{}
+	c.OneOf("role", string(s.Role), string(RoleRouter), string(RoleDiskVM))
+	c.Name("name", s.Name)
+	c.Name("data_centre", string(s.DataCentre))
+	checkListen(c, s)
+	for i, seed := range s.Seeds {
+		c.Address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	if s.Role == RoleDiskVM && s.DataFolder == "" {
+		c.Add("data_folder", s.DataFolder, "a folder, because a disk VM keeps the table there")
+	}
+	if s.Role == RoleRouter && s.DataFolder != "" {
+		c.Add("data_folder", s.DataFolder, "empty, because a router keeps no files")
+	}
+	checkFigures(c, s)
+	return c.Problems
+}
+
+func checkListen(c *strict.Checker, s Settings) {
+	c.Address("listen.peers", s.Listen.Peers)
+	switch s.Role {
+	case RoleRouter:
+		c.Address("listen.callers", s.Listen.Callers)
+		c.Address("listen.readiness", s.Listen.Readiness)
+	case RoleDiskVM:
+		c.Address("listen.control", s.Listen.Control)
+	}
+	if s.Listen.Metrics != "" {
+		c.Address("listen.metrics", s.Listen.Metrics)
+	}
+}
+
+func checkFigures(c *strict.Checker, s Settings) {
+	c.Between("upstreams.heartbeat_ms", float64(s.Upstreams.HeartbeatMS), 50, 60_000)
+	c.Between("upstreams.leave_ms", float64(s.Upstreams.LeaveMS), 100, 60_000)
+	c.Between("retries.ratio", s.Retries.Ratio, 0, 1)
+	c.Between("retries.window_ms", float64(s.Retries.WindowMS), 1000, 600_000)
+	c.Between("retries.slack", float64(s.Retries.Slack), 0, 100_000)
+	c.Between("load.multiple", s.Load.Multiple, 1.05, 100)
+	c.Between("load.slack", float64(s.Load.Slack), 0, 10_000)
+	c.Between("stop.unready_ms", float64(s.Stop.UnreadyMS), 0, 60_000)
+	c.Between("stop.grace_ms", float64(s.Stop.GraceMS), 100, 3_600_000)
+	c.OneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.Between("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 100_000)
+	c.Between("memory.limit_mb", float64(s.Memory.LimitMB), 32, 1<<20)
+}
--- a/state/replica/config.go
+++ b/state/replica/config.go
@@ -38,8 +38,13 @@
 // Machine and Random are required.
 type Config struct {
 	Self protocol.RouterID
-	// Peers are all routers with a disk, Self included.
+	// Peers are all routers with a disk, Self included. With Open they are
+	// those to ask first, Self need not be among them, and SetContacts changes
+	// them.
 	Peers []protocol.RouterID
+	// Open takes in routers with a disk that nobody has listed; see
+	// consensus.Settings.
+	Open bool
 	// InitialVoters are those that form a new cluster.
 	InitialVoters []protocol.RouterID
 	Disk          disk.Disk
@@ -99,10 +104,8 @@
 	if c.Self == "" || len(c.Peers) == 0 || c.Disk == nil || c.Transport == nil || c.Machine == nil || c.Random == nil {
 		return c, eris.New("replica: Self, Peers, Disk, Transport, Machine and Random are required")
 	}
-	for _, router := range append([]protocol.RouterID{c.Self}, c.InitialVoters...) {
-		if !slices.Contains(c.Peers, router) {
-			return c, eris.Errorf("replica: %s is not among the peers", router)
-		}
+	if err := c.checkPeers(); err != nil {
+		return c, err
 	}
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
@@ -117,6 +120,19 @@
 	return c, nil
 }
 
+// checkPeers finds routers that the others would not know.
+func (c Config) checkPeers() error {
+	if c.Open {
+		return nil
+	}
+	for _, router := range append([]protocol.RouterID{c.Self}, c.InitialVoters...) {
+		if !slices.Contains(c.Peers, router) {
+			return eris.Errorf("replica: %s is not among the peers", router)
+		}
+	}
+	return nil
+}
+
 // ErrNotLeader means that another member leads, or none.
 type ErrNotLeader = consensus.ErrNotLeader
 
--- a/state/replica/replica.go
+++ b/state/replica/replica.go
@@ -80,6 +80,7 @@
 	settings := config.Consensus
 	settings.Self = log.Member()
 	settings.Peers = config.Peers
+	settings.Open = config.Open
 	settings.InitialVoters = config.InitialVoters
 	r := &Replica{
 		config: config, log: log,
@@ -171,6 +172,11 @@
 	return r.await(ctx, reply)
 }
 
+// SetContacts replaces the routers to ask first, with Config.Open.
+func (r *Replica) SetContacts(ctx context.Context, routers []protocol.RouterID) error {
+	return r.enqueue(ctx, func() { r.core.SetContacts(routers) })
+}
+
 // HandOver makes this member, if it leads, give leadership to a caught-up voter
 // before a planned stop. It answers at once; leadership ends within
 // milliseconds, or stays if no voter is ready within an election timeout.
--- /dev/null
+++ b/transport/forward/outcome.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/protocol"
+)
+
+// Outcome is how a request ended, for log and metrics.
+type Outcome struct {
+	Route        string
+	TableVersion uint64
+	Customer     protocol.CustomerID
+	Status       int
+	// Reason is set where this router answered itself or broke off.
+	Reason string
+	// Own says that the answer is this router's own.
+	Own bool
+	// Cut says that the caller's connection was ended in mid-answer.
+	Cut        bool
+	CallerGone bool
+	Attempts   []AttemptOutcome
+	Events     int
+	// FirstAfter is when the first byte of the answer went to the caller.
+	FirstAfter time.Duration
+	Took       time.Duration
+}
+
+// AttemptOutcome is how one attempt ended.
+type AttemptOutcome struct {
+	Choice balance.Choice
+	Result balance.Result
+	Status int
+	Reused bool
+	Sent   bool
+	Cause  string
+	Took   time.Duration
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a AttemptOutcome) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("upstream", string(a.Choice.ID)).Str("why", string(a.Choice.Reason)).
+		Int("load", a.Choice.Load).Float64("mean", a.Choice.Mean).
+		Stringer("result", a.Result).Int("status", a.Status).Bool("sent", a.Sent).Bool("reused", a.Reused).
+		Float64("ms", a.Took.Seconds()*1000)
+	if a.Cause != "" {
+		e.Str("cause", a.Cause)
+	}
+}
+
+// attempts are logged as a list.
+type attempts []AttemptOutcome
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (list attempts) MarshalZerologArray(a *zerolog.Array) {
+	for _, attempt := range list {
+		a.Object(attempt)
+	}
+}
+
+// failed reports whether a caller was not served as it should.
+func (o *Outcome) failed() bool {
+	return o.Own || o.Cut || o.Status >= 500 || len(o.Attempts) > 1
+}
+
+// report writes the request's line.
+func (f *flight) report() {
+	aborted := recover()
+	f.outcome.Took = time.Since(f.arrived)
+	level := zerolog.InfoLevel
+	if f.outcome.failed() {
+		level = zerolog.WarnLevel
+	}
+	if f.handler.options.Observe != nil {
+		f.handler.options.Observe(f.outcome)
+	}
+	o := &f.outcome
+	line := f.handler.options.Log.WithLevel(level).Str("event", "request").Str("request", string(f.call.ID)).
+		Str("route", o.Route).Uint64("table", o.TableVersion).Str("customer", string(o.Customer)).Int("priority", f.job.Priority).
+		Int("status", o.Status).Float64("ms", o.Took.Seconds()*1000).Array("attempts", attempts(o.Attempts))
+	if o.Reason != "" {
+		line.Str("reason", o.Reason)
+	}
+	if o.Cut || o.CallerGone {
+		line.Bool("cut", o.Cut).Bool("caller_gone", o.CallerGone)
+	}
+	if f.job.Route != nil && f.job.Route.Stream {
+		line.Int("events", o.Events).Float64("first_ms", o.FirstAfter.Seconds()*1000)
+	}
+	line.Send()
+	if aborted != nil {
+		panic(aborted)
+	}
+}
--- /dev/null
+++ b/transport/forward/refuse.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// When to come back after a refusal.
+const (
+	// retryWithoutTable: a router that starts learns the table within some
+	// tenths of a second, and the balancer knows others.
+	retryWithoutTable = 300 * time.Millisecond
+	// retryWhenFull: some requests' time on a plain service.
+	retryWhenFull = 250 * time.Millisecond
+	// retryWithoutUpstream: an upstream that starts anew is heard of within a
+	// second of its first announcement.
+	retryWithoutUpstream = 500 * time.Millisecond
+	// retryCondemned: as long as a request that crashes upstreams is refused.
+	retryCondemned = 30 * time.Second
+)
+
+// refusal is the body of this router's own answers.
+type refusal struct {
+	Error  string `json:"error"`
+	Reason string `json:"reason"`
+}
+
+// refuse answers the caller without an upstream's answer. after is when to come
+// back; 0 says nothing of it.
+func (f *flight) refuse(status int, reason string, after time.Duration) {
+	f.outcome.Status = status
+	f.outcome.Reason = reason
+	f.outcome.Own = true
+	header := f.writer.Header()
+	header.Set("Content-Type", "application/json")
+	if after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	body, err := json.Marshal(refusal{Error: http.StatusText(status), Reason: reason})
+	if err != nil {
+		panic("forward: invariant broken: a refusal always encodes: " + err.Error())
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	f.writer.WriteHeader(status)
+	if _, err := f.writer.Write(body); err != nil {
+		f.outcome.CallerGone = true
+	}
+}
+
+// giveUp answers a request that no upstream has answered. A promise that it
+// didn't run is made only if that is certain.
+func (f *flight) giveUp(reason string, after time.Duration) {
+	switch {
+	case f.stream.started:
+		f.abort(reason)
+	case f.mayHaveRun:
+		f.refuse(http.StatusBadGateway, reason, 0)
+	default:
+		f.refuse(http.StatusServiceUnavailable, reason, after)
+	}
+}
+
+// timeUp answers a request whose time has run out.
+func (f *flight) timeUp() {
+	switch {
+	case f.stream.started:
+		f.abort("time-up")
+	case f.mayHaveRun:
+		f.refuse(http.StatusGatewayTimeout, "time-up", 0)
+	default:
+		f.refuse(http.StatusServiceUnavailable, "time-up", retryWhenFull)
+	}
+}
+
+// abort ends the caller's connection in the middle of an answer, so that it
+// can't be taken for complete.
+func (f *flight) abort(reason string) {
+	f.outcome.Reason = reason
+	f.outcome.Cut = true
+	panic(http.ErrAbortHandler)
+}
+
+// digest tells requests of the same content, from the same customer, apart from
+// others. A caller that sends one again gives it another name.
+func (f *flight) digest() uint64 {
+	d := xxhash.New()
+	// A hash takes every write.
+	_, _ = d.WriteString(f.request.Method + " " + f.request.RequestURI + "\n" + f.call.Key + "\n")
+	_, _ = d.Write(f.body)
+	return d.Sum64()
+}
