--- a/coordination/balance/book.go
+++ b/coordination/balance/book.go
@@ -29,6 +29,8 @@
 	// Whole says that upstreams left out have no work from the sender.
 	Whole bool   `msgpack:"w"`
 	Works []Work `msgpack:"u"`
+	// Kept are engines to which the sender has sent prompts lately.
+	Kept []Kept `msgpack:"k,omitempty"`
 }
 
 // others is what another router has told.
@@ -46,10 +48,6 @@
 	// elsewhere is the work of the other routers.
 	elsewhere int
 	health    health
-	// heard is when the upstream last sent anything.
-	heard time.Duration
-	// quickest and typical follow the time to its first byte.
-	typical time.Duration
 }
 
 // load is the work on an upstream, as far as this router knows.
@@ -60,6 +58,7 @@
 	upstreams map[protocol.UpstreamID]*upstream
 	services  map[protocol.Service][]*upstream
 	routers   map[protocol.RouterID]*others
+	keepers   *keepers
 	settings  Settings
 }
 
@@ -79,6 +78,7 @@
 		upstreams: map[protocol.UpstreamID]*upstream{},
 		services:  map[protocol.Service][]*upstream{},
 		routers:   map[protocol.RouterID]*others{},
+		keepers:   newKeepers(),
 		settings:  settings,
 	}
 }
@@ -186,7 +186,8 @@
 		u.told = u.own
 	}
 	slices.SortFunc(loads.Works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
-	return loads, whole || len(loads.Works) > 0
+	loads.Kept = b.keepers.takeNews()
+	return loads, whole || len(loads.Works) > 0 || len(loads.Kept) > 0
 }
 
 // TakeLoads takes another router's work.
@@ -203,6 +204,7 @@
 	for _, work := range loads.Works {
 		b.replace(now, other, work)
 	}
+	b.takeKept(now, loads.Kept)
 }
 
 // lapse drops what whole Loads leave out.
--- a/coordination/balance/homes.go
+++ b/coordination/balance/homes.go
@@ -1,44 +1,168 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
 
-// rendezvousHome returns the upstream that a prompt's beginning belongs to by
-// hashing alone, "" if there is none.
-func (b *Book) rendezvousHome(now time.Duration, service protocol.Service, key uint64) protocol.UpstreamID {
-	list, _ := b.usable(now, Request{Service: service})
-	best := protocol.UpstreamID("")
-	highest := uint64(0)
-	for _, u := range list {
-		if r := mix(rank(key, u.entry.ID)); best == "" || r > highest {
-			best, highest = u.entry.ID, r
+const (
+	// keeperLife is how long an engine is taken to keep a prompt's beginning
+	// after it was last sent there. Beginnings that nobody asked for in that
+	// time are cheap to read again.
+	keeperLife = 30 * time.Second
+	// tellAgain is how old the routers' knowledge of a keeper may grow before
+	// a router that uses it tells them anew.
+	tellAgain = 10 * time.Second
+	// keepersOfPrompt bounds the engines remembered for one prompt.
+	keepersOfPrompt = 4
+	// mostPrompts bounds the prompts remembered: some 150 bytes each.
+	mostPrompts = 8192
+	// keptPerMessage bounds what one message tells: 2 KB.
+	keptPerMessage = 64
+)
+
+// Kept tells other routers that an engine keeps a prompt's beginning.
+type Kept struct {
+	Prompt uint64              `msgpack:"p"`
+	ID     protocol.UpstreamID `msgpack:"i"`
+}
+
+// keeper is an engine that a prompt was sent to.
+type keeper struct {
+	id   protocol.UpstreamID
+	born int64
+	// at is when a router sent the prompt there, as far as is known here.
+	at time.Duration
+	// told is when the routers were last told.
+	told time.Duration
+}
+
+// keepers remembers which engines keep which prompts, by what this router and
+// the others have sent.
+type keepers struct {
+	prompts map[uint64][]keeper
+	// news is what the other routers have to be told.
+	news []Kept
+}
+
+func newKeepers() *keepers {
+	return &keepers{prompts: map[uint64][]keeper{}}
+}
+
+// of returns the engines that keep a prompt and take work, the one used last
+// first.
+func (b *Book) keepersOf(now time.Duration, prompt uint64, list []*upstream) []*upstream {
+	var found []*upstream
+	for _, k := range b.keepers.prompts[prompt] {
+		if now-k.at > keeperLife {
+			continue
+		}
+		at := slices.IndexFunc(list, func(u *upstream) bool { return u.entry.ID == k.id && u.entry.Born == k.born })
+		if at >= 0 {
+			found = append(found, list[at])
 		}
 	}
-	return best
+	return found
 }
 
-// RendezvousHomes returns up to n homes of a key by hashing alone, for when
-// nobody can be asked.
-func (b *Book) RendezvousHomes(now time.Duration, service protocol.Service, key uint64, n int) []protocol.UpstreamID {
-	list, _ := b.usable(now, Request{Service: service})
-	list = slices.Clone(list)
-	slices.SortFunc(list, func(x, y *upstream) int {
-		left, right := mix(rank(key, x.entry.ID)), mix(rank(key, y.entry.ID))
-		switch {
-		case left > right:
-			return -1
-		case left < right:
-			return 1
+// copySource returns the address of an engine that keeps a prompt, also of one
+// that is leaving, "" if there is none or the chosen one keeps it.
+func (b *Book) copySource(now time.Duration, prompt uint64, chosen *upstream) string {
+	source := ""
+	for _, k := range b.keepers.prompts[prompt] {
+		u := b.upstreams[k.id]
+		if u == nil || u.entry.Born != k.born || now-k.at > keeperLife || u.entry.State == roster.Gone {
+			continue
+		}
+		if u == chosen {
+			return ""
 		}
-		return 0
-	})
-	var homes []protocol.UpstreamID
-	for _, u := range list[:min(n, len(list))] {
-		homes = append(homes, u.entry.ID)
+		if source == "" {
+			source = u.entry.Address
+		}
+	}
+	return source
+}
+
+// keeps notes that this router sends a prompt to an engine.
+func (b *Book) keeps(now time.Duration, prompt uint64, u *upstream) {
+	k := b.keepers.note(now, prompt, u)
+	if k.told == 0 || now-k.told > tellAgain {
+		k.told = max(now, 1)
+		b.keepers.news = append(b.keepers.news, Kept{Prompt: prompt, ID: u.entry.ID})
+	}
+}
+
+// takeKept notes what another router tells.
+func (b *Book) takeKept(now time.Duration, kept []Kept) {
+	for _, k := range kept {
+		if u := b.upstreams[k.ID]; u != nil {
+			b.keepers.note(now, k.Prompt, u).told = max(now, 1)
+		}
+	}
+}
+
+// note puts an engine in front of those that keep a prompt.
+func (k *keepers) note(now time.Duration, prompt uint64, u *upstream) *keeper {
+	list, known := k.prompts[prompt]
+	if !known && len(k.prompts) >= mostPrompts {
+		k.drop(now)
+	}
+	next := keeper{id: u.entry.ID, born: u.entry.Born, at: now}
+	at := slices.IndexFunc(list, func(old keeper) bool { return old.id == next.id && old.born == next.born })
+	if at >= 0 {
+		next.told = list[at].told
+		list = slices.Delete(list, at, at+1)
+	}
+	list = slices.Insert(list, 0, next)
+	list = list[:min(len(list), keepersOfPrompt)]
+	k.prompts[prompt] = list
+	return &list[0]
+}
+
+// takeNews returns what the other routers have to be told, some at a time.
+func (k *keepers) takeNews() []Kept {
+	n := min(len(k.news), keptPerMessage)
+	taken := k.news[:n]
+	k.news = slices.Clone(k.news[n:])
+	return taken
+}
+
+// drop forgets what is old, and any where that isn't enough.
+func (k *keepers) drop(now time.Duration) {
+	for prompt, list := range k.prompts {
+		if now-list[0].at > keeperLife {
+			delete(k.prompts, prompt)
+		}
+	}
+	for prompt := range k.prompts {
+		if len(k.prompts) < mostPrompts {
+			return
+		}
+		delete(k.prompts, prompt)
+	}
+}
+
+// inOrderOf returns upstreams in the order of a prompt, by rendezvous hashing:
+// the same on every router, and when one comes or goes only the prompts move
+// that belong to it.
+func inOrderOf(prompt uint64, list []*upstream) []*upstream {
+	type ranked struct {
+		rank uint64
+		u    *upstream
+	}
+	all := make([]ranked, 0, len(list))
+	for _, u := range list {
+		all = append(all, ranked{rank(prompt, u.entry.ID), u})
+	}
+	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
+	ordered := make([]*upstream, 0, len(list))
+	for _, r := range all {
+		ordered = append(ordered, r.u)
 	}
-	return homes
+	return ordered
 }
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -14,9 +14,9 @@
 // Request is what is known of a request when its upstream is chosen.
 type Request struct {
 	Service protocol.Service
-	// Homes are the engines that keep the prompt's beginning, best first; none
-	// for requests without a prompt.
-	Homes []protocol.UpstreamID
+	// Prompt is the key of the prompt's beginning, where HasPrompt is set.
+	Prompt    uint64
+	HasPrompt bool
 	// Tried are upstreams that this request was sent to.
 	Tried []protocol.UpstreamID
 }
@@ -26,12 +26,13 @@
 
 // The reasons.
 const (
-	// ReasonHome: it keeps the prompt's beginning.
-	ReasonHome Reason = "home"
+	// ReasonKeeper: it keeps the prompt's beginning.
+	ReasonKeeper Reason = "keeper"
+	// ReasonOrder: none that keeps it is within the bound, and it is among the
+	// first in the prompt's order.
+	ReasonOrder Reason = "prompt-order"
 	// ReasonLeastLoaded: no upstream has less work.
 	ReasonLeastLoaded Reason = "least-loaded"
-	// ReasonHomeOverBound: the home has more work than the bound allows.
-	ReasonHomeOverBound Reason = "home-over-bound"
 	// ReasonLastResort: all upstreams that are left look bad.
 	ReasonLastResort Reason = "last-resort"
 	// ReasonNone: there is no upstream.
@@ -43,6 +44,9 @@
 	ID      protocol.UpstreamID
 	Address string
 	Reason  Reason
+	// CopyFrom is the address of an engine that keeps the prompt's beginning,
+	// "" where the chosen one keeps it or nobody is known to.
+	CopyFrom string
 	// Load and Mean are what the choice was made from.
 	Load int
 	Mean float64
@@ -82,11 +86,16 @@
 	return float64(sum) / float64(count)
 }
 
-// bound returns the load up to which an upstream of a service may be chosen.
-// One less than what may not be passed: other routers' latest requests aren't
-// known yet.
+// promptMultiple and promptSlack bound the load of an engine that a prompt is
+// sent to for what it keeps.
+const (
+	promptMultiple = 1.3
+	promptSlack    = 2.0
+)
+
+// bound returns the load up to which an engine is chosen for a prompt.
 func (b *Book) bound(mean float64) float64 {
-	return b.settings.Multiple*mean + float64(b.settings.Slack) - 1
+	return promptMultiple*mean + promptSlack
 }
 
 // Pick chooses the upstream of a request.
@@ -95,29 +104,59 @@
 // isn't cached, some of them asked for several times a second; plain requests
 // of milliseconds. Harm prevented: a prompt that is read on many engines, and an
 // engine that has a multiple of the others' work because its prompts are in
-// demand. So the home is taken while its load is within the bound, then the
-// next home, then the least loaded.
+// demand. So a prompt goes to an engine that keeps its beginning while that one's
+// load is within a bound, and one that doesn't keep it copies it from one that
+// does, which takes a tenth of the time that reading it again would.
 func (b *Book) Pick(now time.Duration, random *rand.Rand, r Request) Choice {
 	list, bad := b.usable(now, r)
 	if len(list) == 0 {
 		return Choice{Reason: ReasonNone}
 	}
 	mean := b.mean(r.Service)
-	reason := ReasonLeastLoaded
-	if bad {
-		reason = ReasonLastResort
-	}
-	for _, home := range r.Homes {
-		at := slices.IndexFunc(list, func(u *upstream) bool { return u.entry.ID == home })
-		if at < 0 {
-			continue
+	if !r.HasPrompt {
+		reason := ReasonLeastLoaded
+		if bad {
+			reason = ReasonLastResort
 		}
-		if u := list[at]; float64(u.load()) <= b.bound(mean) {
-			return choice(u, ReasonHome, mean)
+		return choice(b.leastLoaded(random, list), reason, mean)
+	}
+	return b.pickForPrompt(now, random, r, list, mean)
+}
+
+// pickForPrompt chooses the engine of a prompt: of those that keep its beginning
+// the one with the least work, if that is within the bound; else the first
+// within the bound in the prompt's own order.
+func (b *Book) pickForPrompt(now time.Duration, random *rand.Rand, r Request, list []*upstream, mean float64) Choice {
+	bound := b.bound(mean)
+	chosen, reason := within(bound, b.keepersOf(now, r.Prompt, list)), ReasonKeeper
+	if chosen == nil {
+		chosen, reason = within(bound, inOrderOf(r.Prompt, list)[:min(len(list), firstChoices)]), ReasonOrder
+	}
+	if chosen == nil {
+		chosen, reason = b.leastLoaded(random, list), ReasonLeastLoaded
+	}
+	made := choice(chosen, reason, mean)
+	made.CopyFrom = b.copySource(now, r.Prompt, chosen)
+	b.keeps(now, r.Prompt, chosen)
+	return made
+}
+
+// firstChoices is how many engines of a prompt's order are compared by load.
+// With two, the most loaded engine has little more than the mean, as with any
+// choice between two, and routers that don't know of each other still agree on
+// the pair.
+const firstChoices = 2
+
+// within returns the upstream with the least work, the earlier one among
+// equals, nil if none is within the bound.
+func within(bound float64, list []*upstream) *upstream {
+	var best *upstream
+	for _, u := range list {
+		if float64(u.load()) <= bound && (best == nil || u.load() < best.load()) {
+			best = u
 		}
-		reason = ReasonHomeOverBound
 	}
-	return choice(b.leastLoaded(random, list), reason, mean)
+	return best
 }
 
 func choice(u *upstream, reason Reason, mean float64) Choice {
@@ -160,10 +199,9 @@
 	return 1
 }
 
-// rank orders upstreams for a key by rendezvous hashing: when one comes or goes,
-// only the keys move that belong to it.
+// rank is an upstream's rank in a prompt's order.
 func rank(key uint64, id protocol.UpstreamID) uint64 {
-	return xxhash.Sum64String(string(id)) ^ mix(key)
+	return mix(xxhash.Sum64String(string(id)) ^ mix(key))
 }
 
 // mix spreads the bits of a key (the finaliser of SplitMix64).
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -15,19 +15,13 @@
 // Table implements forward.Fleet.
 func (r *Router) Table() *routing.Index { return r.table.Load() }
 
-// homesOfPrompt is how many engines a prompt's beginning may be kept on: the
-// second one for when the first has more work than it may.
-const homesOfPrompt = 2
-
 // Choose implements forward.Fleet.
 func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	request := balance.Request{Service: job.Service, Tried: job.Tried}
-	if key, sticky := homeKey(job); sticky {
-		request.Homes = r.book.RendezvousHomes(now, job.Service, key, homesOfPrompt)
-	}
+	request.Prompt, request.HasPrompt = promptKey(job)
 	choice := r.book.Pick(now, r.random, request)
 	if choice.ID != "" {
 		r.book.Started(choice.ID)
@@ -35,9 +29,9 @@
 	return choice
 }
 
-// homeKey returns the key of the longest beginning that a prompt shares with
+// promptKey returns the key of the longest beginning that a prompt shares with
 // others: all parts but the last, which is its own.
-func homeKey(job forward.Job) (uint64, bool) {
+func promptKey(job forward.Job) (uint64, bool) {
 	if !job.Route.Sticky || job.Prompt == nil || len(job.Prompt.Parts) == 0 {
 		return 0, false
 	}
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -57,6 +57,9 @@
 	// LastEvent resumes a stream behind an event; "" sends what the caller
 	// sent.
 	LastEvent string
+	// CopyFrom is the address of an engine from which the upstream copies what
+	// it lacks of the prompt's beginning, "" for none.
+	CopyFrom string
 }
 
 // Answer is what an upstream says of its answer, beside status and body.
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -149,7 +149,7 @@
 func (f *flight) attempt(choice balance.Choice, outcome *AttemptOutcome) verdict {
 	header := f.request.Header.Clone()
 	removeHopByHop(header)
-	attempt := dialect.Attempt{Upstream: choice.ID, Left: time.Until(f.deadline), Priority: f.job.Priority, LastEvent: f.stream.lastID}
+	attempt := dialect.Attempt{Upstream: choice.ID, Left: time.Until(f.deadline), Priority: f.job.Priority, LastEvent: f.stream.lastID, CopyFrom: choice.CopyFrom}
 	if f.customer != nil {
 		attempt.Customer = f.customer.Name
 	}
