--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -21,7 +21,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	request := balance.Request{Service: job.Service, Tried: job.Tried}
-	request.Prompt, request.HasPrompt = promptKey(job)
+	request.Prompt, request.HasPrompt = job.PromptKey()
 	choice := r.book.Pick(now, r.random, request)
 	if choice.ID != "" {
 		r.book.Started(choice.ID)
@@ -29,16 +29,6 @@
 	return choice
 }
 
-// promptKey returns the key of the longest beginning that a prompt shares with
-// others: all parts but the last, which is its own.
-func promptKey(job forward.Job) (uint64, bool) {
-	if !job.Route.Sticky || job.Prompt == nil || len(job.Prompt.Parts) == 0 {
-		return 0, false
-	}
-	parts := job.Prompt.Parts
-	return parts[max(len(parts)-2, 0)].Key, true
-}
-
 // Ended implements forward.Fleet.
 func (r *Router) Ended(_ forward.Job, upstream protocol.UpstreamID, result balance.Result) {
 	r.mu.Lock()
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -51,6 +51,17 @@
 	Digest uint64
 }
 
+// PromptKey returns the key of the longest beginning that the prompt shares with
+// others: all parts but the last, which is its own. False where it has none that
+// is worth looking for.
+func (j *Job) PromptKey() (uint64, bool) {
+	if j.Route == nil || !j.Route.Sticky || j.Prompt == nil || len(j.Prompt.Parts) == 0 {
+		return 0, false
+	}
+	parts := j.Prompt.Parts
+	return parts[max(len(parts)-2, 0)].Key, true
+}
+
 // Limits on what callers may send where the table sets none, and on what the
 // process holds.
 const (
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -46,6 +46,9 @@
 		Int("load", a.Choice.Load).Float64("mean", a.Choice.Mean).
 		Stringer("result", a.Result).Int("status", a.Status).Bool("sent", a.Sent).Bool("reused", a.Reused).
 		Float64("ms", a.Took.Seconds()*1000)
+	if a.Choice.CopyFrom != "" {
+		e.Str("copy_from", a.Choice.CopyFrom)
+	}
 	if a.Cause != "" {
 		e.Str("cause", a.Cause)
 	}
@@ -87,6 +90,9 @@
 	if o.Cut || o.CallerGone {
 		line.Bool("cut", o.Cut).Bool("caller_gone", o.CallerGone)
 	}
+	if key, any := f.job.PromptKey(); any {
+		line.Uint64("prompt", key)
+	}
 	if f.job.Route != nil && f.job.Route.Stream {
 		line.Int("events", o.Events).Float64("first_ms", o.FirstAfter.Seconds()*1000)
 	}
