A fleet of ninety routers starts and keeps its leader on links of 3 Mbit/s

Cause: on the grown site the first table had no answer within 5.7 s, and leaders stepped down again and again. Counted by kind of message at the leader: lists of processes (1.4 KB with each answer to 87 routers that ask five times a second), one message for each upstream, VM and router (5,900 in six seconds), tables for all routers from the VM that told first, whole lists of upstreams for all routers in the same second (767 KB), and 87 connections dialled by each side.

Ruled out: a held-up processor (no tick was 350 ms late).

Change: answers go back over the asker's connection; lists of processes are packed and sent at most every 2 s; changes of upstreams are gathered for 50 ms and sent by the VM that was told; routers each prefer another VM for tables, which take at most two fifths of a link; whole lists only where digests differ for 10 s. Links are watched by one goroutine.

--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -43,7 +43,7 @@
 
 func (w *world) startVM(id protocol.RouterID, incarnation uint64) {
 	r := roster.New(roster.DefaultSettings())
-	w.vms[id] = &vm{roster: r, publisher: NewPublisher(incarnation, r)}
+	w.vms[id] = &vm{roster: r, publisher: NewPublisher(incarnation, r, 100_000)}
 }
 
 // tellVMs tells all disk VMs of each other, as the log's configuration does.
@@ -93,6 +93,9 @@
 		for id, r := range w.routers {
 			w.carry(id, r.Tick(w.now))
 		}
+		for id, v := range w.vms {
+			w.carry(id, v.publisher.SendWaiting(w.now))
+		}
 	}
 }
 
@@ -155,11 +158,67 @@
 			w.deaf[asked[0].To] = true
 		}
 	}
+	assert.Equal(t, len(w.deaf), 1)
 	assert.Equal(t, r.version(), uint64(1))
-	w.run(time.Second)
+	w.run(2 * documentPatience)
 	assert.Equal(t, r.version(), uint64(2))
 }
 
+func TestRoutersSpreadOverTheVMsForTheirTables(t *testing.T) {
+	// 87 routers hear of a new table at the same moment, from the leader first.
+	// If all asked the leader, its link would be full for seconds, the other
+	// voters would miss it, and the next change would wait for an election.
+	w := newWorld(5)
+	w.put(1)
+	var routers []*follow
+	for i := range 87 {
+		routers = append(routers, w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1"))
+	}
+	w.run(3 * time.Second)
+	asked := map[protocol.RouterID]int{}
+	next := document.New(2, []byte("table 2"))
+	for _, id := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
+		for _, send := range w.vms[id].publisher.SetDocument(w.now, next) {
+			for _, ask := range w.routers[send.To].TakeNews(w.now, id, send.Body.(News)) {
+				asked[ask.To]++
+			}
+		}
+	}
+	for id, n := range asked {
+		assert.Assert(t, n <= 87/2, "%s is asked by %d of 87", id, n)
+	}
+	w.run(2 * time.Second)
+	for _, r := range routers {
+		assert.Equal(t, r.version(), uint64(2))
+	}
+}
+
+func TestTablesLeaveRoomOnTheLink(t *testing.T) {
+	// All routers start at once and ask one disk VM for a whole table. What it
+	// sends in a second must stay below what its link carries.
+	v := newWorld(1).vms["vm1"]
+	body := make([]byte, 60_000)
+	for i := range body {
+		body[i] = byte(i * i >> 5)
+	}
+	v.publisher.SetDocument(0, document.New(1, body))
+	sent, now := 0, time.Duration(0)
+	count := func(sends []Send) {
+		for _, send := range sends {
+			if d, is := send.Body.(Document); is {
+				sent += len(d.Change.Delta)
+			}
+		}
+	}
+	for i := range 87 {
+		count(v.publisher.Watched(now, protocol.RouterID(fmt.Sprint("r", i)), Watch{Router: true, WantDocument: true}))
+	}
+	for ; now < time.Second; now += 50 * time.Millisecond {
+		count(v.publisher.SendWaiting(now))
+	}
+	assert.Assert(t, sent > 80_000 && sent < 200_000, "%d bytes", sent)
+}
+
 func TestARouterNeverGoesBack(t *testing.T) {
 	// A disk VM was cut off while the table changed, and a router reaches it
 	// alone afterwards. The change was accepted and must stay in force.
@@ -169,6 +228,7 @@
 	w.run(2 * time.Second)
 	w.deaf["vm2"] = true
 	w.put(2)
+	w.run(time.Second)
 	assert.Equal(t, r.version(), uint64(2))
 	w.deaf["vm2"], w.deaf["vm1"] = false, true
 	w.run(10 * time.Second)
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
@@ -14,19 +17,28 @@
 	// change that was lost on the way is known that late; upstreams that leave
 	// must be known within two seconds.
 	WatchInterval = time.Second
-	// eagerInterval is how often a follower without a table asks.
-	eagerInterval = 200 * time.Millisecond
+	// eagerInterval is how often a follower without a table asks. A table that
+	// is accepted meanwhile is told to it at once.
+	eagerInterval = 500 * time.Millisecond
 	// documentPatience is how long a disk VM may take to send a table before
 	// another one is asked: ten times what a whole one takes on a link of
 	// 3 Mbit/s.
-	documentPatience = 400 * time.Millisecond
+	documentPatience = 800 * time.Millisecond
+	// preferredPatience is how long a router waits for the disk VM that it
+	// prefers to have a new table too: the next heartbeat of consensus tells
+	// that VM that it is accepted.
+	preferredPatience = 200 * time.Millisecond
 	// lostAfter is how long a disk VM may be silent before the follower says
 	// that it has lost it.
 	lostAfter = 3 * WatchInterval
-	// relistInterval is how often a router has one disk VM list all upstreams,
-	// so that it can forget those that none lists any more. 94 of them are
-	// 14 KB, for 87 routers a fifteenth of what five links of 3 Mbit/s carry.
-	relistInterval = 10 * time.Second
+	// relistAfter is how long a router's list of upstreams may differ from
+	// those of all disk VMs before it asks for a whole list. Differences that
+	// come from a change are gone with the next watch.
+	relistAfter = 10 * time.Second
+	// relistSpread spreads the whole lists that many routers ask for after the
+	// same event: 94 upstreams are 14 KB, which 87 routers would ask for at
+	// once.
+	relistSpread = 10 * time.Second
 	// forgetAfter is how long a disk VM that nobody names is asked.
 	forgetAfter = 60 * time.Second
 )
@@ -64,6 +76,8 @@
 	BeliefRegained = "disk-vm-regained"
 	BeliefTable    = "table-in-force"
 	BeliefRefused  = "table-refused"
+	// BeliefUnreadable is a message that can't be read.
+	BeliefUnreadable = "fleet-unreadable"
 )
 
 // Follower is the router's side, and also that of a disk VM towards the others,
@@ -75,18 +89,26 @@
 	sources map[protocol.RouterID]*source
 	seeds   []protocol.RouterID
 	inForce *document.Document
+	// newest is the highest version told by any disk VM, and newestAt when it
+	// was first told.
+	newest   uint64
+	newestAt time.Duration
 	// pulledFrom and pulledAt are the disk VM that was last asked for a table.
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
 	pulling    bool
-	relisted   time.Duration
-	beliefs    []Belief
+	// agreed is when a disk VM last listed the same upstreams, or when a whole
+	// list was asked for.
+	agreed      time.Duration
+	relistDelay time.Duration
+	beliefs     []Belief
 }
 
 // NewFollower returns a follower that knows only seeds. The roster is shared
 // with the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
 	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}}
+	f.relistDelay = relistAfter + time.Duration(xxhash.Sum64String(string(self))%uint64(relistSpread))
 	f.SetSeeds(0, seeds)
 	return f
 }
@@ -169,27 +191,27 @@
 	return append(sends, f.pull(now)...)
 }
 
-// relist asks one disk VM, another each time, for its whole list.
+// relist asks a disk VM for its whole list where the own has differed from all
+// for long.
 //
 // Failure: an upstream is gone for good without a word. The disk VMs forget it
 // for its silence, which they can't tell others as a fact: a VM that is cut off
-// hears silence from all. So a router forgets what no disk VM lists any more,
-// and to know that it has to see whole lists.
+// hears silence from all. So a router forgets what no disk VM lists any more.
+// That shows as a digest that differs, and then in a whole list, where the
+// number of its newest announcement shows that an upstream lives.
 func (f *Follower) relist(now time.Duration) []Send {
-	if !f.router || now-f.relisted < relistInterval {
+	if !f.router || now-f.agreed < f.relistDelay {
 		return nil
 	}
-	f.relisted = now
-	ids := slices.DeleteFunc(f.DiskVMs(), func(id protocol.RouterID) bool {
+	f.agreed = now
+	for _, id := range f.byPreference() {
 		s := f.sources[id]
-		return !s.everHeard || now-s.heard >= lostAfter
-	})
-	if len(ids) == 0 {
-		return nil
+		if s.everHeard && now-s.heard < lostAfter {
+			s.incarnation = 0
+			return []Send{f.watch(now, id, false)}
+		}
 	}
-	id := ids[int(now/relistInterval)%len(ids)]
-	f.sources[id].incarnation = 0
-	return []Send{f.watch(now, id, false)}
+	return nil
 }
 
 // interval is how long to wait between two watches.
@@ -206,7 +228,7 @@
 	s.asked = now
 	w := Watch{
 		Router: f.router, WantDocument: wantDocument,
-		Incarnation: s.incarnation, Revision: s.revision, Fleet: s.fleet,
+		Incarnation: s.incarnation, Revision: s.revision, Roster: f.roster.Digest(), Fleet: s.fleet,
 	}
 	if f.inForce != nil {
 		w.Version = f.inForce.Version
@@ -232,50 +254,62 @@
 	return []Send{f.watch(now, from, true)}
 }
 
-// best returns the disk VM to ask for a table: of those with the newest one,
-// the one heard of last, but not the one that has just failed to send it.
+// best returns the disk VM to ask for a table, "" for none now. Each router
+// prefers another VM; if all asked the one that told them first, the leader's
+// link would be full, and it would be missed by the others.
 func (f *Follower) best(now time.Duration) protocol.RouterID {
-	own := uint64(0)
-	if f.inForce != nil {
-		own = f.inForce.Version
-	}
-	best, second := protocol.RouterID(""), protocol.RouterID("")
-	for _, id := range f.DiskVMs() {
+	var preferred, having protocol.RouterID
+	for _, id := range f.byPreference() {
 		s := f.sources[id]
-		if s.version <= own || now-s.heard >= lostAfter {
+		if now-s.heard >= lostAfter || !s.everHeard {
 			continue
 		}
 		if f.pulling && id == f.pulledFrom {
-			second = id
 			continue
 		}
-		if best == "" || f.fresher(id, best) {
-			best = id
+		if preferred == "" {
+			preferred = id
+		}
+		if having == "" && s.version > f.version() {
+			having = id
 		}
 	}
-	if best == "" {
-		return second
+	if having == preferred || now-f.newestAt >= preferredPatience {
+		return having
 	}
-	return best
+	return ""
 }
 
-// fresher reports whether to rather ask a than b.
-func (f *Follower) fresher(a, b protocol.RouterID) bool {
-	left, right := f.sources[a], f.sources[b]
-	if left.version != right.version {
-		return left.version > right.version
+// version is that of the table in force, 0 for none.
+func (f *Follower) version() uint64 {
+	if f.inForce == nil {
+		return 0
 	}
-	return left.heard > right.heard
+	return f.inForce.Version
+}
+
+// byPreference returns the disk VMs in this router's own order.
+func (f *Follower) byPreference() []protocol.RouterID {
+	ids := f.DiskVMs()
+	rank := func(id protocol.RouterID) uint64 { return xxhash.Sum64String(string(f.self) + "\n" + string(id)) }
+	slices.SortFunc(ids, func(a, b protocol.RouterID) int { return cmp.Compare(rank(a), rank(b)) })
+	return ids
 }
 
 // TakeNews takes a disk VM's News.
 func (f *Follower) TakeNews(now time.Duration, from protocol.RouterID, n News) []Send {
 	s := f.heardFrom(now, from)
 	s.version = n.Version
+	if n.Version > f.newest {
+		f.newest = n.Version
+		f.newestAt = now
+	}
+	if n.Incarnation != 0 && n.Incarnation == s.incarnation {
+		s.revision = n.Revision
+		f.agree(now)
+	}
 	if n.Fleet != nil {
-		s.fleet = n.Fleet.Digest
-		s.routers = n.Fleet.Routers
-		s.diskVMs = n.Fleet.DiskVMs
+		f.takeFleet(s, from, *n.Fleet)
 	}
 	for _, id := range s.diskVMs {
 		f.Name(now, id)
@@ -283,6 +317,27 @@
 	return f.pull(now)
 }
 
+// agree notes that a disk VM lists the same upstreams.
+func (f *Follower) agree(now time.Duration) {
+	f.agreed = now
+	if f.router {
+		f.roster.AllListed(now)
+	}
+}
+
+// takeFleet takes a disk VM's list of processes. One that can't be read leaves
+// the last one in place; the VM sends it again.
+func (f *Follower) takeFleet(s *source, from protocol.RouterID, fleet Fleet) {
+	diskVMs, routers, err := fleet.unpack()
+	if err != nil {
+		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
+		return
+	}
+	s.fleet = fleet.Digest
+	s.routers = routers
+	s.diskVMs = diskVMs
+}
+
 // TakeRoster merges a disk VM's entries. It reports whether the roster changed
 // in a way that matters to routers.
 func (f *Follower) TakeRoster(now time.Duration, from protocol.RouterID, r Roster) bool {
@@ -291,7 +346,7 @@
 	for _, e := range r.Entries {
 		changed = f.roster.Merge(now, e) || changed
 	}
-	if r.Revision > 0 || r.Incarnation != s.incarnation {
+	if r.Incarnation != 0 {
 		s.incarnation = r.Incarnation
 		s.revision = r.Revision
 	}
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -3,7 +3,6 @@
 import (
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
-	"endiveplank/protocol"
 )
 
 // The messages between disk VMs and routers. All of them may be lost.
@@ -21,6 +20,9 @@
 	// receiver's roster.
 	Incarnation uint64 `msgpack:"i,omitempty"`
 	Revision    uint64 `msgpack:"n,omitempty"`
+	// Roster is the digest of the sender's own roster. Where it is the same as
+	// the receiver's, no entry has to be sent, whoever it came from.
+	Roster uint64 `msgpack:"o,omitempty"`
 	// Fleet is the digest of the last News.Fleet taken from the receiver.
 	Fleet uint64 `msgpack:"f,omitempty"`
 }
@@ -31,18 +33,25 @@
 	Version uint64 `msgpack:"v"`
 	// Fleet is left out where the follower has it.
 	Fleet *Fleet `msgpack:"f,omitempty"`
+	// Incarnation and Revision tell a follower whose roster is the same that
+	// it has all changes up to here.
+	Incarnation uint64 `msgpack:"i,omitempty"`
+	Revision    uint64 `msgpack:"n,omitempty"`
 }
 
 // Fleet lists the processes that a disk VM knows.
 type Fleet struct {
-	Digest  uint64              `msgpack:"d"`
-	DiskVMs []protocol.RouterID `msgpack:"c"`
-	Routers []protocol.RouterID `msgpack:"r"`
+	Digest uint64 `msgpack:"d"`
+	// Packed is the compressed list; see packFleet. Names of ninety processes
+	// differ in a few characters each.
+	Packed []byte `msgpack:"p"`
 }
 
 // Roster carries changed entries.
 type Roster struct {
 	// Incarnation is that of the sender's process, which counts revisions anew.
+	// It is 0 where the entries are sent unasked; then they don't say up to
+	// which change the receiver has the sender's roster.
 	Incarnation uint64         `msgpack:"i"`
 	Revision    uint64         `msgpack:"n"`
 	Entries     []roster.Entry `msgpack:"e"`
--- a/coordination/document/delta.go
+++ b/coordination/document/delta.go
@@ -138,7 +138,7 @@
 // Compress returns data in a form that Decompress reads.
 func Compress(data []byte) []byte {
 	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	writer, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		panic("document: invariant broken: the compression level is valid: " + err.Error())
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiveplank/protocol"
 )
 
@@ -114,6 +117,10 @@
 	// holder is the upstream that is at an address.
 	holder   map[string]protocol.UpstreamID
 	revision uint64
+	// digest is that of the upstreams in use at digestOf; 0 if it has to be
+	// computed.
+	digest   uint64
+	digestOf uint64
 }
 
 // New returns an empty roster.
@@ -131,6 +138,27 @@
 // Revision counts the changes that matter to routers.
 func (r *Roster) Revision() uint64 { return r.revision }
 
+// Digest tells rosters apart that routers would use differently. Upstreams that
+// have left don't count, as they are forgotten at different times.
+func (r *Roster) Digest() uint64 {
+	if r.digest != 0 && r.digestOf == r.revision {
+		return r.digest
+	}
+	sum := uint64(1)
+	for _, known := range r.records {
+		if known.State != Gone {
+			sum += entryDigest(known.Entry)
+		}
+	}
+	r.digest, r.digestOf = sum, r.revision
+	return sum
+}
+
+// entryDigest covers what routers use of an entry.
+func entryDigest(e Entry) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\n%s\n%s\n%s\n%d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Born, e.State))
+}
+
 // Merge takes an announcement or another VM's entry. It reports whether
 // anything changed that matters to routers.
 func (r *Roster) Merge(now time.Duration, e Entry) bool {
@@ -216,6 +244,16 @@
 	return true
 }
 
+// AllListed notes that a disk VM lists the same upstreams, which for a router is
+// what announcements are for a disk VM.
+func (r *Roster) AllListed(now time.Duration) {
+	for _, known := range r.records {
+		if known.State != Gone {
+			known.heard = now
+		}
+	}
+}
+
 // HeardSince returns what was heard after a time.
 func (r *Roster) HeardSince(since time.Duration) []Heard {
 	var heard []Heard
@@ -292,6 +330,7 @@
 }
 
 func (r *Roster) forget(id protocol.UpstreamID, known *record) {
+	r.digest = 0
 	delete(r.records, id)
 	if r.holder[known.Address] == id {
 		delete(r.holder, known.Address)
--- a/daemon/diskvm/table.go
+++ b/daemon/diskvm/table.go
@@ -140,9 +140,11 @@
 			continue
 		}
 		if found, held := vm.await(ctx, version); held {
+			vm.log.Info().Str("event", "table-read").Uint64("version", version).Str("leader", string(vm.leaderNow())).Send()
 			return found, nil
 		}
 	}
+	vm.log.Warn().Str("event", "table-read-unanswered").Str("leader", string(vm.leaderNow())).Send()
 	return nil, ErrUnavailable
 }
 
--- a/daemon/diskvm/upstreams.go
+++ b/daemon/diskvm/upstreams.go
@@ -14,7 +14,7 @@
 		return
 	}
 	vm.logUpstream(e.ID)
-	vm.fabric.SendAll(vm.publisher.RosterChanged(now))
+	vm.publisher.Heard(e.ID)
 }
 
 // Leave notes that an upstream has left. born and sequence are 0 where it
@@ -27,7 +27,7 @@
 		return
 	}
 	vm.logUpstream(id)
-	vm.fabric.SendAll(vm.publisher.RosterChanged(now))
+	vm.publisher.Heard(id)
 }
 
 // logUpstream writes what is believed of an upstream.
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -14,6 +14,7 @@
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
 	"endiveplank/daemon/fabric"
+	"endiveplank/daemon/lateness"
 	"endiveplank/protocol"
 	"endiveplank/settings/direct"
 	"endiveplank/state/disk"
@@ -21,8 +22,10 @@
 )
 
 const (
-	// tickInterval is how often watches and the membership are looked at.
-	tickInterval = 100 * time.Millisecond
+	// tickInterval is how often watches and the membership are looked at, and
+	// how long changes of upstreams are gathered. A leaving upstream must get
+	// no more work after two seconds.
+	tickInterval = 50 * time.Millisecond
 	// shareInterval is how often disk VMs tell each other which upstreams they
 	// heard: half of the shortest interval between two announcements in use.
 	shareInterval = 500 * time.Millisecond
@@ -84,7 +87,7 @@
 		quit:   make(chan struct{}),
 	}
 	self := options.Settings.Self()
-	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster)
+	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster, options.Settings.Link.TableRate())
 	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
 	vm.fabric, err = fabric.New(fabric.Options{
 		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
@@ -109,6 +112,7 @@
 	defer vm.done.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pace := lateness.New(vm.log)
 	for {
 		_, changed := vm.machine.InForce()
 		select {
@@ -116,6 +120,7 @@
 			return
 		case <-changed:
 		case <-ticker.C:
+			pace.Note(tickInterval)
 			vm.tick()
 		}
 		vm.publishTable()
@@ -131,6 +136,8 @@
 	vm.noteMembership(now)
 	vm.fabric.SendAll(vm.follower.Tick(now))
 	vm.logBeliefs(vm.follower.Beliefs())
+	vm.fabric.SendAll(vm.publisher.PushHeard(now))
+	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
 	if now-vm.shared >= shareInterval {
 		vm.share(now)
 	}
@@ -222,9 +229,7 @@
 	case control.News:
 		vm.fabric.SendAll(vm.follower.TakeNews(now, from, m))
 	case control.Roster:
-		if vm.follower.TakeRoster(now, from, m) {
-			vm.fabric.SendAll(vm.publisher.RosterChanged(now))
-		}
+		vm.follower.TakeRoster(now, from, m)
 	case control.Heard:
 		for _, heard := range m.Upstreams {
 			// An unknown one comes with the sender's roster.
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// stall is how long a connection may acknowledge nothing. Two of them pass
-	// before a silent one is replaced, which is about the time that consensus
-	// waits for a leader.
-	stall = 600 * time.Millisecond
+	// stall is how long a connection may acknowledge nothing. A disk VM on a
+	// fifth of a core is busy for half a second when a whole fleet starts, and
+	// connections that are replaced for its slowness make it slower still.
+	stall = time.Second
 	// lostAfter is how long frames wait for a process that can't be reached.
 	// Every message here is sent again by who needs it.
 	lostAfter = 2 * time.Second
@@ -63,6 +63,7 @@
 		LostAfter:   lostAfter,
 		Handler:     f,
 		Log:         options.Log,
+		Duplex:      true,
 	})
 	if err := f.mesh.Listen(string(options.Self)); err != nil {
 		return nil, err
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -17,6 +17,7 @@
 	"endiveplank/coordination/roster"
 	"endiveplank/coordination/routing"
 	"endiveplank/daemon/fabric"
+	"endiveplank/daemon/lateness"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/settings/direct"
@@ -127,11 +128,13 @@
 	r.tick()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pace := lateness.New(r.log)
 	for {
 		select {
 		case <-r.quit:
 			return
 		case <-ticker.C:
+			pace.Note(tickInterval)
 			r.tick()
 		}
 	}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -160,6 +160,9 @@
 	// Incarnation differs between two starts of a process, so that a receiver
 	// starts counting frames anew.
 	Incarnation uint64 `msgpack:"i"`
+	// Duplex says that the dialer also takes frames, beside acknowledgements,
+	// on this connection.
+	Duplex bool `msgpack:"x,omitempty"`
 }
 
 // Ack is the payload of KindAck.
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -52,5 +52,6 @@
 	c.Between("stop.grace_ms", float64(s.Stop.GraceMS), 100, 3_600_000)
 	c.OneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.Between("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 100_000)
+	c.Between("link.mbps", s.Link.Mbps, 0.1, 1e6)
 	c.Between("memory.limit_mb", float64(s.Memory.LimitMB), 32, 1<<20)
 }
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -43,6 +43,7 @@
 	Stop       Stop     `json:"stop"`
 	Log        Log      `json:"log"`
 	Memory     Memory   `json:"memory"`
+	Link       Link     `json:"link"`
 }
 
 // Listen holds the IP:port of each listener; a role leaves out what it doesn't
@@ -119,6 +120,23 @@
 	LimitMB int `json:"limit_mb"`
 }
 
+// Link is the VM's own link.
+type Link struct {
+	// Mbps is its rate in megabits a second.
+	Mbps float64 `json:"mbps"`
+}
+
+// tableShare is the part of a disk VM's link that tables for routers may take.
+// Consensus, announcements and operators' calls need less than the rest even
+// while changes follow each other quickly.
+const tableShare = 0.4
+
+// TableRate returns the bytes a second that tables for routers may take.
+func (l Link) TableRate() int {
+	const bitsPerByte = 8
+	return int(tableShare * l.Mbps * 1e6 / bitsPerByte)
+}
+
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // Defaults returns the settings that a document may leave out.
@@ -137,6 +155,7 @@
 		Stop:      Stop{UnreadyMS: 2500, GraceMS: 8000},
 		Log:       Log{Level: "info", LinesPerSecond: 100},
 		Memory:    Memory{LimitMB: 256},
+		Link:      Link{Mbps: 1000},
 	}
 }
 
--- a/transport/peer/accept.go
+++ b/transport/peer/accept.go
@@ -104,7 +104,10 @@
 	memory.adopt(hello.Incarnation)
 	acks := newAcker(connection)
 	defer acks.stop()
-	reader := bufio.NewReaderSize(connection, 64<<10)
+	if hello.Duplex && m.options.Duplex {
+		defer m.offerInbound(hello.From, connection)()
+	}
+	reader := bufio.NewReaderSize(connection, m.readBuffer())
 	for {
 		_ = connection.SetReadDeadline(time.Now().Add(2 * IdleClose))
 		frame, err := wire.Read(reader, wire.MaxFrame)
@@ -173,6 +176,7 @@
 		DataCentre:  m.options.DataCentre,
 		Address:     m.options.Address,
 		Incarnation: m.options.Incarnation,
+		Duplex:      m.options.Duplex,
 	}
 }
 
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -19,7 +19,9 @@
 	mesh *Mesh
 	peer protocol.RouterID
 	wake chan struct{}
-	quit chan struct{}
+	// check asks to look for a stall.
+	check chan struct{}
+	quit  chan struct{}
 
 	mu sync.Mutex
 	// unacked holds the reliable frames that were sent on the current or an
@@ -51,6 +53,7 @@
 		mesh:    mesh,
 		peer:    peer,
 		wake:    make(chan struct{}, 1),
+		check:   make(chan struct{}, 1),
 		quit:    make(chan struct{}),
 		next:    mesh.receptionOf(peer).sentNumber,
 		lastUse: time.Now(),
@@ -79,6 +82,14 @@
 	}
 }
 
+// signalCheck asks the sender to look for a stall.
+func (l *link) signalCheck() {
+	select {
+	case l.check <- struct{}{}:
+	default:
+	}
+}
+
 func (l *link) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -259,8 +270,6 @@
 
 // sendLoop writes frames as they come, and watches for a stall.
 func (l *link) sendLoop(connection net.Conn, acks <-chan struct{}) {
-	check := time.NewTicker(max(l.mesh.options.Stall/8, time.Millisecond))
-	defer check.Stop()
 	for {
 		if err := l.writeQueued(connection); err != nil {
 			return
@@ -271,7 +280,7 @@
 			return
 		case <-l.quit:
 			return
-		case <-check.C:
+		case <-l.check:
 			if l.stalled() || l.idle() {
 				return
 			}
@@ -353,11 +362,16 @@
 	l.unacked = append(l.unacked, frame)
 }
 
-// stalled says whether the oldest unacknowledged frame has waited too long.
-func (l *link) stalled() bool {
+// overdue says whether the oldest unacknowledged frame has waited too long.
+func (l *link) overdue() bool {
 	l.mu.Lock()
-	waiting := len(l.unacked) > 0 && time.Since(l.oldest) > l.mesh.options.Stall
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	return len(l.unacked) > 0 && time.Since(l.oldest) > l.mesh.options.Stall
+}
+
+// stalled says whether the connection has to be replaced, and tells it.
+func (l *link) stalled() bool {
+	waiting := l.overdue()
 	if waiting {
 		l.mesh.count(func(c *Counts) { c.Stalled++ })
 		l.mesh.options.Log.Warn().Str("peer", string(l.peer)).Msg("peer: connection is silent, replaced")
@@ -371,14 +385,26 @@
 	return len(l.queue) == 0 && len(l.unacked) == 0 && time.Since(l.lastUse) > IdleClose
 }
 
-// readAcks takes acknowledgements until the connection ends and says whether
-// any came.
+// readAcks takes acknowledgements, and with Options.Duplex the peer's frames,
+// until the connection ends. It says whether any came.
 func (l *link) readAcks(connection net.Conn) bool {
 	reader := bufio.NewReader(connection)
+	limit := wire.MaxHello
+	if l.mesh.options.Duplex {
+		limit = wire.MaxFrame
+	}
 	progress := false
 	for {
-		frame, err := wire.Read(reader, wire.MaxHello)
-		if err != nil || frame.Kind != wire.KindAck {
+		frame, err := wire.Read(reader, limit)
+		if err != nil {
+			return progress
+		}
+		if frame.Kind != wire.KindAck && l.mesh.options.Duplex {
+			progress = true
+			l.mesh.options.Handler.Frame(l.peer, frame)
+			continue
+		}
+		if frame.Kind != wire.KindAck {
 			return progress
 		}
 		var ack wire.Ack
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -20,6 +20,11 @@
 //   - A peer is gone. When no connection could be made and kept for
 //     Options.LostAfter, the frames waiting for it are dropped and the peer is
 //     reported lost, so that the node core can move the work elsewhere.
+//   - A few processes are asked by many. If each answer went over a connection
+//     of the answerer's own, hundreds of them would be dialled at once when all
+//     start, and on a fifth of a core that takes longer than the questions'
+//     patience. With Options.Duplex answers go back over the asker's connection;
+//     see inbound.
 //   - A stranger or a broken peer connects. It must prove its router ID by its
 //     certificate, and its frames are bounded; it costs one connection.
 package peer
@@ -79,6 +84,10 @@
 	LostAfter time.Duration
 	Handler   Handler
 	Log       zerolog.Logger
+	// Duplex sends frames that needn't be reliable over a connection that the
+	// peer has dialled, if there is one. Every process of a fleet has to have
+	// the same.
+	Duplex bool
 }
 
 // Mesh holds the connections of one process to its peers.
@@ -91,6 +100,9 @@
 	address  map[protocol.RouterID]string
 	received map[protocol.RouterID]*reception
 	accepted map[net.Conn]struct{}
+	inbounds map[protocol.RouterID]*inbound
+	watching bool
+	quit     chan struct{}
 	closed   bool
 	done     sync.WaitGroup
 	counts   Counts
@@ -117,6 +129,8 @@
 		address:  map[protocol.RouterID]string{},
 		received: map[protocol.RouterID]*reception{},
 		accepted: map[net.Conn]struct{}{},
+		inbounds: map[protocol.RouterID]*inbound{},
+		quit:     make(chan struct{}),
 		counts: Counts{
 			BytesSent:  map[wire.Kind]uint64{},
 			FramesSent: map[wire.Kind]uint64{},
@@ -168,12 +182,18 @@
 	if m.closed || m.address[to] == "" || len(payload)+frameOverhead > wire.MaxFrame {
 		return false
 	}
+	if back := m.inbounds[to]; back != nil && !reliable && back.send(wire.Frame{Kind: kind, Payload: payload}) {
+		m.counts.FramesSent[kind]++
+		m.counts.BytesSent[kind] += uint64(len(payload)) + frameOverhead
+		return true
+	}
 	current := m.links[to]
 	if current == nil {
 		current = newLink(m, to)
 		m.links[to] = current
 		m.done.Add(1)
 		go current.run()
+		m.startWatching()
 	}
 	m.counts.FramesSent[kind]++
 	m.counts.BytesSent[kind] += uint64(len(payload)) + frameOverhead
@@ -225,6 +245,9 @@
 // Close drops all connections and waits for the mesh's goroutines.
 func (m *Mesh) Close() {
 	m.mu.Lock()
+	if !m.closed {
+		close(m.quit)
+	}
 	m.closed = true
 	if m.listener != nil {
 		_ = m.listener.Close()
@@ -239,6 +262,46 @@
 	m.done.Wait()
 }
 
+// checksPerStall is how often in a stall time the links are looked at.
+const checksPerStall = 8
+
+// startWatching starts the one goroutine that looks at all links: a ticker for
+// each would wake a process with a hundred links a thousand times a second. The
+// mesh's lock is held.
+func (m *Mesh) startWatching() {
+	if m.watching {
+		return
+	}
+	m.watching = true
+	m.done.Add(1)
+	go m.watch()
+}
+
+// watch wakes the links that have stalled or are idle.
+func (m *Mesh) watch() {
+	defer m.done.Done()
+	ticker := time.NewTicker(max(m.options.Stall/checksPerStall, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.quit:
+			return
+		case <-ticker.C:
+			m.checkLinks()
+		}
+	}
+}
+
+func (m *Mesh) checkLinks() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.overdue() || l.idle() {
+			l.signalCheck()
+		}
+	}
+}
+
 // count changes the totals.
 func (m *Mesh) count(change func(*Counts)) {
 	m.mu.Lock()
