Large tables go from router to router

Change: a sixth of the routers take a large table from the disk VMs, spread evenly over them, and pass it on to the others, who ask a disk VM where nothing has come after 1.2 s. Who passes on to whom follows from the list of routers.

Test: 87 routers have a table of 45 KB within 1 s, fewer than 22 tables leave the disk VMs.

--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 
 func (w *world) startVM(id protocol.RouterID, incarnation uint64) {
 	r := roster.New(roster.DefaultSettings())
-	w.vms[id] = &vm{roster: r, publisher: NewPublisher(incarnation, r, 100_000)}
+	w.vms[id] = &vm{roster: r, publisher: NewPublisher(incarnation, r, 187_500)}
 }
 
 // tellVMs tells all disk VMs of each other, as the log's configuration does.
@@ -104,7 +105,7 @@
 	d := document.New(version, []byte(fmt.Sprint("table ", version)))
 	for id, v := range w.vms {
 		if !w.deaf[id] {
-			w.carry(id, v.publisher.SetDocument(w.now, d))
+			w.carry(id, v.publisher.SetDocument(w.now, d, document.Change{}))
 		}
 	}
 }
@@ -152,7 +153,7 @@
 	w.run(3 * time.Second)
 	next := document.New(2, []byte("table 2"))
 	for _, id := range []protocol.RouterID{"vm1", "vm2", "vm3"} {
-		sends := w.vms[id].publisher.SetDocument(w.now, next)
+		sends := w.vms[id].publisher.SetDocument(w.now, next, document.Change{})
 		asked := r.TakeNews(w.now, id, sends[0].Body.(News))
 		if len(asked) > 0 {
 			w.deaf[asked[0].To] = true
@@ -178,7 +179,7 @@
 	asked := map[protocol.RouterID]int{}
 	next := document.New(2, []byte("table 2"))
 	for _, id := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
-		for _, send := range w.vms[id].publisher.SetDocument(w.now, next) {
+		for _, send := range w.vms[id].publisher.SetDocument(w.now, next, document.Change{}) {
 			for _, ask := range w.routers[send.To].TakeNews(w.now, id, send.Body.(News)) {
 				asked[ask.To]++
 			}
@@ -193,6 +194,80 @@
 	}
 }
 
+func TestALargeTableGoesFromRouterToRouter(t *testing.T) {
+	// An operator adds 1,200 routes at once. Five disk VMs on small links would
+	// take seconds to send them to 87 routers; each sends them to a few, which
+	// pass them on.
+	w := newWorld(5)
+	w.put(1)
+	var routers []*follow
+	var names []protocol.RouterID
+	for i := range 87 {
+		names = append(names, protocol.RouterID(fmt.Sprint("r", i)))
+	}
+	for _, name := range names {
+		r := w.startRouter(name, "vm1")
+		relay := NewRelay(name, 750_000)
+		relay.SetRouters(slices.DeleteFunc(slices.Clone(names), func(id protocol.RouterID) bool { return id == name }))
+		r.SetRelay(relay)
+		routers = append(routers, r)
+	}
+	w.run(3 * time.Second)
+	body := make([]byte, 45_000)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range body {
+		body[i] = byte(random.Uint32())
+	}
+	before := w.routers["r0"].InForce()
+	next := document.New(2, body)
+	change := document.MakeChange(before, next)
+	w.documents = 0
+	for id, v := range w.vms {
+		w.carry(id, v.publisher.SetDocument(w.now, next, change))
+	}
+	w.runRelays(relayPatience - 200*time.Millisecond)
+	fromVMs := w.documents
+	assert.Assert(t, fromVMs < 87/4, "%d tables from disk VMs", fromVMs)
+	for _, r := range routers {
+		assert.Equal(t, r.version(), uint64(2))
+	}
+}
+
+func TestARouterWhoseRelayIsGoneAsksADiskVM(t *testing.T) {
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r", "vm1")
+	relay := NewRelay("r", 500_000)
+	relay.waits = true
+	r.SetRelay(relay)
+	w.run(3 * time.Second)
+	next := document.New(2, []byte("table 2"))
+	for id, v := range w.vms {
+		w.carry(id, v.publisher.SetDocument(w.now, next, document.Change{Delta: make([]byte, largeChange)}))
+	}
+	w.run(relayPatience / 2)
+	assert.Equal(t, r.version(), uint64(1))
+	w.run(relayPatience)
+	assert.Equal(t, r.version(), uint64(2))
+}
+
+// runRelays lets time pass and routers pass tables on.
+func (w *world) runRelays(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := w.now + d; w.now < end; w.now += step {
+		for id, r := range w.routers {
+			w.carry(id, r.Tick(w.now))
+			for _, send := range r.relay.Due(w.now) {
+				more, _ := w.routers[send.To].TakeDocument(w.now, id, send.Body.(Document), func(*document.Document) error { return nil })
+				w.carry(send.To, more)
+			}
+		}
+		for id, v := range w.vms {
+			w.carry(id, v.publisher.SendWaiting(w.now))
+		}
+	}
+}
+
 func TestTablesLeaveRoomOnTheLink(t *testing.T) {
 	// All routers start at once and ask one disk VM for a whole table. What it
 	// sends in a second must stay below what its link carries.
@@ -201,7 +276,7 @@
 	for i := range body {
 		body[i] = byte(i * i >> 5)
 	}
-	v.publisher.SetDocument(0, document.New(1, body))
+	v.publisher.SetDocument(0, document.New(1, body), document.Change{})
 	sent, now := 0, time.Duration(0)
 	count := func(sends []Send) {
 		for _, send := range sends {
@@ -216,7 +291,7 @@
 	for ; now < time.Second; now += 50 * time.Millisecond {
 		count(v.publisher.SendWaiting(now))
 	}
-	assert.Assert(t, sent > 80_000 && sent < 200_000, "%d bytes", sent)
+	assert.Assert(t, sent > 150_000 && sent < 250_000, "%d bytes", sent)
 }
 
 func TestARouterNeverGoesBack(t *testing.T) {
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -89,10 +88,12 @@
 	sources map[protocol.RouterID]*source
 	seeds   []protocol.RouterID
 	inForce *document.Document
-	// newest is the highest version told by any disk VM, and newestAt when it
-	// was first told.
-	newest   uint64
-	newestAt time.Duration
+	// newest is the highest version told by any disk VM, newestAt when it was
+	// first told, and newestBytes the size of the change that made it.
+	newest      uint64
+	newestAt    time.Duration
+	newestBytes int
+	relay       *Relay
 	// pulledFrom and pulledAt are the disk VM that was last asked for a table.
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
@@ -240,7 +241,7 @@
 // pull asks one disk VM for the newest table, if a newer one than the own is
 // known and nobody was asked a moment ago.
 func (f *Follower) pull(now time.Duration) []Send {
-	if !f.router || f.pulling && now-f.pulledAt < documentPatience {
+	if !f.router || f.pulling && now-f.pulledAt < documentPatience || f.relayed(now) {
 		return nil
 	}
 	from := f.best(now)
@@ -254,6 +255,16 @@
 	return []Send{f.watch(now, from, true)}
 }
 
+// SetRelay makes large tables go from router to router.
+func (f *Follower) SetRelay(r *Relay) { f.relay = r }
+
+// relayed reports whether another router will pass the newest table on to this
+// one. A router without a table starts anew and asks a disk VM.
+func (f *Follower) relayed(now time.Duration) bool {
+	return f.relay != nil && f.relay.waits && f.inForce != nil && f.newest > f.version() &&
+		f.newestBytes >= largeChange && now-f.newestAt < relayPatience
+}
+
 // best returns the disk VM to ask for a table, "" for none now. Each router
 // prefers another VM; if all asked the one that told them first, the leader's
 // link would be full, and it would be missed by the others.
@@ -288,12 +299,18 @@
 	return f.inForce.Version
 }
 
-// byPreference returns the disk VMs in this router's own order.
+// byPreference returns the disk VMs in this router's own order. Routers that know
+// their place among all share the VMs evenly; others by chance of their names.
 func (f *Follower) byPreference() []protocol.RouterID {
 	ids := f.DiskVMs()
-	rank := func(id protocol.RouterID) uint64 { return xxhash.Sum64String(string(f.self) + "\n" + string(id)) }
-	slices.SortFunc(ids, func(a, b protocol.RouterID) int { return cmp.Compare(rank(a), rank(b)) })
-	return ids
+	if len(ids) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(f.self)) % uint64(len(ids)))
+	if f.relay != nil && len(f.relay.others) > 0 {
+		first = f.relay.position % len(ids)
+	}
+	return slices.Concat(ids[first:], ids[:first])
 }
 
 // TakeNews takes a disk VM's News.
@@ -303,6 +320,7 @@
 	if n.Version > f.newest {
 		f.newest = n.Version
 		f.newestAt = now
+		f.newestBytes = n.Bytes
 	}
 	if n.Incarnation != 0 && n.Incarnation == s.incarnation {
 		s.revision = n.Revision
@@ -353,11 +371,13 @@
 	return changed
 }
 
-// TakeDocument takes a table. accept says whether the router can use it; one
+// TakeDocument takes a table, from a disk VM or a router. accept says whether the router can use it; one
 // that it can't is not asked for again. It reports whether a newer table is in
 // force.
 func (f *Follower) TakeDocument(now time.Duration, from protocol.RouterID, d Document, accept func(*document.Document) error) ([]Send, bool) {
-	f.heardFrom(now, from)
+	if f.sources[from] != nil {
+		f.heardFrom(now, from)
+	}
 	if f.inForce != nil && d.Change.Version <= f.inForce.Version {
 		return nil, false
 	}
@@ -372,6 +392,9 @@
 	}
 	f.inForce = next
 	f.pulling = false
+	if f.relay != nil {
+		f.relay.Accepted(d.Change)
+	}
 	f.beliefs = append(f.beliefs, Belief{What: BeliefTable, About: from, Version: next.Version})
 	return f.pull(now), true
 }
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -31,6 +31,8 @@
 type News struct {
 	// Version is that of the table in force, 0 if there is none.
 	Version uint64 `msgpack:"v"`
+	// Bytes is the size of the change that made it.
+	Bytes int `msgpack:"b,omitempty"`
 	// Fleet is left out where the follower has it.
 	Fleet *Fleet `msgpack:"f,omitempty"`
 	// Incarnation and Revision tell a follower whose roster is the same that
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -54,6 +54,8 @@
 	// changes holds the change to the table in force from each base that a
 	// follower asked for. Many followers have the same base.
 	changes map[document.Digest]document.Change
+	// changeBytes is the size of the change that made the table in force.
+	changeBytes int
 	// heard are upstreams whose change has to be sent on.
 	heard []protocol.UpstreamID
 	// bulk bounds what tables take of the link.
@@ -87,17 +89,22 @@
 }
 
 // SetDocument puts a table in force and tells all routers that there is one.
-func (p *Publisher) SetDocument(now time.Duration, d *document.Document) []Send {
+// change is the one that made it.
+func (p *Publisher) SetDocument(now time.Duration, d *document.Document, change document.Change) []Send {
 	if p.inForce != nil {
 		p.previous = slices.Insert(p.previous, 0, p.inForce)
 		p.previous = p.previous[:min(len(p.previous), keepPrevious)]
 	}
 	p.inForce = d
 	p.changes = map[document.Digest]document.Change{}
+	if change.Result == d.Digest {
+		p.changes[change.Base] = change
+	}
+	p.changeBytes = len(change.Delta)
 	var sends []Send
 	for _, id := range p.present(now) {
 		if p.followers[id].watch.Router {
-			sends = append(sends, Send{To: id, Body: News{Version: p.version()}})
+			sends = append(sends, Send{To: id, Body: News{Version: p.version(), Bytes: p.changeBytes}})
 		}
 	}
 	return sends
@@ -173,7 +180,7 @@
 
 // news is the answer to a Watch.
 func (p *Publisher) news(now time.Duration, f *follower) News {
-	news := News{Version: p.version()}
+	news := News{Version: p.version(), Bytes: p.changeBytes}
 	if f.watch.Incarnation == p.incarnation && f.watch.Roster == p.roster.Digest() {
 		news.Incarnation = p.incarnation
 		news.Revision = p.roster.Revision()
--- a/coordination/document/machine.go
+++ b/coordination/document/machine.go
@@ -157,6 +157,8 @@
 type Machine struct {
 	mu      sync.Mutex
 	inForce *Document
+	// latest is the change that made the document in force, if the log held it.
+	latest Change
 	// changed is closed and replaced at each new document.
 	changed chan struct{}
 }
@@ -174,6 +176,14 @@
 	return m.inForce, m.changed
 }
 
+// Latest returns the document in force and the change that made it. The change
+// has another result where the document came by a snapshot.
+func (m *Machine) Latest() (*Document, Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inForce, m.latest
+}
+
 // Apply carries out a committed change. The result is one byte, an Outcome.
 func (m *Machine) Apply(_ uint64, command []byte) []byte {
 	m.mu.Lock()
@@ -195,6 +205,7 @@
 	if err != nil {
 		return OtherBase
 	}
+	m.latest = change
 	m.replace(next)
 	return Accepted
 }
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -87,7 +87,7 @@
 		quit:   make(chan struct{}),
 	}
 	self := options.Settings.Self()
-	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster, options.Settings.Link.TableRate())
+	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster, options.Settings.TableRate())
 	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
 	vm.fabric, err = fabric.New(fabric.Options{
 		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
@@ -186,15 +186,15 @@
 
 // publishTable tells the routers of a newer table.
 func (vm *VM) publishTable() {
-	inForce, _ := vm.machine.InForce()
+	inForce, change := vm.machine.Latest()
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	if inForce == nil || inForce == vm.published {
 		return
 	}
 	vm.published = inForce
-	sends := vm.publisher.SetDocument(vm.now(), inForce)
-	vm.log.Info().Str("event", "table-in-force").Uint64("version", inForce.Version).Int("bytes", len(inForce.Body)).Int("told", len(sends)).Send()
+	sends := vm.publisher.SetDocument(vm.now(), inForce, change)
+	vm.log.Info().Str("event", "table-in-force").Uint64("version", inForce.Version).Int("bytes", len(inForce.Body)).Int("change_bytes", len(change.Delta)).Int("told", len(sends)).Send()
 	vm.fabric.SendAll(sends)
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -59,6 +59,7 @@
 	settings direct.Settings
 	roster   *roster.Roster
 	follower *control.Follower
+	relay    *control.Relay
 	book     *balance.Book
 	crashes  *crashes.Record
 	windows  map[protocol.Service]*retry.Window
@@ -91,6 +92,8 @@
 	}
 	self := options.Settings.Self()
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
+	r.relay = control.NewRelay(self, options.Settings.TableRate())
+	r.follower.SetRelay(r.relay)
 	r.book = balance.NewBook(balance.Settings{
 		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
 		DataCentre: options.Settings.DataCentre,
@@ -144,6 +147,7 @@
 	r.fabric.SendAll(r.follower.Tick(now))
 	r.logBeliefs()
 	r.noteRouters(now)
+	r.fabric.SendAll(r.relay.Due(now))
 	r.tellLoads(now)
 	for _, id := range r.book.Expire(now) {
 		r.log.Info().Str("event", "router-silent").Str("router", string(id)).Msg("its work no longer counts")
@@ -181,6 +185,7 @@
 func (r *Router) noteRouters(now time.Duration) {
 	self := r.settings.Self()
 	r.routers = slices.DeleteFunc(r.follower.Routers(now), func(id protocol.RouterID) bool { return id == self })
+	r.relay.SetRouters(r.routers)
 	size := len(r.routers) + 1
 	if size >= r.fleetSize || now-r.sizedAt > 3*r.settings.Retries.Window() {
 		r.fleetSize = size
@@ -236,6 +241,7 @@
 	case control.Document:
 		sends, _ := r.follower.TakeDocument(now, from, m, r.accept)
 		r.fabric.SendAll(sends)
+		r.fabric.SendAll(r.relay.Due(now))
 	case balance.Loads:
 		r.book.TakeLoads(now, from, m)
 	case crashes.Crash:
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -126,15 +126,22 @@
 	Mbps float64 `json:"mbps"`
 }
 
-// tableShare is the part of a disk VM's link that tables for routers may take.
-// Consensus, announcements and operators' calls need less than the rest even
-// while changes follow each other quickly.
-const tableShare = 0.4
+// The parts of a link that routing tables may take. Consensus, announcements and
+// operators' calls need less than half of a disk VM's link even while changes
+// follow each other quickly; callers' answers need less than that of a router's.
+const (
+	diskVMTableShare = 0.5
+	routerTableShare = 0.6
+)
 
-// TableRate returns the bytes a second that tables for routers may take.
-func (l Link) TableRate() int {
+// TableRate returns the bytes a second that routing tables may take of a link.
+func (s Settings) TableRate() int {
 	const bitsPerByte = 8
-	return int(tableShare * l.Mbps * 1e6 / bitsPerByte)
+	share := routerTableShare
+	if s.Role == RoleDiskVM {
+		share = diskVMTableShare
+	}
+	return int(share * s.Link.Mbps * 1e6 / bitsPerByte)
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
