After a loss of all power the fleet serves again within a second

Change: consensus without leases votes and campaigns at the start; disk VMs keep the list of upstreams in a file of its own; a router that has just started lets a request wait up to 0.6 s for table and upstream, and its refusals name a second; a router is ready only when it knows an upstream. Headers that can't be read are a doubt in the log, not a refusal.

--- a/coordination/balance/book.go
+++ b/coordination/balance/book.go
@@ -152,6 +152,16 @@
 	}
 }
 
+// AnyReady reports whether any upstream takes work.
+func (b *Book) AnyReady() bool {
+	for _, u := range b.upstreams {
+		if u.entry.State == roster.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // Entry returns what the roster says of an upstream.
 func (b *Book) Entry(id protocol.UpstreamID) (roster.Entry, bool) {
 	u := b.upstreams[id]
--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -126,9 +126,20 @@
 	if c.wasAlwaysAlone() {
 		c.electionAt = now
 	}
+	if settings.Leaseless {
+		c.startLeaseless(now)
+	}
 	return c
 }
 
+// startLeaseless lets a member vote and campaign from its start on. It has
+// promised nobody not to. The pre-vote keeps it from disturbing a leader: the
+// others refuse while they hear one.
+func (c *Core) startLeaseless(now time.Duration) {
+	c.contact = now - c.settings.ElectionTimeout
+	c.electionAt = now + time.Duration(c.random.Int64N(int64(c.settings.ElectionSpread)))
+}
+
 // resetElection draws the next time to campaign. The draw spreads candidates,
 // so that they rarely split the votes.
 func (c *Core) resetElection(now time.Duration) {
--- a/coordination/consensus/lease.go
+++ b/coordination/consensus/lease.go
@@ -53,7 +53,7 @@
 // LeaseUntil returns the end of the lease, or a time not after now if this
 // member holds none.
 func (c *Core) LeaseUntil(now time.Duration) time.Duration {
-	if c.role != Leader || c.log.applied < c.ownStart {
+	if c.role != Leader || c.log.applied < c.ownStart || c.settings.Leaseless {
 		return now
 	}
 	if c.off.serveAfterLeaseEnds {
--- a/coordination/consensus/mutation_test.go
+++ b/coordination/consensus/mutation_test.go
@@ -14,7 +14,9 @@
 	sameDisk bool
 	// storm runs three voters with ever new elections and nothing else.
 	storm bool
-	seed  uint64
+	// leaseless runs an open cluster without leases.
+	leaseless bool
+	seed      uint64
 }
 
 var mutations = []mutation{
--- a/coordination/consensus/open_test.go
+++ b/coordination/consensus/open_test.go
@@ -124,3 +124,45 @@
 	w.run(time.Second)
 	assert.Equal(t, w.leader(), holder)
 }
+
+func TestAClusterThatLostPowerLeadsAgainWithinARound(t *testing.T) {
+	// All VMs of a platform lose power and are back a second later. Until the
+	// disk VMs have a leader no router knows the table, and every caller is
+	// refused. With a lease, each voter would first wait out what it may have
+	// promised before.
+	w := openWorld(15, 5)
+	w.settings.Leaseless = true
+	w.admit(30)
+	w.commit(t, 3)
+	for _, h := range w.hosts {
+		w.crash(h)
+	}
+	w.now += time.Second
+	for _, h := range w.hosts {
+		w.startWith(h, w.settings.Peers[:3]...)
+	}
+	w.run(w.hosts[0].core.settings.ElectionSpread + 50*time.Millisecond)
+	leader := w.leader()
+	assert.Assert(t, leader != nil)
+	assert.Assert(t, leader.core.log.commit >= leader.core.ownStart)
+	assert.Assert(t, !leader.core.HoldsLease(w.clock(leader)))
+	assert.Equal(t, w.violation, "")
+}
+
+func TestAMemberThatStartsAloneDisturbsNoLeader(t *testing.T) {
+	// One VM restarts while the others have a leader. It campaigns at once, and
+	// must neither depose the leader nor raise the term.
+	w := openWorld(16, 5)
+	w.settings.Leaseless = true
+	w.admit(30)
+	leader := w.leader()
+	term := leader.core.term
+	for _, h := range w.others(leader) {
+		w.crash(h)
+		w.startWith(h, w.settings.Peers[:3]...)
+		w.run(3 * time.Second)
+	}
+	assert.Equal(t, w.leader(), leader)
+	assert.Equal(t, leader.core.term, term)
+	assert.Equal(t, w.violation, "")
+}
--- a/coordination/consensus/schedule_test.go
+++ b/coordination/consensus/schedule_test.go
@@ -40,6 +40,8 @@
 	s := &schedule{world: w}
 	w.off = m.off
 	w.sameDisk = m.sameDisk
+	w.settings.Leaseless = m.leaseless
+	w.settings.Open = m.leaseless
 	if m.storm {
 		w.settings.MaxAppendBytes = 1
 	}
@@ -363,3 +365,14 @@
 	}
 	t.Log(counts)
 }
+
+func TestScheduleKeepsInvariantsWithoutLeases(t *testing.T) {
+	// The same, in an open cluster whose members vote and campaign from their
+	// start on. What no lease guards, the votes on disk have to.
+	for i := range uint64(max(1, *scheduleSteps/2/stepsPerSeed)) {
+		seed := *scheduleSeed + 10_000 + i
+		s, violation := runSeed(seed, stepsPerSeed, mutation{storm: i%4 == 3, leaseless: true})
+		assert.Equal(t, violation, "", "seed %d", seed)
+		assert.Equal(t, s.recovers(), "", "seed %d", seed)
+	}
+}
--- a/coordination/consensus/settings.go
+++ b/coordination/consensus/settings.go
@@ -31,6 +31,12 @@
 	// ElectionSpread is the random part added to it before a voter campaigns:
 	// by default half of it, hundreds of times a message's way and sync.
 	ElectionSpread time.Duration
+	// Leaseless gives up the leader's lease: reads go by ReadIndex alone. In
+	// return a member that starts may vote and campaign at once, so that a
+	// cluster which lost power as a whole has a leader within a round instead of
+	// an election timeout later. Leases would also need a clock that goes on
+	// while a VM is suspended, which Go's doesn't.
+	Leaseless bool
 	// DriftPerMille bounds how much faster or slower than true time a
 	// member's clock may run, in thousandths.
 	DriftPerMille int
--- a/daemon/diskvm/member.go
+++ b/daemon/diskvm/member.go
@@ -97,7 +97,7 @@
 		Self: vm.settings.Self(), Peers: vm.settings.SeedPeers(), Open: true,
 		Disk: vm.folder, Transport: transport{vm}, Machine: vm.machine, Random: vm.options.Random,
 		Consensus: consensus.Settings{
-			Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
+			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Leaseless: true,
 			SnapshotBytesPerSecond: snapshotRate, SnapshotBurstBytes: snapshotBurst,
 		},
 		Repair:        repair.Settings{Voters: mostVoters, Grow: true, SilentAfter: silentAfter, ForgetAfter: forgetLearner},
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -52,6 +52,7 @@
 	folder      *disk.OS
 	fabric      *fabric.Fabric
 	machine     *document.Machine
+	remembered  *remembered
 	member      atomic.Pointer[replica.Replica]
 	calls       calls
 	// putting lets one change at a time through on the leader.
@@ -88,17 +89,24 @@
 	}
 	self := options.Settings.Self()
 	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster, options.Settings.TableRate())
+	vm.remembered, err = openRemembered(options.Settings.DataFolder)
+	if err != nil {
+		_ = folder.Close()
+		return nil, err
+	}
+	vm.recall()
 	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
 	vm.fabric, err = fabric.New(fabric.Options{
 		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
 		Receiver: vm, Log: options.Log,
 	})
 	if err != nil {
-		_ = folder.Close()
+		vm.closeFolders()
 		return nil, err
 	}
-	vm.done.Add(2)
+	vm.done.Add(3)
 	go vm.keepMember()
+	go vm.writeRemembered()
 	go vm.run()
 	return vm, nil
 }
@@ -136,6 +144,7 @@
 	vm.noteMembership(now)
 	vm.fabric.SendAll(vm.follower.Tick(now))
 	vm.logBeliefs(vm.follower.Beliefs())
+	vm.remember(now)
 	vm.fabric.SendAll(vm.publisher.PushHeard(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
 	if now-vm.shared >= shareInterval {
@@ -269,7 +278,14 @@
 	close(vm.quit)
 	vm.done.Wait()
 	vm.fabric.Close()
-	if err := vm.folder.Close(); err != nil {
-		vm.log.Warn().Str("event", "folder-not-closed").Err(err).Send()
+	vm.closeFolders()
+}
+
+// closeFolders releases the data folders.
+func (vm *VM) closeFolders() {
+	for _, folder := range []*disk.OS{vm.folder, vm.remembered.disk} {
+		if err := folder.Close(); err != nil {
+			vm.log.Warn().Str("event", "folder-not-closed").Err(err).Send()
+		}
 	}
 }
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -15,6 +15,13 @@
 // Table implements forward.Fleet.
 func (r *Router) Table() *routing.Index { return r.table.Load() }
 
+// settlingFor is how long after its start a router may still learn what it needs
+// at any moment: an election of the disk VMs and two announcements of upstreams.
+const settlingFor = 4 * time.Second
+
+// Settling implements forward.Fleet.
+func (r *Router) Settling() bool { return r.now() < settlingFor }
+
 // Choose implements forward.Fleet.
 func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
 	r.mu.Lock()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -279,9 +279,10 @@
 	}
 }
 
-// ready reports whether the balancer should send callers. The lock is held.
+// ready reports whether the balancer should send callers: the router knows where
+// some of them may go. The lock is held.
 func (r *Router) ready() bool {
-	return r.table.Load() != nil && !r.stopping
+	return r.table.Load() != nil && r.book.AnyReady() && !r.stopping
 }
 
 // Reload takes changed settings: seeds.
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -78,7 +78,8 @@
 
 // Dialect translates headers. It is safe for concurrent use.
 type Dialect interface {
-	// ReadCall reads a caller's headers.
+	// ReadCall reads a caller's headers. An error names one that can't be read;
+	// the Call then holds what could.
 	ReadCall(header http.Header) (Call, error)
 	// WriteAttempt makes the headers towards an upstream of a copy of the
 	// caller's: it sets what routers set and removes what callers may not.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -61,13 +61,20 @@
 	addresses []string
 	retries   int
 	condemned bool
+	settling  bool
 	chosen    int
 	underWay  int
 	results   []balance.Result
 	crashed   int
 }
 
-func (f *fakeFleet) Table() *routing.Index { return f.index }
+func (f *fakeFleet) Table() *routing.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.index
+}
+
+func (f *fakeFleet) Settling() bool { return f.settling }
 
 func (f *fakeFleet) Choose(context.Context, Job) balance.Choice {
 	f.mu.Lock()
@@ -483,6 +490,25 @@
 	assert.Assert(t, got.retryAfter != "")
 }
 
+func TestARouterThatHasJustStartedWaitsForTheTable(t *testing.T) {
+	// All VMs lost power and are back. Callers arrive before the router has
+	// heard of the table, which it does a moment later. Refused, most of them
+	// would have used up their one retry.
+	r := newRig(t, serves("ok"))
+	index := r.index
+	r.index, r.settling = nil, true
+	time.AfterFunc(100*time.Millisecond, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.index = index
+	})
+	assert.Equal(t, r.call("/once/x").body, "ok")
+
+	r.index = nil
+	r.settling = false
+	assert.Equal(t, r.call("/once/x").status, http.StatusServiceUnavailable)
+}
+
 func TestACondemnedRequestReachesNobody(t *testing.T) {
 	r := newRig(t, serves("ok"))
 	r.condemned = true
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -22,6 +22,9 @@
 type Fleet interface {
 	// Table returns the table in force, nil if none is known.
 	Table() *routing.Index
+	// Settling reports whether the router has started so lately that it may
+	// learn the table or the upstreams at any moment.
+	Settling() bool
 	// Choose picks the upstream of an attempt, and counts the attempt as under
 	// way if there is one.
 	Choose(ctx context.Context, job Job) balance.Choice
@@ -147,28 +150,30 @@
 // admit reads the request and finds its route and customer. It answers the
 // caller and returns false where the request can't go on.
 func (f *flight) admit() bool {
-	index := f.handler.options.Fleet.Table()
+	call, err := f.handler.options.Dialect.ReadCall(f.request.Header)
+	if err != nil {
+		// What it declares beside the request itself only helps to serve it
+		// well. The upstream may still find it in order.
+		f.outcome.Doubt = err.Error()
+	}
+	f.call = call
+	f.job.ID = call.ID
+	f.job.Prompt = call.Prompt
+	f.patience = patience(call.Left, 0)
+	index := f.awaitTable()
 	if index == nil {
 		f.refuse(http.StatusServiceUnavailable, "no-table", retryWithoutTable)
 		return false
 	}
 	path, _, _ := strings.Cut(f.request.RequestURI, "?")
 	route := index.Route(f.request.Host, path)
+	f.outcome.TableVersion = index.Table().Version
 	if route == nil {
 		f.refuse(http.StatusNotFound, "no-route", 0)
 		return false
 	}
 	f.job.Route = route
 	f.outcome.Route = route.Name
-	f.outcome.TableVersion = index.Table().Version
-	call, err := f.handler.options.Dialect.ReadCall(f.request.Header)
-	if err != nil {
-		f.refuse(http.StatusBadRequest, "bad-headers", 0)
-		return false
-	}
-	f.call = call
-	f.job.ID = call.ID
-	f.job.Prompt = call.Prompt
 	if !f.identify(index) {
 		return false
 	}
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -17,6 +17,8 @@
 	Status       int
 	// Reason is set where this router answered itself or broke off.
 	Reason string
+	// Doubt is what could not be read of the caller's headers.
+	Doubt string
 	// Own says that the answer is this router's own.
 	Own bool
 	// Cut says that the caller's connection was ended in mid-answer.
@@ -87,6 +89,9 @@
 	if o.Reason != "" {
 		line.Str("reason", o.Reason)
 	}
+	if o.Doubt != "" {
+		line.Str("doubt", o.Doubt)
+	}
 	if o.Cut || o.CallerGone {
 		line.Bool("cut", o.Cut).Bool("caller_gone", o.CallerGone)
 	}
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -11,14 +11,15 @@
 
 // When to come back after a refusal.
 const (
-	// retryWithoutTable: a router that starts learns the table within some
-	// tenths of a second, and the balancer knows others.
-	retryWithoutTable = 300 * time.Millisecond
+	// retryWithoutTable: a router that has no table after it has waited for one
+	// started together with the disk VMs, which have a leader within a second.
+	// Most callers come back once only, so it has to be long enough.
+	retryWithoutTable = time.Second
 	// retryWhenFull: some requests' time on a plain service.
 	retryWhenFull = 250 * time.Millisecond
-	// retryWithoutUpstream: an upstream that starts anew is heard of within a
-	// second of its first announcement.
-	retryWithoutUpstream = 500 * time.Millisecond
+	// retryWithoutUpstream: upstreams announce themselves about once a second,
+	// and one that was out of reach is tried again after less.
+	retryWithoutUpstream = time.Second
 	// retryCondemned: as long as a request that crashes upstreams is refused.
 	retryCondemned = 30 * time.Second
 )
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -38,7 +38,7 @@
 		if f.ended() {
 			return
 		}
-		choice := fleet.Choose(f.context, f.job)
+		choice := f.choose()
 		if choice.ID == "" {
 			f.giveUp("no-upstream", retryWithoutUpstream)
 			return
