Whole lists of upstreams are packed, asked of one disk VM, and share the tables' part of a link

Each of 87 routers got 14 KB of upstreams from each of five disk VMs with every watch until one arrived, on links of 375 KB a second.

Ruled out: the votes themselves (granted as soon as they arrived), processors.

Change: rosters are compared by digest; where they differ for 0.4 s one disk VM is asked for its whole list, 3 KB packed, which waits for room on the link with the tables; a list that was merged is not asked for again.

--- /dev/null
+++ b/coordination/control/bucket.go
@@ -0,0 +1,31 @@
+package control
+
+import "time"
+
+// bulkBurst is how many bytes of tables and lists may go at once: one whole
+// table.
+const bulkBurst = 32 << 10
+
+// bucket bounds the bytes that go out over time.
+//
+// Load: a whole fleet of routers starts and each asks for a table of ten
+// kilobytes, on a link of some hundred kilobytes a second that also carries
+// consensus. Harm prevented: heartbeats and votes wait behind tables, no leader
+// is elected, and callers and operators wait for one.
+type bucket struct {
+	perSecond float64
+	tokens    float64
+	at        time.Duration
+}
+
+// take reports whether n bytes may go now, and counts them. The last ones may
+// overdraw the bucket, so that a table larger than the burst gets through.
+func (b *bucket) take(now time.Duration, n int) bool {
+	b.tokens = min(bulkBurst, b.tokens+b.perSecond*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens <= 0 {
+		return false
+	}
+	b.tokens -= float64(n)
+	return true
+}
--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -21,6 +21,7 @@
 	routers   map[protocol.RouterID]*follow
 	deaf      map[protocol.RouterID]bool
 	documents int
+	lists     int
 }
 
 type vm struct {
@@ -36,15 +37,15 @@
 func newWorld(vms int) *world {
 	w := &world{vms: map[protocol.RouterID]*vm{}, routers: map[protocol.RouterID]*follow{}, deaf: map[protocol.RouterID]bool{}}
 	for i := range vms {
-		w.startVM(protocol.RouterID(fmt.Sprintf("vm%d", i+1)), uint64(i+1))
+		w.startVM(protocol.RouterID(fmt.Sprintf("vm%d", i+1)))
 	}
 	w.tellVMs()
 	return w
 }
 
-func (w *world) startVM(id protocol.RouterID, incarnation uint64) {
+func (w *world) startVM(id protocol.RouterID) {
 	r := roster.New(roster.DefaultSettings())
-	w.vms[id] = &vm{roster: r, publisher: NewPublisher(incarnation, r, 187_500)}
+	w.vms[id] = &vm{roster: r, publisher: NewPublisher(r, 187_500)}
 }
 
 // tellVMs tells all disk VMs of each other, as the log's configuration does.
@@ -78,8 +79,11 @@
 			}
 		case News:
 			w.carry(send.To, w.routers[send.To].TakeNews(w.now, from, body))
-		case Roster:
-			w.routers[send.To].TakeRoster(w.now, from, body)
+		case Changes:
+			w.routers[send.To].TakeChanges(w.now, from, body)
+		case List:
+			w.lists++
+			w.routers[send.To].TakeList(w.now, from, body)
 		case Document:
 			w.documents++
 			more, _ := w.routers[send.To].TakeDocument(w.now, from, body, func(*document.Document) error { return nil })
@@ -343,8 +347,9 @@
 }
 
 func TestARestartedVMSendsItsWholeRoster(t *testing.T) {
-	// A disk VM restarts and counts its changes anew. A router that went on
-	// counting from before would miss the first changes after the restart.
+	// A disk VM restarts and knows one upstream alone, which is leaving. The
+	// router must learn that, and keep the others until they have been unlisted
+	// for long.
 	w := newWorld(1)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -352,14 +357,41 @@
 		w.vms["vm1"].roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
 	}
 	w.run(2 * time.Second)
-	w.startVM("vm1", 99)
+	w.startVM("vm1")
 	w.tellVMs()
-	w.put(1)
 	leaving := roster.Entry{ID: "u1", Address: "a1", State: roster.Draining, Sequence: 9}
 	w.vms["vm1"].roster.Merge(w.now, leaving)
 	w.run(2 * time.Second)
 	found, _ := r.roster.Entry("u1")
 	assert.Equal(t, found.State, roster.Draining)
+	found, _ = r.roster.Entry("u2")
+	assert.Equal(t, found.State, roster.Ready)
+}
+
+func TestAFleetThatStartsAsksForFewLists(t *testing.T) {
+	// All VMs lost power and are back. The disk VMs know the upstreams from
+	// their disks, each some more than the others. If every router asked all of
+	// them for all, the links would be full and no leader elected.
+	w := newWorld(5)
+	for n, v := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
+		for i := range 90 + n {
+			w.vms[v].roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
+		}
+	}
+	for i := range 87 {
+		w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1", "vm2", "vm3")
+	}
+	w.run(1 * time.Second)
+	for _, v := range w.vms {
+		for _, e := range w.vms["vm5"].roster.Entries() {
+			v.roster.Merge(w.now, e)
+		}
+	}
+	w.run(4 * time.Second)
+	assert.Assert(t, w.lists < 3*87, "%d lists for 87 routers", w.lists)
+	for _, r := range w.routers {
+		assert.Equal(t, len(r.roster.Entries()), 94)
+	}
 }
 
 func TestLostAndRegainedVMsAreToldOnce(t *testing.T) {
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -30,31 +30,34 @@
 	// lostAfter is how long a disk VM may be silent before the follower says
 	// that it has lost it.
 	lostAfter = 3 * WatchInterval
-	// relistAfter is how long a router's list of upstreams may differ from
-	// those of all disk VMs before it asks for a whole list. Differences that
-	// come from a change are gone with the next watch.
-	relistAfter = 10 * time.Second
-	// relistSpread spreads the whole lists that many routers ask for after the
-	// same event: 94 upstreams are 14 KB, which 87 routers would ask for at
-	// once.
-	relistSpread = 10 * time.Second
+	// listAfter is how long rosters may differ before a whole list is asked
+	// for. What a disk VM is told it sends on within some tens of milliseconds.
+	listAfter = 400 * time.Millisecond
+	// listPatience is how long a disk VM may take to send a list, and listAgain
+	// how soon after a list another one is asked for: the disk VMs have told
+	// each other by then what they know.
+	listPatience = 700 * time.Millisecond
+	listAgain    = 2 * time.Second
 	// forgetAfter is how long a disk VM that nobody names is asked.
 	forgetAfter = 60 * time.Second
 )
 
 // source is a disk VM as a follower sees it.
 type source struct {
-	incarnation uint64
-	revision    uint64
-	fleet       uint64
-	version     uint64
-	routers     []protocol.RouterID
-	diskVMs     []protocol.RouterID
-	asked       time.Duration
-	heard       time.Duration
-	named       time.Duration
-	everHeard   bool
-	lost        bool
+	// roster is the digest of its newest roster, merged that of its last whole
+	// list, and listed the upstreams in that.
+	roster    uint64
+	merged    uint64
+	listed    []protocol.UpstreamID
+	fleet     uint64
+	version   uint64
+	routers   []protocol.RouterID
+	diskVMs   []protocol.RouterID
+	asked     time.Duration
+	heard     time.Duration
+	named     time.Duration
+	everHeard bool
+	lost      bool
 }
 
 // Belief is a change of what a follower believes, for the log.
@@ -75,8 +78,8 @@
 	BeliefRegained = "disk-vm-regained"
 	BeliefTable    = "table-in-force"
 	BeliefRefused  = "table-refused"
-	// BeliefUnreadable is a message that can't be read.
-	BeliefUnreadable = "fleet-unreadable"
+	// BeliefUnreadable is a list that can't be read.
+	BeliefUnreadable = "list-unreadable"
 )
 
 // Follower is the router's side, and also that of a disk VM towards the others,
@@ -98,18 +101,19 @@
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
 	pulling    bool
-	// agreed is when a disk VM last listed the same upstreams, or when a whole
-	// list was asked for.
-	agreed      time.Duration
-	relistDelay time.Duration
-	beliefs     []Belief
+	// agreed is when a disk VM last had the same roster. listAsked is when any
+	// was last asked for a whole list, and listTaken when one came, if ever.
+	agreed     time.Duration
+	listAsked  time.Duration
+	listTaken  time.Duration
+	everListed bool
+	beliefs    []Belief
 }
 
 // NewFollower returns a follower that knows only seeds. The roster is shared
 // with the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
 	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}}
-	f.relistDelay = relistAfter + time.Duration(xxhash.Sum64String(string(self))%uint64(relistSpread))
 	f.SetSeeds(0, seeds)
 	return f
 }
@@ -185,32 +189,39 @@
 	var sends []Send
 	for _, id := range f.DiskVMs() {
 		if now-f.sources[id].asked >= f.interval() {
-			sends = append(sends, f.watch(now, id, false))
+			sends = append(sends, f.watch(now, id))
 		}
 	}
-	sends = append(sends, f.relist(now)...)
+	sends = append(sends, f.askList(now)...)
 	return append(sends, f.pull(now)...)
 }
 
-// relist asks a disk VM for its whole list where the own has differed from all
-// for long.
+// askList asks one disk VM for its whole list where the own roster has differed
+// from all for a moment: changes were missed, or this process or that VM has
+// just started.
 //
-// Failure: an upstream is gone for good without a word. The disk VMs forget it
-// for its silence, which they can't tell others as a fact: a VM that is cut off
-// hears silence from all. So a router forgets what no disk VM lists any more.
-// That shows as a digest that differs, and then in a whole list, where the
-// number of its newest announcement shows that an upstream lives.
-func (f *Follower) relist(now time.Duration) []Send {
-	if !f.router || now-f.agreed < f.relistDelay {
+// Load: all routers start at once, and each knows nothing. Harm prevented: five
+// lists of three kilobytes for each of 87 routers, again with each watch until
+// one gets through, on links that are full for it. A list that was merged before
+// isn't asked for again: a VM that was cut off or has just started lists less
+// than the others for a while.
+func (f *Follower) askList(now time.Duration) []Send {
+	if now-f.agreed < listAfter || now-f.listAsked < listPatience || f.everListed && now-f.listTaken < listAgain {
 		return nil
 	}
-	f.agreed = now
+	own := f.roster.Digest()
 	for _, id := range f.byPreference() {
 		s := f.sources[id]
-		if s.everHeard && now-s.heard < lostAfter {
-			s.incarnation = 0
-			return []Send{f.watch(now, id, false)}
+		inTouch := s.everHeard && now-s.heard < lostAfter
+		if !inTouch || s.roster == own || s.roster == s.merged {
+			continue
 		}
+		f.listAsked = now
+		ask := f.watch(now, id)
+		w := ask.Body.(Watch)
+		w.WantList = true
+		ask.Body = w
+		return []Send{ask}
 	}
 	return nil
 }
@@ -224,13 +235,10 @@
 }
 
 // watch returns a Watch for one disk VM.
-func (f *Follower) watch(now time.Duration, id protocol.RouterID, wantDocument bool) Send {
+func (f *Follower) watch(now time.Duration, id protocol.RouterID) Send {
 	s := f.sources[id]
 	s.asked = now
-	w := Watch{
-		Router: f.router, WantDocument: wantDocument,
-		Incarnation: s.incarnation, Revision: s.revision, Roster: f.roster.Digest(), Fleet: s.fleet,
-	}
+	w := Watch{Router: f.router, Fleet: s.fleet}
 	if f.inForce != nil {
 		w.Version = f.inForce.Version
 		w.Digest = f.inForce.Digest
@@ -252,7 +260,11 @@
 	f.pulling = true
 	f.pulledFrom = from
 	f.pulledAt = now
-	return []Send{f.watch(now, from, true)}
+	ask := f.watch(now, from)
+	w := ask.Body.(Watch)
+	w.WantDocument = true
+	ask.Body = w
+	return []Send{ask}
 }
 
 // SetRelay makes large tables go from router to router.
@@ -322,10 +334,8 @@
 		f.newestAt = now
 		f.newestBytes = n.Bytes
 	}
-	if n.Incarnation != 0 && n.Incarnation == s.incarnation {
-		s.revision = n.Revision
-		f.agree(now)
-	}
+	s.roster = n.Roster
+	f.agree(now, s)
 	if n.Fleet != nil {
 		f.takeFleet(s, from, *n.Fleet)
 	}
@@ -335,11 +345,24 @@
 	return f.pull(now)
 }
 
-// agree notes that a disk VM lists the same upstreams.
-func (f *Follower) agree(now time.Duration) {
-	f.agreed = now
-	if f.router {
+// agree compares a disk VM's roster with the own. For a router, what a disk VM
+// lists lives.
+//
+// Failure: an upstream is gone for good without a word. The disk VMs forget it
+// for its silence, which they can't tell others as a fact: a VM that is cut off
+// hears silence from all. So a router forgets what no disk VM lists any more.
+func (f *Follower) agree(now time.Duration, s *source) {
+	same := s.roster == f.roster.Digest()
+	if same {
+		f.agreed = now
+	}
+	if !f.router {
+		return
+	}
+	if same {
 		f.roster.AllListed(now)
+	} else if s.roster == s.merged {
+		f.roster.Listed(now, s.listed)
 	}
 }
 
@@ -356,19 +379,33 @@
 	s.diskVMs = diskVMs
 }
 
-// TakeRoster merges a disk VM's entries. It reports whether the roster changed
-// in a way that matters to routers.
-func (f *Follower) TakeRoster(now time.Duration, from protocol.RouterID, r Roster) bool {
+// TakeChanges merges what a disk VM was just told.
+func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) {
+	f.heardFrom(now, from)
+	for _, e := range c.Entries {
+		f.roster.Merge(now, e)
+	}
+}
+
+// TakeList merges a disk VM's whole list. One that can't be read changes nothing.
+func (f *Follower) TakeList(now time.Duration, from protocol.RouterID, l List) {
 	s := f.heardFrom(now, from)
-	changed := false
-	for _, e := range r.Entries {
-		changed = f.roster.Merge(now, e) || changed
+	entries, err := l.unpack()
+	if err != nil {
+		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
+		return
 	}
-	if r.Incarnation != 0 {
-		s.incarnation = r.Incarnation
-		s.revision = r.Revision
+	f.listTaken = now
+	f.everListed = true
+	s.roster, s.merged = l.Digest, l.Digest
+	s.listed = nil
+	for _, e := range entries {
+		f.roster.Merge(now, e)
+		if e.State != roster.Gone {
+			s.listed = append(s.listed, e.ID)
+		}
 	}
-	return changed
+	f.agree(now, s)
 }
 
 // TakeDocument takes a table, from a disk VM or a router. accept says whether the router can use it; one
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -14,31 +14,23 @@
 	// Version and Digest are of the table that the sender has in force.
 	Version uint64          `msgpack:"v,omitempty"`
 	Digest  document.Digest `msgpack:"d"`
-	// WantDocument asks for the newest table.
+	// WantDocument asks for the newest table, WantList for the whole roster.
 	WantDocument bool `msgpack:"w,omitempty"`
-	// Incarnation and Revision say up to which change the sender has the
-	// receiver's roster.
-	Incarnation uint64 `msgpack:"i,omitempty"`
-	Revision    uint64 `msgpack:"n,omitempty"`
-	// Roster is the digest of the sender's own roster. Where it is the same as
-	// the receiver's, no entry has to be sent, whoever it came from.
-	Roster uint64 `msgpack:"o,omitempty"`
+	WantList     bool `msgpack:"l,omitempty"`
 	// Fleet is the digest of the last News.Fleet taken from the receiver.
 	Fleet uint64 `msgpack:"f,omitempty"`
 }
 
-// News tells a follower of the newest table and of the fleet.
+// News tells a follower of the newest table, of the roster and of the fleet.
 type News struct {
 	// Version is that of the table in force, 0 if there is none.
 	Version uint64 `msgpack:"v"`
 	// Bytes is the size of the change that made it.
 	Bytes int `msgpack:"b,omitempty"`
+	// Roster is the digest of the sender's roster.
+	Roster uint64 `msgpack:"o"`
 	// Fleet is left out where the follower has it.
 	Fleet *Fleet `msgpack:"f,omitempty"`
-	// Incarnation and Revision tell a follower whose roster is the same that
-	// it has all changes up to here.
-	Incarnation uint64 `msgpack:"i,omitempty"`
-	Revision    uint64 `msgpack:"n,omitempty"`
 }
 
 // Fleet lists the processes that a disk VM knows.
@@ -49,14 +41,17 @@
 	Packed []byte `msgpack:"p"`
 }
 
-// Roster carries changed entries.
-type Roster struct {
-	// Incarnation is that of the sender's process, which counts revisions anew.
-	// It is 0 where the entries are sent unasked; then they don't say up to
-	// which change the receiver has the sender's roster.
-	Incarnation uint64         `msgpack:"i"`
-	Revision    uint64         `msgpack:"n"`
-	Entries     []roster.Entry `msgpack:"e"`
+// Changes carries entries that the sender was told just now.
+type Changes struct {
+	Entries []roster.Entry `msgpack:"e"`
+}
+
+// List is the whole roster of a disk VM.
+type List struct {
+	// Digest is that of the roster.
+	Digest uint64 `msgpack:"d"`
+	// Packed is the compressed list of entries; see packList.
+	Packed []byte `msgpack:"p"`
 }
 
 // Document carries the newest table as a change from what the follower has, or
--- a/coordination/control/fleet.go
+++ b/coordination/control/pack.go
@@ -6,7 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
 // Names in a packed fleet stand on a line each, the disk VMs first and the
@@ -43,3 +45,20 @@
 	}
 	return diskVMs, routers, nil
 }
+
+// packList makes the list of upstreams that followers are sent: 94 of them are
+// 14 KB, and 3 KB packed.
+func packList(digest uint64, entries []roster.Entry) List {
+	return List{Digest: digest, Packed: document.Compress(codec.Marshal(entries))}
+}
+
+// unpack returns the entries. Error: damage.
+func (l List) unpack() ([]roster.Entry, error) {
+	data, err := document.Decompress(l.Packed)
+	if err != nil {
+		return nil, err
+	}
+	var entries []roster.Entry
+	err = codec.Unmarshal(data, &entries)
+	return entries, err
+}
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -19,11 +19,12 @@
 	// router; 87 names sent with each answer would fill a link of 3 Mbit/s,
 	// and consensus would not get through.
 	fleetInterval = 2 * time.Second
-	// fleetLife is how long a list of processes that was made is used.
-	fleetLife = 200 * time.Millisecond
-	// entriesPerMessage bounds the entries of one Roster message: some 15 KB,
-	// which a link of 3 Mbit/s carries in 40 ms.
-	entriesPerMessage = 100
+	// packedLife is how long a list that was packed is used: hundreds of
+	// watches a second would each sort and compress the same names.
+	packedLife = 200 * time.Millisecond
+	// keepPrevious is how many earlier tables are kept to make small changes
+	// from: those of the last second of a storm of changes.
+	keepPrevious = 8
 )
 
 // Send is a message to another process.
@@ -42,44 +43,44 @@
 	everListed bool
 }
 
+// request is a follower's wish for something large.
+type request struct {
+	from protocol.RouterID
+	list bool
+}
+
 // Publisher is the disk VM's side. It is not safe for concurrent use.
 type Publisher struct {
-	incarnation uint64
-	roster      *roster.Roster
-	followers   map[protocol.RouterID]*follower
-	diskVMs     []protocol.RouterID
-	fleet       Fleet
-	packed      time.Duration
-	inForce     *document.Document
+	roster    *roster.Roster
+	followers map[protocol.RouterID]*follower
+	diskVMs   []protocol.RouterID
+	fleet     Fleet
+	fleetAt   time.Duration
+	list      List
+	inForce   *document.Document
 	// changes holds the change to the table in force from each base that a
 	// follower asked for. Many followers have the same base.
 	changes map[document.Digest]document.Change
 	// changeBytes is the size of the change that made the table in force.
 	changeBytes int
-	// heard are upstreams whose change has to be sent on.
-	heard []protocol.UpstreamID
-	// bulk bounds what tables take of the link.
-	bulk bucket
-	// waiting are routers whose table waits for room on the link.
-	waiting []protocol.RouterID
 	// previous are tables that were in force before, newest first.
 	previous []*document.Document
+	// heard are upstreams whose change has to be sent on.
+	heard []protocol.UpstreamID
+	// bulk bounds what tables and lists take of the link, and waiting are those
+	// that wait for room on it.
+	bulk    bucket
+	waiting []request
 }
 
-// keepPrevious is how many earlier tables are kept to make small changes from:
-// those of the last second of a storm of changes.
-const keepPrevious = 8
-
-// NewPublisher returns the side of a disk VM whose process is told apart from
-// its earlier ones by incarnation. Tables take at most bulkRate bytes a second of
-// its link. The roster is shared with the caller.
-func NewPublisher(incarnation uint64, r *roster.Roster, bulkRate int) *Publisher {
+// NewPublisher returns the side of a disk VM. Tables and lists take at most
+// bulkRate bytes a second of its link. The roster is shared with the caller.
+func NewPublisher(r *roster.Roster, bulkRate int) *Publisher {
 	return &Publisher{
-		bulk:        bucket{perSecond: float64(bulkRate), tokens: bulkBurst},
-		incarnation: incarnation,
-		roster:      r,
-		followers:   map[protocol.RouterID]*follower{},
-		changes:     map[document.Digest]document.Change{},
+		bulk:      bucket{perSecond: float64(bulkRate), tokens: bulkBurst},
+		roster:    r,
+		followers: map[protocol.RouterID]*follower{},
+		changes:   map[document.Digest]document.Change{},
 	}
 }
 
@@ -102,10 +103,8 @@
 	}
 	p.changeBytes = len(change.Delta)
 	var sends []Send
-	for _, id := range p.present(now) {
-		if p.followers[id].watch.Router {
-			sends = append(sends, Send{To: id, Body: News{Version: p.version(), Bytes: p.changeBytes}})
-		}
+	for _, id := range p.Routers(now) {
+		sends = append(sends, Send{To: id, Body: p.bareNews()})
 	}
 	return sends
 }
@@ -146,49 +145,31 @@
 	}
 	known.watch = w
 	known.at = now
-	news := p.news(now, known)
-	sends := []Send{{To: from, Body: news}}
-	if news.Revision == 0 {
-		sends = append(sends, p.rosterFor(from, w)...)
-	}
 	if w.WantDocument && p.version() > w.Version {
-		p.waiting = append(slices.DeleteFunc(p.waiting, func(id protocol.RouterID) bool { return id == from }), from)
+		p.enqueue(request{from: from})
+	}
+	if w.WantList {
+		p.enqueue(request{from: from, list: true})
 	}
+	sends := []Send{{To: from, Body: p.news(now, known)}}
 	return append(sends, p.SendWaiting(now)...)
 }
 
-// SendWaiting returns the tables that the link has room for now, in the order
-// in which they were asked for.
-func (p *Publisher) SendWaiting(now time.Duration) []Send {
-	var sends []Send
-	for len(p.waiting) > 0 {
-		id := p.waiting[0]
-		f := p.followers[id]
-		if f == nil || p.version() <= f.watch.Version {
-			p.waiting = p.waiting[1:]
-			continue
-		}
-		change := p.changeFrom(f.watch.Digest)
-		if !p.bulk.take(now, len(change.Delta)) {
-			return sends
-		}
-		p.waiting = p.waiting[1:]
-		sends = append(sends, Send{To: id, Body: Document{Change: change}})
-	}
-	return sends
+// bareNews is News without the list of processes.
+func (p *Publisher) bareNews() News {
+	return News{Version: p.version(), Bytes: p.changeBytes, Roster: p.roster.Digest()}
 }
 
 // news is the answer to a Watch.
 func (p *Publisher) news(now time.Duration, f *follower) News {
-	news := News{Version: p.version(), Bytes: p.changeBytes}
-	if f.watch.Incarnation == p.incarnation && f.watch.Roster == p.roster.Digest() {
-		news.Incarnation = p.incarnation
-		news.Revision = p.roster.Revision()
-	}
+	news := p.bareNews()
 	if f.everListed && now-f.listed < fleetInterval {
 		return news
 	}
-	p.packFleet(now)
+	if p.fleet.Packed == nil || now-p.fleetAt >= packedLife {
+		p.fleet = packFleet(p.diskVMs, p.Routers(now))
+		p.fleetAt = now
+	}
 	if p.fleet.Digest != f.watch.Fleet {
 		news.Fleet = &p.fleet
 		f.listed = now
@@ -197,33 +178,54 @@
 	return news
 }
 
-// packFleet makes the list of processes anew, if that wasn't done a moment ago:
-// hundreds of watches a second would each sort and compress the same names.
-func (p *Publisher) packFleet(now time.Duration) {
-	if p.fleet.Packed != nil && now-p.packed < fleetLife {
-		return
+// enqueue notes a wish, once.
+func (p *Publisher) enqueue(wish request) {
+	if !slices.Contains(p.waiting, wish) {
+		p.waiting = append(p.waiting, wish)
 	}
-	p.packed = now
-	p.fleet = packFleet(p.diskVMs, p.Routers(now))
 }
 
-// rosterFor returns the entries that a follower lacks. A follower that comes
-// with another incarnation hears of this one even if there is no entry.
-func (p *Publisher) rosterFor(to protocol.RouterID, w Watch) []Send {
-	since := w.Revision
-	if w.Incarnation != p.incarnation {
-		since = 0
+// SendWaiting returns the tables and lists that the link has room for now, in
+// the order in which they were asked for.
+func (p *Publisher) SendWaiting(now time.Duration) []Send {
+	var sends []Send
+	for len(p.waiting) > 0 {
+		body, size := p.wished(p.waiting[0])
+		if body != nil && !p.bulk.take(now, size) {
+			return sends
+		}
+		if body != nil {
+			sends = append(sends, Send{To: p.waiting[0].from, Body: body})
+		}
+		p.waiting = p.waiting[1:]
 	}
-	entries := p.roster.ChangedSince(since)
-	if len(entries) == 0 && w.Incarnation == p.incarnation {
-		return nil
+	return sends
+}
+
+// wished returns what a follower asked for and its size in bytes, nil if it has
+// gone or needs it no more.
+func (p *Publisher) wished(wish request) (any, int) {
+	f := p.followers[wish.from]
+	if f == nil {
+		return nil, 0
 	}
-	var sends []Send
-	for len(entries) > entriesPerMessage {
-		sends = append(sends, Send{To: to, Body: Roster{Entries: entries[:entriesPerMessage]}})
-		entries = entries[entriesPerMessage:]
+	if wish.list {
+		list := p.packedList()
+		return list, len(list.Packed)
 	}
-	return append(sends, Send{To: to, Body: Roster{Incarnation: p.incarnation, Revision: p.roster.Revision(), Entries: entries}})
+	if p.version() <= f.watch.Version {
+		return nil, 0
+	}
+	change := p.changeFrom(f.watch.Digest)
+	return Document{Change: change}, len(change.Delta)
+}
+
+// packedList returns the whole roster, packed once for each state of it.
+func (p *Publisher) packedList() List {
+	if digest := p.roster.Digest(); p.list.Packed == nil || p.list.Digest != digest {
+		p.list = packList(digest, p.roster.Entries())
+	}
+	return p.list
 }
 
 // Heard notes that this VM itself was told a change of an upstream, which
@@ -240,22 +242,22 @@
 // five disk VMs, which 87 routers follow. Harm prevented: a message for each
 // upstream from each VM to each router, 27,000 of them, which fills the links
 // for seconds. So changes are gathered for some tens of milliseconds, and only
-// the VM that was told sends them unasked; who misses one gets it with its next
-// Watch.
+// the VM that was told sends them unasked; who misses one sees with the next
+// News that its roster differs.
 func (p *Publisher) PushHeard(now time.Duration) []Send {
 	if len(p.heard) == 0 {
 		return nil
 	}
-	push := Roster{}
+	changes := Changes{}
 	for _, id := range p.heard {
 		if e, known := p.roster.Entry(id); known {
-			push.Entries = append(push.Entries, e)
+			changes.Entries = append(changes.Entries, e)
 		}
 	}
 	p.heard = nil
 	var sends []Send
 	for _, id := range p.present(now) {
-		sends = append(sends, Send{To: id, Body: push})
+		sends = append(sends, Send{To: id, Body: changes})
 	}
 	return sends
 }
@@ -283,33 +285,6 @@
 	return change
 }
 
-// bulkBurst is how many bytes of tables may go at once: one whole table.
-const bulkBurst = 32 << 10
-
-// bucket bounds the bytes that go out over time.
-//
-// Load: a whole fleet of routers starts and each asks for a table of ten
-// kilobytes, on a link of some hundred kilobytes a second that also carries
-// consensus. Harm prevented: heartbeats wait behind tables, the voters elect
-// another leader, and operators' changes wait for it.
-type bucket struct {
-	perSecond float64
-	tokens    float64
-	at        time.Duration
-}
-
-// take reports whether n bytes may go now, and counts them. The last ones may
-// overdraw the bucket, so that a table larger than the burst gets through.
-func (b *bucket) take(now time.Duration, n int) bool {
-	b.tokens = min(bulkBurst, b.tokens+b.perSecond*(now-b.at).Seconds())
-	b.at = now
-	if b.tokens <= 0 {
-		return false
-	}
-	b.tokens -= float64(n)
-	return true
-}
-
 // sortRouters orders names, for stable output.
 func sortRouters(ids []protocol.RouterID) {
 	slices.SortFunc(ids, func(a, b protocol.RouterID) int { return cmp.Compare(a, b) })
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -254,6 +254,15 @@
 	}
 }
 
+// Listed notes that a disk VM lists some upstreams.
+func (r *Roster) Listed(now time.Duration, ids []protocol.UpstreamID) {
+	for _, id := range ids {
+		if known := r.records[id]; known != nil && known.State != Gone {
+			known.heard = now
+		}
+	}
+}
+
 // HeardSince returns what was heard after a time.
 func (r *Roster) HeardSince(since time.Duration) []Heard {
 	var heard []Heard
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -88,7 +88,7 @@
 		quit:   make(chan struct{}),
 	}
 	self := options.Settings.Self()
-	vm.publisher = control.NewPublisher(vm.incarnation, vm.roster, options.Settings.TableRate())
+	vm.publisher = control.NewPublisher(vm.roster, options.Settings.TableRate())
 	vm.remembered, err = openRemembered(options.Settings.DataFolder)
 	if err != nil {
 		_ = folder.Close()
@@ -237,8 +237,10 @@
 		vm.fabric.SendAll(vm.publisher.Watched(now, from, m))
 	case control.News:
 		vm.fabric.SendAll(vm.follower.TakeNews(now, from, m))
-	case control.Roster:
-		vm.follower.TakeRoster(now, from, m)
+	case control.Changes:
+		vm.follower.TakeChanges(now, from, m)
+	case control.List:
+		vm.follower.TakeList(now, from, m)
 	case control.Heard:
 		for _, heard := range m.Upstreams {
 			// An unknown one comes with the sender's roster.
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -125,8 +125,10 @@
 		return wire.KindWatch
 	case control.News:
 		return wire.KindNews
-	case control.Roster:
+	case control.Changes:
 		return wire.KindRoster
+	case control.List:
+		return wire.KindList
 	case control.Document:
 		return wire.KindDocument
 	case control.Heard:
@@ -157,7 +159,9 @@
 	case wire.KindNews:
 		return decodeAs[control.News](frame)
 	case wire.KindRoster:
-		return decodeAs[control.Roster](frame)
+		return decodeAs[control.Changes](frame)
+	case wire.KindList:
+		return decodeAs[control.List](frame)
 	case wire.KindDocument:
 		return decodeAs[control.Document](frame)
 	case wire.KindHeard:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -235,8 +235,11 @@
 	switch m := body.(type) {
 	case control.News:
 		r.fabric.SendAll(r.follower.TakeNews(now, from, m))
-	case control.Roster:
-		r.follower.TakeRoster(now, from, m)
+	case control.Changes:
+		r.follower.TakeChanges(now, from, m)
+		r.takeRoster()
+	case control.List:
+		r.follower.TakeList(now, from, m)
 		r.takeRoster()
 	case control.Document:
 		sends, _ := r.follower.TakeDocument(now, from, m, r.accept)
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -107,6 +107,7 @@
 	KindPutReply  Kind = 56
 	KindRead      Kind = 57
 	KindReadReply Kind = 58
+	KindList      Kind = 59
 	// KindLoads to KindHomeReply go between those routers.
 	KindLoads     Kind = 60
 	KindHome      Kind = 61
@@ -127,7 +128,7 @@
 	KindCheck: "check", KindAlive: "alive",
 	KindProbe:     "probe",
 	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
-	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindDocument: "document",
+	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindList: "list", KindDocument: "document",
 	KindHeard: "heard", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoads: "loads", KindHome: "home", KindHomeReply: "home-reply", KindBlame: "blame",
 }
