Routers that start get the table from each other too; new lists of disk VMs go out at once

The other disk VMs were named 2 s later, because the first list had gone out before the log was read.

Change: a router without a table also asks another router, another one each 150 ms; a changed list of disk VMs is told again at once.

--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -76,6 +76,8 @@
 		case Watch:
 			if v := w.vms[send.To]; v != nil {
 				w.carry(send.To, v.publisher.Watched(w.now, from, body))
+			} else if r := w.routers[send.To]; r != nil {
+				r.Asked(from, body)
 			}
 		case News:
 			w.carry(send.To, w.routers[send.To].TakeNews(w.now, from, body))
@@ -237,6 +239,39 @@
 	}
 }
 
+func TestRoutersThatStartTogetherGetTheTableFromEachOther(t *testing.T) {
+	// All VMs lost power; of five disk VMs two have lost their disks. 87 routers
+	// want a table of 10 KB from the others, whose links would take them more
+	// than a second.
+	w := newWorld(3)
+	body := make([]byte, 10_000)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range body {
+		body[i] = byte(random.Uint32())
+	}
+	for id, v := range w.vms {
+		w.carry(id, v.publisher.SetDocument(w.now, document.New(1, body), document.Change{}))
+	}
+	for i := range 87 {
+		name := protocol.RouterID(fmt.Sprint("r", i))
+		r := w.startRouter(name, "vm1")
+		r.SetRelay(NewRelay(name, 750_000))
+	}
+	for range 10 {
+		w.runRelays(100 * time.Millisecond)
+		for _, r := range w.routers {
+			r.relay.SetRouters(slices.DeleteFunc(r.Routers(w.now), func(id protocol.RouterID) bool { return id == r.self }))
+		}
+	}
+	late := 0
+	for _, r := range w.routers {
+		if r.version() != 1 {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0)
+}
+
 func TestARouterWhoseRelayIsGoneAsksADiskVM(t *testing.T) {
 	w := newWorld(3)
 	w.put(1)
@@ -261,6 +296,8 @@
 	for end := w.now + d; w.now < end; w.now += step {
 		for id, r := range w.routers {
 			w.carry(id, r.Tick(w.now))
+		}
+		for id, r := range w.routers {
 			for _, send := range r.relay.Due(w.now) {
 				more, _ := w.routers[send.To].TakeDocument(w.now, id, send.Body.(Document), func(*document.Document) error { return nil })
 				w.carry(send.To, more)
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -23,6 +23,9 @@
 	// another one is asked: ten times what a whole one takes on a link of
 	// 3 Mbit/s.
 	documentPatience = 800 * time.Millisecond
+	// neighbourInterval is how often a router without a table asks another
+	// router for it.
+	neighbourInterval = 150 * time.Millisecond
 	// preferredPatience is how long a router waits for the disk VM that it
 	// prefers to have a new table too: the next heartbeat of consensus tells
 	// that VM that it is accepted.
@@ -97,6 +100,13 @@
 	newestAt    time.Duration
 	newestBytes int
 	relay       *Relay
+	// whole is the change that makes the table in force from nothing, for other
+	// routers, made when it is first asked for.
+	whole document.Change
+	// neighbourAsked is when another router was last asked, and neighbours how
+	// many were.
+	neighbourAsked time.Duration
+	neighbours     int
 	// pulledFrom and pulledAt are the disk VM that was last asked for a table.
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
@@ -193,9 +203,43 @@
 		}
 	}
 	sends = append(sends, f.askList(now)...)
+	sends = append(sends, f.askNeighbour(now)...)
 	return append(sends, f.pull(now)...)
 }
 
+// askNeighbour asks another router for the table, another one each time.
+//
+// Load: half of the routers, or all, start at once, and the disk VMs' links take
+// a second and more to send a table to each. Harm prevented: each router refuses
+// its callers until its turn comes. Routers have links several times as fast,
+// and each that has the table can send it on.
+func (f *Follower) askNeighbour(now time.Duration) []Send {
+	if f.relay == nil || f.inForce != nil || len(f.relay.others) == 0 || now-f.neighbourAsked < neighbourInterval {
+		return nil
+	}
+	f.neighbourAsked = now
+	f.neighbours++
+	others := f.relay.others
+	at := (f.relay.position + f.neighbours*neighbourStride) % len(others)
+	return []Send{{To: others[at], Body: Watch{Router: true, WantDocument: true}}}
+}
+
+// neighbourStride spreads the routers asked by one over the list, so that routers
+// next to each other in it don't all ask the same.
+const neighbourStride = 7
+
+// Asked answers another router's wish for the table, if there is a newer one
+// here. It goes out as the relay's link has room.
+func (f *Follower) Asked(from protocol.RouterID, w Watch) {
+	if f.relay == nil || f.inForce == nil || !w.WantDocument || w.Version >= f.inForce.Version {
+		return
+	}
+	if f.whole.Result != f.inForce.Digest {
+		f.whole = document.MakeChange(nil, f.inForce)
+	}
+	f.relay.send(from, f.whole)
+}
+
 // askList asks one disk VM for its whole list where the own roster has differed
 // from all for a moment: changes were missed, or this process or that VM has
 // just started.
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -84,9 +84,18 @@
 	}
 }
 
-// SetDiskVMs tells which disk VMs there are.
+// SetDiskVMs tells which disk VMs there are. Followers are told anew at once: a
+// router that has just started may know one that has nothing to give.
 func (p *Publisher) SetDiskVMs(vms []protocol.RouterID) {
-	p.diskVMs = slices.Sorted(slices.Values(vms))
+	sorted := slices.Sorted(slices.Values(vms))
+	if slices.Equal(sorted, p.diskVMs) {
+		return
+	}
+	p.diskVMs = sorted
+	p.fleet = Fleet{}
+	for _, f := range p.followers {
+		f.everListed = false
+	}
 }
 
 // SetDocument puts a table in force and tells all routers that there is one.
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -86,10 +86,15 @@
 		return
 	}
 	for _, id := range r.receivers {
-		r.queue = append(r.queue, Send{To: id, Body: Document{Change: change}})
+		r.send(id, change)
 	}
 }
 
+// send queues a change for a router.
+func (r *Relay) send(to protocol.RouterID, change document.Change) {
+	r.queue = append(r.queue, Send{To: to, Body: Document{Change: change}})
+}
+
 // Due returns what the link has room for now.
 func (r *Relay) Due(now time.Duration) []Send {
 	due := 0
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -245,6 +245,9 @@
 		sends, _ := r.follower.TakeDocument(now, from, m, r.accept)
 		r.fabric.SendAll(sends)
 		r.fabric.SendAll(r.relay.Due(now))
+	case control.Watch:
+		r.follower.Asked(from, m)
+		r.fabric.SendAll(r.relay.Due(now))
 	case balance.Loads:
 		r.book.TakeLoads(now, from, m)
 	case crashes.Crash:
