--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -130,12 +130,14 @@
 
 // pickForPrompt chooses the engine of a prompt: of those that keep its beginning
 // the one with the least work, if that is within the bound; else the first
-// within the bound in the prompt's own order.
+// within the bound in the prompt's own order. That order is the same on every
+// router and after every restart, so routers that have forgotten everything send
+// most prompts where their beginnings are kept.
 func (b *Book) pickForPrompt(now time.Duration, random *rand.Rand, r Request, list []*upstream, mean float64) Choice {
 	bound := b.bound(mean)
 	chosen, reason := within(bound, b.keepersOf(now, r.Prompt, list)), ReasonKeeper
 	if chosen == nil {
-		chosen, reason = within(bound, inOrderOf(r.Prompt, list)[:min(len(list), firstChoices)]), ReasonOrder
+		chosen, reason = firstWithin(bound, inOrderOf(r.Prompt, list)), ReasonOrder
 	}
 	if chosen == nil {
 		chosen, reason = b.leastLoaded(random, list), ReasonLeastLoaded
@@ -146,11 +148,16 @@
 	return made
 }
 
-// firstChoices is how many engines of a prompt's order are compared by load.
-// With two, the most loaded engine has little more than the mean, as with any
-// choice between two, and routers that don't know of each other still agree on
-// the pair.
-const firstChoices = 2
+// firstWithin returns the first upstream whose load is within a bound, nil if
+// there is none.
+func firstWithin(bound float64, list []*upstream) *upstream {
+	for _, u := range list {
+		if float64(u.load()) <= bound {
+			return u
+		}
+	}
+	return nil
+}
 
 // within returns the upstream with the least work, the earlier one among
 // equals, nil if none is within the bound.
