A router that starts waits for most of the upstreams; lines about beliefs go before served requests

The lines that told when they were ready were dropped behind one line for each upstream.

Change: disk VMs tell how many upstreams they list; a router asks the one with the most, and is ready and sends work when it knows four fifths of that. Lists of routers go out sooner to those without a table. Many changed upstreams are one line; served requests may use half of the lines.

The test world steps in order now: it failed in one of three runs by the order of a map.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -50,8 +51,15 @@
 	Stop() bool
 }
 
+// logs are a role's loggers: one for what it does and believes, one for the
+// lines of requests.
+type logs struct{ log, requests zerolog.Logger }
+
+// starter starts a role.
+type starter func(logs, direct.Settings, *rand.Rand) (process, error)
+
 // directCommand returns the command that runs one such role.
-func directCommand(path *string, role direct.Role, short string, start func(direct.Settings, zerolog.Logger, *rand.Rand) (process, error)) *cobra.Command {
+func directCommand(path *string, role direct.Role, short string, start starter) *cobra.Command {
 	return &cobra.Command{
 		Use:   string(role),
 		Short: short,
@@ -71,7 +79,7 @@
 }
 
 // runDirect runs a role until a signal ends it.
-func runDirect(path string, role direct.Role, start func(direct.Settings, zerolog.Logger, *rand.Rand) (process, error)) error {
+func runDirect(path string, role direct.Role, start starter) error {
 	// Signals are taken from the first moment on: one that comes while the
 	// process starts must not end it without a word.
 	stop := make(chan os.Signal, 2)
@@ -90,7 +98,7 @@
 	lines := loglines.New(os.Stdout, settings.Log.LinesPerSecond)
 	defer lines.Close(logPatience)
 	log := newDirectLogger(settings, lines)
-	running, err := start(settings, log, newRandom())
+	running, err := start(logs{log: log, requests: newDirectLogger(settings, lines.Ordinary())}, settings, newRandom())
 	if err != nil {
 		log.Error().Str("event", "not-started").Err(err).Send()
 		return err
@@ -104,7 +112,7 @@
 }
 
 // newDirectLogger returns the logger of a role.
-func newDirectLogger(settings direct.Settings, lines *loglines.Writer) zerolog.Logger {
+func newDirectLogger(settings direct.Settings, lines io.Writer) zerolog.Logger {
 	level, err := zerolog.ParseLevel(settings.Log.Level)
 	if err != nil {
 		panic("endiveplankd: settings with a log level that was not checked: " + settings.Log.Level)
@@ -135,9 +143,9 @@
 }
 
 // startRouter starts the role router.
-func startRouter(settings direct.Settings, log zerolog.Logger, random *rand.Rand) (process, error) {
+func startRouter(logs logs, settings direct.Settings, random *rand.Rand) (process, error) {
 	return router.New(router.Options{
-		Settings: settings, Dialect: platform.Dialect{}, Log: log, Random: random,
+		Settings: settings, Dialect: platform.Dialect{}, Log: logs.log, RequestLog: logs.requests, Random: random,
 		ReadTable: func(_ uint64, body []byte) (*routing.Table, error) { return platform.ReadTable(body) },
 	})
 }
@@ -149,7 +157,8 @@
 }
 
 // startDiskVM starts the role disk-vm.
-func startDiskVM(settings direct.Settings, log zerolog.Logger, random *rand.Rand) (process, error) {
+func startDiskVM(logs logs, settings direct.Settings, random *rand.Rand) (process, error) {
+	log := logs.log
 	vm, err := diskvm.New(diskvm.Options{Settings: settings, CheckTable: platform.CheckTable, Log: log, Random: random})
 	if err != nil {
 		return nil, err
--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -97,19 +98,25 @@
 func (w *world) run(d time.Duration) {
 	const step = 100 * time.Millisecond
 	for end := w.now + d; w.now < end; w.now += step {
-		for id, r := range w.routers {
-			w.carry(id, r.Tick(w.now))
+		for _, id := range inOrder(w.routers) {
+			w.carry(id, w.routers[id].Tick(w.now))
 		}
-		for id, v := range w.vms {
-			w.carry(id, v.publisher.SendWaiting(w.now))
+		for _, id := range inOrder(w.vms) {
+			w.carry(id, w.vms[id].publisher.SendWaiting(w.now))
 		}
 	}
 }
 
+// inOrder returns the keys of a map in order, so that every run is the same.
+func inOrder[V any](m map[protocol.RouterID]V) []protocol.RouterID {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // put brings a table in force on all disk VMs that aren't cut off.
 func (w *world) put(version uint64) {
 	d := document.New(version, []byte(fmt.Sprint("table ", version)))
-	for id, v := range w.vms {
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
 		if !w.deaf[id] {
 			w.carry(id, v.publisher.SetDocument(w.now, d, document.Change{}))
 		}
@@ -228,7 +235,8 @@
 	next := document.New(2, body)
 	change := document.MakeChange(before, next)
 	w.documents = 0
-	for id, v := range w.vms {
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
 		w.carry(id, v.publisher.SetDocument(w.now, next, change))
 	}
 	w.runRelays(relayPatience - 200*time.Millisecond)
@@ -249,7 +257,8 @@
 	for i := range body {
 		body[i] = byte(random.Uint32())
 	}
-	for id, v := range w.vms {
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
 		w.carry(id, v.publisher.SetDocument(w.now, document.New(1, body), document.Change{}))
 	}
 	for i := range 87 {
@@ -281,7 +290,8 @@
 	r.SetRelay(relay)
 	w.run(3 * time.Second)
 	next := document.New(2, []byte("table 2"))
-	for id, v := range w.vms {
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
 		w.carry(id, v.publisher.SetDocument(w.now, next, document.Change{Delta: make([]byte, largeChange)}))
 	}
 	w.run(relayPatience / 2)
@@ -294,17 +304,17 @@
 func (w *world) runRelays(d time.Duration) {
 	const step = 50 * time.Millisecond
 	for end := w.now + d; w.now < end; w.now += step {
-		for id, r := range w.routers {
-			w.carry(id, r.Tick(w.now))
+		for _, id := range inOrder(w.routers) {
+			w.carry(id, w.routers[id].Tick(w.now))
 		}
-		for id, r := range w.routers {
-			for _, send := range r.relay.Due(w.now) {
+		for _, id := range inOrder(w.routers) {
+			for _, send := range w.routers[id].relay.Due(w.now) {
 				more, _ := w.routers[send.To].TakeDocument(w.now, id, send.Body.(Document), func(*document.Document) error { return nil })
 				w.carry(send.To, more)
 			}
 		}
-		for id, v := range w.vms {
-			w.carry(id, v.publisher.SendWaiting(w.now))
+		for _, id := range inOrder(w.vms) {
+			w.carry(id, w.vms[id].publisher.SendWaiting(w.now))
 		}
 	}
 }
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -47,8 +47,10 @@
 
 // source is a disk VM as a follower sees it.
 type source struct {
-	// roster is the digest of its newest roster, merged that of its last whole
-	// list, and listed the upstreams in that.
+	// roster is the digest of its newest roster, which lists so many upstreams.
+	// merged is the digest of its last whole list, and listed the upstreams in
+	// that.
+	upstreams int
 	roster    uint64
 	merged    uint64
 	listed    []protocol.UpstreamID
@@ -116,6 +118,7 @@
 	agreed     time.Duration
 	listAsked  time.Duration
 	listTaken  time.Duration
+	everAsked  bool
 	everListed bool
 	beliefs    []Belief
 }
@@ -250,24 +253,61 @@
 // isn't asked for again: a VM that was cut off or has just started lists less
 // than the others for a while.
 func (f *Follower) askList(now time.Duration) []Send {
-	if now-f.agreed < listAfter || now-f.listAsked < listPatience || f.everListed && now-f.listTaken < listAgain {
+	if f.everAsked && now-f.listAsked < listPatience {
 		return nil
 	}
+	lacksMost := !f.KnowsMost(now)
+	tooSoon := now-f.agreed < listAfter || f.everListed && now-f.listTaken < listAgain
+	if tooSoon && !lacksMost {
+		return nil
+	}
+	id := f.richest(now)
+	if id == "" {
+		return nil
+	}
+	f.listAsked = now
+	f.everAsked = true
+	ask := f.watch(now, id)
+	w := ask.Body.(Watch)
+	w.WantList = true
+	ask.Body = w
+	return []Send{ask}
+}
+
+// richest returns the disk VM that lists the most upstreams, of those whose list
+// isn't known here, "" if there is none. Among equals the preferred one goes
+// first.
+func (f *Follower) richest(now time.Duration) protocol.RouterID {
 	own := f.roster.Digest()
+	best := protocol.RouterID("")
 	for _, id := range f.byPreference() {
 		s := f.sources[id]
 		inTouch := s.everHeard && now-s.heard < lostAfter
 		if !inTouch || s.roster == own || s.roster == s.merged {
 			continue
 		}
-		f.listAsked = now
-		ask := f.watch(now, id)
-		w := ask.Body.(Watch)
-		w.WantList = true
-		ask.Body = w
-		return []Send{ask}
+		if best == "" || s.upstreams > f.sources[best].upstreams {
+			best = id
+		}
+	}
+	return best
+}
+
+// mostShare is the share of the upstreams that any disk VM lists from which a
+// router may send work: with fewer, those that it knows would get the work of
+// all, from every router that has just started.
+const mostShare = 0.8
+
+// KnowsMost reports whether the own roster has most of the upstreams that any
+// disk VM in touch lists.
+func (f *Follower) KnowsMost(now time.Duration) bool {
+	most := 0
+	for _, s := range f.sources {
+		if s.everHeard && now-s.heard < lostAfter {
+			most = max(most, s.upstreams)
+		}
 	}
-	return nil
+	return float64(f.roster.Usable()) >= mostShare*float64(most)
 }
 
 // interval is how long to wait between two watches.
@@ -379,6 +419,7 @@
 		f.newestBytes = n.Bytes
 	}
 	s.roster = n.Roster
+	s.upstreams = n.Upstreams
 	f.agree(now, s)
 	if n.Fleet != nil {
 		f.takeFleet(s, from, *n.Fleet)
@@ -386,7 +427,7 @@
 	for _, id := range s.diskVMs {
 		f.Name(now, id)
 	}
-	return f.pull(now)
+	return append(f.askList(now), f.pull(now)...)
 }
 
 // agree compares a disk VM's roster with the own. For a router, what a disk VM
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -27,8 +27,10 @@
 	Version uint64 `msgpack:"v"`
 	// Bytes is the size of the change that made it.
 	Bytes int `msgpack:"b,omitempty"`
-	// Roster is the digest of the sender's roster.
-	Roster uint64 `msgpack:"o"`
+	// Roster is the digest of the sender's roster, and Upstreams how many it
+	// lists.
+	Roster    uint64 `msgpack:"o"`
+	Upstreams int    `msgpack:"u"`
 	// Fleet is left out where the follower has it.
 	Fleet *Fleet `msgpack:"f,omitempty"`
 }
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -19,6 +19,9 @@
 	// router; 87 names sent with each answer would fill a link of 3 Mbit/s,
 	// and consensus would not get through.
 	fleetInterval = 2 * time.Second
+	// eagerFleetInterval is the same for a router without a table, which may get
+	// it from another one once it knows others.
+	eagerFleetInterval = 400 * time.Millisecond
 	// packedLife is how long a list that was packed is used: hundreds of
 	// watches a second would each sort and compress the same names.
 	packedLife = 200 * time.Millisecond
@@ -166,13 +169,17 @@
 
 // bareNews is News without the list of processes.
 func (p *Publisher) bareNews() News {
-	return News{Version: p.version(), Bytes: p.changeBytes, Roster: p.roster.Digest()}
+	return News{Version: p.version(), Bytes: p.changeBytes, Roster: p.roster.Digest(), Upstreams: p.roster.Usable()}
 }
 
 // news is the answer to a Watch.
 func (p *Publisher) news(now time.Duration, f *follower) News {
 	news := p.bareNews()
-	if f.everListed && now-f.listed < fleetInterval {
+	interval := fleetInterval
+	if f.watch.Router && f.watch.Version == 0 {
+		interval = eagerFleetInterval
+	}
+	if f.everListed && now-f.listed < interval {
 		return news
 	}
 	if p.fleet.Packed == nil || now-p.fleetAt >= packedLife {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -121,6 +121,8 @@
 	// computed.
 	digest   uint64
 	digestOf uint64
+	// usable counts the upstreams that haven't left, as of digestOf.
+	usable int
 }
 
 // New returns an empty roster.
@@ -145,15 +147,23 @@
 		return r.digest
 	}
 	sum := uint64(1)
+	r.usable = 0
 	for _, known := range r.records {
 		if known.State != Gone {
 			sum += entryDigest(known.Entry)
+			r.usable++
 		}
 	}
 	r.digest, r.digestOf = sum, r.revision
 	return sum
 }
 
+// Usable counts the upstreams that haven't left.
+func (r *Roster) Usable() int {
+	r.Digest()
+	return r.usable
+}
+
 // entryDigest covers what routers use of an entry.
 func entryDigest(e Entry) uint64 {
 	return xxhash.Sum64String(fmt.Sprintf("%s\n%s\n%s\n%s\n%d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Born, e.State))
--- a/daemon/loglines/loglines.go
+++ b/daemon/loglines/loglines.go
@@ -7,8 +7,9 @@
 //     a bounded queue; when it is full they are dropped and counted.
 //   - An outage makes every request a line, and writing them costs the processor
 //     time that the requests need. Each second has a budget of lines; what is
-//     over it is dropped and counted. Ordinary lines may use half of the budget,
-//     so that those that tell of a failure still have room.
+//     over it is dropped and counted. Lines of the kind that every request
+//     writes, see Ordinary, may use half of the budget, so that those that tell
+//     of a failure or of a changed belief still have room.
 //
 // What was dropped is said in a line of its own, one a second at most.
 package loglines
@@ -30,7 +31,7 @@
 	maxBatch = 32 << 10
 )
 
-// Writer is a zerolog.LevelWriter. It is safe for concurrent use.
+// Writer is where a logger writes. It is safe for concurrent use.
 type Writer struct {
 	out       io.Writer
 	perSecond int
@@ -54,16 +55,34 @@
 	return w
 }
 
-// Write implements io.Writer for lines without a level.
+// Write implements io.Writer. It never waits and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	return w.WriteLevel(zerolog.NoLevel, line)
+	return w.write(line, w.perSecond)
 }
 
-// WriteLevel implements zerolog.LevelWriter. It never waits and never fails.
-func (w *Writer) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+// Ordinary returns a writer for lines of which there is one for each request.
+// Those below the level of a warning may use half of the budget.
+func (w *Writer) Ordinary() zerolog.LevelWriter { return ordinary{w} }
+
+// ordinary implements zerolog.LevelWriter.
+type ordinary struct{ w *Writer }
+
+// Write implements io.Writer.
+func (o ordinary) Write(line []byte) (int, error) { return o.w.Write(line) }
+
+// WriteLevel implements zerolog.LevelWriter.
+func (o ordinary) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	if level < zerolog.WarnLevel {
+		return o.w.write(line, (o.w.perSecond+1)/2)
+	}
+	return o.w.Write(line)
+}
+
+// write queues a line if fewer than budget were written in this second.
+func (w *Writer) write(line []byte, budget int) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed || !w.withinBudget(level) {
+	if w.closed || !w.withinBudget(budget) {
 		w.dropped++
 		return len(line), nil
 	}
@@ -81,15 +100,11 @@
 }
 
 // withinBudget counts a line against the budget of the second.
-func (w *Writer) withinBudget(level zerolog.Level) bool {
+func (w *Writer) withinBudget(budget int) bool {
 	if second := w.now().Unix(); second != w.second {
 		w.second = second
 		w.written = 0
 	}
-	budget := w.perSecond
-	if level < zerolog.WarnLevel {
-		budget = (w.perSecond + 1) / 2
-	}
 	if w.written >= budget {
 		return false
 	}
--- a/daemon/loglines/loglines_test.go
+++ b/daemon/loglines/loglines_test.go
@@ -48,7 +48,7 @@
 	done := make(chan struct{})
 	go func() {
 		for i := range 10 * queueLines {
-			_, _ = w.WriteLevel(zerolog.WarnLevel, fmt.Appendf(nil, "line %d\n", i))
+			_, _ = w.Write(fmt.Appendf(nil, "line %d\n", i))
 		}
 		close(done)
 	}()
@@ -59,7 +59,7 @@
 	}
 	close(s.stopped)
 	time.Sleep(10 * time.Millisecond)
-	_, _ = w.WriteLevel(zerolog.WarnLevel, []byte("last\n"))
+	_, _ = w.Write([]byte("last\n"))
 	w.Close(30 * time.Second)
 	assert.Assert(t, strings.Contains(s.text.String(), "log-lines-dropped"), "what was dropped is said")
 }
@@ -71,14 +71,15 @@
 	w := New(s, 100)
 	second := int64(5)
 	at(w, &second)
+	requests := w.Ordinary()
 	for i := range 1000 {
-		_, _ = w.WriteLevel(zerolog.InfoLevel, []byte("served\n"))
+		_, _ = requests.WriteLevel(zerolog.InfoLevel, []byte("served\n"))
 		if i%20 == 0 {
-			_, _ = w.WriteLevel(zerolog.WarnLevel, []byte("failed\n"))
+			_, _ = requests.WriteLevel(zerolog.WarnLevel, []byte("failed\n"))
 		}
 	}
 	second++
-	_, _ = w.WriteLevel(zerolog.InfoLevel, []byte("served\n"))
+	_, _ = requests.WriteLevel(zerolog.InfoLevel, []byte("served\n"))
 	w.Close(30 * time.Second)
 	count := map[string]int{}
 	dropped := 0
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -20,7 +20,20 @@
 const settlingFor = 4 * time.Second
 
 // Settling implements forward.Fleet.
-func (r *Router) Settling() bool { return r.now() < settlingFor }
+func (r *Router) Settling() bool {
+	if r.now() >= settlingFor {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.knewEnough = r.knewEnough || r.knowsEnough()
+	return !r.knewEnough
+}
+
+// knowsEnough reports whether callers can be served well. The lock is held.
+func (r *Router) knowsEnough() bool {
+	return r.table.Load() != nil && r.book.AnyReady() && r.follower.KnowsMost(r.now())
+}
 
 // Choose implements forward.Fleet.
 func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -39,7 +39,9 @@
 	// ReadTable makes a table of what the disk VMs keep.
 	ReadTable func(version uint64, body []byte) (*routing.Table, error)
 	Log       zerolog.Logger
-	Random    *rand.Rand
+	// RequestLog takes the line of each request.
+	RequestLog zerolog.Logger
+	Random     *rand.Rand
 }
 
 // Router is a running router.
@@ -75,9 +77,11 @@
 	// unlistedSince is when disk VMs were last all out of touch.
 	unlistedSince time.Duration
 	stopping      bool
-	quit          chan struct{}
-	done          sync.WaitGroup
-	readyBefore   bool
+	// knewEnough says that the router has known the table and most upstreams.
+	knewEnough  bool
+	quit        chan struct{}
+	done        sync.WaitGroup
+	readyBefore bool
 }
 
 // New starts all parts. Errors: those of the listeners.
@@ -99,7 +103,7 @@
 		DataCentre: options.Settings.DataCentre,
 	})
 	r.handler = forward.New(forward.Options{
-		Fleet: r, Dialect: options.Dialect, Pool: r.pool, Log: options.Log, Observe: r.metrics.observe,
+		Fleet: r, Dialect: options.Dialect, Pool: r.pool, Log: options.RequestLog, Observe: r.metrics.observe,
 	})
 	var err error
 	r.fabric, err = fabric.New(fabric.Options{
@@ -212,16 +216,27 @@
 	}
 }
 
+// linesPerRoster is how many changed upstreams are told one by one. A router that
+// starts learns all of them at once.
+const linesPerRoster = 8
+
 // takeRoster hands a changed list of upstreams to the book.
 func (r *Router) takeRoster() {
 	if r.roster.Revision() == r.revision {
 		return
 	}
 	r.revision = r.roster.Revision()
-	for _, e := range r.book.SetRoster(r.roster.Entries()) {
+	changed := r.book.SetRoster(r.roster.Entries())
+	for _, e := range changed {
 		if e.State != roster.Ready {
 			r.pool.Forget(e.Address)
 		}
+	}
+	if len(changed) > linesPerRoster {
+		r.log.Info().Str("event", "upstreams").Int("changed", len(changed)).Int("usable", r.roster.Usable()).Send()
+		return
+	}
+	for _, e := range changed {
 		r.log.Info().Str("event", "upstream").Str("upstream", string(e.ID)).Stringer("state", e.State).
 			Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
 	}
@@ -286,9 +301,11 @@
 }
 
 // ready reports whether the balancer should send callers: the router knows where
-// some of them may go. The lock is held.
+// they may go. Once it does it stays ready, whatever the disk VMs say later: it
+// serves on by the last that it knows. The lock is held.
 func (r *Router) ready() bool {
-	return r.table.Load() != nil && r.book.AnyReady() && !r.stopping
+	r.knewEnough = r.knewEnough || r.knowsEnough()
+	return r.knewEnough && !r.stopping
 }
 
 // Reload takes changed settings: seeds.
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -22,8 +22,8 @@
 type Fleet interface {
 	// Table returns the table in force, nil if none is known.
 	Table() *routing.Index
-	// Settling reports whether the router has started so lately that it may
-	// learn the table or the upstreams at any moment.
+	// Settling reports whether the router has just started and lacks the table
+	// or most of the upstreams, which it may learn at any moment.
 	Settling() bool
 	// Choose picks the upstream of an attempt, and counts the attempt as under
 	// way if there is one.
--- a/transport/forward/settle.go
+++ b/transport/forward/settle.go
@@ -23,12 +23,14 @@
 // has just started.
 //
 // Load: all VMs of a fleet lost power and are back, and their callers with them,
-// before the first router has heard of the table. Harm prevented: each of them
-// is refused and has to come back, and most callers come back once only. A
-// request that can't be served later either is refused at once, as ever.
+// before the first router has heard of the table, or of more than a few
+// upstreams. Harm prevented: each caller is refused and has to come back, and
+// most callers come back once only; or all callers of all routers are sent to
+// the few upstreams that were heard of first. A request that can't be served
+// later either is refused at once, as ever.
 func (f *flight) settle(known func() bool) {
 	until := f.arrived.Add(min(settleWait, time.Duration(settleShare*float64(f.patience))))
-	for !known() && f.handler.options.Fleet.Settling() && time.Now().Before(until) {
+	for !known() && time.Now().Before(until) {
 		select {
 		case <-f.request.Context().Done():
 			return
@@ -40,19 +42,15 @@
 // awaitTable returns the table in force, nil if none is known.
 func (f *flight) awaitTable() *routing.Index {
 	fleet := f.handler.options.Fleet
-	f.settle(func() bool { return fleet.Table() != nil })
+	f.settle(func() bool { return fleet.Table() != nil || !fleet.Settling() })
 	return fleet.Table()
 }
 
 // choose picks the upstream of the next attempt.
 func (f *flight) choose() balance.Choice {
-	choice := f.handler.options.Fleet.Choose(f.context, f.job)
-	if choice.ID != "" || len(f.outcome.Attempts) > 0 {
-		return choice
+	fleet := f.handler.options.Fleet
+	if len(f.outcome.Attempts) == 0 {
+		f.settle(func() bool { return !fleet.Settling() })
 	}
-	f.settle(func() bool {
-		choice = f.handler.options.Fleet.Choose(f.context, f.job)
-		return choice.ID != ""
-	})
-	return choice
+	return fleet.Choose(f.context, f.job)
 }
