Metrics of both roles with histograms; disk VMs tested with real sockets and files

Cause: the metrics address served nothing on disk VMs and no latencies on routers, and the disk VM had no test of its own.

Change: one writer of the text form for all processes, histograms, gauges; tests that form a fleet of disk VMs on loopback addresses, lose disks one by one and two at once, move a VM, take the quorum away, damage a folder. A test that waited for the number of voters alone took a learner for a voter; it asks for the members now.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -1,10 +1,10 @@
 package main
 
 import (
+	"context"
 	crand "crypto/rand"
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -42,6 +42,9 @@
 	// of an operator's or upstream's call.
 	controlHeaderTimeout = 3 * time.Second
 	controlReadTimeout   = 10 * time.Second
+	// stopPatience is how long a stopping disk VM waits for calls under way,
+	// which take less than a second.
+	stopPatience = time.Second
 )
 
 // process is a role of a fleet whose routers send to upstreams themselves.
@@ -150,41 +153,61 @@
 	})
 }
 
-// diskVM joins a disk VM with the server for operators and upstreams.
+// diskVM joins a disk VM with its servers.
 type diskVM struct {
 	*diskvm.VM
-	server *http.Server
+	log     zerolog.Logger
+	servers []*http.Server
 }
 
 // startDiskVM starts the role disk-vm.
 func startDiskVM(logs logs, settings direct.Settings, random *rand.Rand) (process, error) {
-	log := logs.log
-	vm, err := diskvm.New(diskvm.Options{Settings: settings, CheckTable: platform.CheckTable, Log: log, Random: random})
+	vm, err := diskvm.New(diskvm.Options{Settings: settings, CheckTable: platform.CheckTable, Log: logs.log, Random: random})
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", settings.Listen.Control)
-	if err != nil {
-		vm.Stop()
-		return nil, eris.Wrap(err, "listen for operators and upstreams")
+	d := &diskVM{VM: vm, log: logs.log}
+	if err := d.serve(settings.Listen.Control, platform.NewControlHandler(vm, logs.log)); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	if settings.Listen.Metrics == "" {
+		return d, nil
+	}
+	if err := d.serve(settings.Listen.Metrics, http.HandlerFunc(vm.AnswerMetrics)); err != nil {
+		d.Stop()
+		return nil, err
 	}
-	server := &http.Server{
-		Handler:           platform.NewControlHandler(vm, log),
-		ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout,
+	return d, nil
+}
+
+// serve starts a server.
+func (d *diskVM) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen at %s", address)
 	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout}
+	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Str("event", "server-ended").Err(err).Send()
+			d.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Send()
 		}
 	}()
-	return &diskVM{VM: vm, server: server}, nil
+	return nil
 }
 
-// Stop implements process.
+// Stop implements process. Calls under way have some time to end.
 func (d *diskVM) Stop() bool {
-	if err := d.server.Close(); err != nil {
-		fmt.Fprintln(os.Stderr, "endiveplankd:", err)
+	d.log.Info().Str("event", "stopping").Send()
+	ctx, cancel := context.WithTimeout(context.Background(), stopPatience)
+	defer cancel()
+	for _, server := range d.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			d.log.Warn().Str("event", "calls-cut").Err(err).Send()
+		}
 	}
 	d.VM.Stop()
+	d.log.Info().Str("event", "stopped").Send()
 	return true
 }
--- /dev/null
+++ b/daemon/diskvm/diskvm_test.go
@@ -0,0 +1,309 @@
+package diskvm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
+	"endiveplank/settings/direct"
+)
+
+// patience bounds a wait for what must happen; it decides no verdict on a machine
+// that runs at all.
+const patience = 60 * time.Second
+
+// fleet is some disk VMs on loopback addresses of their own.
+type fleet struct {
+	t       *testing.T
+	port    int
+	folders map[int]string
+	vms     map[int]*VM
+	first   bool
+}
+
+// newFleet starts n disk VMs that know the first three of them.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, port: freePort(t), folders: map[int]string{}, vms: map[int]*VM{}, first: true}
+	for i := 1; i <= n; i++ {
+		f.folders[i] = t.TempDir()
+		f.start(i)
+	}
+	f.first = false
+	t.Cleanup(func() {
+		for i := range f.vms {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+// freePort returns a port that is free on the first address; on the others it
+// is then free as well, unless another program listens there.
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) settings(i int) direct.Settings {
+	s := direct.Defaults()
+	s.Role = direct.RoleDiskVM
+	s.Name = fmt.Sprint("vm", i)
+	s.DataCentre = "dc"
+	s.Listen.Peers = fmt.Sprintf("127.0.0.%d:%d", i, f.port)
+	s.Listen.Control = fmt.Sprintf("127.0.0.%d:1", i)
+	s.Seeds = []string{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"}
+	s.FirstStart = f.first
+	s.DataFolder = f.folders[i]
+	return s
+}
+
+var errBad = errors.New("invalid")
+
+func (f *fleet) start(i int) *VM {
+	f.t.Helper()
+	vm, err := New(Options{
+		Settings: f.settings(i), Log: zerolog.New(io.Discard), Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(i))),
+		CheckTable: func(_ uint64, body []byte) error {
+			if string(body) == "invalid" {
+				return errBad
+			}
+			return nil
+		},
+	})
+	assert.NilError(f.t, err)
+	f.vms[i] = vm
+	return vm
+}
+
+func (f *fleet) stop(i int) {
+	f.vms[i].Stop()
+	delete(f.vms, i)
+}
+
+// wipe stops a VM, empties its disk and starts it again.
+func (f *fleet) wipe(i int) {
+	f.stop(i)
+	assert.NilError(f.t, os.RemoveAll(f.folders[i]))
+	f.start(i)
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		assert.Assert(f.t, time.Now().Before(deadline), "never: %s", what)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// put sends a table to a VM until it is answered.
+func (f *fleet) put(i int, version uint64, body string) document.Outcome {
+	f.t.Helper()
+	var outcome document.Outcome
+	f.eventually("the table is accepted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		outcome, err = f.vms[i].PutTable(ctx, version, []byte(body))
+		return err == nil
+	})
+	return outcome
+}
+
+// read reads the table back at a VM until it can say.
+func (f *fleet) read(i int) string {
+	f.t.Helper()
+	body := ""
+	f.eventually("the table is read", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		found, err := f.vms[i].ReadTable(ctx)
+		if found != nil {
+			body = string(found.Body)
+		}
+		return err == nil
+	})
+	return body
+}
+
+func (f *fleet) voters(i int) int {
+	member := f.vms[i].member.Load()
+	if member == nil {
+		return 0
+	}
+	return len(member.Status().Configuration.Voters)
+}
+
+// settled waits until all VMs vote, with the disks that they have now, and nobody
+// else does.
+func (f *fleet) settled() {
+	f.t.Helper()
+	f.eventually("all disk VMs vote", func() bool {
+		for i, vm := range f.vms {
+			member := vm.member.Load()
+			if member == nil || f.voters(i) != len(f.vms) {
+				return false
+			}
+			status := member.Status()
+			if !status.Configuration.IsVoter(status.Self) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestFiveVMsFormFromThreeAddressesAndKeepATable(t *testing.T) {
+	f := newFleet(t, 5)
+	assert.Equal(t, f.put(4, 3, "three"), document.Accepted)
+	f.settled()
+	for i := range f.vms {
+		assert.Equal(t, f.read(i), "three")
+	}
+	assert.Equal(t, f.put(5, 3, "three"), document.Held, "an answer was lost and the change sent again, to another VM")
+	assert.Equal(t, f.put(1, 3, "other"), document.Conflict)
+	assert.Equal(t, f.put(2, 2, "two"), document.Overtaken)
+	_, err := f.vms[1].PutTable(context.Background(), 4, []byte("invalid"))
+	assert.ErrorIs(t, err, errBad)
+	assert.Equal(t, f.put(1, 9, "nine"), document.Accepted)
+	assert.Equal(t, f.read(3), "nine")
+}
+
+func TestTwoLostDisksAndARestartOfTheRestLoseNothing(t *testing.T) {
+	// Right after a change was accepted two disk VMs lose their disks and the
+	// other three lose power. What was accepted is on one of the three at the
+	// least, and must be what is read back.
+	f := newFleet(t, 5)
+	f.settled()
+	assert.Equal(t, f.put(1, 7, "seven"), document.Accepted)
+	for i := 1; i <= 5; i++ {
+		f.stop(i)
+	}
+	for _, i := range []int{1, 2} {
+		assert.NilError(t, os.RemoveAll(f.folders[i]))
+	}
+	for i := 1; i <= 5; i++ {
+		f.start(i)
+	}
+	assert.Equal(t, f.read(1), "seven")
+	f.settled()
+	assert.Equal(t, f.put(2, 8, "eight"), document.Accepted)
+}
+
+func TestLostDisksOneAfterTheOtherAreMadeUpFor(t *testing.T) {
+	// Every disk is lost once, each after the last one has been made up for.
+	// At the end no disk is left of those that first held the table.
+	f := newFleet(t, 3)
+	f.settled()
+	assert.Equal(t, f.put(1, 7, "seven"), document.Accepted)
+	for i := 1; i <= 3; i++ {
+		f.wipe(i)
+		f.settled()
+	}
+	assert.Equal(t, f.read(2), "seven")
+}
+
+func TestAVMAtAnotherAddressTakesTheLostOnesPlace(t *testing.T) {
+	f := newFleet(t, 3)
+	f.settled()
+	assert.Equal(t, f.put(1, 7, "seven"), document.Accepted)
+	f.stop(3)
+	f.folders[4] = t.TempDir()
+	f.start(4)
+	f.eventually("the newcomer votes in the place of the lost one", func() bool {
+		return f.voters(4) == 3 && f.voters(1) == 3
+	})
+	assert.Equal(t, f.read(4), "seven")
+}
+
+func TestWithoutAQuorumNothingIsSaidAboutTheTable(t *testing.T) {
+	// Two of three disk VMs are away. The one that is left can't know whether
+	// its table is still the newest, and must not pass it off as such; a change
+	// that it held already was accepted and stays so.
+	f := newFleet(t, 3)
+	f.settled()
+	assert.Equal(t, f.put(1, 7, "seven"), document.Accepted)
+	assert.Equal(t, f.read(3), "seven")
+	f.stop(1)
+	f.stop(2)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := f.vms[3].ReadTable(ctx)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	_, err = f.vms[3].PutTable(ctx, 8, []byte("eight"))
+	assert.ErrorIs(t, err, ErrUnavailable)
+	assert.Equal(t, f.put(3, 7, "seven"), document.Held)
+}
+
+func TestADamagedFolderIsGivenUp(t *testing.T) {
+	// A data folder comes back damaged in its middle. A process that ended at
+	// each start would leave the fleet one copy short until somebody came by.
+	f := newFleet(t, 3)
+	f.settled()
+	for version := range uint64(20) {
+		f.put(1, version+1, fmt.Sprint("table ", version+1))
+	}
+	f.stop(2)
+	files, err := os.ReadDir(f.folders[2])
+	assert.NilError(t, err)
+	for _, file := range files {
+		path := f.folders[2] + "/" + file.Name()
+		data, err := os.ReadFile(path)
+		if err != nil || len(data) < 400 {
+			continue
+		}
+		data[len(data)/2] ^= 0xff
+		assert.NilError(t, os.WriteFile(path, data, 0o600))
+	}
+	f.start(2)
+	f.settled()
+	assert.Equal(t, f.read(2), "table 20")
+}
+
+func TestUpstreamsHeardByOneAreKnownToAllAndAfterARestart(t *testing.T) {
+	// An upstream announces itself to one disk VM. The others must know it, and
+	// still do when all have lost power: routers would else refuse callers until
+	// it announces itself again.
+	f := newFleet(t, 3)
+	e := roster.Entry{ID: "u1", Service: "s", Address: "10.0.0.1:80", State: roster.Ready, Born: 5, Sequence: 1}
+	f.vms[1].Announce(e)
+	known := func(i int) bool {
+		f.vms[i].mu.Lock()
+		defer f.vms[i].mu.Unlock()
+		found, is := f.vms[i].roster.Entry("u1")
+		return is && found.State == roster.Ready
+	}
+	for i := 1; i <= 3; i++ {
+		f.eventually("all know the upstream", func() bool { return known(i) })
+	}
+	for i := 1; i <= 3; i++ {
+		f.eventually("the list is on disk", func() bool {
+			_, err := os.Stat(f.folders[i] + "/" + rosterFolder + "/cache")
+			return err == nil
+		})
+	}
+	time.Sleep(rememberInterval + 200*time.Millisecond)
+	for i := 1; i <= 3; i++ {
+		f.stop(i)
+	}
+	for i := 1; i <= 3; i++ {
+		f.start(i)
+		assert.Assert(t, known(i), "vm%d", i)
+	}
+	f.vms[2].Leave("u1", 0, 0)
+	f.eventually("all know that it has left", func() bool { return !known(1) && !known(2) && !known(3) })
+}
--- /dev/null
+++ b/daemon/diskvm/metrics.go
@@ -0,0 +1,56 @@
+package diskvm
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"endiveplank/coordination/consensus"
+	"endiveplank/daemon/metricstext"
+)
+
+// metricLabels names the label behind the dot in a metric's name.
+var metricLabels = map[string]string{"table_puts_total": "outcome"}
+
+// countPut counts an operator's put by what became of it.
+func (vm *VM) countPut(outcome string) {
+	metrics.GetOrRegisterCounter("table_puts_total."+outcome, vm.registry).Inc(1)
+}
+
+// AnswerMetrics writes all metrics as text.
+func (vm *VM) AnswerMetrics(w http.ResponseWriter, _ *http.Request) {
+	vm.noteGauges()
+	if err := metricstext.Write(w, vm.registry, metricLabels); err != nil {
+		vm.log.Debug().Str("event", "metrics-not-written").Err(err).Send()
+	}
+}
+
+// noteGauges brings the gauges up to date.
+func (vm *VM) noteGauges() {
+	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, vm.registry).Update(value) }
+	if member := vm.member.Load(); member != nil {
+		status := member.Status()
+		leads := int64(0)
+		if status.Role == consensus.Leader {
+			leads = 1
+		}
+		set("leads", leads)
+		set("term", int64(status.Term))
+		set("log_last", int64(status.Last))
+		set("log_applied", int64(status.Applied))
+		set("voters", int64(len(status.Configuration.Voters)))
+	}
+	if inForce, _ := vm.machine.InForce(); inForce != nil {
+		set("table_version", int64(inForce.Version))
+		set("table_bytes", int64(len(inForce.Body)))
+	}
+	set("peer_connections_stalled_total", int64(vm.fabric.Counts().Stalled))
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	now := vm.now()
+	set("upstreams_usable", int64(vm.roster.Usable()))
+	set("routers_in_touch", int64(len(vm.publisher.Routers(now))))
+	set("disk_vms_in_touch", int64(vm.follower.InTouch(now)))
+	set("uptime_seconds", int64(now/time.Second))
+}
--- a/daemon/diskvm/table.go
+++ b/daemon/diskvm/table.go
@@ -29,6 +29,7 @@
 // Options.CheckTable, which mean that the table is invalid; ErrUnavailable.
 func (vm *VM) PutTable(ctx context.Context, version uint64, body []byte) (document.Outcome, error) {
 	if err := vm.options.CheckTable(version, body); err != nil {
+		vm.countPut("invalid")
 		return 0, err
 	}
 	next := document.New(version, body)
@@ -36,6 +37,7 @@
 	for ctx.Err() == nil {
 		outcome := vm.tryPut(ctx, next, whole)
 		if outcome != 0 && outcome != document.OtherBase {
+			vm.countPut(outcome.String())
 			vm.log.Info().Str("event", "table-put").Uint64("version", version).Stringer("outcome", outcome).Send()
 			return outcome, nil
 		}
@@ -44,6 +46,7 @@
 			pause(ctx, retryPause)
 		}
 	}
+	vm.countPut("unanswered")
 	vm.log.Warn().Str("event", "table-put-unanswered").Uint64("version", version).Str("leader", string(vm.leaderNow())).Send()
 	return 0, ErrUnavailable
 }
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/consensus"
@@ -53,6 +54,7 @@
 	fabric      *fabric.Fabric
 	machine     *document.Machine
 	remembered  *remembered
+	registry    metrics.Registry
 	member      atomic.Pointer[replica.Replica]
 	calls       calls
 	// putting lets one change at a time through on the leader.
@@ -83,7 +85,7 @@
 	vm := &VM{
 		options: options, settings: options.Settings, log: options.Log,
 		incarnation: options.Random.Uint64(), started: time.Now(),
-		folder: folder, machine: document.NewMachine(),
+		folder: folder, machine: document.NewMachine(), registry: metrics.NewRegistry(),
 		roster: roster.New(roster.DefaultSettings()),
 		quit:   make(chan struct{}),
 	}
--- a/daemon/docs_test.go
+++ b/daemon/docs_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endiveplank/daemon/metricstext"
 	"endiveplank/settings"
 	"endiveplank/tool"
 )
@@ -70,7 +71,7 @@
 	var scraped bytes.Buffer
 	assert.NilError(t, f.daemons[0].WriteMetrics(&scraped))
 	for line := range strings.Lines(scraped.String()) {
-		name, _, _ := strings.Cut(strings.TrimPrefix(line, metricPrefix), " ")
+		name, _, _ := strings.Cut(strings.TrimPrefix(line, metricstext.Prefix), " ")
 		family, labels, _ := strings.Cut(name, "{")
 		label, _, labelled := strings.Cut(labels, "=")
 		want := "`" + family + "`"
@@ -80,7 +81,7 @@
 		assert.Assert(t, strings.Contains(text, want), line)
 	}
 	for _, row := range regexp.MustCompile("\\| `(\\w+)[`{]").FindAllStringSubmatch(text, -1) {
-		assert.Assert(t, strings.Contains(scraped.String(), metricPrefix+row[1]), row[1])
+		assert.Assert(t, strings.Contains(scraped.String(), metricstext.Prefix+row[1]), row[1])
 	}
 }
 
--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -6,36 +6,110 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"endiveplank/daemon/metricstext"
 	"endiveplank/transport/forward"
 )
 
-// instruments count what callers got. docs/METRICS.md lists the names.
+// histogramSample is how many values a histogram keeps, the latest weighing most:
+// the library's own suggestion for quantiles within a few parts in a hundred.
+const (
+	histogramSample = 1028
+	histogramAlpha  = 0.015
+)
+
+// metricLabels names the label behind the dot in a metric's name.
+var metricLabels = map[string]string{
+	"refused_total":  "reason",
+	"attempts_total": "result",
+	"answers_total":  "status",
+}
+
+// instruments count what callers got. docs/METRICS.md lists the names. Their
+// number is bounded by the reasons, results and classes of status in the code.
 type instruments struct {
 	registry metrics.Registry
+	took     metrics.Histogram
+	first    metrics.Histogram
+	waited   metrics.Histogram
 }
 
 func newInstruments() *instruments {
-	return &instruments{registry: metrics.NewRegistry()}
+	registry := metrics.NewRegistry()
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(histogramSample, histogramAlpha))
+	}
+	return &instruments{
+		registry: registry,
+		took:     histogram("request_ms"), first: histogram("first_byte_ms"), waited: histogram("attempt_ms"),
+	}
+}
+
+func (m *instruments) count(name string) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+func (m *instruments) set(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
 
 // observe counts one request.
 func (m *instruments) observe(o forward.Outcome) {
-	metrics.GetOrRegisterCounter("requests_total", m.registry).Inc(1)
+	m.count("requests_total")
+	m.took.Update(o.Took.Milliseconds())
+	if o.FirstAfter > 0 {
+		m.first.Update(o.FirstAfter.Milliseconds())
+	}
 	switch {
 	case o.CallerGone:
-		metrics.GetOrRegisterCounter("requests_left_total", m.registry).Inc(1)
+		m.count("requests_left_total")
 	case o.Cut:
-		metrics.GetOrRegisterCounter("requests_cut_total", m.registry).Inc(1)
+		m.count("requests_cut_total")
 	case o.Own:
-		metrics.GetOrRegisterCounter("refused_total."+o.Reason, m.registry).Inc(1)
+		m.count("refused_total." + o.Reason)
+	default:
+		m.count("answers_total." + statusClass(o.Status))
 	}
-	if extra := len(o.Attempts) - 1; extra > 0 {
-		metrics.GetOrRegisterCounter("attempts_more_total", m.registry).Inc(int64(extra))
+	for _, a := range o.Attempts {
+		m.count("attempts_total." + a.Result.String())
+		m.waited.Update(a.Took.Milliseconds())
 	}
-	_ = time.Second
+}
+
+// statusClass returns the class of an upstream's status, as in 2xx.
+func statusClass(status int) string {
+	return string(rune('0'+status/100%10)) + "xx"
 }
 
 // answerMetrics writes all metrics as text.
 func (r *Router) answerMetrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WriteOnce(r.metrics.registry, w)
+	r.noteGauges()
+	if err := metricstext.Write(w, r.metrics.registry, metricLabels); err != nil {
+		r.log.Debug().Str("event", "metrics-not-written").Err(err).Send()
+	}
+}
+
+// noteGauges brings the gauges up to date.
+func (r *Router) noteGauges() {
+	dialed, reused := r.pool.Counts()
+	counts := r.fabric.Counts()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.metrics.set("ready", truth(r.ready()))
+	r.metrics.set("table_version", int64(r.tableVersion()))
+	r.metrics.set("upstreams_usable", int64(r.roster.Usable()))
+	r.metrics.set("disk_vms_in_touch", int64(r.follower.InTouch(r.now())))
+	r.metrics.set("routers_in_touch", int64(r.book.Routers()))
+	r.metrics.set("requests_in_flight", int64(r.handler.Active()))
+	r.metrics.set("upstream_connections_made_total", int64(dialed))
+	r.metrics.set("upstream_connections_reused_total", int64(reused))
+	r.metrics.set("peer_connections_stalled_total", int64(counts.Stalled))
+	r.metrics.set("uptime_seconds", int64(r.now()/time.Second))
+}
+
+// truth is 1 for true.
+func truth(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
 }
