--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -99,7 +99,7 @@
 	vm.recall()
 	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
 	vm.fabric, err = fabric.New(fabric.Options{
-		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
+		Self: self, Listen: options.Settings.PeersListen(), DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
 		Receiver: vm, Log: options.Log,
 	})
 	if err != nil {
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -45,14 +45,16 @@
 
 // Options of a Fabric.
 type Options struct {
-	Self        protocol.RouterID
+	Self protocol.RouterID
+	// Listen is the IP:port to listen at.
+	Listen      string
 	DataCentre  protocol.DataCentre
 	Incarnation uint64
 	Receiver    Receiver
 	Log         zerolog.Logger
 }
 
-// New starts to listen at the process's own name.
+// New starts to listen.
 func New(options Options) (*Fabric, error) {
 	f := &Fabric{receiver: options.Receiver, log: options.Log}
 	f.mesh = peer.New(peer.Options{
@@ -66,7 +68,7 @@
 		Log:         options.Log,
 		Duplex:      true,
 	})
-	if err := f.mesh.Listen(string(options.Self)); err != nil {
+	if err := f.mesh.Listen(options.Listen); err != nil {
 		return nil, err
 	}
 	return f, nil
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -107,7 +107,7 @@
 	})
 	var err error
 	r.fabric, err = fabric.New(fabric.Options{
-		Self: self, DataCentre: options.Settings.DataCentre, Incarnation: options.Random.Uint64(),
+		Self: self, Listen: options.Settings.PeersListen(), DataCentre: options.Settings.DataCentre, Incarnation: options.Random.Uint64(),
 		Receiver: r, Log: options.Log,
 	})
 	if err != nil {
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -28,6 +28,9 @@
 
 func checkListen(c *strict.Checker, s Settings) {
 	c.Address("listen.peers", s.Listen.Peers)
+	if s.Listen.PeersBind != "" {
+		c.Address("listen.peers_bind", s.Listen.PeersBind)
+	}
 	switch s.Role {
 	case RoleRouter:
 		c.Address("listen.callers", s.Listen.Callers)
--- /dev/null
+++ b/settings/direct/direct_test.go
@@ -0,0 +1,53 @@
+package direct
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/protocol"
+	"endiveplank/settings/strict"
+)
+
+const good = `{"role":"router","name":"r1","data_centre":"a","listen":{"callers":"10.0.0.1:80","readiness":"10.0.0.1:81","peers":"10.0.0.1:74"},"seeds":["10.0.0.2:82"]}`
+
+func TestDefaultsAreFilledIn(t *testing.T) {
+	s, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Load.Multiple, Defaults().Load.Multiple)
+	assert.Equal(t, s.Self(), protocol.RouterID("10.0.0.1:74"))
+	assert.DeepEqual(t, s.SeedPeers(), []protocol.RouterID{"10.0.0.2:74"})
+	assert.Equal(t, s.PeersListen(), "10.0.0.1:74")
+}
+
+func TestAllMistakesAreNamedAtOnce(t *testing.T) {
+	// An operator mistypes several fields. A process that named one at each
+	// start would have to be started once for each.
+	for name, test := range map[string]struct {
+		text  string
+		paths []string
+	}{
+		"shape":  {`{"rule":1,"listen":{"peers":7},"seeds":"x"}`, []string{"listen.peers", "rule", "seeds"}},
+		"router": {`{"role":"router","name":"r 1","data_centre":"a","data_folder":"d","listen":{"peers":"x"},"seeds":["y"],"retries":{"ratio":2}}`, []string{"name", "listen.peers", "listen.callers", "listen.readiness", "seeds[0]", "data_folder", "retries.ratio"}},
+		"disk":   {`{"role":"disk-vm","name":"d1","data_centre":"a","listen":{"peers":"10.0.0.1:74","metrics":"m"}}`, []string{"listen.control", "listen.metrics", "data_folder"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(test.text))
+			var problems strict.Problems
+			assert.Assert(t, errors.As(err, &problems), "%v", err)
+			var paths []string
+			for _, p := range problems {
+				paths = append(paths, p.Path)
+			}
+			assert.DeepEqual(t, paths, test.paths)
+		})
+	}
+}
+
+func TestTablesLeaveHalfOfADiskVMsLink(t *testing.T) {
+	s := Defaults()
+	s.Role = RoleDiskVM
+	s.Link.Mbps = 3
+	assert.Equal(t, s.TableRate(), 187_500)
+}
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -55,9 +55,12 @@
 	Readiness string `json:"readiness"`
 	// Control takes operators' and upstreams' calls.
 	Control string `json:"control"`
-	// Peers takes connections of the fleet's other processes. Its port is the
-	// same on every VM.
+	// Peers is the address at which the fleet's other processes reach this one,
+	// and its name. Its port is the same on every VM.
 	Peers string `json:"peers"`
+	// PeersBind is where to listen for them where that differs, as behind a
+	// translation of addresses; empty for Peers itself.
+	PeersBind string `json:"peers_bind"`
 	// Metrics serves the metrics; empty for none.
 	Metrics string `json:"metrics"`
 }
@@ -183,6 +186,14 @@
 // this is the one name that all can derive.
 func (s Settings) Self() protocol.RouterID { return protocol.RouterID(s.Listen.Peers) }
 
+// PeersListen returns where to listen for the fleet's other processes.
+func (s Settings) PeersListen() string {
+	if s.Listen.PeersBind != "" {
+		return s.Listen.PeersBind
+	}
+	return s.Listen.Peers
+}
+
 // SeedPeers returns the names of the seeds in the fleet.
 func (s Settings) SeedPeers() []protocol.RouterID {
 	_, port, err := net.SplitHostPort(s.Listen.Peers)
