Changes of upstreams are acknowledged by routers and sent again; a difference with one disk VM is looked into

A change goes out once; what was on a connection when it was replaced is lost, the comparison of rosters comes with the next watch, and agreement with any other disk VM, or a list taken in the last two seconds, put the question off.

Change: each follower owes an acknowledgement and gets unacknowledged changes again after 300 ms; a disk VM whose roster differs is asked again after half a second and for its list after 0.4 s of difference, whatever others say.

Both new tests fail without their parts.

--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -83,7 +83,9 @@
 		case News:
 			w.carry(send.To, w.routers[send.To].TakeNews(w.now, from, body))
 		case Changes:
-			w.routers[send.To].TakeChanges(w.now, from, body)
+			w.carry(send.To, w.routers[send.To].TakeChanges(w.now, from, body))
+		case ChangesAck:
+			w.vms[send.To].publisher.Acknowledged(from, body)
 		case List:
 			w.lists++
 			w.routers[send.To].TakeList(w.now, from, body)
@@ -393,6 +395,61 @@
 	assert.Assert(t, !known)
 }
 
+func TestAChangeThatIsLostOnTheWayIsSentAgain(t *testing.T) {
+	// An upstream says that it leaves, and the connection that carries the news
+	// to one router is replaced at that moment. For two seconds and more the
+	// router would send work to it; it must know within a fraction of that.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	other := w.startRouter("r2", "vm1")
+	e := roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, Sequence: 1}
+	for _, v := range w.vms {
+		v.roster.Merge(w.now, e)
+	}
+	w.run(5 * time.Second)
+	e.State, e.Sequence = roster.Draining, 2
+	v := w.vms["vm2"]
+	v.roster.Merge(w.now, e)
+	v.publisher.Heard("u1")
+	for _, send := range v.publisher.PushHeard(w.now) {
+		if send.To != "r1" {
+			w.carry("vm2", []Send{send})
+		}
+	}
+	state := func(f *follow) roster.State {
+		found, _ := f.roster.Entry("u1")
+		return found.State
+	}
+	assert.Equal(t, state(other), roster.Draining)
+	assert.Equal(t, state(r), roster.Ready)
+	for range 5 {
+		w.now += 100 * time.Millisecond
+		w.carry("vm2", v.publisher.PushHeard(w.now))
+	}
+	assert.Equal(t, state(r), roster.Draining)
+	w.now += time.Second
+	assert.Equal(t, len(v.publisher.PushHeard(w.now)), 0, "acknowledged by all")
+}
+
+func TestADifferenceWithOneVMIsEndedWhileOthersAgree(t *testing.T) {
+	// One disk VM alone was told that an upstream leaves, and its messages are
+	// lost. That the others agree with the router must not hide it.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	e := roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, Sequence: 1}
+	for _, v := range w.vms {
+		v.roster.Merge(w.now, e)
+	}
+	w.run(5 * time.Second)
+	e.State, e.Sequence = roster.Draining, 2
+	w.vms["vm2"].roster.Merge(w.now, e)
+	w.run(1800 * time.Millisecond)
+	found, _ := r.roster.Entry("u1")
+	assert.Equal(t, found.State, roster.Draining)
+}
+
 func TestARestartedVMSendsItsWholeRoster(t *testing.T) {
 	// A disk VM restarts and knows one upstream alone, which is leaving. The
 	// router must learn that, and keep the others until they have been unlisted
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -16,8 +16,8 @@
 	// change that was lost on the way is known that late; upstreams that leave
 	// must be known within two seconds.
 	WatchInterval = time.Second
-	// eagerInterval is how often a follower without a table asks. A table that
-	// is accepted meanwhile is told to it at once.
+	// eagerInterval is how often a follower asks that has no table, or another
+	// roster. A table that is accepted meanwhile is told to it at once.
 	eagerInterval = 500 * time.Millisecond
 	// documentPatience is how long a disk VM may take to send a table before
 	// another one is asked: ten times what a whole one takes on a link of
@@ -33,14 +33,12 @@
 	// lostAfter is how long a disk VM may be silent before the follower says
 	// that it has lost it.
 	lostAfter = 3 * WatchInterval
-	// listAfter is how long rosters may differ before a whole list is asked
-	// for. What a disk VM is told it sends on within some tens of milliseconds.
+	// listAfter is how long a disk VM's roster may differ from the own before
+	// its whole list is asked for. What it is told it sends on within some tens
+	// of milliseconds, and again after 300.
 	listAfter = 400 * time.Millisecond
-	// listPatience is how long a disk VM may take to send a list, and listAgain
-	// how soon after a list another one is asked for: the disk VMs have told
-	// each other by then what they know.
+	// listPatience is how long a disk VM may take to send a list.
 	listPatience = 700 * time.Millisecond
-	listAgain    = 2 * time.Second
 	// forgetAfter is how long a disk VM that nobody names is asked.
 	forgetAfter = 60 * time.Second
 )
@@ -61,8 +59,11 @@
 	asked     time.Duration
 	heard     time.Duration
 	named     time.Duration
-	everHeard bool
-	lost      bool
+	// differs says that its roster isn't the own, and since when.
+	differs      bool
+	differsSince time.Duration
+	everHeard    bool
+	lost         bool
 }
 
 // Belief is a change of what a follower believes, for the log.
@@ -113,14 +114,10 @@
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
 	pulling    bool
-	// agreed is when a disk VM last had the same roster. listAsked is when any
-	// was last asked for a whole list, and listTaken when one came, if ever.
-	agreed     time.Duration
-	listAsked  time.Duration
-	listTaken  time.Duration
-	everAsked  bool
-	everListed bool
-	beliefs    []Belief
+	// listAsked is when a whole list was last asked for, if ever.
+	listAsked time.Duration
+	everAsked bool
+	beliefs   []Belief
 }
 
 // NewFollower returns a follower that knows only seeds. The roster is shared
@@ -201,7 +198,7 @@
 	f.noteLost(now)
 	var sends []Send
 	for _, id := range f.DiskVMs() {
-		if now-f.sources[id].asked >= f.interval() {
+		if now-f.sources[id].asked >= f.interval(f.sources[id]) {
 			sends = append(sends, f.watch(now, id))
 		}
 	}
@@ -243,9 +240,8 @@
 	f.relay.send(from, f.whole)
 }
 
-// askList asks one disk VM for its whole list where the own roster has differed
-// from all for a moment: changes were missed, or this process or that VM has
-// just started.
+// askList asks one disk VM for its whole list where that has differed from the own
+// for a moment: changes were missed, or this process or that VM has just started.
 //
 // Load: all routers start at once, and each knows nothing. Harm prevented: five
 // lists of three kilobytes for each of 87 routers, again with each watch until
@@ -256,12 +252,7 @@
 	if f.everAsked && now-f.listAsked < listPatience {
 		return nil
 	}
-	lacksMost := !f.KnowsMost(now)
-	tooSoon := now-f.agreed < listAfter || f.everListed && now-f.listTaken < listAgain
-	if tooSoon && !lacksMost {
-		return nil
-	}
-	id := f.richest(now)
+	id := f.richest(now, !f.KnowsMost(now))
 	if id == "" {
 		return nil
 	}
@@ -275,15 +266,15 @@
 }
 
 // richest returns the disk VM that lists the most upstreams, of those whose list
-// isn't known here, "" if there is none. Among equals the preferred one goes
-// first.
-func (f *Follower) richest(now time.Duration) protocol.RouterID {
-	own := f.roster.Digest()
+// has differed for long enough and isn't known here, "" if there is none. Among
+// equals the preferred one goes first.
+func (f *Follower) richest(now time.Duration, atOnce bool) protocol.RouterID {
 	best := protocol.RouterID("")
 	for _, id := range f.byPreference() {
 		s := f.sources[id]
 		inTouch := s.everHeard && now-s.heard < lostAfter
-		if !inTouch || s.roster == own || s.roster == s.merged {
+		ripe := s.differs && (atOnce || now-s.differsSince >= listAfter)
+		if !inTouch || !ripe || s.roster == s.merged {
 			continue
 		}
 		if best == "" || s.upstreams > f.sources[best].upstreams {
@@ -310,9 +301,12 @@
 	return float64(f.roster.Usable()) >= mostShare*float64(most)
 }
 
-// interval is how long to wait between two watches.
-func (f *Follower) interval() time.Duration {
-	if f.router && f.inForce == nil {
+// interval is how long to wait between two watches of a disk VM. One whose roster
+// differs is asked sooner: either the difference was on its way, or its list is
+// needed.
+func (f *Follower) interval(s *source) time.Duration {
+	lacksTable := f.router && f.inForce == nil
+	if lacksTable || s.differs && s.roster != s.merged {
 		return eagerInterval
 	}
 	return WatchInterval
@@ -438,9 +432,10 @@
 // hears silence from all. So a router forgets what no disk VM lists any more.
 func (f *Follower) agree(now time.Duration, s *source) {
 	same := s.roster == f.roster.Digest()
-	if same {
-		f.agreed = now
+	if !same && !s.differs {
+		s.differsSince = now
 	}
+	s.differs = !same
 	if !f.router {
 		return
 	}
@@ -465,11 +460,12 @@
 }
 
 // TakeChanges merges what a disk VM was just told.
-func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) {
+func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) []Send {
 	f.heardFrom(now, from)
 	for _, e := range c.Entries {
 		f.roster.Merge(now, e)
 	}
+	return []Send{{To: from, Body: ChangesAck{Number: c.Number}}}
 }
 
 // TakeList merges a disk VM's whole list. One that can't be read changes nothing.
@@ -480,8 +476,6 @@
 		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
 		return
 	}
-	f.listTaken = now
-	f.everListed = true
 	s.roster, s.merged = l.Digest, l.Digest
 	s.listed = nil
 	for _, e := range entries {
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -43,11 +43,18 @@
 	Packed []byte `msgpack:"p"`
 }
 
-// Changes carries entries that the sender was told just now.
+// Changes carries entries that the sender was told just now, and those that the
+// receiver hasn't acknowledged.
 type Changes struct {
+	Number  uint64         `msgpack:"n"`
 	Entries []roster.Entry `msgpack:"e"`
 }
 
+// ChangesAck acknowledges Changes.
+type ChangesAck struct {
+	Number uint64 `msgpack:"n"`
+}
+
 // List is the whole roster of a disk VM.
 type List struct {
 	// Digest is that of the roster.
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -240,7 +240,9 @@
 	case control.News:
 		vm.fabric.SendAll(vm.follower.TakeNews(now, from, m))
 	case control.Changes:
-		vm.follower.TakeChanges(now, from, m)
+		vm.fabric.SendAll(vm.follower.TakeChanges(now, from, m))
+	case control.ChangesAck:
+		vm.publisher.Acknowledged(from, m)
 	case control.List:
 		vm.follower.TakeList(now, from, m)
 	case control.Heard:
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -129,6 +129,8 @@
 		return wire.KindNews
 	case control.Changes:
 		return wire.KindRoster
+	case control.ChangesAck:
+		return wire.KindRosterAck
 	case control.List:
 		return wire.KindList
 	case control.Document:
@@ -162,6 +164,8 @@
 		return decodeAs[control.News](frame)
 	case wire.KindRoster:
 		return decodeAs[control.Changes](frame)
+	case wire.KindRosterAck:
+		return decodeAs[control.ChangesAck](frame)
 	case wire.KindList:
 		return decodeAs[control.List](frame)
 	case wire.KindDocument:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -251,7 +251,7 @@
 	case control.News:
 		r.fabric.SendAll(r.follower.TakeNews(now, from, m))
 	case control.Changes:
-		r.follower.TakeChanges(now, from, m)
+		r.fabric.SendAll(r.follower.TakeChanges(now, from, m))
 		r.takeRoster()
 	case control.List:
 		r.follower.TakeList(now, from, m)
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -108,6 +108,7 @@
 	KindRead      Kind = 57
 	KindReadReply Kind = 58
 	KindList      Kind = 59
+	KindRosterAck Kind = 64
 	// KindLoads to KindHomeReply go between those routers.
 	KindLoads     Kind = 60
 	KindHome      Kind = 61
@@ -128,7 +129,7 @@
 	KindCheck: "check", KindAlive: "alive",
 	KindProbe:     "probe",
 	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
-	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindList: "list", KindDocument: "document",
+	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindRosterAck: "roster-ack", KindList: "list", KindDocument: "document",
 	KindHeard: "heard", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoads: "loads", KindHome: "home", KindHomeReply: "home-reply", KindBlame: "blame",
 }
