Explain a request of a direct fleet from its logs; pages of logs, metrics and settings

Cause: a router's lines told how a request ended but not which attempts went out, so a request that never ended left no trace; and nobody could read the lines of several processes together without a program of their own. Change: a sent line per attempt; times in milliseconds; explain logs ID FILE puts the lines of one request, and of what was believed of its upstreams, in order. docs/LOGS.md names each event, reason and field. Ruled out: a trace store in the disk VMs: it would cost the bandwidth that the control traffic is allowed, and go down with them. Tests: page tests read the sources; report/story.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		panic("endiveplankd: settings with a log level that was not checked: " + settings.Log.Level)
 	}
-	zerolog.TimeFieldFormat = "15:04:05.000"
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
 }
 
--- a/daemon/docs_test.go
+++ b/daemon/docs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
 	"reflect"
 	"regexp"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"endiveplank/daemon/metricstext"
 	"endiveplank/settings"
+	"endiveplank/settings/direct"
 	"endiveplank/tool"
 )
 
@@ -50,6 +52,37 @@
 	}
 }
 
+func TestSettingsPageNamesEveryFieldOfDirectFleets(t *testing.T) {
+	text := page(t, "SETTINGS.md")
+	for _, path := range fieldPaths("", reflect.TypeFor[direct.Settings]()) {
+		assert.Assert(t, strings.Contains(text, "`"+path+"`"), path)
+	}
+}
+
+func TestLogsPageNamesEveryEventReasonAndField(t *testing.T) {
+	// Whoever is on call has nothing but logs. An event or a field without its
+	// line on the page sends them to the source.
+	text := page(t, "LOGS.md")
+	sources := []string{"../cmd/endiveplankd", "../daemon/router", "../daemon/diskvm", "../daemon/fabric", "../daemon/lateness", "../transport/forward", "../platform"}
+	events := regexp.MustCompile(`Str\("event", "([a-z-]+)"\)`)
+	reasons := regexp.MustCompile(`(?:refuse\([^,]+, |giveUp\(|abort\()"([a-z-]+)"`)
+	fields := regexp.MustCompile(`\.(?:Str|Int|Int64|Uint64|Float64|Bool|Stringer|Array|Strs)\("([a-z_]+)"`)
+	for _, folder := range sources {
+		files, err := filepath.Glob(folder + "/*.go")
+		assert.NilError(t, err)
+		assert.Assert(t, len(files) > 0, folder)
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			for _, expression := range []*regexp.Regexp{events, reasons, fields} {
+				for _, match := range expression.FindAllSubmatch(source, -1) {
+					assert.Assert(t, strings.Contains(text, "`"+string(match[1])+"`"), "%s: %s", file, match[1])
+				}
+			}
+		}
+	}
+}
+
 func TestReasonsPageNamesEveryCodeAndNoOther(t *testing.T) {
 	source, err := os.ReadFile("../coordination/reason/reason.go")
 	assert.NilError(t, err)
@@ -62,12 +95,31 @@
 	assert.Equal(t, strings.Count(text, "\n| `"), len(codes))
 }
 
+// directMetricsHeading parts the page by kind of fleet.
+const directMetricsHeading = "## Routers and disk VMs that are run directly"
+
+func TestMetricsPageNamesEveryMetricOfDirectFleets(t *testing.T) {
+	_, text, found := strings.Cut(page(t, "METRICS.md"), directMetricsHeading)
+	assert.Assert(t, found)
+	names := regexp.MustCompile(`(?:set|count|histogram|GetOrRegisterCounter|GetOrRegisterGauge)\("([a-z_]+)[".]`)
+	for _, file := range []string{"../daemon/router/metrics.go", "../daemon/diskvm/metrics.go"} {
+		source, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		found := names.FindAllSubmatch(source, -1)
+		assert.Assert(t, len(found) > 5, file)
+		for _, match := range found {
+			name := "`" + string(match[1])
+			assert.Assert(t, strings.Contains(text, name+"`") || strings.Contains(text, name+"{"), "%s: %s", file, match[1])
+		}
+	}
+}
+
 func TestMetricsPageNamesEveryMetric(t *testing.T) {
 	f := newTestFleet(t)
 	f.setUp()
 	f.engine("e1", nil)
 	f.call(0, "/svc/none", "")
-	text := page(t, "METRICS.md")
+	text, _, _ := strings.Cut(page(t, "METRICS.md"), directMetricsHeading)
 	var scraped bytes.Buffer
 	assert.NilError(t, f.daemons[0].WriteMetrics(&scraped))
 	for line := range strings.Lines(scraped.String()) {
--- a/tool/status.go
+++ b/tool/status.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"endiveplank/coordination/explain"
+	"endiveplank/report/story"
 	"endiveplank/transport/admin"
 )
 
@@ -81,9 +84,57 @@
 	} {
 		command.AddCommand(explainSubject(o, subject.name, subject.short))
 	}
+	command.AddCommand(explainLogsCommand())
 	return command
 }
 
+// errNoStory is the error for a request that no line is about.
+var errNoStory = eris.New("no line of these logs is about this request")
+
+// explainLogsCommand tells a request's story from log files, for fleets whose
+// routers send to upstreams themselves and for processes that are gone.
+func explainLogsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "logs ID [FILE...]",
+		Short:   "Tell the story of one request from log files, or from standard input",
+		Example: "  endiveplank explain logs 9c41d07be2a35f68 /var/log/endiveplank/*.log\n  journal | endiveplank explain logs 9c41d07be2a35f68",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			logs := &story.Logs{}
+			if err := readLogs(logs, command.InOrStdin(), args[1:]); err != nil {
+				return err
+			}
+			found, err := logs.Tell(command.OutOrStdout(), args[0])
+			if err == nil && !found {
+				return errNoStory
+			}
+			return err
+		},
+	}
+}
+
+// readLogs reads files, or standard input where none is named.
+func readLogs(logs *story.Logs, input io.Reader, files []string) error {
+	if len(files) == 0 {
+		return logs.Read(input)
+	}
+	for _, name := range files {
+		if err := readLog(logs, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(logs *story.Logs, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return eris.Wrap(err, "open a log")
+	}
+	defer func() { _ = file.Close() }()
+	return eris.Wrapf(logs.Read(file), "read %s", name)
+}
+
 func explainSubject(o *options, subject, short string) *cobra.Command {
 	return &cobra.Command{
 		Use:   subject + " ID",
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -71,6 +71,15 @@
 	return o.Own || o.Cut || o.Status >= 500 || len(o.Attempts) > 1
 }
 
+// logSent writes the line of an attempt, before it leaves. Of a request whose
+// router dies it is all that tells where it was.
+func (f *flight) logSent(choice balance.Choice, left time.Duration) {
+	f.handler.options.Log.Info().Str("event", "sent").Str("request", string(f.call.ID)).
+		Str("route", f.outcome.Route).Uint64("table", f.outcome.TableVersion).Int("attempt", len(f.outcome.Attempts)+1).
+		Str("upstream", string(choice.ID)).Str("why", string(choice.Reason)).Int("load", choice.Load).Float64("mean", choice.Mean).
+		Int64("left_ms", left.Milliseconds()).Send()
+}
+
 // report writes the request's line.
 func (f *flight) report() {
 	aborted := recover()
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -162,6 +162,7 @@
 	defer cancel()
 	f.watchOver(cancel)
 	defer f.endWatch(outcome)
+	f.logSent(choice, attempt.Left)
 	answer, err := f.handler.options.Pool.Send(ctx, choice.Address, request, f.nameOf)
 	if err != nil {
 		return f.unanswered(err, choice, outcome)
