--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -121,6 +121,8 @@
 		panic("endiveplankd: settings with a log level that was not checked: " + settings.Log.Level)
 	}
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	// Hundredths of a millisecond, and of the mean load, are all that anybody reads.
+	zerolog.FloatingPointPrecision = 2
 	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
 }
 
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -154,6 +155,9 @@
 		return
 	}
 	u.world.ran(id, r, body)
+	if u.failsAsAsked(r, id) {
+		return
+	}
 	platform.WriteAnswer(w.Header(), dialect.Answer{ID: request}, string(u.id)+"."+id)
 	if trouble && kind == 1 {
 		panic(http.ErrAbortHandler)
@@ -169,6 +173,25 @@
 	_, _ = w.Write(bytes.Repeat([]byte(id+"\n"), 20)) // a caller may have gone
 }
 
+// What a caller may ask of the upstream that runs its request, as the end of the
+// path.
+const (
+	pathBreaks    = "breaks"
+	pathHangsOnce = "hangs-once"
+)
+
+// failsAsAsked breaks off or hangs, if the path asks for it.
+func (u *upstream) failsAsAsked(r *http.Request, id string) bool {
+	switch {
+	case strings.HasSuffix(r.URL.Path, pathBreaks):
+		panic(http.ErrAbortHandler)
+	case strings.HasSuffix(r.URL.Path, pathHangsOnce) && u.world.timesRun(id) == 1:
+		<-r.Context().Done()
+		return true
+	}
+	return false
+}
+
 // stream sends events from the one behind the last that the caller has.
 func (u *upstream) stream(w http.ResponseWriter, r *http.Request, id, lastEvent string, trouble bool) {
 	first, _ := strconv.Atoi(lastEvent) // none is 0
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -136,10 +136,16 @@
 }
 
 // hasRun reports whether any upstream began to run a request.
-func (w *world) hasRun(id string) bool {
+func (w *world) hasRun(id string) bool { return w.timesRun(id) > 0 }
+
+// timesRun returns how often upstreams began to run a request.
+func (w *world) timesRun(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.runs[id] != nil
+	if w.runs[id] == nil {
+		return 0
+	}
+	return w.runs[id].times
 }
 
 // tellControl calls the disk VMs in random order until one answers.
