Direct routers make a span for each request and attempt

Cause: traces with a span per hop existed for routers that relay only; a caller's own span ended at a router that sends to upstreams itself. Change: settings traces.*, as for the other roles, none by default; the attempt's span is named to the upstream. With none nothing is added to the caller's headers. Ruled out: a span for each choice: it takes microseconds and stands in the log. Seen: two tests of transport/tracing; both fail without the headers set.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -25,6 +25,7 @@
 	"endiveplank/daemon/router"
 	"endiveplank/platform"
 	"endiveplank/settings/direct"
+	"endiveplank/transport/tracing"
 )
 
 const (
@@ -149,8 +150,12 @@
 
 // startRouter starts the role router.
 func startRouter(logs logs, settings direct.Settings, random *rand.Rand) (process, error) {
+	tracer, err := tracing.New(settings.Traces, settings.Self(), settings.DataCentre)
+	if err != nil {
+		return nil, err
+	}
 	return router.New(router.Options{
-		Settings: settings, Dialect: platform.Dialect{}, Log: logs.log, RequestLog: logs.requests, Random: random,
+		Settings: settings, Tracer: tracer, Dialect: platform.Dialect{}, Log: logs.log, RequestLog: logs.requests, Random: random,
 		ReadTable: func(_ uint64, body []byte) (*routing.Table, error) { return platform.ReadTable(body) },
 	})
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -23,6 +23,7 @@
 	"endiveplank/settings/direct"
 	"endiveplank/transport/exchange"
 	"endiveplank/transport/forward"
+	"endiveplank/transport/tracing"
 )
 
 const (
@@ -42,6 +43,8 @@
 	// RequestLog takes the line of each request.
 	RequestLog zerolog.Logger
 	Random     *rand.Rand
+	// Tracer makes the spans of requests; nil for none. The router closes it.
+	Tracer *tracing.Tracer
 }
 
 // Router is a running router.
@@ -103,7 +106,7 @@
 		DataCentre: options.Settings.DataCentre,
 	})
 	r.handler = forward.New(forward.Options{
-		Fleet: r, Dialect: options.Dialect, Pool: r.pool, Log: options.RequestLog, Observe: r.metrics.observe,
+		Fleet: r, Dialect: options.Dialect, Pool: r.pool, Log: options.RequestLog, Observe: r.metrics.observe, Tracer: options.Tracer,
 	})
 	var err error
 	r.fabric, err = fabric.New(fabric.Options{
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// closeTracer sends the spans that wait, until a time.
+func (r *Router) closeTracer(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if err := r.options.Tracer.Close(ctx); err != nil {
+		r.log.Warn().Str("event", "spans-lost").Err(err).Send()
+	}
+}
+
 // Stop ends the router as planned: it says that it isn't ready, goes on until
 // the balancer has seen that, and ends when the last answer is out, or shortly
 // before the end of the grace. It reports whether all answers went out.
@@ -98,6 +107,7 @@
 	r.done.Wait()
 	r.fabric.Close()
 	r.pool.Close()
+	r.closeTracer(began.Add(stop.Grace()))
 	r.log.Info().Str("event", "stopped").Dur("took_ms", time.Since(began)).Send()
 	return err == nil
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -33,7 +33,7 @@
 	c.OneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.OneOf("log.format", s.Log.Format, "json", "text")
 	c.Between("membership.bytes_per_second", float64(s.Membership.BytesPerSecond), 1_500, 1_000_000)
-	c.traces(s.Traces)
+	CheckTraces(&c.Checker, s.Traces)
 	return c.Problems
 }
 
@@ -144,7 +144,8 @@
 	c.Between("timing.drain_ms", float64(t.DrainMS), 0, 3_600_000)
 }
 
-func (c *checker) traces(t Traces) {
+// CheckTraces finds what is wrong with where spans go.
+func CheckTraces(c *strict.Checker, t Traces) {
 	c.OneOf("traces.exporter", t.Exporter, "none", "stdout", "file", "otlp")
 	c.Between("traces.sample_ratio", t.SampleRatio, 0, 1)
 	if t.Exporter == "file" && t.File == "" {
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"endiveplank/settings"
 	"endiveplank/settings/strict"
 )
 
@@ -23,6 +24,7 @@
 		c.Add("data_folder", s.DataFolder, "empty, because a router keeps no files")
 	}
 	checkFigures(c, s)
+	settings.CheckTraces(c, s.Traces)
 	return c.Problems
 }
 
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endiveplank/protocol"
+	"endiveplank/settings"
 	"endiveplank/settings/strict"
 )
 
@@ -44,6 +45,8 @@
 	Log        Log      `json:"log"`
 	Memory     Memory   `json:"memory"`
 	Link       Link     `json:"link"`
+	// Traces says where a router's spans go.
+	Traces settings.Traces `json:"traces"`
 }
 
 // Listen holds the IP:port of each listener; a role leaves out what it doesn't
@@ -166,6 +169,7 @@
 		Log:       Log{Level: "info", LinesPerSecond: 100},
 		Memory:    Memory{LimitMB: 256},
 		Link:      Link{Mbps: 1000},
+		Traces:    settings.DefaultTraces(),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -163,6 +163,10 @@
 	SampleRatio float64 `json:"sample_ratio"`
 }
 
+// DefaultTraces are no spans. Where they are switched on, one request in a
+// hundred shows the shape of all and costs little.
+func DefaultTraces() Traces { return Traces{Exporter: "none", SampleRatio: 0.01} }
+
 // Defaults returns the settings that hold where a document says nothing.
 func Defaults() Settings {
 	return Settings{
@@ -179,7 +183,7 @@
 		Timing:     Timing{StallMS: 3_000, ReplaceVoterMS: 30_000, UnreadyMS: 2_000, DrainMS: 60_000},
 		Membership: Membership{BytesPerSecond: 3_000},
 		Log:        Log{Level: "info", Format: "json"},
-		Traces:     Traces{Exporter: "none", SampleRatio: 0.01},
+		Traces:     DefaultTraces(),
 	}
 }
 
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -16,6 +16,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/transport/exchange"
+	"endiveplank/transport/tracing"
 )
 
 // Fleet is what the router knows and decides. It is called from many goroutines.
@@ -85,6 +86,8 @@
 	Log     zerolog.Logger
 	// Observe is called with the outcome of each request.
 	Observe func(Outcome)
+	// Tracer makes a span for each request and attempt; nil for none.
+	Tracer *tracing.Tracer
 }
 
 // Handler is the http.Handler for callers.
@@ -144,6 +147,7 @@
 	retryPaid bool
 	watch     *watch
 	stream    streamState
+	span      tracing.Span
 	outcome   Outcome
 }
 
@@ -157,6 +161,7 @@
 		f.outcome.Doubt = err.Error()
 	}
 	f.call = call
+	f.span = f.handler.options.Tracer.Request(call.ID, f.request.Header)
 	f.job.ID = call.ID
 	f.job.Prompt = call.Prompt
 	f.patience = patience(call.Left, 0)
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -7,6 +7,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/protocol"
+	"endiveplank/transport/tracing"
 )
 
 // Outcome is how a request ended, for log and metrics.
@@ -92,6 +93,7 @@
 		f.handler.options.Observe(f.outcome)
 	}
 	o := &f.outcome
+	f.span.End(tracing.Result{Status: o.Status, Reason: o.Reason, Failed: o.failed()})
 	line := f.handler.options.Log.WithLevel(level).Str("event", "request").Str("request", string(f.call.ID)).
 		Str("route", o.Route).Uint64("table", o.TableVersion).Str("customer", string(o.Customer)).Int("priority", f.job.Priority).
 		Int("status", o.Status).Float64("ms", o.Took.Seconds()*1000).Array("attempts", attempts(o.Attempts))
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -11,6 +11,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/transport/exchange"
+	"endiveplank/transport/tracing"
 )
 
 // verdict says how to go on after an attempt.
@@ -154,6 +155,10 @@
 		attempt.Customer = f.customer.Name
 	}
 	f.handler.options.Dialect.WriteAttempt(header, attempt)
+	span := f.handler.options.Tracer.Attempt(f.span, len(f.outcome.Attempts)+1, choice.ID, header)
+	defer func() {
+		span.End(tracing.Result{Status: outcome.Status, Reason: outcome.Cause, Failed: outcome.Result != balance.Served})
+	}()
 	request := exchange.Request{
 		ID: f.call.ID, Method: f.request.Method, Target: f.request.RequestURI, Host: f.request.Host,
 		Header: header, Body: f.body,
--- a/transport/tracing/tracing.go
+++ b/transport/tracing/tracing.go
@@ -9,7 +9,9 @@
 //
 // The entry decides by the sample ratio of its settings whether a request is
 // traced, whatever the caller's flag says, so that callers can't make the
-// fleet trace more than its operators want; later hops follow the entry. With
+// fleet trace more than its operators want; later hops follow the entry. A
+// router that sends to upstreams itself makes one span for the request and one
+// for each attempt, which names it to the upstream. With
 // the exporter none a Tracer is nil, and every method does nothing and
 // allocates nothing; a caller's context then passes through as it came.
 //
--- a/transport/tracing/tracing_test.go
+++ b/transport/tracing/tracing_test.go
@@ -129,3 +129,37 @@
 	_, err := New(settings.Traces{Exporter: "file", File: t.TempDir()}, "r1", "dc1")
 	assert.Assert(t, err != nil)
 }
+
+func TestEachAttemptIsAChildOfItsRequest(t *testing.T) {
+	// A caller traces its calls. It has to find the router's work under its own
+	// span, and the upstream's under that of the attempt it got.
+	tracer, recorder := recorded(1)
+	header := http.Header{}
+	header.Set("Traceparent", "00-"+callersTrace+"-"+callersSpan+"-01")
+	request := tracer.Request("r-1", header)
+	first, second := header.Clone(), header.Clone()
+	lost := tracer.Attempt(request, 1, "u1", first)
+	lost.End(Result{Reason: "reset", Failed: true})
+	served := tracer.Attempt(request, 2, "u2", second)
+	served.End(Result{Status: 200})
+	request.End(Result{Status: 200})
+
+	spans := recorder.Ended()
+	assert.Equal(t, len(spans), 3)
+	parent := spans[2].SpanContext().SpanID()
+	assert.Equal(t, spans[2].Parent().SpanID().String(), callersSpan)
+	for i, sent := range []http.Header{first, second} {
+		assert.Equal(t, spans[i].Parent().SpanID(), parent)
+		assert.Equal(t, sent.Get("Traceparent"), "00-"+callersTrace+"-"+spans[i].SpanContext().SpanID().String()+"-01")
+	}
+}
+
+func TestARouterWithoutTracesPassesTheCallersOn(t *testing.T) {
+	var off *Tracer
+	header := http.Header{}
+	header.Set("Traceparent", "00-"+callersTrace+"-"+callersSpan+"-01")
+	span := off.Request("r-1", header)
+	off.Attempt(span, 1, "u1", header).End(Result{})
+	span.End(Result{})
+	assert.Equal(t, header.Get("Traceparent"), "00-"+callersTrace+"-"+callersSpan+"-01")
+}
