--- a/coordination/balance/health.go
+++ b/coordination/balance/health.go
@@ -64,8 +64,6 @@
 	until time.Duration
 	// alone is how long it is left alone after the next such outcome.
 	alone time.Duration
-	// trial is when the latest request tried a bad upstream.
-	trial time.Duration
 }
 
 // note counts outcomes.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -26,7 +26,11 @@
 		return "", err
 	}
 	program := filepath.Join(folder, "endiveplankd")
-	output, err := exec.Command("go", "build", "-o", program, "endiveplank/cmd/endiveplankd").CombinedOutput()
+	arguments := []string{"build", "-o", program}
+	if *withRace {
+		arguments = append(arguments, "-race")
+	}
+	output, err := exec.Command("go", append(arguments, "endiveplank/cmd/endiveplankd")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, output)
 	}
@@ -119,6 +123,7 @@
 	command := exec.Command(program, string(p.settings.Role), "--config", p.file)
 	command.Stdout = &lockedLog{p}
 	command.Stderr = &lockedLog{p}
+	command.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	assert.NilError(p.world.t, command.Start())
 	p.command, p.done, p.signalled, p.down = command, make(chan struct{}), false, false
 	go p.await(command, p.done)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	seedCount   = flag.Int("soak.seeds", 1, "how many seeds to play")
 	firstSeed   = flag.Uint64("soak.first", 1, "the first of them")
 	playSeconds = flag.Int("soak.seconds", 6, "how long each of them plays, in seconds")
+	withRace    = flag.Bool("soak.race", false, "build the programs with the race detector, which ends one that has a data race")
 )
 
 // regressionSeeds failed once; each has a line on the cause.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -200,7 +201,7 @@
 
 // asNoAnswer tells bytes that are no answer from a broken connection.
 func asNoAnswer(err error) error {
-	var protocolError *http.ProtocolError
+	var protocolError textproto.ProtocolError
 	if errors.As(err, &protocolError) || strings.Contains(err.Error(), "malformed") {
 		return errNoAnswer
 	}
