Lost voters of a growing fleet go until the rest bear the losses set

Two disk VMs were replaced while they still ran, so the fleet had seven voters of which two never return. The leader kept them: from an odd number a voter never went, so that a change on two disks couldn't count as safe. Two lost disks later, three of seven were left and nobody could lead. Ruled out: the rejoin of the lost disks (both were taken in as learners and waited for a leader), the seeds (all three answered). Change: a lost voter also goes from an odd number above 2F+1, F the new setting disk_losses (default 2). Below that the old rule holds. Conclusion: the losses that are borne are what is set, not a result of the order in which VMs were replaced.

--- a/coordination/consensus/repair/grow_test.go
+++ b/coordination/consensus/repair/grow_test.go
@@ -32,9 +32,12 @@
 		"a VM with a new disk is promoted first":   {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), joining("r5", 2)}, want: consensus.Change{Kind: consensus.Promote, Member: member("r5", 2)}},
 		"a sixth and a seventh grow the fleet":     {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6"), joining("r7", 1)}, want: consensus.Change{Kind: consensus.Promote, Member: member("r7", 1)}},
 		"an eighth stays a learner":                {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6"), live("r7"), joining("r8", 1)}},
-		"six live voters are all kept":             {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6")}},
+		// Two VMs were replaced while they still ran, and are gone now. Seven
+		// voters of which two never return bear one loss; five bear two.
+		"a lost voter of seven goes":   {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), silent("r6"), silent("r7")}, want: consensus.Change{Kind: consensus.Remove, Member: member("r6", 1)}},
+		"six live voters are all kept": {peers: peers{live("r2"), live("r3"), live("r4"), live("r5"), live("r6")}},
 	}
-	p := New(Settings{Voters: 7, Grow: true})
+	p := New(Settings{Voters: 7, Grow: true, Losses: 2})
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			status := consensus.Status{Self: member("r1", 1), Role: consensus.Leader, Peers: test.peers}
--- a/coordination/consensus/repair/repair.go
+++ b/coordination/consensus/repair/repair.go
@@ -37,6 +37,9 @@
 	// Grow makes a voter of every disk VM that joins, up to Voters, for fleets
 	// that are not told how many there are.
 	Grow bool
+	// Losses is how many voters may be lost at once; with Grow, lost voters are
+	// taken out down to the number that bears so many.
+	Losses int
 	// SilentAfter is how long a voter may be silent before it is replaced.
 	SilentAfter time.Duration
 	// ForgetAfter is how long a learner may be silent before it is removed.
@@ -178,19 +181,25 @@
 
 // tooMany reports whether a voter may go.
 //
-// In a growing fleet a lost voter goes only from an even number. That makes
-// the quorum smaller by one and the number of losses that can be borne no
-// smaller. From an odd number it would lower what is borne: of five voters
-// with two lost disks, three would be left, and a change on two disks would
-// count as safe. A newcomer in the place of a lost voter is promoted first and
-// so makes the number even.
+// In a growing fleet a lost voter goes from any number above that which bears
+// the losses that were set, and below it only from an even number. From an even
+// number the quorum becomes smaller by one and the number of losses that can be
+// borne no smaller. From a small odd number it would lower what is borne: of
+// five voters with two lost disks, three would be left, and a change on two
+// disks would count as safe. A newcomer in the place of a lost voter is promoted
+// first and so makes the number even. From a large odd number it has to go:
+// seven voters, two of which were replaced and never return, bear one loss, and
+// the five that are left bear two.
 func (p Policy) tooMany(v view) bool {
-	if p.settings.Grow && v.voters()%2 == 0 {
+	if p.settings.Grow && (v.voters()%2 == 0 || v.voters() > votersFor(p.settings.Losses)) {
 		return true
 	}
 	return v.voters() > p.settings.Voters
 }
 
+// votersFor returns how many voters bear a number of losses at once.
+func votersFor(losses int) int { return 2*losses + 1 }
+
 // hasQuorum reports whether live voters are a majority of all.
 func hasQuorum(live, all int) bool {
 	return live >= all/2+1
--- a/daemon/diskvm/diskvm_test.go
+++ b/daemon/diskvm/diskvm_test.go
@@ -230,6 +230,28 @@
 	assert.Equal(t, f.read(4), "seven")
 }
 
+func TestReplacedVMsDoNotCountForTheNextLoss(t *testing.T) {
+	// An operator replaces two of five VMs, each time with the new one started
+	// before the old one goes. Later two disks are lost at once. If the replaced
+	// ones still counted as voters, three of seven would be left: no leader for
+	// good, and every change refused.
+	f := newFleet(t, 5)
+	f.settled()
+	for _, pair := range [][2]int{{4, 6}, {5, 7}} {
+		f.folders[pair[1]] = t.TempDir()
+		f.start(pair[1])
+		f.eventually("the newcomer votes beside the old one", func() bool { return f.voters(1) >= pair[1] })
+	}
+	f.stop(4)
+	f.stop(5)
+	f.eventually("those that were replaced don't vote", func() bool { return f.voters(1) == 5 })
+	assert.Equal(t, f.put(1, 7, "seven"), document.Accepted)
+	f.wipe(6)
+	f.wipe(7)
+	f.eventually("the table is read back", func() bool { return f.read(2) == "seven" })
+	assert.Equal(t, f.put(3, 8, "eight"), document.Accepted)
+}
+
 func TestWithoutAQuorumNothingIsSaidAboutTheTable(t *testing.T) {
 	// Two of three disk VMs are away. The one that is left can't know whether
 	// its table is still the newest, and must not pass it off as such; a change
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -7,6 +7,9 @@
 	"endiveplank/settings/strict"
 )
 
+// mostLosses is what seven voters bear; more of them make each change slower.
+const mostLosses = 3
+
 // check finds every value that is out of range.
 func check(s Settings) strict.Problems {
 	c := &strict.Checker{}
@@ -46,6 +49,7 @@
 }
 
 func checkFigures(c *strict.Checker, s Settings) {
+	c.Between("disk_losses", float64(s.DiskLosses), 1, mostLosses)
 	c.Between("upstreams.heartbeat_ms", float64(s.Upstreams.HeartbeatMS), 50, 60_000)
 	c.Between("upstreams.leave_ms", float64(s.Upstreams.LeaveMS), 100, 60_000)
 	c.Between("retries.ratio", s.Retries.Ratio, 0, 1)
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -37,7 +37,10 @@
 	// may the seeds form a cluster.
 	FirstStart bool `json:"first_start"`
 	// DataFolder holds all files of a disk VM.
-	DataFolder string   `json:"data_folder"`
+	DataFolder string `json:"data_folder"`
+	// DiskLosses is how many disk VMs may be lost at once: so many and one more
+	// keep each change, as far as there are as many VMs.
+	DiskLosses int      `json:"disk_losses"`
 	Upstreams  Upstream `json:"upstreams"`
 	Retries    Retries  `json:"retries"`
 	Load       Load     `json:"load"`
@@ -155,21 +158,23 @@
 // Defaults returns the settings that a document may leave out.
 //
 // Heartbeats and the time to leave are those of a platform whose upstreams
-// announce themselves each second or so. Retries of a tenth, with a slack of 10
+// announce themselves each second or so. Two disk VMs may be lost at once, as
+// five bear. Retries of a tenth, with a slack of 10
 // requests in 10 s, let a failed upstream's requests be repeated and no storm.
 // The load's multiple of 2 leaves room for a hot prompt; the slack of 3 is for
 // services with hardly any work. A balancer that asks each second and acts on
 // the second miss takes 2 s to turn callers elsewhere.
 func Defaults() Settings {
 	return Settings{
-		Upstreams: Upstream{HeartbeatMS: 1000, LeaveMS: 2000},
-		Retries:   Retries{Ratio: 0.1, WindowMS: 10_000, Slack: 10},
-		Load:      Load{Multiple: 2, Slack: 3},
-		Stop:      Stop{UnreadyMS: 2500, GraceMS: 8000},
-		Log:       Log{Level: "info", LinesPerSecond: 100},
-		Memory:    Memory{LimitMB: 256},
-		Link:      Link{Mbps: 1000},
-		Traces:    settings.DefaultTraces(),
+		DiskLosses: 2,
+		Upstreams:  Upstream{HeartbeatMS: 1000, LeaveMS: 2000},
+		Retries:    Retries{Ratio: 0.1, WindowMS: 10_000, Slack: 10},
+		Load:       Load{Multiple: 2, Slack: 3},
+		Stop:       Stop{UnreadyMS: 2500, GraceMS: 8000},
+		Log:        Log{Level: "info", LinesPerSecond: 100},
+		Memory:     Memory{LimitMB: 256},
+		Link:       Link{Mbps: 1000},
+		Traces:     settings.DefaultTraces(),
 	}
 }
 
