A proof of life no longer makes an old state of an upstream new

One disk VM had not got the word draining, number 34. The next proof of life, number 35, reached it first and raised the number of its old ready. With 35 that entry won over 34 on every other VM and router. Ruled out: late routers (all 87 had the word 430 ms after the upstream's call), lost connections (no resend was under way), the upstream changing its mind (no disk VM got a call that said ready). Change: a proof of life carries a digest of what was said under its number. A VM whose entry differs keeps it alive and its number, and the lists' digests bring the entry. The digest now covers software version and slots too. Conclusion: the number belongs to the words said under it.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -164,9 +164,9 @@
 	return r.usable
 }
 
-// entryDigest covers what routers use of an entry.
+// entryDigest covers what matters to routers in an entry, as sameToRouters.
 func entryDigest(e Entry) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s\n%s\n%s\n%s\n%d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Born, e.State))
+	return xxhash.Sum64String(fmt.Sprintf("%s\n%s\n%s\n%s\n%s\n%d %d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Build, e.Slots, e.Born, e.State))
 }
 
 // Merge takes an announcement or another VM's entry. It reports whether
@@ -238,19 +238,36 @@
 	ID       protocol.UpstreamID `msgpack:"i"`
 	Born     int64               `msgpack:"o,omitempty"`
 	Sequence uint64              `msgpack:"q"`
+	// Content tells apart what the upstream may have said with that number.
+	Content uint32 `msgpack:"c"`
 }
 
-// Refresh takes what another VM has heard. It reports false for an upstream or
-// a start that isn't known here, whose entry has to be asked for.
+// heardOf returns the proof for an entry.
+func heardOf(e Entry) Heard {
+	return Heard{ID: e.ID, Born: e.Born, Sequence: e.Sequence, Content: uint32(entryDigest(e))}
+}
+
+// Refresh takes what another VM has heard. It reports false for an entry that
+// isn't known here as it is there, which has to be asked for.
+//
+// Failure: the word that an upstream drains is lost on its way to one VM, and a
+// later proof of life arrives. With the new number on its old "ready", that VM
+// would win over all others, and routers would send to an upstream that is
+// leaving. The guard holds because a number is only taken with the content that
+// was said under it.
 func (r *Roster) Refresh(now time.Duration, h Heard) bool {
 	known := r.records[h.ID]
 	if known == nil || known.Born < h.Born {
 		return false
 	}
-	if known.Born == h.Born && known.State != Gone && h.Sequence > known.Sequence {
-		known.Sequence = h.Sequence
-		known.heard = now
+	if known.Born > h.Born || known.State == Gone || h.Sequence <= known.Sequence {
+		return true
+	}
+	known.heard = now
+	if heardOf(known.Entry).Content != h.Content {
+		return false
 	}
+	known.Sequence = h.Sequence
 	return true
 }
 
@@ -278,7 +295,7 @@
 	var heard []Heard
 	for _, known := range r.records {
 		if known.heard > since && known.State != Gone {
-			heard = append(heard, Heard{ID: known.ID, Born: known.Born, Sequence: known.Sequence})
+			heard = append(heard, heardOf(known.Entry))
 		}
 	}
 	slices.SortFunc(heard, func(a, b Heard) int { return cmp.Compare(a.ID, b.ID) })
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -94,6 +94,79 @@
 	}
 }
 
+func TestProofOfLifeDoesNotMakeAnOldStateNew(t *testing.T) {
+	// An upstream says "draining" and, a second later, that it still is. The
+	// first word reaches one disk VM, the way to the other stalls, and the proof
+	// of life overtakes it there. The other VM's "ready" must not come out with
+	// the newer number and bring work to an upstream that leaves.
+	one, other := New(DefaultSettings()), New(DefaultSettings())
+	for _, r := range []*Roster{one, other} {
+		r.Merge(now, ready("1", "a", 100, 33))
+	}
+	draining := ready("1", "a", 100, 34)
+	draining.State = Draining
+	one.Merge(now, draining)
+	draining.Sequence = 35
+	one.Merge(now+1, draining)
+	for _, heard := range one.HeardSince(now) {
+		assert.Assert(t, !other.Refresh(now+2, heard), "the entry has to be asked for")
+	}
+	for _, e := range other.Entries() {
+		assert.Assert(t, !one.Merge(now+3, e))
+	}
+	for _, e := range one.Entries() {
+		other.Merge(now+4, e)
+	}
+	assert.Equal(t, stateOf(one, "1"), Draining)
+	assert.Equal(t, stateOf(other, "1"), Draining)
+}
+
+func TestTheNewestWordWinsWhateverIsLostBetweenVMs(t *testing.T) {
+	// An upstream's announcements reach one disk VM or another. Between the VMs
+	// entries and proofs of life are lost, late and in any order. Once they have
+	// exchanged their lists, all list what it said last.
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		vms := [3]*Roster{New(DefaultSettings()), New(DefaultSettings()), New(DefaultSettings())}
+		at := now
+		var last Entry
+		for sequence := uint64(1); sequence <= 12; sequence++ {
+			last = ready("1", "a"+string('1'+rune(random.IntN(2))), 100, sequence)
+			last.State = State(1 + random.IntN(2))
+			at++
+			vms[random.IntN(3)].Merge(at, last)
+			for range random.IntN(4) {
+				from, to := vms[random.IntN(3)], vms[random.IntN(3)]
+				if random.IntN(3) == 0 {
+					mergeAll(at, to, from)
+					continue
+				}
+				for _, heard := range from.HeardSince(at - time.Duration(random.IntN(3))) {
+					to.Refresh(at, heard)
+				}
+			}
+		}
+		for range 2 {
+			for _, to := range vms {
+				for _, from := range vms {
+					mergeAll(at, to, from)
+				}
+			}
+		}
+		for _, r := range vms {
+			e, _ := r.Entry("u1")
+			assert.Assert(t, sameToRouters(e, last), "seed %d: %+v, last said %+v", seed, e, last)
+		}
+	}
+}
+
+// mergeAll gives a VM all entries of another one.
+func mergeAll(at time.Duration, to, from *Roster) {
+	for _, e := range from.Entries() {
+		to.Merge(at, e)
+	}
+}
+
 func TestOnlyChangesThatMatterArePushed(t *testing.T) {
 	// 94 upstreams announce themselves every second. Pushing each announcement
 	// to 87 routers would fill the disk VMs' links.
@@ -115,7 +188,7 @@
 	r.Merge(now, ready("2", "b", 100, 1))
 	r.Leave(now, "u2", 0, 0)
 	r.Merge(now, ready("3", "c", 100, 1))
-	assert.Assert(t, r.Refresh(now+s.ForgetSilent/2, Heard{ID: "u3", Born: 100, Sequence: 2}))
+	assert.Assert(t, r.Refresh(now+s.ForgetSilent/2, heardOf(ready("3", "c", 100, 2))))
 	assert.Equal(t, len(r.Expire(now+s.ForgetSilent-1)), 0)
 	silent := r.Expire(now + s.ForgetSilent)
 	assert.Equal(t, len(silent), 1)
@@ -129,6 +202,6 @@
 	r := New(DefaultSettings())
 	assert.Assert(t, !r.Refresh(now, Heard{ID: "u1", Born: 100, Sequence: 2}))
 	r.Merge(now, ready("1", "a", 100, 1))
-	assert.Assert(t, r.Refresh(now, Heard{ID: "u1", Born: 100, Sequence: 2}))
-	assert.Assert(t, !r.Refresh(now, Heard{ID: "u1", Born: 300, Sequence: 1}))
+	assert.Assert(t, r.Refresh(now, heardOf(ready("1", "a", 100, 2))))
+	assert.Assert(t, !r.Refresh(now, heardOf(ready("1", "a", 300, 1))))
 }
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -247,7 +247,7 @@
 		vm.follower.TakeList(now, from, m)
 	case control.Heard:
 		for _, heard := range m.Upstreams {
-			// An unknown one comes with the sender's roster.
+			// One that differs comes with the sender's list, whose digest differs too.
 			_ = vm.roster.Refresh(now, heard)
 		}
 	default:
