Stories of requests tell a restart of their router, and digests digit by digit

A request whose router lost power had the end 'the last line is of ...', which was long after, since the router had come back; digests of refused content were rounded to what a float holds. Change: the start after the request's last line is told as its end; numbers stay as written. Before: both new tests red. After: green.

--- a/report/story/story.go
+++ b/report/story/story.go
@@ -66,7 +66,10 @@
 		return
 	}
 	var fields map[string]any
-	if err := json.Unmarshal(text[start:], &fields); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text[start:]))
+	// Digests have more digits than a float holds.
+	decoder.UseNumber()
+	if err := decoder.Decode(&fields); err != nil {
 		return
 	}
 	at, known := timeOf(fields)
@@ -170,11 +173,34 @@
 	if end.event == "request" {
 		return nil
 	}
+	if again, before, found := l.restart(end); found {
+		_, err := fmt.Fprintf(w, "=> no end was logged; %s started again at %s and its last line before is of %s: the request ended with the process\n",
+			end.node, again.Format(clock), before.Format(clock))
+		return err
+	}
 	_, err := fmt.Fprintf(w, "=> no end was logged; the last line of %s is of %s: it died, or was cut off from the log\n",
 		end.node, l.last[end.node].Format(clock))
 	return err
 }
 
+// restart returns when a line's process next started, and the time of its last
+// line before.
+func (l *Logs) restart(since line) (again, before time.Time, found bool) {
+	for _, one := range l.lines {
+		isStart := one.node == since.node && one.event == "started" && one.at.After(since.at)
+		if isStart && (!found || one.at.Before(again)) {
+			again, found = one.at, true
+		}
+	}
+	before = since.at
+	for _, one := range l.lines {
+		if one.node == since.node && one.at.Before(again) && one.at.After(before) {
+			before = one.at
+		}
+	}
+	return again, before, found
+}
+
 // clock is the form of the time in a story.
 const clock = "15:04:05.000"
 
--- a/report/story/story_test.go
+++ b/report/story/story_test.go
@@ -53,6 +53,24 @@
 	assert.Assert(t, strings.Contains(told, "no end was logged; the last line of r1 is of 10:00:01.500"))
 }
 
+func TestARouterThatStartedAgainIsToldAsTheCause(t *testing.T) {
+	// All VMs lose power in the middle of a stream and come back. The router's
+	// log goes on, so its last line alone looks as if nothing had happened.
+	again := `{"level":"info","node":"r1","event":"started","role":"router","time":"10:00:06.000"}
+{"level":"info","node":"r1","event":"readiness","ready":true,"time":"10:00:06.400"}
+`
+	told, found := tell(t, "9c41", router+again, diskVM)
+	assert.Assert(t, found)
+	assert.Assert(t, strings.Contains(told, "no end was logged; r1 started again at 10:00:06.000 and its last line before is of 10:00:01.500: the request ended with the process"), told)
+}
+
+func TestLargeNumbersAreToldAsTheyAre(t *testing.T) {
+	// An operator looks for other lines with the digest of a refused request.
+	condemned := `{"level":"warn","node":"r1","event":"request","request":"9c41","status":503,"prompt":18442763372209252123,"time":"10:00:01.000"}` + "\n"
+	told, _ := tell(t, "9c41", condemned)
+	assert.Assert(t, strings.Contains(told, "prompt=18442763372209252123"), told)
+}
+
 func TestNothingIsMadeUpAboutAnUnknownRequest(t *testing.T) {
 	_, found := tell(t, "unknown", router, diskVM)
 	assert.Assert(t, !found)
