Routers log when an upstream is avoided for its outcomes, and when no longer

A request lost with a crashed upstream had no line about that upstream near it: judgements by outcomes were used and not told. Change: upstream-avoided and upstream-trusted, once for each change, with the outcomes they rest on. A full upstream's 100 ms aren't told.

--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -144,6 +144,31 @@
 	}
 }
 
+func TestWhatIsBelievedOfAnUpstreamIsToldOnceEachTime(t *testing.T) {
+	// An upstream crashes without a word. Whoever reads the logs of a lost request
+	// has to find that its router left the upstream alone, by what, and since when
+	// it no longer does. Refusals of a full one aren't told: they pass in 100 ms.
+	b := newBook(3)
+	b.Ended(now, "u00", Refused)
+	assert.Equal(t, len(b.Judgements(now)), 0)
+	for range 3 {
+		b.Ended(now, "u01", Failed)
+	}
+	b.Ended(now, "u02", Unreachable)
+	told := b.Judgements(now)
+	assert.Equal(t, len(told), 2)
+	assert.Equal(t, told[0], Judgement{ID: "u01", Avoided: true, Failed: 3})
+	assert.Equal(t, told[1], Judgement{ID: "u02", Avoided: true, Failed: 1, Alone: unreachableFor})
+	assert.Equal(t, len(b.Judgements(now+time.Millisecond)), 0)
+
+	told = b.Judgements(now + unreachableFor)
+	assert.Equal(t, len(told), 2)
+	for _, judgement := range told {
+		assert.Assert(t, !judgement.Avoided, "%+v", judgement)
+	}
+	assert.Equal(t, len(b.Judgements(now+time.Second)), 0)
+}
+
 func TestAServiceThatFailsOneInSevenIsNotJudged(t *testing.T) {
 	// One request in seven fails on every upstream, as this service does. None
 	// of them is worse than the others, and none may be left out for long.
--- a/coordination/balance/book.go
+++ b/coordination/balance/book.go
@@ -65,6 +65,8 @@
 	// elsewhere is the work of the other routers.
 	elsewhere int
 	health    health
+	// avoided is health.isAvoided as it was last told by Judgements.
+	avoided bool
 }
 
 // load is the work on an upstream, as far as this router knows.
@@ -207,6 +209,34 @@
 	}
 }
 
+// Judgement is a change of what is believed of an upstream by its outcomes.
+type Judgement struct {
+	ID protocol.UpstreamID
+	// Avoided says that it gets no work while others can have it.
+	Avoided bool
+	// Failed and Served are the outcomes it is judged by, weighed by age.
+	Failed, Served float64
+	// Alone is how long nobody tries it, if it took no connection.
+	Alone time.Duration
+}
+
+// Judgements returns what has changed since the last call, by name.
+func (b *Book) Judgements(now time.Duration) []Judgement {
+	var changed []Judgement
+	for id, u := range b.upstreams {
+		avoided := u.health.isAvoided(now)
+		if avoided == u.avoided {
+			continue
+		}
+		u.avoided = avoided
+		changed = append(changed, Judgement{
+			ID: id, Avoided: avoided, Failed: u.health.failed, Served: u.health.served, Alone: u.health.alone,
+		})
+	}
+	slices.SortFunc(changed, func(x, y Judgement) int { return cmp.Compare(x.ID, y.ID) })
+	return changed
+}
+
 // OwnLoads returns what the other routers don't know yet, or all of this
 // router's work. False means that there is nothing to tell.
 func (b *Book) OwnLoads(whole bool) (Loads, bool) {
--- a/coordination/balance/health.go
+++ b/coordination/balance/health.go
@@ -100,9 +100,17 @@
 
 // isBad reports whether an upstream should get no work now.
 func (h *health) isBad(now time.Duration) bool {
-	if now < h.until {
-		return true
-	}
+	return now < h.until || h.failsOften(now)
+}
+
+// isAvoided reports whether an upstream gets no work because it fails or takes
+// no connections, and not only because it is full for the moment.
+func (h *health) isAvoided(now time.Duration) bool {
+	return now < h.until && h.alone > 0 || h.failsOften(now)
+}
+
+// failsOften judges by the outcomes of late.
+func (h *health) failsOften(now time.Duration) bool {
 	h.decay(now)
 	if h.failed < leastFailures {
 		return false
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -160,6 +160,7 @@
 		r.log.Info().Str("event", "router-silent").Str("router", string(id)).Msg("its work no longer counts")
 	}
 	r.takeRoster()
+	r.logJudgements(now)
 	if now-r.swept >= sweepInterval {
 		r.swept = now
 		r.forgetUnlisted(now)
@@ -303,6 +304,19 @@
 	}
 }
 
+// logJudgements writes a line for each upstream that is avoided for its outcomes
+// from now on, or no longer.
+func (r *Router) logJudgements(now time.Duration) {
+	for _, j := range r.book.Judgements(now) {
+		line, event := r.log.Info(), "upstream-trusted"
+		if j.Avoided {
+			line, event = r.log.Warn(), "upstream-avoided"
+		}
+		line.Str("event", event).Str("upstream", string(j.ID)).Float64("failed", j.Failed).Float64("served", j.Served).
+			Int64("alone_ms", j.Alone.Milliseconds()).Send()
+	}
+}
+
 // ready reports whether the balancer should send callers: the router knows where
 // they may go. Once it does it stays ready, whatever the disk VMs say later: it
 // serves on by the last that it knows. The lock is held.
