Settings of the direct roles are checked without starting

Cause: the page for operators named endiveplankd check, which reads the other document; a file for a router of a direct fleet could only be checked by starting it. Change: endiveplankd router check and disk-vm check.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -64,7 +64,7 @@
 
 // directCommand returns the command that runs one such role.
 func directCommand(path *string, role direct.Role, short string, start starter) *cobra.Command {
-	return &cobra.Command{
+	run := &cobra.Command{
 		Use:   string(role),
 		Short: short,
 		Args:  cobra.NoArgs,
@@ -72,6 +72,31 @@
 			return runDirect(settingsPath(command, *path), role, start)
 		},
 	}
+	run.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Check a settings file of this role without starting",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if _, err := readDirect(settingsPath(command, *path), role); err != nil {
+				return err
+			}
+			return sayGood(command)
+		},
+	})
+	return run
+}
+
+// readDirect reads the settings of a role. Errors: those of the file, all
+// mistakes in it, a file for another role.
+func readDirect(path string, role direct.Role) (direct.Settings, error) {
+	settings, err := direct.ReadFile(path)
+	if err != nil {
+		return settings, err
+	}
+	if settings.Role != role {
+		return settings, eris.Errorf("the settings are for the role %s, not %s", settings.Role, role)
+	}
+	return settings, nil
 }
 
 // settingsPath prefers the flag over the environment.
@@ -90,13 +115,10 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	settings, err := direct.ReadFile(path)
+	settings, err := readDirect(path, role)
 	if err != nil {
 		return err
 	}
-	if settings.Role != role {
-		return eris.Errorf("the settings are for the role %s, not %s", settings.Role, role)
-	}
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory.LimitMB) * (1 << 20)))
 	lines := loglines.New(os.Stdout, settings.Log.LinesPerSecond)
--- a/cmd/endiveplankd/main.go
+++ b/cmd/endiveplankd/main.go
@@ -70,8 +70,7 @@
 			if _, err := settings.ReadFile(path); err != nil {
 				return err
 			}
-			fmt.Fprintln(command.OutOrStdout(), "settings are good")
-			return nil
+			return sayGood(command)
 		},
 	})
 	root.AddCommand(recoverCommand(&path))
@@ -80,6 +79,12 @@
 	return root
 }
 
+// sayGood tells the operator that a settings file has no mistake.
+func sayGood(command *cobra.Command) error {
+	_, err := fmt.Fprintln(command.OutOrStdout(), "settings are good")
+	return err
+}
+
 // serve runs the process until SIGTERM or an interrupt asks it to stop. A
 // second signal, or the drain time of the settings, ends its patience.
 func serve(path string) error {
