--- a/coordination/engineorders/issuer.go
+++ b/coordination/engineorders/issuer.go
@@ -1,7 +1,6 @@
 package engineorders
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -199,7 +198,7 @@
 		f.askedAt = now - i.timing.Resend + i.timing.ReadEvery
 	case reply.Verdict != Passed:
 		// Asked again after Resend, of whoever is the owner then.
-	case !reply.ReadOnly && refused(reply.Status):
+	case !reply.ReadOnly && upstreamapi.IsRefusal(reply.Status):
 		f.ending = EngineRefused
 		i.misses[reply.Upstream] = now
 	case reply.State != nil:
@@ -214,7 +213,7 @@
 	f.read = true
 	f.state = reply.State
 	switch {
-	case reply.State.Fence > order.Fence || !reply.ReadOnly && reply.Status == http.StatusConflict:
+	case reply.State.Fence > order.Fence || !reply.ReadOnly && upstreamapi.IsConflict(reply.Status):
 		f.ending = Overtaken
 		i.misses[reply.Upstream] = now
 	case reply.State.Fence == order.Fence && shows(order.Intent, reply.State):
@@ -240,15 +239,6 @@
 	return now-since >= min(wait, i.timing.MaxBackOff)
 }
 
-// refused says whether an engine's answer is a refusal. A conflict is not: it
-// is about the number, and the state read back tells whose order won. Nor is
-// an overload, which passes.
-func refused(status int) bool {
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
-		status != http.StatusConflict && status != http.StatusTooManyRequests ||
-		status == http.StatusNotImplemented
-}
-
 // shows says whether a state is what an intent asks for.
 func shows(intent Intent, state *upstreamapi.EngineState) bool {
 	held := slices.IndexFunc(state.Models, func(m upstreamapi.LoadedModel) bool { return m.Model == intent.Model })
--- a/coordination/engineorders/world_test.go
+++ b/coordination/engineorders/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"testing"
 	"time"
 
@@ -138,9 +137,9 @@
 	}
 	order := upstreamapi.EngineOrder{Fence: ask.Fence, Action: ask.Intent.Action, Model: ask.Intent.Model, Version: ask.Intent.Version, Role: ask.Intent.Role}
 	if w.engine.Order(w.now, order) == engine.OrderFenced {
-		return http.StatusConflict
+		return upstreamapi.StatusConflict
 	}
-	return http.StatusAccepted
+	return upstreamapi.StatusTaken
 }
 
 // version is what the engine holds of the model.
--- a/coordination/node/nodetest/engineorder.go
+++ b/coordination/node/nodetest/engineorder.go
@@ -1,8 +1,6 @@
 package nodetest
 
 import (
-	"net/http"
-
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/node"
 	"endiveplank/protocol"
@@ -43,9 +41,9 @@
 		return 0
 	}
 	if e.ChecksFence && ask.Fence < e.Held.Fence {
-		return http.StatusConflict
+		return upstreamapi.StatusConflict
 	}
 	e.Held.Fence = ask.Fence
 	e.Held.Models = []upstreamapi.LoadedModel{{Model: ask.Intent.Model, Version: ask.Intent.Version, Ready: true}}
-	return http.StatusAccepted
+	return upstreamapi.StatusTaken
 }
