--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -1,11 +1,8 @@
 package control
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
@@ -43,29 +40,6 @@
 	forgetAfter = 60 * time.Second
 )
 
-// source is a disk VM as a follower sees it.
-type source struct {
-	// roster is the digest of its newest roster, which lists so many upstreams.
-	// merged is the digest of its last whole list, and listed the upstreams in
-	// that.
-	upstreams int
-	roster    uint64
-	merged    uint64
-	listed    []protocol.UpstreamID
-	fleet     uint64
-	version   uint64
-	routers   []protocol.RouterID
-	diskVMs   []protocol.RouterID
-	asked     time.Duration
-	heard     time.Duration
-	named     time.Duration
-	// differs says that its roster isn't the own, and since when.
-	differs      bool
-	differsSince time.Duration
-	everHeard    bool
-	lost         bool
-}
-
 // Belief is a change of what a follower believes, for the log.
 type Belief struct {
 	// What is one of the Belief constants.
@@ -128,30 +102,6 @@
 	return f
 }
 
-// SetSeeds replaces the disk VMs that the settings name.
-func (f *Follower) SetSeeds(now time.Duration, seeds []protocol.RouterID) {
-	f.seeds = slices.Clone(seeds)
-	for _, id := range seeds {
-		f.Name(now, id)
-	}
-}
-
-// Name notes that a disk VM is said to exist.
-func (f *Follower) Name(now time.Duration, id protocol.RouterID) {
-	if id == f.self {
-		return
-	}
-	known := f.sources[id]
-	if known == nil {
-		known = &source{asked: now - WatchInterval}
-		f.sources[id] = known
-	}
-	known.named = now
-}
-
-// InForce returns the table in force, nil if none is known.
-func (f *Follower) InForce() *document.Document { return f.inForce }
-
 // Beliefs returns what changed since the last call.
 func (f *Follower) Beliefs() []Belief {
 	beliefs := f.beliefs
@@ -159,39 +109,6 @@
 	return beliefs
 }
 
-// InTouch returns how many disk VMs answered lately.
-func (f *Follower) InTouch(now time.Duration) int {
-	count := 0
-	for _, s := range f.sources {
-		if s.everHeard && now-s.heard < lostAfter {
-			count++
-		}
-	}
-	return count
-}
-
-// Routers returns the routers that any disk VM in touch has named.
-func (f *Follower) Routers(now time.Duration) []protocol.RouterID {
-	var all []protocol.RouterID
-	for _, s := range f.sources {
-		if s.everHeard && now-s.heard < lostAfter {
-			all = append(all, s.routers...)
-		}
-	}
-	sortRouters(all)
-	return slices.Compact(all)
-}
-
-// DiskVMs returns the disk VMs that are asked, by name.
-func (f *Follower) DiskVMs() []protocol.RouterID {
-	var ids []protocol.RouterID
-	for id := range f.sources {
-		ids = append(ids, id)
-	}
-	sortRouters(ids)
-	return ids
-}
-
 // Tick returns the watches that are due.
 func (f *Follower) Tick(now time.Duration) []Send {
 	f.forget(now)
@@ -207,100 +124,6 @@
 	return append(sends, f.pull(now)...)
 }
 
-// askNeighbour asks another router for the table, another one each time.
-//
-// Load: half of the routers, or all, start at once, and the disk VMs' links take
-// a second and more to send a table to each. Harm prevented: each router refuses
-// its callers until its turn comes. Routers have links several times as fast,
-// and each that has the table can send it on.
-func (f *Follower) askNeighbour(now time.Duration) []Send {
-	if f.relay == nil || f.inForce != nil || len(f.relay.others) == 0 || now-f.neighbourAsked < neighbourInterval {
-		return nil
-	}
-	f.neighbourAsked = now
-	f.neighbours++
-	others := f.relay.others
-	at := (f.relay.position + f.neighbours*neighbourStride) % len(others)
-	return []Send{{To: others[at], Body: Watch{Router: true, WantDocument: true}}}
-}
-
-// neighbourStride spreads the routers asked by one over the list, so that routers
-// next to each other in it don't all ask the same.
-const neighbourStride = 7
-
-// Asked answers another router's wish for the table, if there is a newer one
-// here. It goes out as the relay's link has room.
-func (f *Follower) Asked(from protocol.RouterID, w Watch) {
-	if f.relay == nil || f.inForce == nil || !w.WantDocument || w.Version >= f.inForce.Version {
-		return
-	}
-	if f.whole.Result != f.inForce.Digest {
-		f.whole = document.MakeChange(nil, f.inForce)
-	}
-	f.relay.send(from, f.whole)
-}
-
-// askList asks one disk VM for its whole list where that has differed from the own
-// for a moment: changes were missed, or this process or that VM has just started.
-//
-// Load: all routers start at once, and each knows nothing. Harm prevented: five
-// lists of three kilobytes for each of 87 routers, again with each watch until
-// one gets through, on links that are full for it. A list that was merged before
-// isn't asked for again: a VM that was cut off or has just started lists less
-// than the others for a while.
-func (f *Follower) askList(now time.Duration) []Send {
-	if f.everAsked && now-f.listAsked < listPatience {
-		return nil
-	}
-	id := f.richest(now, !f.KnowsMost(now))
-	if id == "" {
-		return nil
-	}
-	f.listAsked = now
-	f.everAsked = true
-	ask := f.watch(now, id)
-	w := ask.Body.(Watch)
-	w.WantList = true
-	ask.Body = w
-	return []Send{ask}
-}
-
-// richest returns the disk VM that lists the most upstreams, of those whose list
-// has differed for long enough and isn't known here, "" if there is none. Among
-// equals the preferred one goes first.
-func (f *Follower) richest(now time.Duration, atOnce bool) protocol.RouterID {
-	best := protocol.RouterID("")
-	for _, id := range f.byPreference() {
-		s := f.sources[id]
-		inTouch := s.everHeard && now-s.heard < lostAfter
-		ripe := s.differs && (atOnce || now-s.differsSince >= listAfter)
-		if !inTouch || !ripe || s.roster == s.merged {
-			continue
-		}
-		if best == "" || s.upstreams > f.sources[best].upstreams {
-			best = id
-		}
-	}
-	return best
-}
-
-// mostShare is the share of the upstreams that any disk VM lists from which a
-// router may send work: with fewer, those that it knows would get the work of
-// all, from every router that has just started.
-const mostShare = 0.8
-
-// KnowsMost reports whether the own roster has most of the upstreams that any
-// disk VM in touch lists.
-func (f *Follower) KnowsMost(now time.Duration) bool {
-	most := 0
-	for _, s := range f.sources {
-		if s.everHeard && now-s.heard < lostAfter {
-			most = max(most, s.upstreams)
-		}
-	}
-	return float64(f.roster.Usable()) >= mostShare*float64(most)
-}
-
 // interval is how long to wait between two watches of a disk VM. One whose roster
 // differs is asked sooner: either the difference was on its way, or its list is
 // needed.
@@ -324,85 +147,6 @@
 	return Send{To: id, Body: w}
 }
 
-// pull asks one disk VM for the newest table, if a newer one than the own is
-// known and nobody was asked a moment ago.
-func (f *Follower) pull(now time.Duration) []Send {
-	if !f.router || f.pulling && now-f.pulledAt < documentPatience || f.relayed(now) {
-		return nil
-	}
-	from := f.best(now)
-	if from == "" {
-		f.pulling = false
-		return nil
-	}
-	f.pulling = true
-	f.pulledFrom = from
-	f.pulledAt = now
-	ask := f.watch(now, from)
-	w := ask.Body.(Watch)
-	w.WantDocument = true
-	ask.Body = w
-	return []Send{ask}
-}
-
-// SetRelay makes large tables go from router to router.
-func (f *Follower) SetRelay(r *Relay) { f.relay = r }
-
-// relayed reports whether another router will pass the newest table on to this
-// one. A router without a table starts anew and asks a disk VM.
-func (f *Follower) relayed(now time.Duration) bool {
-	return f.relay != nil && f.relay.waits && f.inForce != nil && f.newest > f.version() &&
-		f.newestBytes >= largeChange && now-f.newestAt < relayPatience
-}
-
-// best returns the disk VM to ask for a table, "" for none now. Each router
-// prefers another VM; if all asked the one that told them first, the leader's
-// link would be full, and it would be missed by the others.
-func (f *Follower) best(now time.Duration) protocol.RouterID {
-	var preferred, having protocol.RouterID
-	for _, id := range f.byPreference() {
-		s := f.sources[id]
-		if now-s.heard >= lostAfter || !s.everHeard {
-			continue
-		}
-		if f.pulling && id == f.pulledFrom {
-			continue
-		}
-		if preferred == "" {
-			preferred = id
-		}
-		if having == "" && s.version > f.version() {
-			having = id
-		}
-	}
-	if having == preferred || now-f.newestAt >= preferredPatience {
-		return having
-	}
-	return ""
-}
-
-// version is that of the table in force, 0 for none.
-func (f *Follower) version() uint64 {
-	if f.inForce == nil {
-		return 0
-	}
-	return f.inForce.Version
-}
-
-// byPreference returns the disk VMs in this router's own order. Routers that know
-// their place among all share the VMs evenly; others by chance of their names.
-func (f *Follower) byPreference() []protocol.RouterID {
-	ids := f.DiskVMs()
-	if len(ids) == 0 {
-		return nil
-	}
-	first := int(xxhash.Sum64String(string(f.self)) % uint64(len(ids)))
-	if f.relay != nil && len(f.relay.others) > 0 {
-		first = f.relay.position % len(ids)
-	}
-	return slices.Concat(ids[first:], ids[:first])
-}
-
 // TakeNews takes a disk VM's News.
 func (f *Follower) TakeNews(now time.Duration, from protocol.RouterID, n News) []Send {
 	s := f.heardFrom(now, from)
@@ -423,128 +167,3 @@
 	}
 	return append(f.askList(now), f.pull(now)...)
 }
-
-// agree compares a disk VM's roster with the own. For a router, what a disk VM
-// lists lives.
-//
-// Failure: an upstream is gone for good without a word. The disk VMs forget it
-// for its silence, which they can't tell others as a fact: a VM that is cut off
-// hears silence from all. So a router forgets what no disk VM lists any more.
-func (f *Follower) agree(now time.Duration, s *source) {
-	same := s.roster == f.roster.Digest()
-	if !same && !s.differs {
-		s.differsSince = now
-	}
-	s.differs = !same
-	if !f.router {
-		return
-	}
-	if same {
-		f.roster.AllListed(now)
-	} else if s.roster == s.merged {
-		f.roster.Listed(now, s.listed)
-	}
-}
-
-// takeFleet takes a disk VM's list of processes. One that can't be read leaves
-// the last one in place; the VM sends it again.
-func (f *Follower) takeFleet(s *source, from protocol.RouterID, fleet Fleet) {
-	diskVMs, routers, err := fleet.unpack()
-	if err != nil {
-		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
-		return
-	}
-	s.fleet = fleet.Digest
-	s.routers = routers
-	s.diskVMs = diskVMs
-}
-
-// TakeChanges merges what a disk VM was just told.
-func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) []Send {
-	f.heardFrom(now, from)
-	for _, e := range c.Entries {
-		f.roster.Merge(now, e)
-	}
-	return []Send{{To: from, Body: ChangesAck{Number: c.Number}}}
-}
-
-// TakeList merges a disk VM's whole list. One that can't be read changes nothing.
-func (f *Follower) TakeList(now time.Duration, from protocol.RouterID, l List) {
-	s := f.heardFrom(now, from)
-	entries, err := l.unpack()
-	if err != nil {
-		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
-		return
-	}
-	s.roster, s.merged = l.Digest, l.Digest
-	s.listed = nil
-	for _, e := range entries {
-		f.roster.Merge(now, e)
-		if e.State != roster.Gone {
-			s.listed = append(s.listed, e.ID)
-		}
-	}
-	f.agree(now, s)
-}
-
-// TakeDocument takes a table, from a disk VM or a router. accept says whether the router can use it; one
-// that it can't is not asked for again. It reports whether a newer table is in
-// force.
-func (f *Follower) TakeDocument(now time.Duration, from protocol.RouterID, d Document, accept func(*document.Document) error) ([]Send, bool) {
-	if f.sources[from] != nil {
-		f.heardFrom(now, from)
-	}
-	if f.inForce != nil && d.Change.Version <= f.inForce.Version {
-		return nil, false
-	}
-	next, err := d.Change.Apply(f.inForce)
-	if err != nil {
-		f.pulling = false
-		return f.pull(now), false
-	}
-	if err := accept(next); err != nil {
-		f.beliefs = append(f.beliefs, Belief{What: BeliefRefused, About: from, Version: next.Version})
-		return nil, false
-	}
-	f.inForce = next
-	f.pulling = false
-	if f.relay != nil {
-		f.relay.Accepted(d.Change)
-	}
-	f.beliefs = append(f.beliefs, Belief{What: BeliefTable, About: from, Version: next.Version})
-	return f.pull(now), true
-}
-
-// heardFrom notes that a disk VM answered.
-func (f *Follower) heardFrom(now time.Duration, id protocol.RouterID) *source {
-	f.Name(now, id)
-	s := f.sources[id]
-	if s.lost || !s.everHeard {
-		f.beliefs = append(f.beliefs, Belief{What: BeliefRegained, About: id, Age: now - s.heard})
-	}
-	s.lost = false
-	s.everHeard = true
-	s.heard = now
-	return s
-}
-
-// noteLost tells of disk VMs that have fallen silent.
-func (f *Follower) noteLost(now time.Duration) {
-	for _, id := range f.DiskVMs() {
-		s := f.sources[id]
-		if s.everHeard && !s.lost && now-s.heard >= lostAfter {
-			s.lost = true
-			f.beliefs = append(f.beliefs, Belief{What: BeliefLost, About: id, Age: now - s.heard})
-		}
-	}
-}
-
-// forget drops disk VMs that neither answer nor are named.
-func (f *Follower) forget(now time.Duration) {
-	for id, s := range f.sources {
-		silent := now-s.heard >= forgetAfter && now-s.named >= forgetAfter
-		if silent && !slices.Contains(f.seeds, id) {
-			delete(f.sources, id)
-		}
-	}
-}
--- /dev/null
+++ b/coordination/control/lists.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"time"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// askList asks one disk VM for its whole list where that has differed from the own
+// for a moment: changes were missed, or this process or that VM has just started.
+//
+// Load: all routers start at once, and each knows nothing. Harm prevented: five
+// lists of three kilobytes for each of 87 routers, again with each watch until
+// one gets through, on links that are full for it. A list that was merged before
+// isn't asked for again: a VM that was cut off or has just started lists less
+// than the others for a while.
+func (f *Follower) askList(now time.Duration) []Send {
+	if f.everAsked && now-f.listAsked < listPatience {
+		return nil
+	}
+	id := f.richest(now, !f.KnowsMost(now))
+	if id == "" {
+		return nil
+	}
+	f.listAsked = now
+	f.everAsked = true
+	ask := f.watch(now, id)
+	w := ask.Body.(Watch)
+	w.WantList = true
+	ask.Body = w
+	return []Send{ask}
+}
+
+// richest returns the disk VM that lists the most upstreams, of those whose list
+// has differed for long enough and isn't known here, "" if there is none. Among
+// equals the preferred one goes first.
+func (f *Follower) richest(now time.Duration, atOnce bool) protocol.RouterID {
+	best := protocol.RouterID("")
+	for _, id := range f.byPreference() {
+		s := f.sources[id]
+		inTouch := s.everHeard && now-s.heard < lostAfter
+		ripe := s.differs && (atOnce || now-s.differsSince >= listAfter)
+		if !inTouch || !ripe || s.roster == s.merged {
+			continue
+		}
+		if best == "" || s.upstreams > f.sources[best].upstreams {
+			best = id
+		}
+	}
+	return best
+}
+
+// mostShare is the share of the upstreams that any disk VM lists from which a
+// router may send work: with fewer, those that it knows would get the work of
+// all, from every router that has just started.
+const mostShare = 0.8
+
+// KnowsMost reports whether the own roster has most of the upstreams that any
+// disk VM in touch lists.
+func (f *Follower) KnowsMost(now time.Duration) bool {
+	most := 0
+	for _, s := range f.sources {
+		if s.everHeard && now-s.heard < lostAfter {
+			most = max(most, s.upstreams)
+		}
+	}
+	return float64(f.roster.Usable()) >= mostShare*float64(most)
+}
+
+// agree compares a disk VM's roster with the own. For a router, what a disk VM
+// lists lives.
+//
+// Failure: an upstream is gone for good without a word. The disk VMs forget it
+// for its silence, which they can't tell others as a fact: a VM that is cut off
+// hears silence from all. So a router forgets what no disk VM lists any more.
+func (f *Follower) agree(now time.Duration, s *source) {
+	same := s.roster == f.roster.Digest()
+	if !same && !s.differs {
+		s.differsSince = now
+	}
+	s.differs = !same
+	if !f.router {
+		return
+	}
+	if same {
+		f.roster.AllListed(now)
+	} else if s.roster == s.merged {
+		f.roster.Listed(now, s.listed)
+	}
+}
+
+// TakeChanges merges what a disk VM was just told.
+func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) []Send {
+	f.heardFrom(now, from)
+	for _, e := range c.Entries {
+		f.roster.Merge(now, e)
+	}
+	return []Send{{To: from, Body: ChangesAck{Number: c.Number}}}
+}
+
+// TakeList merges a disk VM's whole list. One that can't be read changes nothing.
+func (f *Follower) TakeList(now time.Duration, from protocol.RouterID, l List) {
+	s := f.heardFrom(now, from)
+	entries, err := l.unpack()
+	if err != nil {
+		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
+		return
+	}
+	s.roster, s.merged = l.Digest, l.Digest
+	s.listed = nil
+	for _, e := range entries {
+		f.roster.Merge(now, e)
+		if e.State != roster.Gone {
+			s.listed = append(s.listed, e.ID)
+		}
+	}
+	f.agree(now, s)
+}
--- /dev/null
+++ b/coordination/control/tables.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"time"
+
+	"endiveplank/coordination/document"
+	"endiveplank/protocol"
+)
+
+// InForce returns the table in force, nil if none is known.
+func (f *Follower) InForce() *document.Document { return f.inForce }
+
+// askNeighbour asks another router for the table, another one each time.
+//
+// Load: half of the routers, or all, start at once, and the disk VMs' links take
+// a second and more to send a table to each. Harm prevented: each router refuses
+// its callers until its turn comes. Routers have links several times as fast,
+// and each that has the table can send it on.
+func (f *Follower) askNeighbour(now time.Duration) []Send {
+	if f.relay == nil || f.inForce != nil || len(f.relay.others) == 0 || now-f.neighbourAsked < neighbourInterval {
+		return nil
+	}
+	f.neighbourAsked = now
+	f.neighbours++
+	others := f.relay.others
+	at := (f.relay.position + f.neighbours*neighbourStride) % len(others)
+	return []Send{{To: others[at], Body: Watch{Router: true, WantDocument: true}}}
+}
+
+// neighbourStride spreads the routers asked by one over the list, so that routers
+// next to each other in it don't all ask the same.
+const neighbourStride = 7
+
+// Asked answers another router's wish for the table, if there is a newer one
+// here. It goes out as the relay's link has room.
+func (f *Follower) Asked(from protocol.RouterID, w Watch) {
+	if f.relay == nil || f.inForce == nil || !w.WantDocument || w.Version >= f.inForce.Version {
+		return
+	}
+	if f.whole.Result != f.inForce.Digest {
+		f.whole = document.MakeChange(nil, f.inForce)
+	}
+	f.relay.send(from, f.whole)
+}
+
+// pull asks one disk VM for the newest table, if a newer one than the own is
+// known and nobody was asked a moment ago.
+func (f *Follower) pull(now time.Duration) []Send {
+	if !f.router || f.pulling && now-f.pulledAt < documentPatience || f.relayed(now) {
+		return nil
+	}
+	from := f.best(now)
+	if from == "" {
+		f.pulling = false
+		return nil
+	}
+	f.pulling = true
+	f.pulledFrom = from
+	f.pulledAt = now
+	ask := f.watch(now, from)
+	w := ask.Body.(Watch)
+	w.WantDocument = true
+	ask.Body = w
+	return []Send{ask}
+}
+
+// SetRelay makes large tables go from router to router.
+func (f *Follower) SetRelay(r *Relay) { f.relay = r }
+
+// relayed reports whether another router will pass the newest table on to this
+// one. A router without a table starts anew and asks a disk VM.
+func (f *Follower) relayed(now time.Duration) bool {
+	return f.relay != nil && f.relay.waits && f.inForce != nil && f.newest > f.version() &&
+		f.newestBytes >= largeChange && now-f.newestAt < relayPatience
+}
+
+// best returns the disk VM to ask for a table, "" for none now. Each router
+// prefers another VM; if all asked the one that told them first, the leader's
+// link would be full, and it would be missed by the others.
+func (f *Follower) best(now time.Duration) protocol.RouterID {
+	var preferred, having protocol.RouterID
+	for _, id := range f.byPreference() {
+		s := f.sources[id]
+		if now-s.heard >= lostAfter || !s.everHeard {
+			continue
+		}
+		if f.pulling && id == f.pulledFrom {
+			continue
+		}
+		if preferred == "" {
+			preferred = id
+		}
+		if having == "" && s.version > f.version() {
+			having = id
+		}
+	}
+	if having == preferred || now-f.newestAt >= preferredPatience {
+		return having
+	}
+	return ""
+}
+
+// version is that of the table in force, 0 for none.
+func (f *Follower) version() uint64 {
+	if f.inForce == nil {
+		return 0
+	}
+	return f.inForce.Version
+}
+
+// TakeDocument takes a table, from a disk VM or a router. accept says whether the
+// router can use it; one that it can't is not asked for again. It reports whether
+// a newer table is in force.
+func (f *Follower) TakeDocument(now time.Duration, from protocol.RouterID, d Document, accept func(*document.Document) error) ([]Send, bool) {
+	if f.sources[from] != nil {
+		f.heardFrom(now, from)
+	}
+	if f.inForce != nil && d.Change.Version <= f.inForce.Version {
+		return nil, false
+	}
+	next, err := d.Change.Apply(f.inForce)
+	if err != nil {
+		f.pulling = false
+		return f.pull(now), false
+	}
+	if err := accept(next); err != nil {
+		f.beliefs = append(f.beliefs, Belief{What: BeliefRefused, About: from, Version: next.Version})
+		return nil, false
+	}
+	f.inForce = next
+	f.pulling = false
+	if f.relay != nil {
+		f.relay.Accepted(d.Change)
+	}
+	f.beliefs = append(f.beliefs, Belief{What: BeliefTable, About: from, Version: next.Version})
+	return f.pull(now), true
+}
