--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -116,7 +116,7 @@
 	var sends []Send
 	for _, id := range f.DiskVMs() {
 		if now-f.sources[id].asked >= f.interval(f.sources[id]) {
-			sends = append(sends, f.watch(now, id))
+			sends = append(sends, f.watch(now, id, Watch{}))
 		}
 	}
 	sends = append(sends, f.askList(now)...)
@@ -135,11 +135,12 @@
 	return WatchInterval
 }
 
-// watch returns a Watch for one disk VM.
-func (f *Follower) watch(now time.Duration, id protocol.RouterID) Send {
+// watch returns a Watch for one disk VM, with what is wanted of it set.
+func (f *Follower) watch(now time.Duration, id protocol.RouterID, w Watch) Send {
 	s := f.sources[id]
 	s.asked = now
-	w := Watch{Router: f.router, Fleet: s.fleet}
+	w.Router = f.router
+	w.Fleet = s.fleet
 	if f.inForce != nil {
 		w.Version = f.inForce.Version
 		w.Digest = f.inForce.Digest
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -25,11 +25,7 @@
 	}
 	f.listAsked = now
 	f.everAsked = true
-	ask := f.watch(now, id)
-	w := ask.Body.(Watch)
-	w.WantList = true
-	ask.Body = w
-	return []Send{ask}
+	return []Send{f.watch(now, id, Watch{WantList: true})}
 }
 
 // richest returns the disk VM that lists the most upstreams, of those whose list
--- a/coordination/control/tables.go
+++ b/coordination/control/tables.go
@@ -57,11 +57,7 @@
 	f.pulling = true
 	f.pulledFrom = from
 	f.pulledAt = now
-	ask := f.watch(now, from)
-	w := ask.Body.(Watch)
-	w.WantDocument = true
-	ask.Body = w
-	return []Send{ask}
+	return []Send{f.watch(now, from, Watch{WantDocument: true})}
 }
 
 // SetRelay makes large tables go from router to router.
--- a/daemon/diskvm/upstreams.go
+++ b/daemon/diskvm/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"endiveplank/coordination/roster"
+	"endiveplank/daemon/loglines"
 	"endiveplank/protocol"
 )
 
@@ -36,6 +37,5 @@
 	if !known {
 		return
 	}
-	vm.log.Info().Str("event", "upstream").Str("upstream", string(id)).Stringer("state", e.State).
-		Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
+	loglines.Upstream(vm.log, e)
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -18,6 +18,7 @@
 	"endiveplank/coordination/routing"
 	"endiveplank/daemon/fabric"
 	"endiveplank/daemon/lateness"
+	"endiveplank/daemon/loglines"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/settings/direct"
@@ -241,8 +242,7 @@
 		return
 	}
 	for _, e := range changed {
-		r.log.Info().Str("event", "upstream").Str("upstream", string(e.ID)).Stringer("state", e.State).
-			Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
+		loglines.Upstream(r.log, e)
 	}
 }
 
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -74,15 +74,8 @@
 	faults := s.Faults()
 	faults.Leaving = true
 	s.SetFaults(faults)
-	target := host.Announcer{Targets: s.settings.Announce}
-	announcement, ok := s.announcement()
-	if ok {
-		target.Announce(ctx, announcement)
-	}
-	s.drain(ctx)
-	if ok {
-		target.Leave(ctx, upstreamapi.Leave{ID: s.settings.ID, Incarnation: announcement.Incarnation})
-	}
+	announcer := host.Announcer{Targets: s.settings.Announce, Build: s.announcement}
+	announcer.Depart(ctx, s.drain)
 	s.Close()
 }
 
--- a/standin/host/announcer.go
+++ b/standin/host/announcer.go
@@ -59,6 +59,19 @@
 	a.deliver(ctx, upstreamapi.LeavePath, leave)
 }
 
+// Depart ends an upstream gracefully: it announces that it is leaving, if there is
+// an announcement to make, lets drain end the work in hand, and says goodbye.
+func (a *Announcer) Depart(ctx context.Context, drain func(context.Context)) {
+	announcement, known := a.Build()
+	if known {
+		a.Announce(ctx, announcement)
+	}
+	drain(ctx)
+	if known {
+		a.Leave(ctx, upstreamapi.Leave{ID: announcement.ID, Incarnation: announcement.Incarnation})
+	}
+}
+
 // deliver posts a message to the first router that takes it.
 func (a *Announcer) deliver(ctx context.Context, path string, message any) {
 	for range a.Targets {
