--- /dev/null
+++ b/daemon/fabric/fabric_test.go
@@ -0,0 +1,106 @@
+package fabric
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/consensus"
+	"endiveplank/coordination/control"
+	"endiveplank/coordination/crashes"
+	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+	"endiveplank/protocol/wire"
+)
+
+// messages has one of each type that travels, with fields set that would be
+// missed.
+var messages = []any{
+	consensus.Message{Term: 3},
+	control.Watch{Router: true, Version: 7, WantList: true},
+	control.News{Version: 7, Roster: 1 << 63, Upstreams: 94},
+	control.Changes{Number: 2, Entries: []roster.Entry{{ID: "u1", Address: "10.0.0.1:80", State: roster.Draining, Sequence: 34}}},
+	control.ChangesAck{Number: 2},
+	control.List{Digest: 5, Packed: []byte{1, 2}},
+	control.Document{Change: document.MakeChange(nil, document.New(7, []byte("a table")))},
+	control.Heard{Upstreams: []roster.Heard{{ID: "u1", Sequence: 35, Content: 9}}},
+	control.Put{Call: 1},
+	control.PutReply{Call: 1},
+	control.Read{Call: 2},
+	control.ReadReply{Call: 2},
+	balance.Loads{Whole: true, Works: []balance.Work{{ID: 4, InFlight: 3, Served: 2, Failed: 1}}},
+	crashes.Crash{Digest: 1 << 63, Upstream: "u1", Attempt: 6},
+}
+
+func TestEachMessageArrivesAsItWasSent(t *testing.T) {
+	// Somebody adds a message and forgets one of the two tables of kinds: it is
+	// sent and refused, and what it tells is missing without an error.
+	kinds := map[wire.Kind]bool{}
+	for _, sent := range messages {
+		kind := kindOf(sent)
+		assert.Assert(t, !kinds[kind], "two messages share kind %s", kind)
+		kinds[kind] = true
+		got, err := decode(wire.Frame{Kind: kind, Payload: encode(sent)})
+		assert.NilError(t, err, "%T", sent)
+		assert.DeepEqual(t, got, sent)
+	}
+}
+
+func TestWhatIsNoMessageIsRefused(t *testing.T) {
+	for _, frame := range []wire.Frame{{Kind: 250}, {Kind: wire.KindNews, Payload: []byte("no news")}} {
+		_, err := decode(frame)
+		assert.Assert(t, err != nil, "%+v", frame)
+	}
+}
+
+// inbox keeps what arrives.
+type inbox chan any
+
+// Receive implements Receiver.
+func (i inbox) Receive(_ protocol.RouterID, body any) { i <- body }
+
+// join starts a process's fabric on loopback, and returns its name.
+func join(t *testing.T) (protocol.RouterID, *Fabric, inbox) {
+	t.Helper()
+	address := freeAddress(t)
+	received := make(inbox, len(messages))
+	f, err := New(Options{Self: protocol.RouterID(address), Listen: address, Incarnation: 1, Receiver: received, Log: zerolog.Nop()})
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	return protocol.RouterID(address), f, received
+}
+
+// freeAddress returns an address where nobody listens.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+func TestANameIsAllThatASenderNeeds(t *testing.T) {
+	// A router hears of a disk VM by its name alone, which is its address.
+	first, one, fromOther := join(t)
+	second, other, fromOne := join(t)
+	one.Send(second, control.ChangesAck{Number: 4})
+	assert.DeepEqual(t, await(t, fromOne), control.ChangesAck{Number: 4})
+	other.Send(first, control.ChangesAck{Number: 5})
+	assert.DeepEqual(t, await(t, fromOther), control.ChangesAck{Number: 5})
+}
+
+// await returns the next message.
+func await(t *testing.T, received inbox) any {
+	t.Helper()
+	select {
+	case body := <-received:
+		return body
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing arrived in 10 s")
+		return nil
+	}
+}
--- a/daemon/lateness/lateness.go
+++ b/daemon/lateness/lateness.go
@@ -43,8 +43,16 @@
 	ran := now.Sub(p.last)
 	passed := boot - p.lastBoot
 	p.last, p.lastBoot = now, boot
+	p.note(interval, ran, passed)
+}
+
+// note writes a line if the process was held up: it ran, or waited for its
+// processor, for some time since the tick before, while on the VM another time
+// passed.
+func (p *Pace) note(interval, ran, passed time.Duration) {
+	late := max(ran-interval, 0)
 	suspended := max(passed-ran, 0)
-	if late := ran - interval; late > tolerated || suspended > tolerated {
+	if late > tolerated || suspended > tolerated {
 		p.log.Warn().Str("event", "held-up").Int64("late_ms", late.Milliseconds()).Int64("suspended_ms", suspended.Milliseconds()).Send()
 	}
 }
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -21,39 +21,10 @@
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
-	"endiveplank/protocol/dialect"
+	"endiveplank/protocol/dialect/dialecttest"
 	"endiveplank/transport/exchange"
 )
 
-// plainDialect is a Dialect with headers of these tests' own.
-type plainDialect struct{}
-
-func (plainDialect) ReadCall(header http.Header) (dialect.Call, error) {
-	call := dialect.Call{ID: protocol.RequestID(header.Get("T-Id")), Key: header.Get("T-Key"), LastEvent: header.Get("T-Last")}
-	left, err := strconv.Atoi(header.Get("T-Left"))
-	if err == nil {
-		call.Left = time.Duration(left) * time.Millisecond
-	}
-	return call, nil
-}
-
-func (plainDialect) WriteAttempt(header http.Header, attempt dialect.Attempt) {
-	header.Del("T-Key")
-	header.Set("T-Upstream", string(attempt.Upstream))
-	header.Set("T-Customer", string(attempt.Customer))
-	header.Set("T-Left", strconv.FormatInt(attempt.Left.Milliseconds(), 10))
-	if attempt.LastEvent != "" {
-		header.Set("T-Last", attempt.LastEvent)
-	}
-}
-
-func (plainDialect) ReadAnswer(_ int, header http.Header) dialect.Answer {
-	return dialect.Answer{
-		ID: protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
-		Signed: header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
-	}
-}
-
 // fakeFleet sends attempts to its upstreams in order.
 type fakeFleet struct {
 	mu        sync.Mutex
@@ -150,7 +121,7 @@
 	for _, script := range upstreams {
 		r.addresses = append(r.addresses, startScript(t, script))
 	}
-	handler := New(Options{Fleet: r, Dialect: plainDialect{}, Pool: r.pool, Log: zerolog.Nop()})
+	handler := New(Options{Fleet: r, Dialect: dialecttest.Plain{}, Pool: r.pool, Log: zerolog.Nop()})
 	r.server = httptest.NewServer(handler)
 	t.Cleanup(func() {
 		r.server.Close()
