--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -121,7 +121,7 @@
 	}
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory.LimitMB) * (1 << 20)))
-	lines := loglines.New(os.Stdout, settings.Log.LinesPerSecond)
+	lines := loglines.New(os.Stdout, settings.Name, settings.Log.LinesPerSecond)
 	defer lines.Close(logPatience)
 	log := newDirectLogger(settings, lines)
 	running, err := start(logs{log: log, requests: newDirectLogger(settings, lines.Ordinary())}, settings, newRandom())
--- a/daemon/loglines/loglines.go
+++ b/daemon/loglines/loglines.go
@@ -15,7 +15,7 @@
 package loglines
 
 import (
-	"fmt"
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -34,6 +34,7 @@
 // Writer is where a logger writes. It is safe for concurrent use.
 type Writer struct {
 	out       io.Writer
+	node      string
 	perSecond int
 	now       func() time.Time
 	queue     chan []byte
@@ -48,9 +49,9 @@
 	closed  bool
 }
 
-// New starts a writer with a budget of lines a second.
-func New(out io.Writer, perSecond int) *Writer {
-	w := &Writer{out: out, perSecond: perSecond, now: time.Now, queue: make(chan []byte, queueLines), done: make(chan struct{})}
+// New starts a writer for a process's lines with a budget of lines a second.
+func New(out io.Writer, node string, perSecond int) *Writer {
+	w := &Writer{out: out, node: node, perSecond: perSecond, now: time.Now, queue: make(chan []byte, queueLines), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -87,8 +88,7 @@
 		return len(line), nil
 	}
 	if w.dropped > 0 && w.noted != w.second {
-		note := fmt.Appendf(nil, `{"level":"warn","event":"log-lines-dropped","count":%d}`+"\n", w.dropped)
-		if w.offer(note) {
+		if w.offer(w.note()) {
 			w.noted = w.second
 			w.dropped = 0
 		}
@@ -99,6 +99,15 @@
 	return len(line), nil
 }
 
+// note returns the line that says how many lines are missing.
+func (w *Writer) note() []byte {
+	var line bytes.Buffer
+	log := zerolog.New(&line)
+	log.Warn().Str("node", w.node).Str("event", "log-lines-dropped").Uint64("count", w.dropped).
+		Time(zerolog.TimestampFieldName, w.now()).Send()
+	return line.Bytes()
+}
+
 // withinBudget counts a line against the budget of the second.
 func (w *Writer) withinBudget(budget int) bool {
 	if second := w.now().Unix(); second != w.second {
--- a/daemon/loglines/loglines_test.go
+++ b/daemon/loglines/loglines_test.go
@@ -44,7 +44,7 @@
 	// Whoever reads the log has stopped, and the pipe is full. A router that
 	// waited for it would stop answering its callers.
 	s := &sink{stopped: make(chan struct{})}
-	w := New(s, 1_000_000)
+	w := New(s, "r1", 1_000_000)
 	done := make(chan struct{})
 	go func() {
 		for i := range 10 * queueLines {
@@ -68,7 +68,7 @@
 	// A day's busiest second: every request writes a line, and the few that
 	// failed must be among those that are kept.
 	s := &sink{}
-	w := New(s, 100)
+	w := New(s, "r1", 100)
 	second := int64(5)
 	at(w, &second)
 	requests := w.Ordinary()
@@ -84,8 +84,13 @@
 	count := map[string]int{}
 	dropped := 0
 	for _, line := range s.lines() {
-		var note struct{ Count int }
+		var note struct {
+			Count      int
+			Node, Time string
+		}
 		if json.Unmarshal([]byte(line), &note) == nil {
+			assert.Equal(t, note.Node, "r1", "who reads several logs has to know whose lines are missing")
+			assert.Assert(t, note.Time != "")
 			dropped += note.Count
 			line = "dropped"
 		}
