A planned stop leaves idle connections to their callers until the balancer knows

A router got SIGTERM; the server closed its idle connections at once, and a caller's next request was on its way over one of them. The router even sent it on: 8 ms after the signal. Ruled out: the end of the grace (2.5 s away), the upstream (a second one of the same millisecond was served). Change: while the stop waits to be seen, connections are ended only behind an answer, by Connection: close. Idle ones are closed when no callers are sent any more. Before: the new test red, unexpected EOF.

--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -59,6 +59,8 @@
 	table   atomic.Pointer[routing.Index]
 	servers servers
 	metrics *instruments
+	// leaving says that a planned stop has begun.
+	leaving atomic.Bool
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -80,7 +82,6 @@
 	swept     time.Duration
 	// unlistedSince is when disk VMs were last all out of touch.
 	unlistedSince time.Duration
-	stopping      bool
 	// knewEnough says that the router has known the table and most upstreams.
 	knewEnough  bool
 	quit        chan struct{}
@@ -322,7 +323,7 @@
 // serves on by the last that it knows. The lock is held.
 func (r *Router) ready() bool {
 	r.knewEnough = r.knewEnough || r.knowsEnough()
-	return r.knewEnough && !r.stopping
+	return r.knewEnough && !r.leaving.Load()
 }
 
 // Reload takes changed settings: seeds.
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -235,3 +236,38 @@
 	assert.Equal(t, <-answers, "done")
 	assert.Assert(t, <-stopped)
 }
+
+func TestAnIdleConnectionMayStillBeUsedWhenAStopBegins(t *testing.T) {
+	// A caller keeps a connection open between its requests. A planned stop begins
+	// and closes idle connections; in the same moment the caller's next request is
+	// on its way. It gets neither an answer nor a refusal, though nothing failed.
+	r, diskAddress := newRig(t, 2*time.Second)
+	released, taken := make(chan struct{}), make(chan struct{}, 10)
+	close(released)
+	startDiskVM(t, diskAddress, startUpstream(t, released, taken))
+	r.eventually("the router is ready", r.ready)
+	connection, err := net.Dial("tcp", r.settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	answers := bufio.NewReader(connection)
+	assert.Assert(t, !askOver(t, connection, answers).Close, "the connection is kept before the stop")
+
+	stopped := make(chan bool, 1)
+	go func() { stopped <- r.router.Stop() }()
+	r.eventually("the router says that it isn't ready", func() bool { return !r.ready() })
+	assert.Assert(t, askOver(t, connection, answers).Close, "the caller has to open another one elsewhere")
+	assert.Assert(t, <-stopped)
+}
+
+// askOver sends a request over a connection and returns the whole answer.
+func askOver(t *testing.T, connection net.Conn, answers *bufio.Reader) *http.Response {
+	t.Helper()
+	_, err := io.WriteString(connection, "GET /x HTTP/1.1\r\nHost: h\r\nT-Id: 7\r\n\r\n")
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(answers, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "done")
+	return answer
+}
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -35,7 +35,7 @@
 func (r *Router) serve() error {
 	listen := r.options.Settings.Listen
 	r.servers.callers = &http.Server{
-		Handler: r.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(r.answerCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	r.servers.readiness = &http.Server{Handler: http.HandlerFunc(r.answerReadiness), ReadHeaderTimeout: headerTimeout}
 	if err := r.start(r.servers.callers, listen.Callers); err != nil {
@@ -65,6 +65,20 @@
 	return nil
 }
 
+// answerCaller takes a caller's request. While the router stops, each answer ends
+// its connection, so that callers open the next one elsewhere.
+//
+// Failure: idle connections are closed when the stop begins, and a caller's next
+// request is on its way over one of them. It shows as a connection that ends
+// without an answer, with nothing else wrong. The guard holds because connections
+// are closed only behind an answer until the balancer has taken the router out.
+func (r *Router) answerCaller(w http.ResponseWriter, request *http.Request) {
+	if r.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r.handler.ServeHTTP(w, request)
+}
+
 // answerReadiness tells the balancer whether to send callers here.
 func (r *Router) answerReadiness(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
@@ -89,13 +103,11 @@
 // before the end of the grace. It reports whether all answers went out.
 func (r *Router) Stop() bool {
 	began := time.Now()
+	r.leaving.Store(true)
 	r.mu.Lock()
-	r.stopping = true
 	stop := r.settings.Stop
 	r.mu.Unlock()
 	r.log.Info().Str("event", "stopping").Int("active", r.handler.Active()).Send()
-	// Callers learn with their next answer to open another connection.
-	r.servers.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(stop.Unready())
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(stop.Grace()-cutBefore))
 	defer cancel()
