--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -18,6 +18,7 @@
 	"endiveplank/coordination/routing"
 	"endiveplank/daemon/fabric"
 	"endiveplank/daemon/lateness"
+	"endiveplank/daemon/loglines"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/settings/direct"
@@ -58,6 +59,8 @@
 	table   atomic.Pointer[routing.Index]
 	servers servers
 	metrics *instruments
+	// leaving says that a planned stop has begun.
+	leaving atomic.Bool
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -79,7 +82,6 @@
 	swept     time.Duration
 	// unlistedSince is when disk VMs were last all out of touch.
 	unlistedSince time.Duration
-	stopping      bool
 	// knewEnough says that the router has known the table and most upstreams.
 	knewEnough  bool
 	quit        chan struct{}
@@ -160,6 +162,7 @@
 		r.log.Info().Str("event", "router-silent").Str("router", string(id)).Msg("its work no longer counts")
 	}
 	r.takeRoster()
+	r.logJudgements(now)
 	if now-r.swept >= sweepInterval {
 		r.swept = now
 		r.forgetUnlisted(now)
@@ -240,8 +243,7 @@
 		return
 	}
 	for _, e := range changed {
-		r.log.Info().Str("event", "upstream").Str("upstream", string(e.ID)).Stringer("state", e.State).
-			Str("service", string(e.Service)).Str("address", e.Address).Int64("born", e.Born).Uint64("sequence", e.Sequence).Send()
+		loglines.Upstream(r.log, e)
 	}
 }
 
@@ -303,12 +305,25 @@
 	}
 }
 
+// logJudgements writes a line for each upstream that is avoided for its outcomes
+// from now on, or no longer.
+func (r *Router) logJudgements(now time.Duration) {
+	for _, j := range r.book.Judgements(now) {
+		line, event := r.log.Info(), "upstream-trusted"
+		if j.Avoided {
+			line, event = r.log.Warn(), "upstream-avoided"
+		}
+		line.Str("event", event).Str("upstream", string(j.ID)).Float64("failed", j.Failed).Float64("served", j.Served).
+			Int64("alone_ms", j.Alone.Milliseconds()).Send()
+	}
+}
+
 // ready reports whether the balancer should send callers: the router knows where
 // they may go. Once it does it stays ready, whatever the disk VMs say later: it
 // serves on by the last that it knows. The lock is held.
 func (r *Router) ready() bool {
 	r.knewEnough = r.knewEnough || r.knowsEnough()
-	return r.knewEnough && !r.stopping
+	return r.knewEnough && !r.leaving.Load()
 }
 
 // Reload takes changed settings: seeds.
