Disk VMs tell each other only of upstreams that announce themselves to them

Proofs of life were shared twice a second and passed on by each VM that was told: five VMs sent each proof twenty times. And each change of the list cost a digest over all of it. Ruled out: the upstreams' own calls (a thousand a second over five VMs are 120 KB/s in). Change: a VM shares what it heard itself, every 8 s against the 30 s after which an upstream is forgotten; the digest is kept up with each change. An empty list keeps a digest other than 0, which a failing test of restarts asked for.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -86,7 +86,11 @@
 // record is an entry with what this process alone knows of it.
 type record struct {
 	Entry
-	heard time.Duration
+	// heard is when anything was last heard of it, announced when it last
+	// announced itself here, if ever.
+	heard         time.Duration
+	announced     time.Duration
+	everAnnounced bool
 	// revision is the value of Roster.revision at the last change that matters
 	// to routers.
 	revision uint64
@@ -117,20 +121,24 @@
 	// holder is the upstream that is at an address.
 	holder   map[string]protocol.UpstreamID
 	revision uint64
-	// digest is that of the upstreams in use at digestOf; 0 if it has to be
-	// computed.
-	digest   uint64
-	digestOf uint64
-	// usable counts the upstreams that haven't left, as of digestOf.
+	// digest is that of the upstreams that haven't left, and usable their number.
+	// Both are kept up with each change: a thousand upstreams that announce
+	// themselves to a disk VM that has just started are a thousand changes.
+	digest uint64
 	usable int
 }
 
+// emptyDigest is the digest of a roster without upstreams. It isn't 0, which to a
+// follower means that it has no list yet.
+const emptyDigest = 1
+
 // New returns an empty roster.
 func New(settings Settings) *Roster {
 	return &Roster{
 		settings: settings,
 		records:  map[protocol.UpstreamID]*record{},
 		holder:   map[string]protocol.UpstreamID{},
+		digest:   emptyDigest,
 	}
 }
 
@@ -142,26 +150,25 @@
 
 // Digest tells rosters apart that routers would use differently. Upstreams that
 // have left don't count, as they are forgotten at different times.
-func (r *Roster) Digest() uint64 {
-	if r.digest != 0 && r.digestOf == r.revision {
-		return r.digest
-	}
-	sum := uint64(1)
-	r.usable = 0
-	for _, known := range r.records {
-		if known.State != Gone {
-			sum += entryDigest(known.Entry)
-			r.usable++
-		}
+func (r *Roster) Digest() uint64 { return r.digest }
+
+// Usable counts the upstreams that haven't left.
+func (r *Roster) Usable() int { return r.usable }
+
+// include counts an entry that hasn't left.
+func (r *Roster) include(e Entry) {
+	if e.State == Ready || e.State == Draining {
+		r.digest += entryDigest(e)
+		r.usable++
 	}
-	r.digest, r.digestOf = sum, r.revision
-	return sum
 }
 
-// Usable counts the upstreams that haven't left.
-func (r *Roster) Usable() int {
-	r.Digest()
-	return r.usable
+// exclude takes an entry back that was counted.
+func (r *Roster) exclude(e Entry) {
+	if e.State == Ready || e.State == Draining {
+		r.digest -= entryDigest(e)
+		r.usable--
+	}
 }
 
 // entryDigest covers what matters to routers in an entry, as sameToRouters.
@@ -169,6 +176,17 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s\n%s\n%s\n%s\n%s\n%d %d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Build, e.Slots, e.Born, e.State))
 }
 
+// Announced takes an upstream's own announcement. It reports whether anything
+// changed that matters to routers.
+func (r *Roster) Announced(now time.Duration, e Entry) bool {
+	changed := r.Merge(now, e)
+	if known := r.records[e.ID]; known != nil && known.Born == e.Born && known.Sequence == e.Sequence {
+		known.announced = now
+		known.everAnnounced = true
+	}
+	return changed
+}
+
 // Merge takes an announcement or another VM's entry. It reports whether
 // anything changed that matters to routers.
 func (r *Roster) Merge(now time.Duration, e Entry) bool {
@@ -195,6 +213,10 @@
 		known = &record{}
 		r.records[e.ID] = known
 	}
+	if changed {
+		r.exclude(known.Entry)
+		r.include(e)
+	}
 	known.Entry = e
 	known.heard = now
 	if changed {
@@ -215,6 +237,7 @@
 	if before == nil || before.ID == e.ID || before.State == Gone || before.Address != e.Address {
 		return
 	}
+	r.exclude(before.Entry)
 	before.State = Gone
 	r.revision++
 	before.revision = r.revision
@@ -290,11 +313,14 @@
 	}
 }
 
-// HeardSince returns what was heard after a time.
-func (r *Roster) HeardSince(since time.Duration) []Heard {
+// AnnouncedSince returns the upstreams that announced themselves here after a
+// time, and not those that other VMs have told of: each VM tells all others, and
+// if they passed on what they were told, a fleet of five would send each proof
+// twenty times in place of four.
+func (r *Roster) AnnouncedSince(since time.Duration) []Heard {
 	var heard []Heard
 	for _, known := range r.records {
-		if known.heard > since && known.State != Gone {
+		if known.everAnnounced && known.announced > since && known.State != Gone {
 			heard = append(heard, heardOf(known.Entry))
 		}
 	}
@@ -335,14 +361,6 @@
 	return known.Entry, true
 }
 
-// Silence returns for how long an upstream has not announced itself.
-func (r *Roster) Silence(now time.Duration, id protocol.UpstreamID) time.Duration {
-	if known := r.records[id]; known != nil {
-		return now - known.heard
-	}
-	return 0
-}
-
 // Expire forgets what has left or been silent for long, and returns the
 // upstreams that are dropped for their silence. Their end isn't told to
 // others: each VM hears the silence by itself.
@@ -366,7 +384,7 @@
 }
 
 func (r *Roster) forget(id protocol.UpstreamID, known *record) {
-	r.digest = 0
+	r.exclude(known.Entry)
 	delete(r.records, id)
 	if r.holder[known.Address] == id {
 		delete(r.holder, known.Address)
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -105,10 +106,10 @@
 	}
 	draining := ready("1", "a", 100, 34)
 	draining.State = Draining
-	one.Merge(now, draining)
+	one.Announced(now, draining)
 	draining.Sequence = 35
-	one.Merge(now+1, draining)
-	for _, heard := range one.HeardSince(now) {
+	one.Announced(now+1, draining)
+	for _, heard := range one.AnnouncedSince(now) {
 		assert.Assert(t, !other.Refresh(now+2, heard), "the entry has to be asked for")
 	}
 	for _, e := range other.Entries() {
@@ -134,14 +135,14 @@
 			last = ready("1", "a"+string('1'+rune(random.IntN(2))), 100, sequence)
 			last.State = State(1 + random.IntN(2))
 			at++
-			vms[random.IntN(3)].Merge(at, last)
+			vms[random.IntN(3)].Announced(at, last)
 			for range random.IntN(4) {
 				from, to := vms[random.IntN(3)], vms[random.IntN(3)]
 				if random.IntN(3) == 0 {
 					mergeAll(at, to, from)
 					continue
 				}
-				for _, heard := range from.HeardSince(at - time.Duration(random.IntN(3))) {
+				for _, heard := range from.AnnouncedSince(at - time.Duration(random.IntN(3))) {
 					to.Refresh(at, heard)
 				}
 			}
@@ -198,6 +199,68 @@
 	assert.Equal(t, len(r.Entries()), 0)
 }
 
+func TestProofsOfLifeAreNotPassedOn(t *testing.T) {
+	// A thousand upstreams announce themselves, each to one of five disk VMs. If
+	// the VMs told each other what they were told, proofs of life alone would fill
+	// their links.
+	one, other := New(DefaultSettings()), New(DefaultSettings())
+	one.Announced(now, ready("1", "a", 100, 1))
+	mergeAll(now, other, one)
+	one.Announced(now+1, ready("1", "a", 100, 2))
+	proofs := one.AnnouncedSince(now)
+	assert.Equal(t, len(proofs), 1)
+	assert.Assert(t, other.Refresh(now+2, proofs[0]))
+	assert.Equal(t, len(other.AnnouncedSince(0)), 0)
+	assert.Equal(t, len(other.Expire(now+2+DefaultSettings().ForgetSilent-1)), 0, "it lives there too")
+}
+
+func TestAnEmptyListIsToldFromNone(t *testing.T) {
+	// The only upstream leaves right after a restart, before any VM follows the
+	// one that it told. The others have to ask for the list, though it is empty.
+	r := New(DefaultSettings())
+	r.Announced(now, ready("1", "a", 100, 1))
+	r.Leave(now, "u1", 0, 0)
+	assert.Assert(t, r.Digest() != 0)
+}
+
+func TestTheDigestIsThatOfWhatIsListed(t *testing.T) {
+	// Two VMs that list the same must have the same digest, whatever they heard
+	// before; else each asks the other for its list again and again.
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		r := New(DefaultSettings())
+		at := now
+		for range 60 {
+			at += time.Duration(random.IntN(3)) * time.Second
+			e := ready(string('1'+rune(random.IntN(4))), "a"+string('1'+rune(random.IntN(3))), int64(100+random.IntN(3)), uint64(random.IntN(20)))
+			e.State = State(1 + random.IntN(3))
+			r.Announced(at, e)
+			if random.IntN(5) == 0 {
+				r.Expire(at)
+			}
+			anew := New(DefaultSettings())
+			for _, listed := range r.Entries() {
+				anew.include(listed)
+			}
+			assert.Equal(t, r.Digest(), anew.Digest(), "seed %d", seed)
+			assert.Equal(t, r.Usable(), anew.Usable(), "seed %d", seed)
+		}
+	}
+}
+
+// BenchmarkManyStart is a disk VM that hears of a thousand upstreams for the first
+// time and compares its list with another's after each.
+func BenchmarkManyStart(b *testing.B) {
+	for b.Loop() {
+		r := New(DefaultSettings())
+		for i := range 1000 {
+			name := strconv.Itoa(i)
+			r.Announced(now, ready(name, "a"+name, 100, 1))
+			r.Digest()
+		}
+	}
+}
+
 func TestRefreshOfAnUnknownStartAsksForTheEntry(t *testing.T) {
 	r := New(DefaultSettings())
 	assert.Assert(t, !r.Refresh(now, Heard{ID: "u1", Born: 100, Sequence: 2}))
--- a/daemon/diskvm/upstreams.go
+++ b/daemon/diskvm/upstreams.go
@@ -11,7 +11,7 @@
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	now := vm.now()
-	if !vm.roster.Merge(now, e) {
+	if !vm.roster.Announced(now, e) {
 		return
 	}
 	vm.logUpstream(e.ID)
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -27,9 +27,10 @@
 	// how long changes of upstreams are gathered. A leaving upstream must get
 	// no more work after two seconds.
 	tickInterval = 50 * time.Millisecond
-	// shareInterval is how often disk VMs tell each other which upstreams they
-	// heard: half of the shortest interval between two announcements in use.
-	shareInterval = 500 * time.Millisecond
+	// shareInterval is how often disk VMs tell each other which upstreams announced
+	// themselves to them. An upstream is forgotten after 30 s without a word, so
+	// two proofs in a row may be lost. Changes go out at once and don't wait for it.
+	shareInterval = 8 * time.Second
 	// expireInterval is how often silent upstreams are looked for.
 	expireInterval = time.Second
 )
@@ -162,7 +163,7 @@
 
 // share tells the other disk VMs which upstreams were heard here.
 func (vm *VM) share(now time.Duration) {
-	heard := vm.roster.HeardSince(vm.shared)
+	heard := vm.roster.AnnouncedSince(vm.shared)
 	vm.shared = now
 	if len(heard) == 0 {
 		return
