A change of an upstream goes out once, and again ever later while links are full

Every push to a follower whose acknowledgement was late carried all that it was owed, and again each 300 ms: acknowledgements that wait behind full links made the links fuller. Ruled out: the lists (they are bounded to a part of the link). Change: a new change goes out alone under a number of its own, an acknowledgement pays for what its message carried, and the waits between repetitions double to 4.8 s.

--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -22,10 +22,6 @@
 	// eagerFleetInterval is the same for a router without a table, which may get
 	// it from another one once it knows others.
 	eagerFleetInterval = 400 * time.Millisecond
-	// resendInterval is how soon changes of upstreams go out again that weren't
-	// acknowledged: a busy router answers within some tens of milliseconds, and
-	// leaving upstreams must be known within two seconds.
-	resendInterval = 300 * time.Millisecond
 	// packedLife is how long a list that was packed is used: hundreds of
 	// watches a second would each sort and compress the same names.
 	packedLife = 200 * time.Millisecond
@@ -48,11 +44,7 @@
 	// listed is when the list of processes was last sent, if it ever was.
 	listed     time.Duration
 	everListed bool
-	// owed are upstreams whose change the follower hasn't acknowledged, sent
-	// under that number.
-	owed   []protocol.UpstreamID
-	number uint64
-	sentAt time.Duration
+	owed       owed
 }
 
 // request is a follower's wish for something large.
@@ -70,17 +62,15 @@
 	fleetAt   time.Duration
 	list      List
 	inForce   *document.Document
-	// changes holds the change to the table in force from each base that a
+	// tableChanges holds the change to the table in force from each base that a
 	// follower asked for. Many followers have the same base.
-	changes map[document.Digest]document.Change
+	tableChanges map[document.Digest]document.Change
 	// changeBytes is the size of the change that made the table in force.
 	changeBytes int
 	// previous are tables that were in force before, newest first.
 	previous []*document.Document
-	// heard are upstreams whose change has to be sent on, and pushes counts how
-	// often that was done.
-	heard  []protocol.UpstreamID
-	pushes uint64
+	// heard are upstreams whose change has to be sent on.
+	heard []protocol.UpstreamID
 	// bulk bounds what tables and lists take of the link, and waiting are those
 	// that wait for room on it.
 	bulk    bucket
@@ -91,10 +81,10 @@
 // bulkRate bytes a second of its link. The roster is shared with the caller.
 func NewPublisher(r *roster.Roster, bulkRate int) *Publisher {
 	return &Publisher{
-		bulk:      bucket{perSecond: float64(bulkRate), tokens: bulkBurst},
-		roster:    r,
-		followers: map[protocol.RouterID]*follower{},
-		changes:   map[document.Digest]document.Change{},
+		bulk:         bucket{perSecond: float64(bulkRate), tokens: bulkBurst},
+		roster:       r,
+		followers:    map[protocol.RouterID]*follower{},
+		tableChanges: map[document.Digest]document.Change{},
 	}
 }
 
@@ -120,9 +110,9 @@
 		p.previous = p.previous[:min(len(p.previous), keepPrevious)]
 	}
 	p.inForce = d
-	p.changes = map[document.Digest]document.Change{}
+	p.tableChanges = map[document.Digest]document.Change{}
 	if change.Result == d.Digest {
-		p.changes[change.Base] = change
+		p.tableChanges[change.Base] = change
 	}
 	p.changeBytes = len(change.Delta)
 	var sends []Send
@@ -255,73 +245,10 @@
 	return p.list
 }
 
-// Heard notes that this VM itself was told a change of an upstream, which
-// PushHeard then sends on.
-func (p *Publisher) Heard(id protocol.UpstreamID) {
-	if !slices.Contains(p.heard, id) {
-		p.heard = append(p.heard, id)
-	}
-}
-
-// PushHeard tells all followers the changes that upstreams have told this VM, and
-// again those that haven't been acknowledged.
-//
-// Load: sixty upstreams start within a second or two and announce themselves to
-// five disk VMs, which 87 routers follow. Harm prevented: a message for each
-// upstream from each VM to each router, 27,000 of them, which fills the links
-// for seconds. So changes are gathered for some tens of milliseconds, and only
-// the VM that was told sends them.
-//
-// Failure guarded: a connection is replaced or reset with a change on it. The
-// router would send to an upstream that has said it leaves until a comparison of
-// rosters shows the difference, a second and more later.
-func (p *Publisher) PushHeard(now time.Duration) []Send {
-	if len(p.heard) > 0 {
-		p.pushes++
-	}
-	var sends []Send
-	for _, id := range p.present(now) {
-		if changes, due := p.changesFor(now, p.followers[id]); due {
-			sends = append(sends, Send{To: id, Body: changes})
-		}
-	}
-	p.heard = nil
-	return sends
-}
-
-// changesFor returns what a follower has to be told now.
-func (p *Publisher) changesFor(now time.Duration, f *follower) (Changes, bool) {
-	for _, id := range p.heard {
-		if !slices.Contains(f.owed, id) {
-			f.owed = append(f.owed, id)
-		}
-	}
-	again := len(f.owed) > 0 && now-f.sentAt >= resendInterval
-	if len(p.heard) == 0 && !again {
-		return Changes{}, false
-	}
-	f.number = p.pushes
-	f.sentAt = now
-	changes := Changes{Number: f.number}
-	for _, id := range f.owed {
-		if e, known := p.roster.Entry(id); known {
-			changes.Entries = append(changes.Entries, e)
-		}
-	}
-	return changes, true
-}
-
-// Acknowledged notes that a follower has taken changes.
-func (p *Publisher) Acknowledged(from protocol.RouterID, ack ChangesAck) {
-	if f := p.followers[from]; f != nil && f.number == ack.Number {
-		f.owed = nil
-	}
-}
-
 // changeFrom returns the change to the table in force from another, or the
 // whole where that one isn't known here.
 func (p *Publisher) changeFrom(base document.Digest) document.Change {
-	if change, made := p.changes[base]; made {
+	if change, made := p.tableChanges[base]; made {
 		return change
 	}
 	var from *document.Document
@@ -333,10 +260,10 @@
 	if from == nil {
 		base = document.Digest{}
 	}
-	change, made := p.changes[base]
+	change, made := p.tableChanges[base]
 	if !made {
 		change = document.MakeChange(from, p.inForce)
-		p.changes[base] = change
+		p.tableChanges[base] = change
 	}
 	return change
 }
