--- /dev/null
+++ b/coordination/control/lists_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+func TestUpstreamsThatNeverChangeStayListed(t *testing.T) {
+	// Upstreams announce themselves to the disk VMs each second and nothing
+	// about them changes, so routers are told nothing. A router that took that
+	// for silence would have no upstream left after half a minute.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	e := roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, Sequence: 1}
+	w.vms["vm2"].roster.Merge(w.now, e)
+	for range 20 {
+		e.Sequence++
+		for _, v := range w.vms {
+			v.roster.Merge(w.now, e)
+		}
+		w.run(5 * time.Second)
+		r.roster.Expire(w.now)
+		found, known := r.roster.Entry("u1")
+		assert.Assert(t, known && found.State == roster.Ready, "at %s", w.now)
+	}
+
+	// Then it dies without a word. The disk VMs forget it, and so must routers.
+	for range 20 {
+		for _, v := range w.vms {
+			v.roster.Expire(w.now)
+		}
+		w.run(5 * time.Second)
+		r.roster.Expire(w.now)
+	}
+	_, known := r.roster.Entry("u1")
+	assert.Assert(t, !known)
+}
+
+func TestADifferenceWithOneVMIsEndedWhileOthersAgree(t *testing.T) {
+	// One disk VM alone was told that an upstream leaves, and its messages are
+	// lost. That the others agree with the router must not hide it.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	e := roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, Sequence: 1}
+	for _, v := range w.vms {
+		v.roster.Merge(w.now, e)
+	}
+	w.run(5 * time.Second)
+	e.State, e.Sequence = roster.Draining, 2
+	w.vms["vm2"].roster.Merge(w.now, e)
+	w.run(1800 * time.Millisecond)
+	found, _ := r.roster.Entry("u1")
+	assert.Equal(t, found.State, roster.Draining)
+}
+
+func TestARestartedVMSendsItsWholeRoster(t *testing.T) {
+	// A disk VM restarts and knows one upstream alone, which is leaving. The
+	// router must learn that, and keep the others until they have been unlisted
+	// for long.
+	w := newWorld(1)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	for i := range 5 {
+		w.vms["vm1"].roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
+	}
+	w.run(2 * time.Second)
+	w.startVM("vm1")
+	w.tellVMs()
+	leaving := roster.Entry{ID: "u1", Address: "a1", State: roster.Draining, Sequence: 9}
+	w.vms["vm1"].roster.Merge(w.now, leaving)
+	w.run(2 * time.Second)
+	found, _ := r.roster.Entry("u1")
+	assert.Equal(t, found.State, roster.Draining)
+	found, _ = r.roster.Entry("u2")
+	assert.Equal(t, found.State, roster.Ready)
+}
+
+func TestAFleetThatStartsAsksForFewLists(t *testing.T) {
+	// All VMs lost power and are back. The disk VMs know the upstreams from
+	// their disks, each some more than the others. If every router asked all of
+	// them for all, the links would be full and no leader elected.
+	w := newWorld(5)
+	for n, v := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
+		for i := range 90 + n {
+			w.vms[v].roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
+		}
+	}
+	for i := range 87 {
+		w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1", "vm2", "vm3")
+	}
+	w.run(1 * time.Second)
+	for _, v := range w.vms {
+		for _, e := range w.vms["vm5"].roster.Entries() {
+			v.roster.Merge(w.now, e)
+		}
+	}
+	w.run(4 * time.Second)
+	assert.Assert(t, w.lists < 3*87, "%d lists for 87 routers", w.lists)
+	for _, r := range w.routers {
+		assert.Equal(t, len(r.roster.Entries()), 94)
+	}
+}
--- /dev/null
+++ b/coordination/control/pushes_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+func TestAChangeThatIsLostOnTheWayIsSentAgain(t *testing.T) {
+	// An upstream says that it leaves, and the connection that carries the news
+	// to one router is replaced at that moment. For two seconds and more the
+	// router would send work to it; it must know within a fraction of that.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	other := w.startRouter("r2", "vm1")
+	e := roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, Sequence: 1}
+	for _, v := range w.vms {
+		v.roster.Merge(w.now, e)
+	}
+	w.run(5 * time.Second)
+	e.State, e.Sequence = roster.Draining, 2
+	v := w.vms["vm2"]
+	v.roster.Merge(w.now, e)
+	v.publisher.Heard("u1")
+	for _, send := range v.publisher.PushHeard(w.now) {
+		if send.To != "r1" {
+			w.carry("vm2", []Send{send})
+		}
+	}
+	state := func(f *follow) roster.State {
+		found, _ := f.roster.Entry("u1")
+		return found.State
+	}
+	assert.Equal(t, state(other), roster.Draining)
+	assert.Equal(t, state(r), roster.Ready)
+	for range 5 {
+		w.now += 100 * time.Millisecond
+		w.carry("vm2", v.publisher.PushHeard(w.now))
+	}
+	assert.Equal(t, state(r), roster.Draining)
+	w.now += time.Second
+	assert.Equal(t, len(v.publisher.PushHeard(w.now)), 0, "acknowledged by all")
+}
+
+func TestAFullLinkIsNotFilledWithRepetitions(t *testing.T) {
+	// A thousand upstreams announce themselves within a second while a hundred
+	// routers start, and the disk VM's link is full: acknowledgements take seconds.
+	// Sent again with each new change, the changes alone would take minutes of it.
+	v := roster.New(roster.DefaultSettings())
+	p := NewPublisher(v, 1<<20)
+	p.Watched(0, "r1", Watch{Router: true})
+	const upstreams, steps = 1000, 20
+	at, entries := time.Duration(0), 0
+	count := func(sends []Send) {
+		for _, send := range sends {
+			entries += len(send.Body.(Changes).Entries)
+		}
+	}
+	for i := range upstreams {
+		id := protocol.UpstreamID(fmt.Sprint("u", i))
+		v.Announced(at, roster.Entry{ID: id, Service: "chat", Address: fmt.Sprint("a:", i), State: roster.Ready, Sequence: 1})
+		p.Heard(id)
+		if i%(upstreams/steps) == 0 {
+			at += 50 * time.Millisecond
+			count(p.PushHeard(at))
+		}
+	}
+	for at < 3*time.Second {
+		at += 50 * time.Millisecond
+		p.followers["r1"].at = at
+		count(p.PushHeard(at))
+	}
+	assert.Assert(t, entries <= 4*upstreams, "%d entries were sent for %d upstreams", entries, upstreams)
+}
+
+func TestALateAcknowledgementPaysForWhatItCarried(t *testing.T) {
+	// A busy router acknowledges two messages long after they were sent, the
+	// second one first. Only what neither carried is sent again.
+	v := roster.New(roster.DefaultSettings())
+	p := NewPublisher(v, 1<<20)
+	p.Watched(0, "r1", Watch{Router: true})
+	push := func(at time.Duration, ids ...protocol.UpstreamID) Changes {
+		for _, id := range ids {
+			v.Announced(at, roster.Entry{ID: id, Address: string(id), State: roster.Ready, Sequence: 1})
+			p.Heard(id)
+		}
+		return p.PushHeard(at)[0].Body.(Changes)
+	}
+	first := push(0, "u1")
+	second := push(50*time.Millisecond, "u2")
+	push(100*time.Millisecond, "u3")
+	p.Acknowledged("r1", ChangesAck{Number: second.Number})
+	p.Acknowledged("r1", ChangesAck{Number: first.Number})
+	again := p.PushHeard(resendInterval)[0].Body.(Changes)
+	assert.Equal(t, len(again.Entries), 1)
+	assert.Equal(t, again.Entries[0].ID, protocol.UpstreamID("u3"))
+	p.Acknowledged("r1", ChangesAck{Number: again.Number})
+	assert.Equal(t, len(p.PushHeard(time.Second)), 0)
+}
--- /dev/null
+++ b/coordination/control/tables_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/document"
+	"endiveplank/protocol"
+)
+
+func TestATableThatChangesIsPulledFromOne(t *testing.T) {
+	// Five disk VMs tell of a new table. If each sent it whole to each router,
+	// their links would be full for seconds.
+	w := newWorld(5)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	w.run(3 * time.Second)
+	before := w.documents
+	w.put(2)
+	assert.Equal(t, r.version(), uint64(2), "pulled at once, without waiting for the next tick")
+	w.run(3 * time.Second)
+	assert.Equal(t, w.documents-before, 1)
+}
+
+func TestAnotherVMIsAskedWhenOneDoesNotSend(t *testing.T) {
+	// The disk VM that was asked for the table loses power before it answers.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r1", "vm1")
+	w.run(3 * time.Second)
+	next := document.New(2, []byte("table 2"))
+	for _, id := range []protocol.RouterID{"vm1", "vm2", "vm3"} {
+		sends := w.vms[id].publisher.SetDocument(w.now, next, document.Change{})
+		asked := r.TakeNews(w.now, id, sends[0].Body.(News))
+		if len(asked) > 0 {
+			w.deaf[asked[0].To] = true
+		}
+	}
+	assert.Equal(t, len(w.deaf), 1)
+	assert.Equal(t, r.version(), uint64(1))
+	w.run(2 * documentPatience)
+	assert.Equal(t, r.version(), uint64(2))
+}
+
+func TestRoutersSpreadOverTheVMsForTheirTables(t *testing.T) {
+	// 87 routers hear of a new table at the same moment, from the leader first.
+	// If all asked the leader, its link would be full for seconds, the other
+	// voters would miss it, and the next change would wait for an election.
+	w := newWorld(5)
+	w.put(1)
+	var routers []*follow
+	for i := range 87 {
+		routers = append(routers, w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1"))
+	}
+	w.run(3 * time.Second)
+	asked := map[protocol.RouterID]int{}
+	next := document.New(2, []byte("table 2"))
+	for _, id := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
+		for _, send := range w.vms[id].publisher.SetDocument(w.now, next, document.Change{}) {
+			for _, ask := range w.routers[send.To].TakeNews(w.now, id, send.Body.(News)) {
+				asked[ask.To]++
+			}
+		}
+	}
+	for id, n := range asked {
+		assert.Assert(t, n <= 87/2, "%s is asked by %d of 87", id, n)
+	}
+	w.run(2 * time.Second)
+	for _, r := range routers {
+		assert.Equal(t, r.version(), uint64(2))
+	}
+}
+
+func TestALargeTableGoesFromRouterToRouter(t *testing.T) {
+	// An operator adds 1,200 routes at once. Five disk VMs on small links would
+	// take seconds to send them to 87 routers; each sends them to a few, which
+	// pass them on.
+	w := newWorld(5)
+	w.put(1)
+	var routers []*follow
+	var names []protocol.RouterID
+	for i := range 87 {
+		names = append(names, protocol.RouterID(fmt.Sprint("r", i)))
+	}
+	for _, name := range names {
+		r := w.startRouter(name, "vm1")
+		relay := NewRelay(name, 750_000)
+		relay.SetRouters(slices.DeleteFunc(slices.Clone(names), func(id protocol.RouterID) bool { return id == name }))
+		r.SetRelay(relay)
+		routers = append(routers, r)
+	}
+	w.run(3 * time.Second)
+	body := make([]byte, 45_000)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range body {
+		body[i] = byte(random.Uint32())
+	}
+	before := w.routers["r0"].InForce()
+	next := document.New(2, body)
+	change := document.MakeChange(before, next)
+	w.documents = 0
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
+		w.carry(id, v.publisher.SetDocument(w.now, next, change))
+	}
+	w.runRelays(relayPatience - 200*time.Millisecond)
+	fromVMs := w.documents
+	assert.Assert(t, fromVMs < 87/4, "%d tables from disk VMs", fromVMs)
+	for _, r := range routers {
+		assert.Equal(t, r.version(), uint64(2))
+	}
+}
+
+func TestRoutersThatStartTogetherGetTheTableFromEachOther(t *testing.T) {
+	// All VMs lost power; of five disk VMs two have lost their disks. 87 routers
+	// want a table of 10 KB from the others, whose links would take them more
+	// than a second.
+	w := newWorld(3)
+	body := make([]byte, 10_000)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range body {
+		body[i] = byte(random.Uint32())
+	}
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
+		w.carry(id, v.publisher.SetDocument(w.now, document.New(1, body), document.Change{}))
+	}
+	for i := range 87 {
+		name := protocol.RouterID(fmt.Sprint("r", i))
+		r := w.startRouter(name, "vm1")
+		r.SetRelay(NewRelay(name, 750_000))
+	}
+	for range 10 {
+		w.runRelays(100 * time.Millisecond)
+		for _, r := range w.routers {
+			r.relay.SetRouters(slices.DeleteFunc(r.Routers(w.now), func(id protocol.RouterID) bool { return id == r.self }))
+		}
+	}
+	late := 0
+	for _, r := range w.routers {
+		if r.version() != 1 {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0)
+}
+
+func TestARouterWhoseRelayIsGoneAsksADiskVM(t *testing.T) {
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r", "vm1")
+	relay := NewRelay("r", 500_000)
+	relay.waits = true
+	r.SetRelay(relay)
+	w.run(3 * time.Second)
+	next := document.New(2, []byte("table 2"))
+	for _, id := range inOrder(w.vms) {
+		v := w.vms[id]
+		w.carry(id, v.publisher.SetDocument(w.now, next, document.Change{Delta: make([]byte, largeChange)}))
+	}
+	w.run(relayPatience / 2)
+	assert.Equal(t, r.version(), uint64(1))
+	w.run(relayPatience)
+	assert.Equal(t, r.version(), uint64(2))
+}
+
+// runRelays lets time pass and routers pass tables on.
+func (w *world) runRelays(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := w.now + d; w.now < end; w.now += step {
+		for _, id := range inOrder(w.routers) {
+			w.carry(id, w.routers[id].Tick(w.now))
+		}
+		for _, id := range inOrder(w.routers) {
+			for _, send := range w.routers[id].relay.Due(w.now) {
+				more, _ := w.routers[send.To].TakeDocument(w.now, id, send.Body.(Document), func(*document.Document) error { return nil })
+				w.carry(send.To, more)
+			}
+		}
+		for _, id := range inOrder(w.vms) {
+			w.carry(id, w.vms[id].publisher.SendWaiting(w.now))
+		}
+	}
+}
+
+func TestTablesLeaveRoomOnTheLink(t *testing.T) {
+	// All routers start at once and ask one disk VM for a whole table. What it
+	// sends in a second must stay below what its link carries.
+	v := newWorld(1).vms["vm1"]
+	body := make([]byte, 60_000)
+	for i := range body {
+		body[i] = byte(i * i >> 5)
+	}
+	v.publisher.SetDocument(0, document.New(1, body), document.Change{})
+	sent, now := 0, time.Duration(0)
+	count := func(sends []Send) {
+		for _, send := range sends {
+			if d, is := send.Body.(Document); is {
+				sent += len(d.Change.Delta)
+			}
+		}
+	}
+	for i := range 87 {
+		count(v.publisher.Watched(now, protocol.RouterID(fmt.Sprint("r", i)), Watch{Router: true, WantDocument: true}))
+	}
+	for ; now < time.Second; now += 50 * time.Millisecond {
+		count(v.publisher.SendWaiting(now))
+	}
+	assert.Assert(t, sent > 150_000 && sent < 250_000, "%d bytes", sent)
+}
+
+func TestARouterNeverGoesBack(t *testing.T) {
+	// A disk VM was cut off while the table changed, and a router reaches it
+	// alone afterwards. The change was accepted and must stay in force.
+	w := newWorld(2)
+	w.put(1)
+	r := w.startRouter("r1", "vm1", "vm2")
+	w.run(2 * time.Second)
+	w.deaf["vm2"] = true
+	w.put(2)
+	w.run(time.Second)
+	assert.Equal(t, r.version(), uint64(2))
+	w.deaf["vm2"], w.deaf["vm1"] = false, true
+	w.run(10 * time.Second)
+	assert.Equal(t, r.version(), uint64(2))
+}
