Routers and disk VMs compare lists of upstreams part by part

Cause: with thousands of upstreams lists differ somewhere at most times, and each difference cost each follower the whole list: 30 KB for 1,000 upstreams to 100 routers. Change: 64 parts with a digest each; who asks for a list says what it has, and gets the parts that differ. After: under a fifth, as the test bounds.

--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -25,7 +25,7 @@
 	}
 	f.listAsked = now
 	f.everAsked = true
-	return []Send{f.watch(now, id, Watch{WantList: true})}
+	return []Send{f.watch(now, id, Watch{WantList: true, Have: f.roster.Summary()})}
 }
 
 // richest returns the disk VM that lists the most upstreams, of those whose list
@@ -95,7 +95,19 @@
 	return []Send{{To: from, Body: ChangesAck{Number: c.Number}}}
 }
 
-// TakeList merges a disk VM's whole list. One that can't be read changes nothing.
+// namesOutside returns the upstreams in the parts of the roster that aren't named.
+func (f *Follower) namesOutside(buckets roster.Buckets) []protocol.UpstreamID {
+	var names []protocol.UpstreamID
+	for _, e := range f.roster.EntriesIn(^buckets) {
+		if e.State != roster.Gone {
+			names = append(names, e.ID)
+		}
+	}
+	return names
+}
+
+// TakeList merges a disk VM's list. What isn't in it is there as it is here. One
+// that can't be read changes nothing.
 func (f *Follower) TakeList(now time.Duration, from protocol.RouterID, l List) {
 	s := f.heardFrom(now, from)
 	entries, err := l.unpack()
@@ -104,7 +116,7 @@
 		return
 	}
 	s.roster, s.merged = l.Digest, l.Digest
-	s.listed = nil
+	s.listed = f.namesOutside(l.Buckets)
 	for _, e := range entries {
 		f.roster.Merge(now, e)
 		if e.State != roster.Gone {
--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -83,6 +83,37 @@
 	assert.Equal(t, found.State, roster.Ready)
 }
 
+func TestADifferenceCostsWhatDiffers(t *testing.T) {
+	// A thousand upstreams are known everywhere; three changes were told to one
+	// disk VM alone. Each of a hundred routers has to find them, and if each were
+	// sent the whole list for it, the link would be full for seconds.
+	w := newWorld(1)
+	w.put(1)
+	vm := w.vms["vm1"]
+	for i := range 1000 {
+		vm.roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Service: "chat", Address: fmt.Sprint("10.0.0.", i), State: roster.Ready, Sequence: 1})
+	}
+	r := w.startRouter("r1", "vm1")
+	w.run(3 * time.Second)
+	assert.Equal(t, r.roster.Usable(), 1000)
+
+	whole := w.listBytes
+	for i := range 3 {
+		vm.roster.Merge(w.now, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Service: "chat", Address: fmt.Sprint("10.0.0.", i), State: roster.Draining, Sequence: 2})
+	}
+	w.run(3 * time.Second)
+	for i := range 3 {
+		found, _ := r.roster.Entry(protocol.UpstreamID(fmt.Sprint("u", i)))
+		assert.Equal(t, found.State, roster.Draining)
+	}
+	part := w.listBytes - whole
+	assert.Assert(t, part > 0 && part < whole/5, "%d bytes for three changes, %d for all", part, whole)
+	assert.Equal(t, r.roster.Usable(), 1000)
+	w.run(roster.DefaultSettings().ForgetSilent + 5*time.Second)
+	r.roster.Expire(w.now)
+	assert.Equal(t, r.roster.Usable(), 1000, "what wasn't sent again is still listed")
+}
+
 func TestAFleetThatStartsAsksForFewLists(t *testing.T) {
 	// All VMs lost power and are back. The disk VMs know the upstreams from
 	// their disks, each some more than the others. If every router asked all of
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -14,9 +14,11 @@
 	// Version and Digest are of the table that the sender has in force.
 	Version uint64          `msgpack:"v,omitempty"`
 	Digest  document.Digest `msgpack:"d"`
-	// WantDocument asks for the newest table, WantList for the whole roster.
-	WantDocument bool `msgpack:"w,omitempty"`
-	WantList     bool `msgpack:"l,omitempty"`
+	// WantDocument asks for the newest table, WantList for the parts of the roster
+	// that differ from the sender's, whose Summary is Have.
+	WantDocument bool           `msgpack:"w,omitempty"`
+	WantList     bool           `msgpack:"l,omitempty"`
+	Have         roster.Summary `msgpack:"h,omitempty"`
 	// Fleet is the digest of the last News.Fleet taken from the receiver.
 	Fleet uint64 `msgpack:"f,omitempty"`
 }
@@ -55,10 +57,12 @@
 	Number uint64 `msgpack:"n"`
 }
 
-// List is the whole roster of a disk VM.
+// List is the roster of a disk VM, without the parts that the receiver has.
 type List struct {
-	// Digest is that of the roster.
+	// Digest is that of the whole roster.
 	Digest uint64 `msgpack:"d"`
+	// Buckets are the parts that are in it.
+	Buckets roster.Buckets `msgpack:"b"`
 	// Packed is the compressed list of entries; see packList.
 	Packed []byte `msgpack:"p"`
 }
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -48,8 +48,9 @@
 
 // packList makes the list of upstreams that followers are sent: 94 of them are
 // 14 KB, and 3 KB packed.
-func packList(digest uint64, entries []roster.Entry) List {
-	return List{Digest: digest, Packed: document.Compress(codec.Marshal(entries))}
+func packList(r *roster.Roster, buckets roster.Buckets) List {
+	packed := document.Compress(codec.Marshal(r.EntriesIn(buckets)))
+	return List{Digest: r.Digest(), Buckets: buckets, Packed: packed}
 }
 
 // unpack returns the entries. Error: damage.
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -45,6 +45,8 @@
 	listed     time.Duration
 	everListed bool
 	owed       owed
+	// has is the Summary of its roster when it last asked for a list.
+	has roster.Summary
 }
 
 // request is a follower's wish for something large.
@@ -162,6 +164,7 @@
 		p.enqueue(request{from: from})
 	}
 	if w.WantList {
+		known.has = w.Have
 		p.enqueue(request{from: from, list: true})
 	}
 	sends := []Send{{To: from, Body: p.news(now, known)}}
@@ -227,7 +230,7 @@
 		return nil, 0
 	}
 	if wish.list {
-		list := p.packedList()
+		list := p.packedList(p.roster.Differing(f.has))
 		return list, len(list.Packed)
 	}
 	if p.version() <= f.watch.Version {
@@ -237,10 +240,11 @@
 	return Document{Change: change}, len(change.Delta)
 }
 
-// packedList returns the whole roster, packed once for each state of it.
-func (p *Publisher) packedList() List {
-	if digest := p.roster.Digest(); p.list.Packed == nil || p.list.Digest != digest {
-		p.list = packList(digest, p.roster.Entries())
+// packedList returns some parts of the roster, packed once for each state of it:
+// a whole fleet asks for the same parts at a time.
+func (p *Publisher) packedList(buckets roster.Buckets) List {
+	if p.list.Packed == nil || p.list.Digest != p.roster.Digest() || p.list.Buckets != buckets {
+		p.list = packList(p.roster, buckets)
 	}
 	return p.list
 }
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -19,6 +19,7 @@
 	deaf      map[protocol.RouterID]bool
 	documents int
 	lists     int
+	listBytes int
 }
 
 type vm struct {
@@ -84,6 +85,7 @@
 			w.vms[send.To].publisher.Acknowledged(from, body)
 		case List:
 			w.lists++
+			w.listBytes += len(body.Packed)
 			w.routers[send.To].TakeList(w.now, from, body)
 		case Document:
 			w.documents++
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -126,6 +126,8 @@
 	// themselves to a disk VM that has just started are a thousand changes.
 	digest uint64
 	usable int
+	// bucketDigests are the same for each part of the list.
+	bucketDigests [bucketCount]uint64
 }
 
 // emptyDigest is the digest of a roster without upstreams. It isn't 0, which to a
@@ -158,7 +160,9 @@
 // include counts an entry that hasn't left.
 func (r *Roster) include(e Entry) {
 	if e.State == Ready || e.State == Draining {
-		r.digest += entryDigest(e)
+		digest := entryDigest(e)
+		r.digest += digest
+		r.bucketDigests[bucketOf(e.ID)] += digest
 		r.usable++
 	}
 }
@@ -166,7 +170,9 @@
 // exclude takes an entry back that was counted.
 func (r *Roster) exclude(e Entry) {
 	if e.State == Ready || e.State == Draining {
-		r.digest -= entryDigest(e)
+		digest := entryDigest(e)
+		r.digest -= digest
+		r.bucketDigests[bucketOf(e.ID)] -= digest
 		r.usable--
 	}
 }
@@ -346,11 +352,7 @@
 }
 
 // Entries returns all entries, by name.
-func (r *Roster) Entries() []Entry {
-	entries := r.ChangedSince(0)
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
-	return entries
-}
+func (r *Roster) Entries() []Entry { return r.EntriesIn(AllBuckets) }
 
 // Entry returns what is known of an upstream.
 func (r *Roster) Entry(id protocol.UpstreamID) (Entry, bool) {
