Routers that lack much of the list are sent the whole, packed once

Followers that miss different changes were each packed a list of their own. Change: beyond a quarter of the parts the whole list goes out; lists are kept by their parts until the roster changes; an entry knows its part.

--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -114,6 +114,36 @@
 	assert.Equal(t, r.roster.Usable(), 1000, "what wasn't sent again is still listed")
 }
 
+func TestRoutersThatLackMuchAreSentOneList(t *testing.T) {
+	// Links were full, and each of a hundred routers has missed another thirty of a
+	// thousand changes. A list of its own for each would take a disk VM's processor
+	// for seconds.
+	v := roster.New(roster.DefaultSettings())
+	for i := range 1000 {
+		v.Merge(0, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
+	}
+	p := NewPublisher(v, 1<<30)
+	lists := 0
+	packed := map[*byte]bool{}
+	for n := range 100 {
+		has := roster.New(roster.DefaultSettings())
+		for i, e := range v.Entries() {
+			if i < 5*n || i >= 5*n+30 {
+				has.Merge(0, e)
+			}
+		}
+		id := protocol.RouterID(fmt.Sprint("r", n))
+		for _, send := range p.Watched(time.Duration(n)*time.Millisecond, id, Watch{Router: true, WantList: true, Have: has.Summary()}) {
+			if list, is := send.Body.(List); is {
+				lists++
+				packed[&list.Packed[0]] = true
+			}
+		}
+	}
+	assert.Assert(t, lists > 50, "%d", lists)
+	assert.Equal(t, len(packed), 1)
+}
+
 func TestAFleetThatStartsAsksForFewLists(t *testing.T) {
 	// All VMs lost power and are back. The disk VMs know the upstreams from
 	// their disks, each some more than the others. If every router asked all of
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -62,8 +62,11 @@
 	diskVMs   []protocol.RouterID
 	fleet     Fleet
 	fleetAt   time.Duration
-	list      List
-	inForce   *document.Document
+	// lists are the lists packed of the roster whose digest is listsOf, by the parts
+	// that are in them.
+	lists   map[roster.Buckets]List
+	listsOf uint64
+	inForce *document.Document
 	// tableChanges holds the change to the table in force from each base that a
 	// follower asked for. Many followers have the same base.
 	tableChanges map[document.Digest]document.Change
@@ -86,6 +89,7 @@
 		bulk:         bucket{perSecond: float64(bulkRate), tokens: bulkBurst},
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
+		lists:        map[roster.Buckets]List{},
 		tableChanges: map[document.Digest]document.Change{},
 	}
 }
@@ -243,10 +247,16 @@
 // packedList returns some parts of the roster, packed once for each state of it:
 // a whole fleet asks for the same parts at a time.
 func (p *Publisher) packedList(buckets roster.Buckets) List {
-	if p.list.Packed == nil || p.list.Digest != p.roster.Digest() || p.list.Buckets != buckets {
-		p.list = packList(p.roster, buckets)
+	if digest := p.roster.Digest(); p.listsOf != digest {
+		p.listsOf = digest
+		clear(p.lists)
 	}
-	return p.list
+	list, made := p.lists[buckets]
+	if !made {
+		list = packList(p.roster, buckets)
+		p.lists[buckets] = list
+	}
+	return list
 }
 
 // changeFrom returns the change to the table in force from another, or the
--- a/coordination/roster/buckets.go
+++ b/coordination/roster/buckets.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,8 +26,11 @@
 	return int(xxhash.Sum64String(string(id)) % bucketCount)
 }
 
-// has reports whether an upstream's part is named.
-func (b Buckets) has(id protocol.UpstreamID) bool { return b>>bucketOf(id)&1 == 1 }
+// has reports whether a part is named.
+func (b Buckets) has(bucket int) bool { return b>>bucket&1 == 1 }
+
+// Count returns how many parts are named.
+func (b Buckets) Count() int { return bits.OnesCount64(uint64(b)) }
 
 // Summary is a digest of each part, for another process to find which differ.
 type Summary []byte
@@ -44,8 +48,12 @@
 	return summary
 }
 
+// mostParts is how many parts are sent by themselves. With more the whole goes
+// out, which is packed once for all who lack most of it.
+const mostParts = bucketCount / 4
+
 // Differing returns the parts that differ from another process's, all of them
-// where it gave no Summary.
+// where many do or it gave no Summary.
 func (r *Roster) Differing(other Summary) Buckets {
 	if len(other) != summaryBytes {
 		return AllBuckets
@@ -56,14 +64,17 @@
 			differing |= 1 << bucket
 		}
 	}
+	if differing.Count() > mostParts {
+		return AllBuckets
+	}
 	return differing
 }
 
 // EntriesIn returns the entries of some parts, by name.
 func (r *Roster) EntriesIn(buckets Buckets) []Entry {
 	var entries []Entry
-	for id, known := range r.records {
-		if buckets.has(id) {
+	for _, known := range r.records {
+		if buckets.has(known.bucket) {
 			entries = append(entries, known.Entry)
 		}
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -91,6 +91,8 @@
 	heard         time.Duration
 	announced     time.Duration
 	everAnnounced bool
+	// bucket is the part of the list that it belongs to.
+	bucket int
 	// revision is the value of Roster.revision at the last change that matters
 	// to routers.
 	revision uint64
@@ -216,7 +218,7 @@
 func (r *Roster) store(now time.Duration, known *record, e Entry) bool {
 	changed := known == nil || !sameToRouters(known.Entry, e)
 	if known == nil {
-		known = &record{}
+		known = &record{bucket: bucketOf(e.ID)}
 		r.records[e.ID] = known
 	}
 	if changed {
