The soak waits until a wiped disk VM votes again before it wipes the next

A disk VM was wiped at 38.894 s while another's connections had been silent for three seconds, so that it was a learner still when the next was wiped at 41.9 s: two disks of three lost, which no protocol bears. The soak had waited a fixed three seconds. Ruled out: the product (its leader had added the newcomer at 39.003 and lost its quorum at 39.453, as the silenced connections had lapsed). Change: the soak waits until the others have logged that the new member votes, and says that a promise is broken if that takes over 40 s, which it didn't check before. The story of a killed router is asked for by its restart, which always comes. Seen on the way, left open: after such a loss routers that start anew have no table and refuse all callers, though two disk VMs remember the last one.

--- a/soak/explain_test.go
+++ b/soak/explain_test.go
@@ -98,7 +98,7 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	w.restart(router, syscall.SIGKILL, 0)
-	w.eventually("gone-1", " sent ", "no end was logged; the last line of "+router.settings.Name)
+	w.eventually("gone-1", " sent ", "no end was logged; "+router.settings.Name+" started again at ")
 
 	// No upstream is left: each one's leaving stands beside the refusal.
 	w.leaveAll(deskService)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -129,10 +131,38 @@
 	w.vmsBusy.Lock()
 	defer w.vmsBusy.Unlock()
 	do(w.vms[w.intN(diskVMs)])
-	// A wiped one has to be a voter again before the next may go.
 	time.Sleep(3 * time.Second)
 }
 
+// rejoinWithin is how long a wiped disk VM may take to vote again while other
+// faults go on: some repairs' time, of three seconds each.
+const rejoinWithin = 40 * time.Second
+
+// awaitVoter waits until a wiped disk VM is a voter again, by what the others log.
+// A second disk lost before that is a second loss of three, which nothing bears.
+// lives is how often its member had started before.
+func (w *world) awaitVoter(wiped *process, lives int) {
+	for until := time.Now().Add(rejoinWithin); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		started := wiped.lines("member-started")
+		if len(started) > lives && w.promoted(started[len(started)-1]["member"]) {
+			return
+		}
+	}
+	w.broken("%s lost its disk and isn't a voter again after %s", wiped.settings.Name, rejoinWithin)
+}
+
+// promoted reports whether a disk VM has logged that a member votes.
+func (w *world) promoted(member any) bool {
+	for _, vm := range w.vms {
+		for _, line := range vm.lines("configuration-changed") {
+			if line["member"] == member && strings.HasPrefix(fmt.Sprint(line["reason"]), "promote") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // restart ends a process and starts it again.
 func (w *world) restart(p *process, s syscall.Signal, wait time.Duration) {
 	p.busy.Lock()
@@ -151,7 +181,9 @@
 		w.broken("the data folder can't be emptied: %v", err)
 	}
 	p.settings.FirstStart = false
+	lives := len(p.lines("member-started"))
 	p.start()
+	w.awaitVoter(p, lives)
 }
 
 // freeze pauses a process for a while.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -139,6 +139,24 @@
 	return l.p.log.Write(data)
 }
 
+// lines returns what a process has logged of an event.
+func (p *process) lines(event string) []map[string]any {
+	p.mu.Lock()
+	text := bytes.Clone(p.log.Bytes())
+	p.mu.Unlock()
+	var found []map[string]any
+	for line := range bytes.Lines(text) {
+		if !bytes.Contains(line, []byte(event)) {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(line, &fields) == nil && fields["event"] == event {
+			found = append(found, fields)
+		}
+	}
+	return found
+}
+
 // await notes a process that has ended by itself, which none may.
 func (p *process) await(command *exec.Cmd, done chan struct{}) {
 	err := command.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,7 +14,12 @@
 )
 
 // regressionSeeds failed once; each has a line on the cause.
-var regressionSeeds = []uint64{}
+var regressionSeeds = []uint64{
+	// A disk VM was wiped while another's connections were silent, so that it was
+	// taken in late; the soak wiped the next one before, after a fixed three
+	// seconds: two disks of three, after which no table is left to any.
+	3001,
+}
 
 // settleWithin is how long after the last fault all routers have to be ready.
 const settleWithin = 15 * time.Second
