--- a/coordination/placement/fleetbench/baselines.go
+++ b/coordination/placement/tracebench/baselines.go
@@ -1,4 +1,4 @@
-package fleetbench
+package tracebench
 
 import (
 	"math"
@@ -151,7 +151,7 @@
 	}
 	set, err := placement.NewSet(0, list)
 	if err != nil {
-		panic("fleetbench: engines have positive capacity: " + err.Error())
+		panic("tracebench: engines have positive capacity: " + err.Error())
 	}
 	return set
 }
--- a/coordination/placement/fleetbench/doc.go
+++ b/coordination/placement/tracebench/doc.go
@@ -1,4 +1,4 @@
-// Package fleetbench measures placement and the load bound on seeded traces.
+// Package tracebench measures placement and the load bound on seeded traces.
 // It steps the real decision code of packages placement and loadbound, and
 // ways to do without them, against a small model of engines and customers.
 // It opens no socket and starts no goroutine: one event follows another on a
@@ -40,4 +40,4 @@
 // the expected length of the answer. Skew is load over capacity, over the
 // fleet's mean of the same, at every admission after the warm-up; both the
 // engine admitted to and the worst of all engines are given.
-package fleetbench
+package tracebench
--- a/coordination/placement/fleetbench/owners.go
+++ b/coordination/placement/tracebench/owners.go
@@ -1,4 +1,4 @@
-package fleetbench
+package tracebench
 
 import (
 	"fmt"
@@ -113,7 +113,7 @@
 	}
 	set, err := placement.NewSet(0, list)
 	if err != nil {
-		panic("fleetbench: routers are listed once: " + err.Error())
+		panic("tracebench: routers are listed once: " + err.Error())
 	}
 	var order [placement.MaxChoices]int32
 	key := chat.ChainHash(placement.ShortID(s.w.engines[engine].id))
@@ -161,7 +161,7 @@
 	a := r.own.(admitted)
 	ticket, ok := s.ledgers[router].Resume(now, s.w.engines[engine].id, a.answer.Ticket.Cost)
 	if !ok {
-		panic("fleetbench: an owner that was just granted takes running work")
+		panic("tracebench: an owner that was just granted takes running work")
 	}
 	a.router = router
 	a.answer.Ticket = ticket
--- a/coordination/placement/fleetbench/scenario.go
+++ b/coordination/placement/tracebench/scenario.go
@@ -1,4 +1,4 @@
-package fleetbench
+package tracebench
 
 import "time"
 
