Routers take proofs of life where there are many upstreams

Ruled out: fewer announcements (their interval is the upstreams' own), one VM for each (the sum stays). Change: from 256 upstreams on, a disk VM answers an announcement with the address of a router in the upstream's data centre, chosen by rendezvous hashing.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"endiveplank/coordination/roster"
 	"endiveplank/coordination/routing"
 	"endiveplank/daemon/diskvm"
 	"endiveplank/daemon/loglines"
@@ -179,6 +180,9 @@
 	return router.New(router.Options{
 		Settings: settings, Tracer: tracer, Dialect: platform.Dialect{}, Log: logs.log, RequestLog: logs.requests, Random: random,
 		ReadTable: func(_ uint64, body []byte) (*routing.Table, error) { return platform.ReadTable(body) },
+		AnnouncementHandler: func(confirm func(roster.Entry) bool) http.Handler {
+			return platform.NewConfirmHandler(confirm, logs.log)
+		},
 	})
 }
 
--- /dev/null
+++ b/coordination/control/announcements.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+const (
+	// handOverFrom is how many upstreams disk VMs hear by themselves. Five VMs that
+	// hear 256 of them each second take 250 announcements, some 175 KB, of which
+	// each gets a fifth: a tenth of a link of 3 Mbit/s. All of that is the price of
+	// hearing an upstream at once when it changes nothing.
+	handOverFrom = 256
+	// shareInterval is how often a process tells the disk VMs which upstreams
+	// announced themselves to it. An upstream is forgotten after 30 s without a
+	// word, so two proofs in a row may be lost. Changes go out at once and don't
+	// wait for it.
+	shareInterval = 8 * time.Second
+)
+
+// takers are the routers of a data centre that take proofs of life.
+type takers struct {
+	addresses []string
+	// at is when they were looked for.
+	at time.Duration
+}
+
+// AnnounceAt returns where an upstream should announce itself from now on, "" for
+// the disk VMs.
+//
+// Load: three thousand upstreams announce themselves every 1.2 s to five disk
+// VMs, each with a fifth of a core and a link of 6 Mbit/s. Harm prevented: 500
+// calls a second fill processor and link of each VM, and new tables, keys and
+// departures of upstreams wait behind them. Almost all of those calls say
+// nothing new, and three hundred routers can take ten a second each.
+//
+// Failure guarded: a router is gone, or out of touch with the disk VMs. An
+// upstream whose announcement isn't taken calls a disk VM, as it does with all
+// that is new, so a router never holds what nobody else knows.
+func (p *Publisher) AnnounceAt(now time.Duration, e roster.Entry) string {
+	if e.State != roster.Ready || p.roster.Usable() < handOverFrom {
+		return ""
+	}
+	best, at := uint64(0), ""
+	for _, address := range p.takersIn(now, e.DataCentre) {
+		if weight := xxhash.Sum64String(address + string(e.ID)); at == "" || weight > best {
+			best, at = weight, address
+		}
+	}
+	return at
+}
+
+// takersIn returns the routers of a data centre that take proofs of life, looked
+// for once in a while: hundreds of upstreams ask each second.
+func (p *Publisher) takersIn(now time.Duration, in protocol.DataCentre) []string {
+	if known := p.takers[in]; known != nil && now-known.at < packedLife {
+		return known.addresses
+	}
+	found := &takers{at: now}
+	for _, id := range p.Routers(now) {
+		w := p.followers[id].watch
+		if w.DataCentre == in && w.Announcements != "" {
+			found.addresses = append(found.addresses, w.Announcements)
+		}
+	}
+	p.takers[in] = found
+	return found.addresses
+}
+
+// SetAnnouncements tells where this router takes proofs of life of the upstreams
+// of its data centre; "" for nowhere.
+func (f *Follower) SetAnnouncements(address string, in protocol.DataCentre) {
+	f.announcements = address
+	f.dataCentre = in
+}
+
+// MayConfirm reports whether the disk VMs learn in time what this router is told:
+// most of them are in touch. Upstreams whose proofs of life end here would be
+// forgotten otherwise.
+func (f *Follower) MayConfirm(now time.Duration) bool {
+	return 2*f.InTouch(now) > len(f.sources)
+}
+
+// share returns the proofs of life that disk VMs have to be told, once in a while.
+func (f *Follower) share(now time.Duration) []Send {
+	if now-f.shared < shareInterval {
+		return nil
+	}
+	heard := f.roster.AnnouncedSince(f.shared)
+	f.shared = now
+	if len(heard) == 0 {
+		return nil
+	}
+	var sends []Send
+	for _, id := range f.DiskVMs() {
+		sends = append(sends, Send{To: id, Body: Heard{Upstreams: heard}})
+	}
+	return sends
+}
--- /dev/null
+++ b/coordination/control/announcements_test.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// announcing is an upstream that announces itself each second, to the address that
+// it was last given or else to a disk VM.
+type announcing struct {
+	entry roster.Entry
+	at    string
+}
+
+// newAnnouncing returns some upstreams, half of them in each data centre.
+func newAnnouncing(n int) []*announcing {
+	var all []*announcing
+	for i := range n {
+		all = append(all, &announcing{entry: roster.Entry{
+			ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready,
+			DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%2)),
+		}})
+	}
+	return all
+}
+
+// startTakers starts routers that take proofs of life, half of them in each data centre.
+func (w *world) startTakers(n int) {
+	for i := range n {
+		id := protocol.RouterID(fmt.Sprint("r", i))
+		w.startRouter(id, "vm1").SetAnnouncements(string(id), protocol.DataCentre(fmt.Sprint("dc", i%2)))
+	}
+}
+
+// announce makes each upstream announce itself once. It counts the calls by who
+// took them.
+func (w *world) announce(upstreams []*announcing, calls map[string]int) {
+	for i, u := range upstreams {
+		u.entry.Sequence++
+		r := w.routers[protocol.RouterID(u.at)]
+		if r != nil && !w.deaf[r.self] && r.MayConfirm(w.now) && r.roster.Confirm(w.now, u.entry) {
+			calls[u.at]++
+			continue
+		}
+		id := inOrder(w.vms)[i%len(w.vms)]
+		calls[string(id)]++
+		v := w.vms[id]
+		if v.roster.Announced(w.now, u.entry) {
+			v.publisher.Heard(u.entry.ID)
+			w.tellOtherVMs(u.entry)
+		}
+		u.at = v.publisher.AnnounceAt(w.now, u.entry)
+	}
+	for _, id := range inOrder(w.vms) {
+		w.carry(id, w.vms[id].publisher.PushHeard(w.now))
+	}
+}
+
+// tellOtherVMs does what disk VMs do among each other.
+func (w *world) tellOtherVMs(e roster.Entry) {
+	for _, v := range w.vms {
+		v.roster.Merge(w.now, e)
+	}
+}
+
+// announceFor makes the upstreams announce themselves each second for a while.
+func (w *world) announceFor(seconds int, upstreams []*announcing) map[string]int {
+	calls := map[string]int{}
+	for range seconds {
+		w.announce(upstreams, calls)
+		w.run(time.Second)
+		for _, v := range w.vms {
+			v.roster.Expire(w.now)
+		}
+	}
+	return calls
+}
+
+// atVMs counts the calls that disk VMs took.
+func (w *world) atVMs(calls map[string]int) int {
+	sum := 0
+	for id := range w.vms {
+		sum += calls[string(id)]
+	}
+	return sum
+}
+
+// listed counts the upstreams that a disk VM lists.
+func (w *world) listed(id protocol.RouterID) int { return w.vms[id].roster.Usable() }
+
+func TestManyUpstreamsAnnounceThemselvesToRouters(t *testing.T) {
+	// Six hundred upstreams announce themselves each second and nothing about
+	// them changes. If the disk VMs heard all that, their processors and links
+	// would be full of it, and changes of the table would wait behind.
+	w := newWorld(3)
+	w.put(1)
+	w.startTakers(30)
+	w.run(3 * time.Second)
+	upstreams := newAnnouncing(600)
+	w.announceFor(5, upstreams)
+	calls := w.announceFor(60, upstreams)
+	assert.Equal(t, w.atVMs(calls), 0)
+	for id := range w.vms {
+		assert.Equal(t, w.listed(id), 600, "%s, a minute later", id)
+	}
+	for id, taken := range calls {
+		assert.Assert(t, taken <= 2*60*600/30, "%s took %d of %d", id, taken, 60*600)
+	}
+
+	// One says that it leaves. The router doesn't take that; a disk VM does.
+	leaving := upstreams[7]
+	leaving.entry.State = roster.Draining
+	w.announceFor(2, upstreams)
+	found, _ := w.vms["vm2"].roster.Entry(leaving.entry.ID)
+	assert.Equal(t, found.State, roster.Draining)
+	assert.Equal(t, leaving.at, "")
+}
+
+func TestRoutersThatAreGoneTakeNoAnnouncements(t *testing.T) {
+	// Half of the routers lose power. Their upstreams must be heard by the disk
+	// VMs again, and soon by the other routers.
+	w := newWorld(3)
+	w.put(1)
+	w.startTakers(20)
+	w.run(3 * time.Second)
+	upstreams := newAnnouncing(300)
+	w.announceFor(5, upstreams)
+	for i := range 10 {
+		w.deaf[protocol.RouterID(fmt.Sprint("r", i))] = true
+	}
+	w.announceFor(6, upstreams)
+	calls := w.announceFor(40, upstreams)
+	assert.Equal(t, w.atVMs(calls), 0)
+	for id := range w.vms {
+		assert.Equal(t, w.listed(id), 300, "%s", id)
+	}
+}
+
+func TestARouterOutOfTouchSendsUpstreamsToTheDiskVMs(t *testing.T) {
+	// A router loses its way to the disk VMs and its upstreams don't. If it went
+	// on taking their proofs of life, sound upstreams would be forgotten.
+	w := newWorld(3)
+	w.put(1)
+	r := w.startRouter("r0", "vm1")
+	r.SetAnnouncements("r0", "dc0")
+	w.run(3 * time.Second)
+	assert.Assert(t, r.MayConfirm(w.now))
+	w.deaf["vm1"] = true
+	w.run(4 * time.Second)
+	assert.Assert(t, r.MayConfirm(w.now), "two of three are enough")
+	w.deaf["vm2"] = true
+	w.run(4 * time.Second)
+	assert.Assert(t, !r.MayConfirm(w.now))
+}
+
+func TestFewUpstreamsAreHeardByTheDiskVMs(t *testing.T) {
+	// With fifteen upstreams a lost router would cost more than it spares.
+	w := newWorld(3)
+	w.put(1)
+	w.startTakers(9)
+	w.run(3 * time.Second)
+	calls := w.announceFor(5, newAnnouncing(15))
+	assert.Equal(t, w.atVMs(calls), 5*15)
+}
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -88,6 +88,11 @@
 	pulledFrom protocol.RouterID
 	pulledAt   time.Duration
 	pulling    bool
+	// announcements is where this router takes proofs of life of the upstreams in
+	// its data centre, and shared when the disk VMs were last told of them.
+	announcements string
+	dataCentre    protocol.DataCentre
+	shared        time.Duration
 	// listAsked is when a whole list was last asked for, if ever.
 	listAsked time.Duration
 	everAsked bool
@@ -121,6 +126,7 @@
 	}
 	sends = append(sends, f.askList(now)...)
 	sends = append(sends, f.askNeighbour(now)...)
+	sends = append(sends, f.share(now)...)
 	return append(sends, f.pull(now)...)
 }
 
@@ -140,6 +146,8 @@
 	s := f.sources[id]
 	s.asked = now
 	w.Router = f.router
+	w.Announcements = f.announcements
+	w.DataCentre = f.dataCentre
 	w.Fleet = s.fleet
 	if f.inForce != nil {
 		w.Version = f.inForce.Version
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
 )
 
 // The messages between disk VMs and routers. All of them may be lost.
@@ -19,6 +20,10 @@
 	WantDocument bool           `msgpack:"w,omitempty"`
 	WantList     bool           `msgpack:"l,omitempty"`
 	Have         roster.Summary `msgpack:"h,omitempty"`
+	// Announcements is the IP:port where a router takes proofs of life of the
+	// upstreams in its DataCentre, empty where it takes none.
+	Announcements string              `msgpack:"a,omitempty"`
+	DataCentre    protocol.DataCentre `msgpack:"c,omitempty"`
 	// Fleet is the digest of the last News.Fleet taken from the receiver.
 	Fleet uint64 `msgpack:"f,omitempty"`
 }
@@ -73,7 +78,7 @@
 	Change document.Change `msgpack:"c"`
 }
 
-// Heard tells another disk VM which upstreams still announce themselves.
+// Heard tells a disk VM which upstreams still announce themselves.
 type Heard struct {
 	Upstreams []roster.Heard `msgpack:"u"`
 }
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -66,6 +66,8 @@
 	// that are in them.
 	lists   map[roster.Buckets]List
 	listsOf uint64
+	// takers are the routers that take proofs of life, by data centre.
+	takers  map[protocol.DataCentre]*takers
 	inForce *document.Document
 	// tableChanges holds the change to the table in force from each base that a
 	// follower asked for. Many followers have the same base.
@@ -90,6 +92,7 @@
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
 		lists:        map[roster.Buckets]List{},
+		takers:       map[protocol.DataCentre]*takers{},
 		tableChanges: map[document.Digest]document.Change{},
 	}
 }
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -83,6 +83,10 @@
 			w.carry(send.To, w.routers[send.To].TakeChanges(w.now, from, body))
 		case ChangesAck:
 			w.vms[send.To].publisher.Acknowledged(from, body)
+		case Heard:
+			for _, heard := range body.Upstreams {
+				w.vms[send.To].roster.Refresh(w.now, heard)
+			}
 		case List:
 			w.lists++
 			w.listBytes += len(body.Packed)
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -195,6 +195,20 @@
 	return changed
 }
 
+// Confirm takes an upstream's own announcement where nobody hears of changes. It
+// reports false for one that says something new, which changes nothing here.
+func (r *Roster) Confirm(now time.Duration, e Entry) bool {
+	known := r.records[e.ID]
+	if known == nil || !sameToRouters(known.Entry, e) {
+		return false
+	}
+	known.Sequence = max(known.Sequence, e.Sequence)
+	known.heard = now
+	known.announced = now
+	known.everAnnounced = true
+	return true
+}
+
 // Merge takes an announcement or another VM's entry. It reports whether
 // anything changed that matters to routers.
 func (r *Roster) Merge(now time.Duration, e Entry) bool {
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -122,6 +122,25 @@
 	assert.Equal(t, stateOf(other, "1"), Draining)
 }
 
+func TestProofsOfLifeAreTakenWithoutWhatIsNew(t *testing.T) {
+	// A router takes proofs of life and says so to the disk VMs. Taking a change
+	// with them would keep it from everybody else.
+	r := New(DefaultSettings())
+	assert.Assert(t, !r.Confirm(0, ready("1", "a", 100, 33)), "not known here")
+	r.Merge(0, ready("1", "a", 100, 33))
+	revision := r.Revision()
+	assert.Assert(t, r.Confirm(1, ready("1", "a", 100, 35)))
+	assert.Assert(t, r.Confirm(2, ready("1", "a", 100, 34)), "one that was late")
+	draining := ready("1", "a", 100, 36)
+	draining.State = Draining
+	assert.Assert(t, !r.Confirm(3, draining))
+	assert.Assert(t, !r.Confirm(3, ready("1", "a", 200, 1)), "another start")
+	assert.Equal(t, r.Revision(), revision)
+	assert.Equal(t, r.AnnouncedSince(0)[0].Sequence, uint64(35))
+	r.Leave(4, "u1", 0, 0)
+	assert.Assert(t, !r.Confirm(5, ready("1", "a", 100, 37)))
+}
+
 func TestTheNewestWordWinsWhateverIsLostBetweenVMs(t *testing.T) {
 	// An upstream's announcements reach one disk VM or another. Between the VMs
 	// entries and proofs of life are lost, late and in any order. Once they have
--- a/daemon/diskvm/upstreams.go
+++ b/daemon/diskvm/upstreams.go
@@ -6,16 +6,17 @@
 	"endiveplank/protocol"
 )
 
-// Announce takes an upstream's announcement.
-func (vm *VM) Announce(e roster.Entry) {
+// Announce takes an upstream's announcement. It returns the IP:port for the
+// upstream's next ones, "" for any disk VM.
+func (vm *VM) Announce(e roster.Entry) string {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	now := vm.now()
-	if !vm.roster.Announced(now, e) {
-		return
+	if vm.roster.Announced(now, e) {
+		vm.logUpstream(e.ID)
+		vm.publisher.Heard(e.ID)
 	}
-	vm.logUpstream(e.ID)
-	vm.publisher.Heard(e.ID)
+	return vm.publisher.AnnounceAt(now, e)
 }
 
 // Leave notes that an upstream has left. born and sequence are 0 where it
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -27,10 +27,6 @@
 	// how long changes of upstreams are gathered. A leaving upstream must get
 	// no more work after two seconds.
 	tickInterval = 50 * time.Millisecond
-	// shareInterval is how often disk VMs tell each other which upstreams announced
-	// themselves to them. An upstream is forgotten after 30 s without a word, so
-	// two proofs in a row may be lost. Changes go out at once and don't wait for it.
-	shareInterval = 8 * time.Second
 	// expireInterval is how often silent upstreams are looked for.
 	expireInterval = time.Second
 )
@@ -67,7 +63,6 @@
 	publisher *control.Publisher
 	// follower follows the rosters of the other disk VMs.
 	follower  *control.Follower
-	shared    time.Duration
 	expired   time.Duration
 	published *document.Document
 	leader    protocol.RouterID
@@ -150,9 +145,6 @@
 	vm.remember(now)
 	vm.fabric.SendAll(vm.publisher.PushHeard(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
-	if now-vm.shared >= shareInterval {
-		vm.share(now)
-	}
 	if now-vm.expired >= expireInterval {
 		vm.expired = now
 		for _, id := range vm.roster.Expire(now) {
@@ -161,18 +153,6 @@
 	}
 }
 
-// share tells the other disk VMs which upstreams were heard here.
-func (vm *VM) share(now time.Duration) {
-	heard := vm.roster.AnnouncedSince(vm.shared)
-	vm.shared = now
-	if len(heard) == 0 {
-		return
-	}
-	for _, id := range vm.follower.DiskVMs() {
-		vm.fabric.Send(id, control.Heard{Upstreams: heard})
-	}
-}
-
 // noteMembership takes the disk VMs from the newest configuration of the log.
 func (vm *VM) noteMembership(now time.Duration) {
 	member := vm.member.Load()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -40,7 +41,10 @@
 	Dialect  dialect.Dialect
 	// ReadTable makes a table of what the disk VMs keep.
 	ReadTable func(version uint64, body []byte) (*routing.Table, error)
-	Log       zerolog.Logger
+	// AnnouncementHandler makes what serves upstreams' proofs of life; confirm
+	// reports whether an announcement says nothing new.
+	AnnouncementHandler func(confirm func(roster.Entry) bool) http.Handler
+	Log                 zerolog.Logger
 	// RequestLog takes the line of each request.
 	RequestLog zerolog.Logger
 	Random     *rand.Rand
@@ -103,6 +107,7 @@
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
 	r.relay = control.NewRelay(self, options.Settings.TableRate())
 	r.follower.SetRelay(r.relay)
+	r.follower.SetAnnouncements(options.Settings.Listen.Announcements, options.Settings.DataCentre)
 	r.book = balance.NewBook(balance.Settings{
 		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
 		DataCentre: options.Settings.DataCentre,
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -17,6 +17,9 @@
 	// connections again that have been unused for a while, and a closed one
 	// costs them a request, so it is far above what tables set.
 	idleTimeout = 2 * time.Minute
+	// announcementIdle is how long an upstream's connection may be unused: ten
+	// times the interval between two announcements.
+	announcementIdle = 12 * time.Second
 	// maxHeaderBytes bounds a caller's header.
 	maxHeaderBytes = 64 << 10
 	// cutBefore is how long before the end of the grace what is still under
@@ -26,9 +29,10 @@
 
 // servers are the router's HTTP servers.
 type servers struct {
-	callers   *http.Server
-	readiness *http.Server
-	metrics   *http.Server
+	callers       *http.Server
+	readiness     *http.Server
+	announcements *http.Server
+	metrics       *http.Server
 }
 
 // serve starts to listen.
@@ -44,6 +48,13 @@
 	if err := r.start(r.servers.readiness, listen.Readiness); err != nil {
 		return err
 	}
+	if listen.Announcements != "" {
+		handler := r.options.AnnouncementHandler(r.confirm)
+		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdle}
+		if err := r.start(r.servers.announcements, listen.Announcements); err != nil {
+			return err
+		}
+	}
 	if listen.Metrics == "" {
 		return nil
 	}
@@ -105,6 +116,7 @@
 	began := time.Now()
 	r.leaving.Store(true)
 	r.mu.Lock()
+	r.follower.SetAnnouncements("", r.settings.DataCentre)
 	stop := r.settings.Stop
 	r.mu.Unlock()
 	r.log.Info().Str("event", "stopping").Int("active", r.handler.Active()).Send()
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -43,6 +43,9 @@
 	case RoleDiskVM:
 		c.Address("listen.control", s.Listen.Control)
 	}
+	if s.Listen.Announcements != "" {
+		c.Address("listen.announcements", s.Listen.Announcements)
+	}
 	if s.Listen.Metrics != "" {
 		c.Address("listen.metrics", s.Listen.Metrics)
 	}
