In large fleets relays add up the routers' work

Cause: each router tells each other of its work. Ruled out: telling less often, as the bound is kept by what routers know of each other; the owners' tree, whose parents are owners of upstreams. Change: from 100 routers on a router tells its relay, the one that passes large tables on to it; relays add up what their members told and tell each other, and tell each member all work but its own, four times a second. Each member's relay is the first by rendezvous hashing, so that one relay's end moves its own members alone.

--- a/coordination/balance/book.go
+++ b/coordination/balance/book.go
@@ -80,6 +80,12 @@
 	routers   map[protocol.RouterID]*others
 	keepers   *keepers
 	settings  Settings
+	// neighbours are the routers that this one exchanges its work with; told and
+	// kept are what those have been told and have to be told, where this one
+	// passes work on.
+	neighbours Neighbours
+	told       map[protocol.RouterID]map[Short]Work
+	kept       []passedKept
 }
 
 // Settings of a Book.
@@ -101,6 +107,7 @@
 		routers:   map[protocol.RouterID]*others{},
 		keepers:   newKeepers(),
 		settings:  settings,
+		told:      map[protocol.RouterID]map[Short]Work{},
 	}
 }
 
@@ -237,35 +244,12 @@
 	return changed
 }
 
-// OwnLoads returns what the other routers don't know yet, or all of this
-// router's work. False means that there is nothing to tell.
-func (b *Book) OwnLoads(whole bool) (Loads, bool) {
-	loads := Loads{Whole: whole}
-	for _, u := range b.upstreams {
-		if whole && u.own.InFlight > 0 || u.own != u.told {
-			loads.Works = append(loads.Works, u.own)
-		}
-		u.told = u.own
-	}
-	slices.SortFunc(loads.Works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
-	loads.Kept = b.keepers.takeNews()
-	return loads, whole || len(loads.Works) > 0 || len(loads.Kept) > 0
-}
-
-// TellInterval returns how often a router tells the others of its work. With
-// more routers each tells less often, so that all of them together cost a router
-// some 200 messages a second at any size: about a hundredth of a small VM.
-func TellInterval(routers int) time.Duration {
-	return max(leastTell, time.Duration(routers)*tellPerRouter)
-}
-
-const (
-	leastTell     = 100 * time.Millisecond
-	tellPerRouter = 5 * time.Millisecond
-)
-
-// TakeLoads takes another router's work.
+// TakeLoads takes another router's work, or what one that passes work on has
+// added up.
 func (b *Book) TakeLoads(now time.Duration, from protocol.RouterID, loads Loads) {
+	if !b.neighbours.has(from) {
+		return
+	}
 	other := b.routers[from]
 	if other == nil {
 		other = &others{works: map[Short]Work{}}
@@ -279,6 +263,7 @@
 		b.replace(now, other, work)
 	}
 	b.takeKept(now, loads.Kept)
+	b.passKept(from, loads.Kept)
 }
 
 // lapse takes what whole Loads leave out as ended.
--- /dev/null
+++ b/coordination/balance/exchange.go
@@ -0,0 +1,255 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"endiveplank/protocol"
+)
+
+const (
+	// leastTell and tellPerRouter make up the interval of a mesh.
+	leastTell     = 100 * time.Millisecond
+	tellPerRouter = 5 * time.Millisecond
+	// GroupsFrom is the number of routers from which a mesh tells too seldom,
+	// each half a second and more.
+	GroupsFrom = 100
+	// groupTell is the interval where work goes by way of relays. Three hundred
+	// routers have thirty of them, each of which sends 150 messages a second then.
+	groupTell = 250 * time.Millisecond
+	// keptPerRelay bounds the engines' kept prompts that a relay tells at once: 14 KB.
+	keptPerRelay = 512
+)
+
+// Neighbours are the routers that this one exchanges its work with.
+//
+// Load: three hundred routers each tell all others of their work. Harm prevented:
+// each takes 200 messages a second and still knows the others' work a second
+// and a half late, and 3 MB a second go between data centres. In a large fleet
+// a router tells its relay; relays add up what their members told, tell each
+// other, and tell their members the sum.
+//
+// Failure guarded: a relay is gone. Its members know only their own work for the
+// seconds until the list of routers says so, and choose as a router does that has
+// just started.
+type Neighbours struct {
+	// Mesh are all other routers, in a small fleet.
+	Mesh []protocol.RouterID
+	// Relay is who adds up for this router, "" if it does so itself.
+	Relay protocol.RouterID
+	// Members are those that this router adds up for, and Relays those that do
+	// the same for others.
+	Members []protocol.RouterID
+	Relays  []protocol.RouterID
+}
+
+// all returns the neighbours.
+func (n Neighbours) all() []protocol.RouterID {
+	all := slices.Concat(n.Mesh, n.Members, n.Relays)
+	if n.Relay != "" {
+		all = append(all, n.Relay)
+	}
+	return all
+}
+
+// has reports whether a router's work is taken. In a mesh it is anybody's: a router
+// that has just started is known to others before it is listed here.
+func (n Neighbours) has(id protocol.RouterID) bool {
+	return !n.grouped() || slices.Contains(n.all(), id)
+}
+
+// grouped reports whether work goes by way of relays.
+func (n Neighbours) grouped() bool {
+	return n.Relay != "" || len(n.Members) > 0 || len(n.Relays) > 0
+}
+
+// same compares neighbours.
+func (n Neighbours) same(other Neighbours) bool {
+	return n.Relay == other.Relay && slices.Equal(n.Mesh, other.Mesh) &&
+		slices.Equal(n.Members, other.Members) && slices.Equal(n.Relays, other.Relays)
+}
+
+// SetNeighbours tells who the neighbours are. What others have told is dropped: a
+// router that changes its relay would count the same work twice.
+func (b *Book) SetNeighbours(n Neighbours) {
+	if b.neighbours.same(n) {
+		return
+	}
+	b.neighbours = n
+	if !n.grouped() {
+		return
+	}
+	all := n.all()
+	maps.DeleteFunc(b.routers, func(id protocol.RouterID, _ *others) bool { return !slices.Contains(all, id) })
+	maps.DeleteFunc(b.told, func(id protocol.RouterID, _ map[Short]Work) bool { return !slices.Contains(all, id) })
+	b.sumElsewhere()
+}
+
+// TellInterval returns how often this router tells the others of its work. In a
+// mesh each tells less often the more there are, so that all of them together
+// cost a router some 200 messages a second: about a hundredth of a small VM.
+func (b *Book) TellInterval() time.Duration {
+	if b.neighbours.grouped() {
+		return groupTell
+	}
+	return max(leastTell, time.Duration(len(b.neighbours.Mesh)+1)*tellPerRouter)
+}
+
+// Tell is a message about work to another router.
+type Tell struct {
+	To    protocol.RouterID
+	Loads Loads
+}
+
+// Tell returns what the neighbours don't know yet, or the whole.
+func (b *Book) Tell(whole bool) []Tell {
+	n := b.neighbours
+	if n.grouped() && n.Relay == "" {
+		return b.tellAsRelay(whole)
+	}
+	loads, any := b.OwnLoads(whole)
+	if !any {
+		return nil
+	}
+	var tells []Tell
+	for _, id := range n.all() {
+		tells = append(tells, Tell{To: id, Loads: loads})
+	}
+	return tells
+}
+
+// OwnLoads returns what the other routers don't know yet, or all of this
+// router's work. False means that there is nothing to tell.
+func (b *Book) OwnLoads(whole bool) (Loads, bool) {
+	loads := Loads{Whole: whole}
+	for _, u := range b.upstreams {
+		if whole && u.own.InFlight > 0 || u.own != u.told {
+			loads.Works = append(loads.Works, u.own)
+		}
+		u.told = u.own
+	}
+	slices.SortFunc(loads.Works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
+	loads.Kept = b.keepers.takeNews()
+	return loads, whole || len(loads.Works) > 0 || len(loads.Kept) > 0
+}
+
+// tellAsRelay adds up the work of this router and its members for the other relays,
+// and all work but its own for each member.
+func (b *Book) tellAsRelay(whole bool) []Tell {
+	group := b.ownWorks()
+	for _, id := range b.neighbours.Members {
+		addTo(group, b.routers[id])
+	}
+	total := maps.Clone(group)
+	for _, id := range b.neighbours.Relays {
+		addTo(total, b.routers[id])
+	}
+	for _, kept := range b.keepers.takeNews() {
+		b.kept = append(b.kept, passedKept{Kept: kept})
+	}
+	passed := b.kept[:min(len(b.kept), keptPerRelay)]
+	b.kept = slices.Clone(b.kept[len(passed):])
+	var tells []Tell
+	add := func(to protocol.RouterID, loads Loads) {
+		if whole || len(loads.Works) > 0 || len(loads.Kept) > 0 {
+			tells = append(tells, Tell{To: to, Loads: loads})
+		}
+	}
+	for _, id := range b.neighbours.Relays {
+		add(id, Loads{Whole: whole, Works: b.news(id, whole, group, nil), Kept: keptFor(id, passed, b.neighbours.Relays)})
+	}
+	for _, id := range b.neighbours.Members {
+		add(id, Loads{Whole: whole, Works: b.news(id, whole, total, b.routers[id]), Kept: keptFor(id, passed, nil)})
+	}
+	return tells
+}
+
+// ownWorks returns this router's work.
+func (b *Book) ownWorks() map[Short]Work {
+	works := map[Short]Work{}
+	for _, u := range b.upstreams {
+		if u.own != (Work{ID: u.own.ID}) {
+			works[u.own.ID] = u.own
+		}
+	}
+	return works
+}
+
+// addTo adds the work that another router has told.
+func addTo(sum map[Short]Work, other *others) {
+	if other == nil {
+		return
+	}
+	for id, work := range other.works {
+		sum[id] = plus(sum[id], work)
+	}
+}
+
+// plus adds work on one upstream.
+func plus(sum, work Work) Work {
+	return Work{
+		ID: work.ID, InFlight: sum.InFlight + work.InFlight,
+		Served: sum.Served + work.Served, Failed: sum.Failed + work.Failed,
+	}
+}
+
+// minus takes work away that is part of a sum.
+func minus(sum, work Work) Work {
+	return Work{
+		ID: sum.ID, InFlight: sum.InFlight - work.InFlight,
+		Served: sum.Served - work.Served, Failed: sum.Failed - work.Failed,
+	}
+}
+
+// news returns what a neighbour doesn't know yet of a sum without its own part, or
+// all that is in flight.
+func (b *Book) news(to protocol.RouterID, whole bool, sum map[Short]Work, own *others) []Work {
+	told := b.told[to]
+	if told == nil {
+		told = map[Short]Work{}
+		b.told[to] = told
+	}
+	var works []Work
+	for id, work := range sum {
+		if own != nil {
+			work = minus(work, own.works[id])
+		}
+		if work != told[id] && work != (Work{ID: id}) || whole && work.InFlight > 0 {
+			works = append(works, work)
+		}
+		told[id] = work
+	}
+	slices.SortFunc(works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
+	return works
+}
+
+// passedKept is a kept prompt that a relay passes on.
+type passedKept struct {
+	Kept
+	// from is who told it, "" for this router.
+	from protocol.RouterID
+}
+
+// passKept notes what has to be passed on.
+func (b *Book) passKept(from protocol.RouterID, kept []Kept) {
+	if !b.neighbours.grouped() || b.neighbours.Relay != "" {
+		return
+	}
+	for _, k := range kept {
+		b.kept = append(b.kept, passedKept{Kept: k, from: from})
+	}
+}
+
+// keptFor returns what a neighbour hasn't told itself, without what any of some
+// routers has told: relays tell each other only what comes from their members.
+func keptFor(to protocol.RouterID, passed []passedKept, without []protocol.RouterID) []Kept {
+	var kept []Kept
+	for _, k := range passed {
+		if k.from != to && (k.from == "" || !slices.Contains(without, k.from)) {
+			kept = append(kept, k.Kept)
+		}
+	}
+	return kept
+}
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"endiveplank/coordination/balance"
 	"endiveplank/coordination/document"
 	"endiveplank/protocol"
 )
@@ -51,10 +52,13 @@
 	others    []Router
 	// position is this router's place among all, in an order that all share.
 	position int
-	// waits says that another router passes on to this one.
+	// waits says that another router, own, passes on to this one.
 	waits bool
-	bulk  bucket
-	queue []queued
+	own   protocol.RouterID
+	// relays are those of all data centres.
+	relays []Router
+	bulk   bucket
+	queue  []queued
 }
 
 // queued is a message that waits for room on the link.
@@ -77,22 +81,72 @@
 	r.others = slices.Clone(others)
 	all := ranked(append(slices.Clone(others), r.self))
 	r.position = slices.Index(all, r.self)
-	r.receivers = nil
-	r.waits = false
+	r.receivers, r.relays = nil, nil
+	r.waits, r.own = false, ""
 	if len(all) < relayFrom {
 		return
 	}
-	near := slices.DeleteFunc(all, func(other Router) bool { return other.DataCentre != r.self.DataCentre })
+	for _, near := range byDataCentre(all) {
+		relays := relaysOf(near)
+		r.relays = append(r.relays, relays...)
+		if near[0].DataCentre == r.self.DataCentre {
+			r.place(near, relays)
+		}
+	}
+}
+
+// relaysOf returns the routers of a data centre that pass on to the others there.
+func relaysOf(near []Router) []Router {
 	perRelay := max(leastPerRelay, int(math.Sqrt(float64(len(near)))))
-	relays := near[:(len(near)+perRelay-1)/perRelay]
+	return ranked(near)[:(len(near)+perRelay-1)/perRelay]
+}
+
+// place finds this router's relay, or its receivers. Each router goes to the relay
+// that is first for it by rendezvous hashing, so that one that comes or goes
+// changes little for the others.
+func (r *Relay) place(near, relays []Router) {
 	r.waits = !slices.Contains(relays, r.self)
-	for at, other := range near[len(relays):] {
-		if relays[at%len(relays)] == r.self {
+	for _, other := range near {
+		if slices.Contains(relays, other) {
+			continue
+		}
+		relay := first(relays, other)
+		if other == r.self {
+			r.own = relay.ID
+		}
+		if relay == r.self {
 			r.receivers = append(r.receivers, other.ID)
 		}
 	}
 }
 
+// first returns the relay of a router.
+func first(relays []Router, of Router) Router {
+	weight := func(relay Router) uint64 { return xxhash.Sum64String(string(relay.ID) + string(of.ID)) }
+	return slices.MaxFunc(relays, func(a, b Router) int { return cmp.Compare(weight(a), weight(b)) })
+}
+
+// Neighbours returns with whom this router exchanges its work.
+func (r *Relay) Neighbours() balance.Neighbours {
+	if len(r.others)+1 < balance.GroupsFrom {
+		return balance.Neighbours{Mesh: idsOf(r.others)}
+	}
+	if r.waits {
+		return balance.Neighbours{Relay: r.own}
+	}
+	others := slices.DeleteFunc(slices.Clone(r.relays), func(other Router) bool { return other == r.self })
+	return balance.Neighbours{Members: r.receivers, Relays: idsOf(others)}
+}
+
+// idsOf returns the names of routers.
+func idsOf(routers []Router) []protocol.RouterID {
+	var ids []protocol.RouterID
+	for _, router := range routers {
+		ids = append(ids, router.ID)
+	}
+	return ids
+}
+
 // ranked puts routers in an order that all share and that no name prefers.
 func ranked(routers []Router) []Router {
 	rank := func(r Router) uint64 { return xxhash.Sum64String(string(r.ID)) }
--- a/coordination/control/relay_test.go
+++ b/coordination/control/relay_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"endiveplank/coordination/balance"
 	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
@@ -145,3 +147,32 @@
 	}
 	assert.Assert(t, w.lists <= 10, "%d lists from disk VMs for 30 routers", w.lists)
 }
+
+func TestAllRoutersAgreeWhoAddsUpForWhom(t *testing.T) {
+	// Three hundred routers work out by themselves who tells whom of its work. One
+	// that nobody adds up for would be missing in all choices.
+	var routers []Router
+	for i := range 300 {
+		routers = append(routers, Router{ID: protocol.RouterID(fmt.Sprint("r", i)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%3))})
+	}
+	found := map[protocol.RouterID]balance.Neighbours{}
+	for at, r := range routers {
+		relay := NewRelay(r, 750_000)
+		relay.SetRouters(append(append([]Router{}, routers[:at]...), routers[at+1:]...))
+		found[r.ID] = relay.Neighbours()
+	}
+	relays := 0
+	for id, n := range found {
+		if n.Relay != "" {
+			assert.Assert(t, slices.Contains(found[n.Relay].Members, id))
+			continue
+		}
+		relays++
+		assert.Assert(t, len(n.Members) <= 25, "%s adds up for %d", id, len(n.Members))
+		assert.Equal(t, len(n.Relays), 29)
+		for _, other := range n.Relays {
+			assert.Assert(t, slices.Contains(found[other].Relays, id))
+		}
+	}
+	assert.Equal(t, relays, 30)
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -201,6 +201,7 @@
 	self := r.settings.Self()
 	r.routers = slices.DeleteFunc(r.follower.Routers(now), func(other control.Router) bool { return other.ID == self })
 	r.relay.SetRouters(r.routers)
+	r.book.SetNeighbours(r.relay.Neighbours())
 	size := len(r.routers) + 1
 	if size >= r.fleetSize || now-r.sizedAt > 3*r.settings.Retries.Window() {
 		r.fleetSize = size
@@ -208,9 +209,9 @@
 	}
 }
 
-// tellLoads sends this router's work to the others.
+// tellLoads sends this router's work to the others, or to those that pass it on.
 func (r *Router) tellLoads(now time.Duration) {
-	if now-r.told < balance.TellInterval(len(r.routers)+1) {
+	if now-r.told < r.book.TellInterval() {
 		return
 	}
 	r.told = now
@@ -218,12 +219,8 @@
 	if whole {
 		r.toldWhole = now
 	}
-	loads, any := r.book.OwnLoads(whole)
-	if !any {
-		return
-	}
-	for _, other := range r.routers {
-		r.fabric.Send(other.ID, loads)
+	for _, tell := range r.book.Tell(whole) {
+		r.fabric.Send(tell.To, tell.Loads)
 	}
 }
 
