A fleet that loses power and two disks right after an acknowledgement, each write by itself

Test alone: five voters, twelve rounds, power cut within three calls of each disk after an acknowledged change, two disks empty.

--- a/state/replica/repair_test.go
+++ b/state/replica/repair_test.go
@@ -118,3 +118,52 @@
 	}
 	assert.Equal(t, f.add(1), sum+1)
 }
+
+func TestPowerIsLostRightAfterAnAcknowledgementWithTwoDisks(t *testing.T) {
+	// A change is acknowledged, and at that moment five disk VMs lose power in the
+	// middle of whatever they do. Of what their disks had not synced each write
+	// and name is kept or lost by itself, and two disks are empty afterwards. What
+	// was acknowledged is still there, and so it is the next time.
+	f := newFleet(t, 5, "r1", "r2", "r3", "r4", "r5")
+	f.every = 15
+	random := rand.New(rand.NewPCG(11, 5))
+	disks := map[protocol.RouterID]*fakedisk.Disk{}
+	for _, id := range f.peers {
+		disks[id] = fakedisk.New()
+		f.start(id, disks[id])
+	}
+	sum := uint64(0)
+	for range 12 {
+		for range 1 + random.IntN(40) {
+			sum++
+			assert.Equal(t, f.add(1), sum)
+		}
+		for _, id := range f.peers {
+			disks[id].CutPowerAfter(random.IntN(3))
+		}
+		for _, id := range f.peers {
+			f.stop(id)
+			disks[id].CrashApart(random)
+		}
+		for _, at := range random.Perm(len(f.peers))[:2] {
+			disks[f.peers[at]] = fakedisk.New()
+		}
+		for _, id := range f.peers {
+			f.start(id, disks[id])
+		}
+		sum++
+		assert.Equal(t, f.add(1), sum)
+		f.eventually("all five vote again", func() bool { return f.allVote() })
+	}
+}
+
+// allVote reports whether every running member votes, and nobody else does.
+func (f *fleet) allVote() bool {
+	for _, n := range f.running() {
+		status := n.replica.Status()
+		if !status.Configuration.IsVoter(status.Self) || len(status.Configuration.Voters) != len(f.peers) {
+			return false
+		}
+	}
+	return true
+}
