A fleet that starts isn't flooded with its upstreams

Routers that have just started don't know yet who passes changes on to them, so each disk VM sent all that it heard to all of them, 26 MB a VM in the first second; and routers that had got the list from each other were still sent it. Change: a router says that it passes changes on; while the link has no room for all, only those and the disk VMs are told. A wish for a table or list lapses after twice its patience.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -150,7 +150,7 @@
 	w.Announcements = f.announcements
 	if f.relay != nil {
 		w.DataCentre = f.relay.self.DataCentre
-		w.Relayed = f.relay.waits
+		w.Relays = len(f.relay.receivers) > 0
 	}
 	w.Fleet = s.fleet
 	if f.inForce != nil {
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -18,8 +18,8 @@
 type Watch struct {
 	// Router is false for another disk VM, which follows the roster alone.
 	Router bool `msgpack:"r"`
-	// Relayed says that another router can pass changes of upstreams on to this one.
-	Relayed bool `msgpack:"y,omitempty"`
+	// Relays says that this router passes changes of upstreams on to others.
+	Relays bool `msgpack:"y,omitempty"`
 	// Version and Digest are of the table that the sender has in force.
 	Version uint64          `msgpack:"v,omitempty"`
 	Digest  document.Digest `msgpack:"d"`
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -24,6 +24,9 @@
 	// packedLife is how long a list that was packed is used: hundreds of
 	// watches a second would each sort and compress the same names.
 	packedLife = 200 * time.Millisecond
+	// wishLife is how long a follower waits for a table or list, at the most, until
+	// it has asked for it again: twice its patience.
+	wishLife = 2 * documentPatience
 	// keepPrevious is how many earlier tables are kept to make small changes
 	// from: those of the last second of a storm of changes.
 	keepPrevious = 8
@@ -52,6 +55,8 @@
 type request struct {
 	from protocol.RouterID
 	list bool
+	// at is when it last wished for it.
+	at time.Duration
 }
 
 // Publisher is the disk VM's side. It is not safe for concurrent use.
@@ -172,11 +177,11 @@
 	known.watch = w
 	known.at = now
 	if w.WantDocument && p.version() > w.Version {
-		p.enqueue(request{from: from})
+		p.enqueue(request{from: from, at: now})
 	}
 	if w.WantList {
 		known.has = w.Have
-		p.enqueue(request{from: from, list: true})
+		p.enqueue(request{from: from, list: true, at: now})
 	}
 	sends := []Send{{To: from, Body: p.news(now, known)}}
 	return append(sends, p.SendWaiting(now)...)
@@ -209,11 +214,14 @@
 	return news
 }
 
-// enqueue notes a wish, once.
+// enqueue notes a wish, once. One that is repeated keeps its place.
 func (p *Publisher) enqueue(wish request) {
-	if !slices.Contains(p.waiting, wish) {
-		p.waiting = append(p.waiting, wish)
+	at := slices.IndexFunc(p.waiting, func(other request) bool { return other.from == wish.from && other.list == wish.list })
+	if at >= 0 {
+		p.waiting[at].at = wish.at
+		return
 	}
+	p.waiting = append(p.waiting, wish)
 }
 
 // SendWaiting returns the tables and lists that the link has room for now, in
@@ -221,7 +229,7 @@
 func (p *Publisher) SendWaiting(now time.Duration) []Send {
 	var sends []Send
 	for len(p.waiting) > 0 {
-		body, size := p.wished(p.waiting[0])
+		body, size := p.wished(now, p.waiting[0])
 		if body != nil && !p.bulk.take(now, size) {
 			return sends
 		}
@@ -234,10 +242,14 @@
 }
 
 // wished returns what a follower asked for and its size in bytes, nil if it has
-// gone or needs it no more.
-func (p *Publisher) wished(wish request) (any, int) {
+// gone, asks elsewhere or needs it no more.
+//
+// Load: three hundred routers start, ask a disk VM for a list of 100 KB, and get it
+// from each other a second later. Harm prevented: the VM sends it to all of them
+// all the same, for a minute and a half on a link of 6 Mbit/s.
+func (p *Publisher) wished(now time.Duration, wish request) (any, int) {
 	f := p.followers[wish.from]
-	if f == nil {
+	if f == nil || now-wish.at > wishLife {
 		return nil, 0
 	}
 	if wish.list {
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -88,7 +88,7 @@
 
 // PushHeard tells the followers the changes that upstreams have told this VM, and
 // again those that haven't been acknowledged. While the link has no room for that,
-// routers that get changes from another one are left out; see Relay.
+// only those routers are told that pass changes on; see Relay.
 //
 // Load: sixty upstreams start within a second or two and announce themselves to
 // five disk VMs, which 87 routers follow. Harm prevented: a message for each
@@ -102,10 +102,11 @@
 func (p *Publisher) PushHeard(now time.Duration) []Send {
 	var sends []Send
 	present := p.present(now)
+	routers := len(p.Routers(now))
 	toAll := len(p.heard) == 0 || p.pushes.takeWhole(now, entryBytes*len(p.heard)*len(present))
 	for _, id := range present {
 		f := p.followers[id]
-		if !toAll && f.watch.Relayed {
+		if !toAll && f.leftOut(routers) {
 			f.owed = owed{}
 			continue
 		}
@@ -119,6 +120,14 @@
 	return sends
 }
 
+// leftOut reports whether a follower isn't told of changes while the link has no
+// room to tell everybody: a router of a fleet large enough for relays that passes
+// nothing on. That holds too for one that has just started and doesn't know yet
+// who passes on to it. It compares lists.
+func (f *follower) leftOut(routers int) bool {
+	return f.watch.Router && !f.watch.Relays && routers >= relayFrom
+}
+
 // changes makes the message about some upstreams.
 func (p *Publisher) changes(number uint64, ids []protocol.UpstreamID) Changes {
 	changes := Changes{Number: number}
--- a/coordination/control/relay_test.go
+++ b/coordination/control/relay_test.go
@@ -176,3 +176,39 @@
 	}
 	assert.Equal(t, relays, 30)
 }
+
+func TestAFleetThatStartsIsNotFloodedWithItsUpstreams(t *testing.T) {
+	// All VMs and 900 upstreams start at once, and no router knows the others yet.
+	// Told of each upstream by the disk VM that hears it, ninety routers would fill
+	// the links for half a minute: no table could be put in that time.
+	w := newWorld(5)
+	w.put(1)
+	for i := range 90 {
+		r := Router{ID: protocol.RouterID(fmt.Sprint("r", i)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%3))}
+		w.startRouter(r.ID, "vm1").SetRelay(NewRelay(r, 750_000))
+	}
+	pushed := 0
+	for tick := range 40 {
+		for i := tick * 30; i < min(900, (tick+1)*30); i++ {
+			w.tell(inOrder(w.vms)[i%5], startOf(i, 1))
+		}
+		for _, id := range inOrder(w.vms) {
+			sends := w.vms[id].publisher.PushHeard(w.now)
+			for _, send := range sends {
+				pushed += len(send.Body.(Changes).Entries)
+			}
+			w.carry(id, sends)
+		}
+		w.runRelays(50 * time.Millisecond)
+		for _, r := range w.routers {
+			r.relay.SetRouters(slices.DeleteFunc(r.Routers(w.now), func(other Router) bool { return other.ID == r.self }))
+		}
+	}
+	w.runRelays(3 * time.Second)
+	for i := range 900 {
+		assert.Equal(t, w.knowing(startOf(i, 1)), 90)
+	}
+	assert.Assert(t, pushed <= 900*90/4, "%d entries were pushed, of %d in all", pushed, 900*90)
+	whole := len(packList(w.vms["vm1"].roster, roster.AllBuckets).Packed)
+	assert.Assert(t, w.listBytes <= 2*90*whole, "lists of %d bytes from disk VMs, a whole one has %d", w.listBytes, whole)
+}
