--- a/coordination/balance/exchange.go
+++ b/coordination/balance/exchange.go
@@ -19,8 +19,6 @@
 	// groupTell is the interval where work goes by way of relays. Three hundred
 	// routers have thirty of them, each of which sends 150 messages a second then.
 	groupTell = 250 * time.Millisecond
-	// keptPerRelay bounds the engines' kept prompts that a relay tells at once: 14 KB.
-	keptPerRelay = 512
 )
 
 // Neighbours are the routers that this one exchanges its work with.
@@ -83,7 +81,9 @@
 	}
 	all := n.all()
 	maps.DeleteFunc(b.routers, func(id protocol.RouterID, _ *others) bool { return !slices.Contains(all, id) })
-	maps.DeleteFunc(b.told, func(id protocol.RouterID, _ map[Short]Work) bool { return !slices.Contains(all, id) })
+	maps.DeleteFunc(b.told, func(id protocol.RouterID, _ map[Short]Work) bool {
+		return id != otherRelays && !slices.Contains(all, id)
+	})
 	b.sumElsewhere()
 }
 
@@ -134,122 +134,3 @@
 	loads.Kept = b.keepers.takeNews()
 	return loads, whole || len(loads.Works) > 0 || len(loads.Kept) > 0
 }
-
-// tellAsRelay adds up the work of this router and its members for the other relays,
-// and all work but its own for each member.
-func (b *Book) tellAsRelay(whole bool) []Tell {
-	group := b.ownWorks()
-	for _, id := range b.neighbours.Members {
-		addTo(group, b.routers[id])
-	}
-	total := maps.Clone(group)
-	for _, id := range b.neighbours.Relays {
-		addTo(total, b.routers[id])
-	}
-	for _, kept := range b.keepers.takeNews() {
-		b.kept = append(b.kept, passedKept{Kept: kept})
-	}
-	passed := b.kept[:min(len(b.kept), keptPerRelay)]
-	b.kept = slices.Clone(b.kept[len(passed):])
-	var tells []Tell
-	add := func(to protocol.RouterID, loads Loads) {
-		if whole || len(loads.Works) > 0 || len(loads.Kept) > 0 {
-			tells = append(tells, Tell{To: to, Loads: loads})
-		}
-	}
-	for _, id := range b.neighbours.Relays {
-		add(id, Loads{Whole: whole, Works: b.news(id, whole, group, nil), Kept: keptFor(id, passed, b.neighbours.Relays)})
-	}
-	for _, id := range b.neighbours.Members {
-		add(id, Loads{Whole: whole, Works: b.news(id, whole, total, b.routers[id]), Kept: keptFor(id, passed, nil)})
-	}
-	return tells
-}
-
-// ownWorks returns this router's work.
-func (b *Book) ownWorks() map[Short]Work {
-	works := map[Short]Work{}
-	for _, u := range b.upstreams {
-		if u.own != (Work{ID: u.own.ID}) {
-			works[u.own.ID] = u.own
-		}
-	}
-	return works
-}
-
-// addTo adds the work that another router has told.
-func addTo(sum map[Short]Work, other *others) {
-	if other == nil {
-		return
-	}
-	for id, work := range other.works {
-		sum[id] = plus(sum[id], work)
-	}
-}
-
-// plus adds work on one upstream.
-func plus(sum, work Work) Work {
-	return Work{
-		ID: work.ID, InFlight: sum.InFlight + work.InFlight,
-		Served: sum.Served + work.Served, Failed: sum.Failed + work.Failed,
-	}
-}
-
-// minus takes work away that is part of a sum.
-func minus(sum, work Work) Work {
-	return Work{
-		ID: sum.ID, InFlight: sum.InFlight - work.InFlight,
-		Served: sum.Served - work.Served, Failed: sum.Failed - work.Failed,
-	}
-}
-
-// news returns what a neighbour doesn't know yet of a sum without its own part, or
-// all that is in flight.
-func (b *Book) news(to protocol.RouterID, whole bool, sum map[Short]Work, own *others) []Work {
-	told := b.told[to]
-	if told == nil {
-		told = map[Short]Work{}
-		b.told[to] = told
-	}
-	var works []Work
-	for id, work := range sum {
-		if own != nil {
-			work = minus(work, own.works[id])
-		}
-		if work != told[id] && work != (Work{ID: id}) || whole && work.InFlight > 0 {
-			works = append(works, work)
-		}
-		told[id] = work
-	}
-	slices.SortFunc(works, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
-	return works
-}
-
-// passedKept is a kept prompt that a relay passes on.
-type passedKept struct {
-	Kept
-	// from is who told it, "" for this router.
-	from protocol.RouterID
-}
-
-// passKept notes what has to be passed on.
-func (b *Book) passKept(from protocol.RouterID, kept []Kept) {
-	if !b.neighbours.grouped() || b.neighbours.Relay != "" {
-		return
-	}
-	for _, k := range kept {
-		b.kept = append(b.kept, passedKept{Kept: k, from: from})
-	}
-}
-
-// keptFor returns what a neighbour hasn't told itself, without what any of some
-// routers has told: relays tell each other only what comes from their members.
-func keptFor(to protocol.RouterID, passed []passedKept, without []protocol.RouterID) []Kept {
-	var kept []Kept
-	for _, k := range passed {
-		if k.from != to && (k.from == "" || !slices.Contains(without, k.from)) {
-			kept = append(kept, k.Kept)
-		}
-	}
-	return kept
-}
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -81,7 +81,7 @@
 	// many were.
 	neighbourAsked time.Duration
 	neighbours     int
-	// knewMostAt is when this router last knew most upstreams or asked disk VMs
+	// knewMostAt is when this router last knew most upstreams or had to ask disk VMs
 	// alone for them.
 	knewMostAt time.Duration
 	// lists are those packed for other routers.
@@ -119,6 +119,9 @@
 func (f *Follower) Tick(now time.Duration) []Send {
 	f.forget(now)
 	f.noteLost(now)
+	if !f.lacksUpstreams(now) {
+		f.knewMostAt = now
+	}
 	var sends []Send
 	for _, id := range f.DiskVMs() {
 		if now-f.sources[id].asked >= f.interval(f.sources[id]) {
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -45,13 +45,9 @@
 }
 
 // lacksUpstreams reports whether this router gets changes from another one and
-// lacks most of the upstreams, and notes since when.
+// lacks most of the upstreams.
 func (f *Follower) lacksUpstreams(now time.Duration) bool {
-	if f.relay == nil || !f.relay.waits || f.KnowsMost(now) {
-		f.knewMostAt = now
-		return false
-	}
-	return true
+	return f.relay != nil && f.relay.waits && !f.KnowsMost(now)
 }
 
 // Asked answers another router's wish for the table, if there is a newer one
