Routers hand announcements with news to a disk VM in place of sending them back

Cause: at 300 VMs the disk VMs' links stay full from the start on: 300 new connections a second at each. A router that didn't know an upstream yet sent it back, 3,000 upstreams called the disk VMs 500 times a second each until lists had gone round, and answers that took over a second made them call the next one. Ruled out: what disk VMs send in a model of that start (295 routers, 3,000 upstreams, no links): 412 KB/s at most, 12 KB/s at rest; so the calls and what they delay. Change: a router gathers announcements that say something new for some tens of milliseconds, hands them to a disk VM, and answers once that one has them, else 503 after 0.8 s. The test that a router doesn't take the word of a leaving upstream is replaced by one as strict: all disk VMs know it within the second, and a router whose disk VM is deaf doesn't take it.

--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -39,8 +39,9 @@
 // nothing new, and three hundred routers can take ten a second each.
 //
 // Failure guarded: a router is gone, or out of touch with the disk VMs. An
-// upstream whose announcement isn't taken calls a disk VM, as it does with all
-// that is new, so a router never holds what nobody else knows.
+// upstream whose announcement isn't taken calls a disk VM, and one that says
+// something new is answered only when a disk VM has that (see forwards), so no
+// router holds what nobody else knows.
 func (p *Publisher) AnnounceAt(now time.Duration, e roster.Entry) string {
 	if e.State != roster.Ready || p.roster.Usable() < handOverFrom {
 		return ""
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -94,6 +94,7 @@
 	// its data centre, and shared when the disk VMs were last told of them.
 	announcements string
 	shared        time.Duration
+	forwards      forwards
 	// listAsked is when a whole list was last asked for, if ever.
 	listAsked time.Duration
 	everAsked bool
@@ -131,6 +132,7 @@
 	sends = append(sends, f.askList(now)...)
 	sends = append(sends, f.askNeighbour(now)...)
 	sends = append(sends, f.share(now)...)
+	sends = append(sends, f.sendForwards(now)...)
 	return append(sends, f.pull(now)...)
 }
 
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -83,6 +83,12 @@
 			w.carry(send.To, w.routers[send.To].TakeChanges(w.now, from, body))
 		case ChangesAck:
 			w.vms[send.To].publisher.Acknowledged(from, body)
+		case Announced:
+			for _, e := range body.Entries {
+				w.tellOtherVMs(e)
+			}
+			ack, _ := w.vms[send.To].publisher.TakeAnnounced(w.now, from, body)
+			w.carry(send.To, []Send{ack})
 		case Heard:
 			for _, heard := range body.Upstreams {
 				w.vms[send.To].roster.Refresh(w.now, heard)
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -222,6 +222,12 @@
 		vm.fabric.SendAll(vm.follower.TakeNews(now, from, m))
 	case control.Changes:
 		vm.fabric.SendAll(vm.follower.TakeChanges(now, from, m))
+	case control.Announced:
+		ack, changed := vm.publisher.TakeAnnounced(now, from, m)
+		for _, id := range changed {
+			vm.logUpstream(id)
+		}
+		vm.fabric.Send(ack.To, ack.Body)
 	case control.ChangesAck:
 		vm.publisher.Acknowledged(from, m)
 	case control.List:
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -137,6 +137,10 @@
 		return wire.KindDocument
 	case control.Heard:
 		return wire.KindHeard
+	case control.Announced:
+		return wire.KindAnnounced
+	case control.AnnouncedAck:
+		return wire.KindAnnouncedAck
 	case control.Put:
 		return wire.KindPut
 	case control.PutReply:
@@ -172,6 +176,10 @@
 		return decodeAs[control.Document](frame)
 	case wire.KindHeard:
 		return decodeAs[control.Heard](frame)
+	case wire.KindAnnounced:
+		return decodeAs[control.Announced](frame)
+	case wire.KindAnnouncedAck:
+		return decodeAs[control.AnnouncedAck](frame)
 	case wire.KindPut:
 		return decodeAs[control.Put](frame)
 	case wire.KindPutReply:
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -7,7 +7,6 @@
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/retry"
-	"endiveplank/coordination/roster"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/transport/forward"
@@ -107,12 +106,3 @@
 		r.log.Warn().Str("event", "request-condemned").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
 	}
 }
-
-// confirm takes an upstream's announcement where it says nothing new and the disk
-// VMs will hear of it; see control.Publisher.AnnounceAt.
-func (r *Router) confirm(e roster.Entry) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	return !r.leaving.Load() && r.follower.MayConfirm(now) && r.roster.Confirm(now, e)
-}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -41,9 +42,9 @@
 	Dialect  dialect.Dialect
 	// ReadTable makes a table of what the disk VMs keep.
 	ReadTable func(version uint64, body []byte) (*routing.Table, error)
-	// AnnouncementHandler makes what serves upstreams' proofs of life; confirm
-	// reports whether an announcement says nothing new.
-	AnnouncementHandler func(confirm func(roster.Entry) bool) http.Handler
+	// AnnouncementHandler makes what serves upstreams' announcements; take reports
+	// whether the fleet knows what one says.
+	AnnouncementHandler func(take func(context.Context, roster.Entry) bool) http.Handler
 	Log                 zerolog.Logger
 	// RequestLog takes the line of each request.
 	RequestLog zerolog.Logger
@@ -62,7 +63,9 @@
 	handler *forward.Handler
 	table   atomic.Pointer[routing.Index]
 	servers servers
-	metrics *instruments
+	// announcements are those that wait for a disk VM's word.
+	announcements announcements
+	metrics       *instruments
 	// leaving says that a planned stop has begun.
 	leaving atomic.Bool
 
@@ -270,6 +273,8 @@
 	case control.Watch:
 		r.follower.Asked(now, from, m)
 		r.fabric.SendAll(r.relay.Due(now))
+	case control.AnnouncedAck:
+		r.announcements.acknowledged(m.Number)
 	case balance.Loads:
 		r.book.TakeLoads(now, from, m)
 	case crashes.Crash:
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -35,6 +35,18 @@
 	started   time.Time
 	mu        sync.Mutex
 	publisher *control.Publisher
+	// deaf VMs take no announcements.
+	deaf bool
+}
+
+// takeAnnounced takes what a router hands over.
+func (vm *diskVM) takeAnnounced(from protocol.RouterID, announced control.Announced) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if !vm.deaf {
+		ack, _ := vm.publisher.TakeAnnounced(time.Since(vm.started), from, announced)
+		vm.fabric.SendAll([]control.Send{ack})
+	}
 }
 
 // bulkRate is how fast lists and tables go out, in bytes a second.
@@ -60,6 +72,10 @@
 
 // Receive implements fabric.Receiver.
 func (vm *diskVM) Receive(from protocol.RouterID, body any) {
+	if announced, is := body.(control.Announced); is {
+		vm.takeAnnounced(from, announced)
+		return
+	}
 	watch, is := body.(control.Watch)
 	if !is {
 		return
@@ -271,3 +287,29 @@
 	assert.Equal(t, string(body), "done")
 	return answer
 }
+
+func TestAnAnnouncementWithNewsIsKnownToADiskVMBeforeItIsTaken(t *testing.T) {
+	// An upstream tells a router that it leaves. If the router said that it has
+	// heard that, and no disk VM had, all other routers would go on sending there.
+	r, diskAddress := newRig(t, 0)
+	released := make(chan struct{})
+	close(released)
+	vm := startDiskVM(t, diskAddress, startUpstream(t, released, make(chan struct{}, 10)))
+	r.eventually("the router is ready", r.ready)
+	known := roster.Entry{ID: "u1", Service: "s", Address: "10.0.0.1:80", State: roster.Ready, Sequence: 2}
+	assert.Assert(t, r.router.takeAnnouncement(t.Context(), known))
+	leaving := known
+	leaving.State, leaving.Sequence = roster.Draining, 3
+	vm.mu.Lock()
+	vm.deaf = true
+	vm.mu.Unlock()
+	assert.Assert(t, !r.router.takeAnnouncement(t.Context(), leaving))
+	vm.mu.Lock()
+	vm.deaf = false
+	vm.mu.Unlock()
+	leaving.Build, leaving.Sequence = "v2", 4
+	assert.Assert(t, r.router.takeAnnouncement(t.Context(), leaving))
+	assert.Equal(t, len(r.router.announcements.waiting), 0)
+	assert.Assert(t, r.router.Stop())
+	assert.Assert(t, !r.router.takeAnnouncement(t.Context(), known), "it leaves")
+}
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	if listen.Announcements != "" {
-		handler := r.options.AnnouncementHandler(r.confirm)
+		handler := r.options.AnnouncementHandler(r.takeAnnouncement)
 		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdle}
 		if err := r.start(r.servers.announcements, listen.Announcements); err != nil {
 			return err
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -109,6 +109,10 @@
 	KindReadReply Kind = 58
 	KindList      Kind = 59
 	KindRosterAck Kind = 64
+	// KindAnnounced and KindAnnouncedAck hand announcements from a router to a
+	// disk VM.
+	KindAnnounced    Kind = 65
+	KindAnnouncedAck Kind = 66
 	// KindLoads to KindHomeReply go between those routers.
 	KindLoads     Kind = 60
 	KindHome      Kind = 61
@@ -130,7 +134,7 @@
 	KindProbe:     "probe",
 	KindEngineAsk: "engine-ask", KindEngineReply: "engine-reply",
 	KindWatch: "watch", KindNews: "news", KindRoster: "roster", KindRosterAck: "roster-ack", KindList: "list", KindDocument: "document",
-	KindHeard: "heard", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
+	KindHeard: "heard", KindAnnounced: "announced", KindAnnouncedAck: "announced-ack", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoads: "loads", KindHome: "home", KindHomeReply: "home-reply", KindBlame: "blame",
 }
 
