--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// handOverFrom is how many upstreams disk VMs hear by themselves. Five VMs that
-	// hear 256 of them each second take 250 announcements, some 175 KB, of which
-	// each gets a fifth: a tenth of a link of 3 Mbit/s. All of that is the price of
-	// hearing an upstream at once when it changes nothing.
+	// handOverFrom is the number of upstreams from which routers take announcements.
+	// So many say 250 times a second some 700 bytes to five disk VMs: a tenth of a
+	// link of 3 Mbit/s each. Below it nothing is worth that upstreams wait a second
+	// when a router is gone.
 	handOverFrom = 256
 	// shareInterval is how often a process tells the disk VMs which upstreams
 	// announced themselves to it. An upstream is forgotten after 30 s without a
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -59,7 +59,7 @@
 	Callers string `json:"callers"`
 	// Readiness answers the balancer's probes.
 	Readiness string `json:"readiness"`
-	// Announcements takes upstreams' proofs of life at a router; empty for none.
+	// Announcements takes upstreams' announcements at a router; empty for none.
 	Announcements string `json:"announcements"`
 	// Control takes operators' and upstreams' calls.
 	Control string `json:"control"`
