Routers pack a whole list at most twice a second

Routers spend 18 to 25% of a core in place of 8 to 15 and send up to 255 KB/s: those that start ask each other for the list of 3,000 upstreams seven times a second, which changes between any two questions and is packed for each. Change: a router sends a packed whole list for half a second. Figures: test: 200 changes in two seconds are packed at most 5 times, 200 before.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -104,7 +104,7 @@
 // NewFollower returns a follower that knows only seeds. The roster is shared
 // with the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
-	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}}
+	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, lists: packedLists{wholeLife: wholeListLife}}
 	f.SetSeeds(0, seeds)
 	return f
 }
--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -169,3 +169,23 @@
 		assert.Equal(t, len(r.roster.Entries()), 94)
 	}
 }
+
+func TestAWholeListIsPackedSeldomWhileItGrows(t *testing.T) {
+	// Upstreams start one after the other, and routers that lack most of them ask
+	// for the list all the time. Packed anew for each question it would take a
+	// router's whole processor.
+	r := roster.New(roster.DefaultSettings())
+	lists := &packedLists{wholeLife: wholeListLife}
+	packed := map[uint64]bool{}
+	for i := range 200 {
+		at := time.Duration(i) * 10 * time.Millisecond
+		r.Merge(at, startOf(i, 1))
+		packed[lists.packed(at, r, roster.AllBuckets).Digest] = true
+	}
+	assert.Assert(t, len(packed) <= 5, "packed %d times in two seconds", len(packed))
+	last := lists.packed(10*time.Second, r, roster.AllBuckets)
+	assert.Equal(t, last.Digest, r.Digest())
+	part := lists.packed(10*time.Second, r, 1)
+	r.Merge(10*time.Second, startOf(999, 1))
+	assert.Assert(t, lists.packed(10*time.Second, r, 1).Digest != part.Digest, "parts are always of now")
+}
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -64,7 +64,7 @@
 		f.relay.send(from, Document{Change: f.whole}, len(f.whole.Delta))
 	}
 	if w.WantList && f.KnowsMost(now) {
-		list := f.lists.packed(f.roster, f.roster.Differing(w.Have))
+		list := f.lists.packed(now, f.roster, f.roster.Differing(w.Have))
 		f.relay.send(from, list, len(list.Packed))
 	}
 }
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -79,16 +80,33 @@
 	return List{Digest: r.Digest(), Buckets: buckets, Packed: packed}
 }
 
+// wholeListLife is how long a router sends a whole list that it has packed, though
+// its roster has changed since: its digest says which state it is of, and what came
+// later is found like any other difference. Packing 3,000 upstreams takes ten
+// milliseconds. Disk VMs send the newest, or they would be asked again.
+const wholeListLife = 500 * time.Millisecond
+
 // packedLists holds the lists of one state of a roster, each packed once: a whole
-// fleet asks for the same parts at a time.
+// fleet asks for the same parts at a time. The whole is kept for a while longer.
+//
+// Load: three thousand upstreams and three hundred routers start together, and each
+// router asks another one seven times a second. Harm prevented: the list changes
+// between any two questions, and routers pack it over and over.
 type packedLists struct {
+	// wholeLife is how long an old whole is sent.
+	wholeLife time.Duration
 	// digest is that of the roster.
-	digest uint64
-	byPart map[roster.Buckets]List
+	digest  uint64
+	byPart  map[roster.Buckets]List
+	whole   List
+	wholeAt time.Duration
 }
 
 // packed returns some parts of a roster.
-func (p *packedLists) packed(r *roster.Roster, buckets roster.Buckets) List {
+func (p *packedLists) packed(now time.Duration, r *roster.Roster, buckets roster.Buckets) List {
+	if buckets == roster.AllBuckets {
+		return p.packedWhole(now, r)
+	}
 	if digest := r.Digest(); p.digest != digest || p.byPart == nil {
 		p.digest = digest
 		p.byPart = map[roster.Buckets]List{}
@@ -101,6 +119,15 @@
 	return list
 }
 
+// packedWhole returns the whole roster as it is or was a moment ago.
+func (p *packedLists) packedWhole(now time.Duration, r *roster.Roster) List {
+	if p.whole.Packed == nil || p.whole.Digest != r.Digest() && now-p.wholeAt >= p.wholeLife {
+		p.whole = packList(r, roster.AllBuckets)
+		p.wholeAt = now
+	}
+	return p.whole
+}
+
 // unpack returns the entries. Error: damage.
 func (l List) unpack() ([]roster.Entry, error) {
 	data, err := document.Decompress(l.Packed)
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -253,7 +253,7 @@
 		return nil, 0
 	}
 	if wish.list {
-		list := p.lists.packed(p.roster, p.roster.Differing(f.has))
+		list := p.lists.packed(now, p.roster, p.roster.Differing(f.has))
 		return list, len(list.Packed)
 	}
 	if p.version() <= f.watch.Version {
