--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -24,8 +24,8 @@
 // each time.
 //
 // Load: half of the routers, or all, start at once, and the disk VMs' links take
-// a second and more to send a table of 10 KB to each, and five with a list of
-// 3,000 upstreams for 100. Harm prevented: each router refuses its callers until
+// a second and more to send a table of 10 KB to each, and three with a list of
+// 3,000 upstreams, 60 KB, for 100. Harm prevented: each router refuses its callers until
 // its turn comes. Routers have links several times as fast, and each that has
 // table and list can send them on.
 func (f *Follower) askNeighbour(now time.Duration) []Send {
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -244,9 +244,9 @@
 // wished returns what a follower asked for and its size in bytes, nil if it has
 // gone, asks elsewhere or needs it no more.
 //
-// Load: three hundred routers start, ask a disk VM for a list of 100 KB, and get it
+// Load: three hundred routers start, ask a disk VM for a list of 60 KB, and get it
 // from each other a second later. Harm prevented: the VM sends it to all of them
-// all the same, for a minute and a half on a link of 6 Mbit/s.
+// all the same, for most of a minute on half of a link of 6 Mbit/s.
 func (p *Publisher) wished(now time.Duration, wish request) (any, int) {
 	f := p.followers[wish.from]
 	if f == nil || now-wish.at > wishLife {
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -36,9 +36,9 @@
 //
 // Load: an operator adds 1,200 routes at once, 50 KB compressed, for 87 routers,
 // while the disk VMs' links carry 3 Mbit/s each; or a third of 3,000 upstreams
-// restarts, 130 KB for each of 300 routers. Harm prevented: the disk VMs alone
-// would take six seconds for the one and a minute for the other, and consensus
-// would wait behind. Each router knows from the list of routers alone who passes
+// restarts, 150 KB for each of 300 routers. Harm prevented: the disk VMs alone
+// would take six seconds for the one and twelve for the other, on 6 Mbit/s, and
+// consensus would wait behind. Each router knows from the list of routers alone who passes
 // on to whom, within a data centre, so that each byte goes to another one as
 // seldom as can be.
 //
