--- a/coordination/answertime/answertime.go
+++ b/coordination/answertime/answertime.go
@@ -21,14 +21,13 @@
 )
 
 const (
-	// remembered is how many of the latest answers of a kind count: five seconds of
-	// the least busy router seen, at six requests a second of a kind.
+	// remembered is how many of the latest answers of a kind count: some seconds' on
+	// a router with few requests of it.
 	remembered = 32
 	// leastKnown is how many are needed for a limit.
 	leastKnown = 8
-	// multiple is by how much a silence exceeds the median. Of prompts whose beginning
-	// is kept half are answered within 37 ms and 99 in 100 within 100; of others within
-	// 150 and 600.
+	// multiple is by how much a silence exceeds the median. Nearly all answers of a kind
+	// begin within half of that.
 	multiple = 6
 	// leastSilence is what a busy VM, or one that waits for its share of a processor,
 	// adds on either side.
--- a/coordination/balance/exchange.go
+++ b/coordination/balance/exchange.go
@@ -13,21 +13,20 @@
 	// leastTell and tellPerRouter make up the interval of a mesh.
 	leastTell     = 100 * time.Millisecond
 	tellPerRouter = 5 * time.Millisecond
-	// GroupsFrom is the number of routers from which a mesh tells too seldom,
-	// each half a second and more.
+	// GroupsFrom is the number of routers from which a mesh tells too seldom: the
+	// intervals grow with the routers.
 	GroupsFrom = 100
-	// groupTell is the interval where work goes by way of relays. Three hundred
-	// routers have thirty of them, each of which sends 150 messages a second then.
+	// groupTell is the interval where work goes by way of relays.
 	groupTell = 250 * time.Millisecond
 )
 
 // Neighbours are the routers that this one exchanges its work with.
 //
-// Load: three hundred routers each tell all others of their work. Harm prevented:
-// each takes 200 messages a second and still knows the others' work a second
-// and a half late, and 3 MB a second go between data centres. In a large fleet
-// a router tells its relay; relays add up what their members told, tell each
-// other, and tell their members the sum.
+// Load: hundreds of routers each tell all others of their work. Harm prevented:
+// messages and bytes grow with the square of the routers, and told seldom enough
+// to bear that, work has ended by the time the others hear of it. In a large
+// fleet a router tells its relay; relays add up what their members told, tell
+// each other, and tell their members the sum.
 //
 // Failure guarded: a relay is gone. Its members know only their own work for the
 // seconds until the list of routers says so, and choose as a router does that has
@@ -89,7 +88,7 @@
 
 // TellInterval returns how often this router tells the others of its work. In a
 // mesh each tells less often the more there are, so that all of them together
-// cost a router some 200 messages a second: about a hundredth of a small VM.
+// cost a router the same messages a second whatever their number.
 func (b *Book) TellInterval() time.Duration {
 	if b.neighbours.grouped() {
 		return groupTell
--- a/coordination/balance/health.go
+++ b/coordination/balance/health.go
@@ -30,21 +30,16 @@
 }
 
 const (
-	// healthMemory is the time constant with which outcomes are forgotten. A
-	// dozen outcomes a second of one upstream, seen by all routers, make a
-	// judgement within a third of it; an upstream that is well again is trusted
-	// after about twice of it.
+	// healthMemory is the time constant with which outcomes are forgotten: an
+	// upstream that is well again is trusted after about twice of it.
 	healthMemory = 2 * time.Second
-	// leastFailures is how many failures, weighed by age, make a judgement. A
-	// service that fails one request in seven by itself has three in a row in
-	// one of 343 cases; four in a row in one of 2,401.
+	// leastFailures is how many failures, weighed by age, make a judgement: as many
+	// in a row are rare where requests fail now and then by themselves.
 	leastFailures = 2.5
 	// badShare is the share of failures above which an upstream gets no work,
-	// though the others have much. One request in seven fails on services that are
-	// well. It guards what Book.reliable can't, which passes over an upstream only as
-	// far as others have room: of three busy ones one or two fail all at once and seem
-	// idle for it. Without it 76 to 97 in 100 requests fail there, in the model of
-	// TestAnUpstreamThatFailsAtOnceTakesNoWorkForBeingIdle; with it under 2.
+	// though the others have much. It guards what Book.reliable can't, which passes
+	// over an upstream only as far as others have room: one of a few busy upstreams
+	// fails all at once, seems idle for it, and takes nearly all requests.
 	badShare = 0.4
 	// unreachableFor is how long an upstream that takes no connection is left
 	// alone before one request tries it again. It is doubled up to mostAlone.
--- a/coordination/balance/keepers.go
+++ b/coordination/balance/keepers.go
@@ -19,9 +19,9 @@
 	tellAgain = 10 * time.Second
 	// keepersOfPrompt bounds the engines remembered for one prompt.
 	keepersOfPrompt = 4
-	// mostPrompts bounds the prompts remembered: some 150 bytes each.
+	// mostPrompts bounds the prompts remembered.
 	mostPrompts = 8192
-	// keptPerMessage bounds what one message tells: 2 KB.
+	// keptPerMessage bounds what one message tells.
 	keptPerMessage = 64
 )
 
@@ -91,12 +91,9 @@
 // sourceFor returns the address of the engine from which the chosen one copies what it
 // lacks of a prompt, "" if it lacks nothing or nobody is known.
 //
-// Load: some twenty prompts that begin alike, a third of each, on as many engines.
-// Harm prevented: each engine reads the common beginning anew with the first prompt
-// of the kind that it gets, after a start, a loss, or a change of the list: 2,500
-// tokens, 45 ms, where a copy takes a sixth. It spares a fifth of what is read again:
-// 393 in place of 487 thousand tokens in 50 s, for 21 GB copied in place of 18 (means
-// of 18 plays of six days).
+// Load: prompts on many engines that begin alike. Harm prevented: each engine reads
+// the common beginning anew with the first prompt of the kind that it gets, after a
+// start, a loss, or a change of the list, though a copy takes a fraction of the time.
 func (b *Book) sourceFor(now time.Duration, r Request, chosen *upstream) string {
 	if b.isKept(now, r.Prompt, chosen) {
 		return ""
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -108,12 +108,11 @@
 // below returns the upstreams whose load is below a limit, none if those are less
 // than half.
 //
-// Load: eight times the usual on 83 routers that hear of each other every 0.4 s, with
-// 90 engines. Harm prevented: the few engines that look less busy than the limit get
-// what all routers send until they hear of each other; one engine had twice the mean,
-// beyond the operators' bound on load. By the mean of all in place of each one's load,
-// engines that are slower than others have queues though the mean is low: of twelve
-// that aren't alike 4,668 prompts of 6,596 were answered in time, with this 5,981.
+// Load: much more than engines can do, on many routers that hear of each other now and
+// then. Harm prevented: the few engines that look less busy than the limit get what all
+// routers send until they hear of each other, beyond the operators' bound on load. Each
+// one's own load is looked at, not the mean: engines that are slower than others have
+// queues though the mean is low.
 func below(limit int, list []*upstream) []*upstream {
 	if limit <= 0 {
 		return list
@@ -143,12 +142,10 @@
 // bound returns the load up to which an upstream is chosen while others have less: the
 // operators' bound less one, as other routers' latest requests aren't known yet.
 //
-// Load: prompts in demand on engines that have room for ten times their work. Harm
-// prevented: passed over already at 1.3 times the mean and 2, engines had their
-// prompts copied elsewhere for 30 GB in 50 s in place of 18 (means of 18 plays of
-// six days), and no more callers were answered in time: an engine with 64 places is
-// as quick with seven requests as with five. Where work weighs more, operators set a
-// lower multiple.
+// Load: prompts in demand on engines that have room for many times their work. Harm
+// prevented: passed over at less, engines have their prompts copied elsewhere, and no
+// more callers are answered in time, as an engine with some more requests is as quick.
+// Where work weighs more, operators set a lower multiple.
 func (b *Book) bound(mean float64) float64 {
 	return b.settings.Multiple*mean + float64(b.settings.Slack) - 1
 }
@@ -242,14 +239,11 @@
 // router's own, one in the own data centre that has no more than the others; else one
 // drawn by chance, the likelier the less work the other routers have there on average.
 //
-// Load: 400 requests of 30 ms a second from 83 routers to a desk of four servers with
-// six places each. Each router hears of the others' work every 0.4 s, when those
-// requests have long ended. Harm prevented: all routers take the server that looked
-// idle for 0.4 s, and then the next one; the median request took 88 ms and one in ten
-// over 177, with half of the places free. Drawn like this it takes 32 and 60, and
-// where one server is three times as slow 35 and 94 (200 with the old choice, seconds
-// with a blind one). What a router has there itself it knows exactly, and an average
-// over a few messages tells a slow server from a moment's queue.
+// Load: many routers send short requests to a few servers. Each hears of the others'
+// work when those requests have long ended. Harm prevented: all routers take the server
+// that looked idle, and then the next one, and requests queue with half of the places
+// free. What a router has there itself it knows exactly, and an average over a few
+// messages tells a slow server from a moment's queue.
 func (b *Book) leastLoaded(now time.Duration, random *rand.Rand, list []*upstream) *upstream {
 	least := list[0].own.InFlight
 	for _, u := range list {
--- a/coordination/balance/record.go
+++ b/coordination/balance/record.go
@@ -11,8 +11,7 @@
 // what is new, and a disk VM tells a router that has just started what it knows.
 type KeeperList struct {
 	// Packed holds the keys of the prompts and the names of the engines, keptBytes
-	// each: two thirds of what they take as a list of structs, on links over which a
-	// disk VM tells 83 routers at once.
+	// each: less than as a list of structs, as a disk VM tells all routers at once.
 	Packed []byte `msgpack:"k"`
 }
 
@@ -39,7 +38,7 @@
 }
 
 const (
-	// mostRecalled bounds what a router is told at its start, to 25 KB.
+	// mostRecalled bounds what a router is told at its start.
 	mostRecalled = 2048
 	// recalledLife is how long ago a disk VM was told what it tells a router. Routers
 	// tell what is in use every tellAgain, each time another disk VM; with a longer
--- a/coordination/balance/sums.go
+++ b/coordination/balance/sums.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// keptPerRelay bounds the kept prompts that a relay tells at once, to 14 KB,
-	// and mostKept those that wait for it; the oldest give way.
+	// keptPerRelay bounds the kept prompts that a relay tells at once, and mostKept
+	// those that wait for it; the oldest give way.
 	keptPerRelay = 512
 	mostKept     = 8 * keptPerRelay
 	// otherRelays stands for all other relays, which are told the same.
--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -11,14 +11,12 @@
 
 const (
 	// handOverFrom is the number of upstreams from which routers take announcements.
-	// So many say 250 times a second some 700 bytes to five disk VMs: a tenth of a
-	// link of 3 Mbit/s each. Below it nothing is worth that upstreams wait a second
-	// when a router is gone.
+	// Fewer are no burden for the disk VMs, and wait for a second where the router
+	// that they call is gone.
 	handOverFrom = 256
 	// shareInterval is how often a process tells the disk VMs which upstreams
-	// announced themselves to it. An upstream is forgotten after 30 s without a
-	// word, so two proofs in a row may be lost. Changes go out at once and don't
-	// wait for it.
+	// announced themselves to it: two in a row may be lost before one is forgotten.
+	// Changes go out at once and don't wait for it.
 	shareInterval = 8 * time.Second
 )
 
@@ -32,11 +30,10 @@
 // AnnounceAt returns where an upstream should announce itself from now on, "" for
 // the disk VMs.
 //
-// Load: three thousand upstreams announce themselves every 1.2 s to five disk
-// VMs, each with a fifth of a core and a link of 6 Mbit/s. Harm prevented: 500
-// calls a second fill processor and link of each VM, and new tables, keys and
-// departures of upstreams wait behind them. Almost all of those calls say
-// nothing new, and three hundred routers can take ten a second each.
+// Load: thousands of upstreams announce themselves every second to a few small disk
+// VMs. Harm prevented: the calls fill processor and link of each VM, and new tables,
+// keys and departures of upstreams wait behind them. Almost all of those calls say
+// nothing new, and there are many routers to take them.
 //
 // Failure guarded: a router is gone, or out of touch with the disk VMs. An
 // upstream whose announcement isn't taken calls a disk VM, and one that says
--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -17,8 +17,7 @@
 	// roster. A table that is accepted meanwhile is told to it at once.
 	eagerInterval = 500 * time.Millisecond
 	// documentPatience is how long a disk VM may take to send a table before
-	// another one is asked: ten times what a whole one takes on a link of
-	// 3 Mbit/s.
+	// another one is asked: far above what a whole one takes on a small VM's link.
 	documentPatience = 800 * time.Millisecond
 	// preferredPatience is how long a router waits for the disk VM that it
 	// prefers to have a new table too: the next heartbeat of consensus tells
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -12,8 +12,8 @@
 // has just started.
 //
 // Load: all routers start at once, and each knows nothing. Harm prevented: five
-// lists of three kilobytes for each of 87 routers, again with each watch until
-// one gets through, on links that are full for it. A list that was merged before
+// lists from all disk VMs for each router, again with each watch until one gets
+// through, on links that are full for it. A list that was merged before
 // isn't asked for again: a VM that was cut off or has just started lists less
 // than the others for a while.
 func (f *Follower) askList(now time.Duration) []Send {
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -24,10 +24,9 @@
 // each time.
 //
 // Load: half of the routers, or all, start at once, and the disk VMs' links take
-// a second and more to send a table of 10 KB to each, and three with a list of
-// 3,000 upstreams, 60 KB, for 100. Harm prevented: each router refuses its callers until
-// its turn comes. Routers have links several times as fast, and each that has
-// table and list can send them on.
+// seconds to send table and list to each. Harm prevented: each router refuses its
+// callers until its turn comes. There are many more routers than disk VMs, and each
+// that has table and list can send them on.
 func (f *Follower) askNeighbour(now time.Duration) []Send {
 	wantList := f.lacksUpstreams(now)
 	if f.relay == nil || len(f.relay.others) == 0 || f.inForce != nil && !wantList || now-f.neighbourAsked < neighbourInterval {
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -73,8 +73,7 @@
 	return diskVMs, routers, nil
 }
 
-// packList makes the list of upstreams that followers are sent: 94 of them are
-// 14 KB, and 3 KB packed.
+// packList makes the list of upstreams that followers are sent.
 func packList(r *roster.Roster, buckets roster.Buckets) List {
 	packed := document.Compress(codec.Marshal(r.EntriesIn(buckets)))
 	return List{Digest: r.Digest(), Buckets: buckets, Packed: packed}
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -16,8 +16,8 @@
 	followerLife = 3 * WatchInterval
 	// fleetInterval is the least time between two lists of processes sent to
 	// one follower. While a whole fleet starts the list changes with each
-	// router; 87 names sent with each answer would fill a link of 3 Mbit/s,
-	// and consensus would not get through.
+	// router; all names sent with each answer would fill the link, and consensus
+	// would not get through.
 	fleetInterval = 2 * time.Second
 	// eagerFleetInterval is the same for a router without a table, which may get
 	// it from another one once it knows others.
@@ -121,9 +121,8 @@
 //
 // Load: all VMs lose power together and are back, with their callers, before the
 // disk VMs have a leader. Harm prevented: each router refuses its callers for the
-// time of an election, 0.25 s, and a second more where the votes were split or two
-// disks are lost. What it serves by meanwhile is what it would have served by if it
-// had only been cut off.
+// time of an election, or several where the votes were split or disks are lost. What
+// it serves by meanwhile is what it would have served by if it had only been cut off.
 func (p *Publisher) Recall(d *document.Document) {
 	p.inForce = d
 	p.recalled = true
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -13,13 +13,12 @@
 	// leaving upstreams must be known within two seconds.
 	resendInterval = 300 * time.Millisecond
 	// pushShare is what changes may take of the link, for each byte of tables and
-	// lists, and their burst in seconds: of a link of 6 Mbit/s a quarter, with four
-	// changes at once for 300 routers, and of one of 3 Mbit/s seven for 87.
+	// lists, and their burst in seconds.
 	pushShare = 0.5
 	// entryBytes is what an upstream takes in a message.
 	entryBytes = 150
-	// mostDoublings bounds the waits between further repetitions, to 4.8 s. By
-	// then a comparison of lists has shown the difference.
+	// mostDoublings bounds the waits between further repetitions. By then a
+	// comparison of lists has shown the difference.
 	mostDoublings = 4
 )
 
@@ -90,11 +89,10 @@
 // again those that haven't been acknowledged. While the link has no room for that,
 // only those routers are told that pass changes on; see Relay.
 //
-// Load: sixty upstreams start within a second or two and announce themselves to
-// five disk VMs, which 87 routers follow. Harm prevented: a message for each
-// upstream from each VM to each router, 27,000 of them, which fills the links
-// for seconds. So changes are gathered for some tens of milliseconds, and only
-// the VM that was told sends them.
+// Load: many upstreams start within a second or two and announce themselves to the
+// disk VMs, which all routers follow. Harm prevented: a message for each upstream
+// from each VM to each router, which fills the links for seconds. So changes are
+// gathered for some tens of milliseconds, and only the VM that was told sends them.
 //
 // Failure guarded: a connection is replaced or reset with a change on it. The
 // router would send to an upstream that has said it leaves until a comparison of
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -15,16 +15,13 @@
 
 const (
 	// largeChange is the size in bytes from which a table is passed on from
-	// router to router. Below it, 87 routers cost five disk VMs with links of
-	// 3 Mbit/s less than 0.1 s.
+	// router to router. Smaller ones reach all routers soon without that.
 	largeChange = 4 << 10
 	// relayFrom is the number of routers from which tables are passed on;
 	// fewer take even a large one from the disk VMs in time.
 	relayFrom = 24
 	// leastPerRelay is how many routers of a data centre get tables and changes by
-	// one of them, itself included, or the square root of all if that is more: a
-	// table of 50 KB takes a link of 10 Mbit/s 0.3 s then, and the disk VMs send
-	// it to a sixth of 87 routers, a tenth of 300.
+	// one of them, itself included, or the square root of all if that is more.
 	leastPerRelay = 6
 	// relayPatience is how long a router waits for the one that passes tables
 	// on to it, before it asks a disk VM. It leaves a disk VM half of the time
@@ -34,13 +31,11 @@
 
 // Relay passes large tables and changes of upstreams on from router to router.
 //
-// Load: an operator adds 1,200 routes at once, 50 KB compressed, for 87 routers,
-// while the disk VMs' links carry 3 Mbit/s each; or a third of 3,000 upstreams
-// restarts, 150 KB for each of 300 routers. Harm prevented: the disk VMs alone
-// would take six seconds for the one and twelve for the other, on 6 Mbit/s, and
-// consensus would wait behind. Each router knows from the list of routers alone who passes
-// on to whom, within a data centre, so that each byte goes to another one as
-// seldom as can be.
+// Load: an operator adds a thousand routes at once, or a third of thousands of
+// upstreams restarts, and all routers have to know. Harm prevented: the disk VMs
+// alone would take many seconds on their links, and consensus would wait behind. Each
+// router knows from the list of routers alone who passes on to whom, within a data
+// centre, so that each byte goes to another one as seldom as can be.
 //
 // Failure guarded: a router's relay is gone. It asks a disk VM for the table after
 // a while, and finds a change of upstreams by comparing lists, as it does with
--- a/coordination/control/wishes.go
+++ b/coordination/control/wishes.go
@@ -76,9 +76,9 @@
 // wished returns what a follower asked for and its size in bytes, nil if it has
 // gone, asks elsewhere or needs it no more.
 //
-// Load: three hundred routers start, ask a disk VM for a list of 60 KB, and get it
-// from each other a second later. Harm prevented: the VM sends it to all of them
-// all the same, for most of a minute on half of a link of 6 Mbit/s.
+// Load: hundreds of routers start, ask a disk VM for a long list, and get it from
+// each other a second later. Harm prevented: the VM sends it to all of them all the
+// same, for most of a minute.
 func (p *Publisher) wished(now time.Duration, r request) (any, int) {
 	f := p.followers[r.from]
 	if f == nil || now-r.at > wishLife {
--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -34,8 +34,7 @@
 // DefaultSettings returns the defaults: a caller's one retry, with two upstreams
 // for each attempt, breaks off four times at the worst when the network does it
 // and not the request, and by then its caller is done with it. An upstream is
-// back seconds after a crash, so a minute sees the request come again. 4,096
-// requests take half a megabyte.
+// back seconds after a crash, so a minute sees the request come again.
 func DefaultSettings() Settings {
 	return Settings{Condemn: 3, Memory: 60 * time.Second, Most: 4096}
 }
--- a/coordination/document/delta.go
+++ b/coordination/document/delta.go
@@ -13,8 +13,8 @@
 // Sizes of the pieces that documents are cut into.
 //
 // A piece ends where the document's own bytes say so, so an insertion moves no
-// later boundary. One in pieceMask+1 positions ends a piece: some 64 bytes,
-// about a third of one route, so that a change of one field costs one piece.
+// later boundary. One in pieceMask+1 positions ends a piece: a part of one route, so
+// that a change of one field costs one piece.
 const (
 	minPiece  = 24
 	maxPiece  = 512
--- a/coordination/room/room.go
+++ b/coordination/room/room.go
@@ -34,11 +34,10 @@
 	// perDoubling is how many classes of load there are from one load to its double.
 	perDoubling = 4
 	// openEvery is after how long without late answers a limit is raised by a class,
-	// so that it doubles within a memory. Opened at once, upstreams of 400 places and
-	// 6 s a request were flooded for some seconds every 40 s of a surge of six times;
-	// 79 in 100 of what they could do was in time, all of it with this.
+	// so that it doubles within a memory. Opened at once, upstreams whose requests
+	// take seconds would be flooded again and again in a surge.
 	openEvery = memory / perDoubling
-	// classes is how many there are: up to loads of 4,096.
+	// classes is how many there are; loads above the last belong to it.
 	classes = 12*perDoubling + 1
 )
 
--- a/coordination/room/shares.go
+++ b/coordination/room/shares.go
@@ -21,9 +21,7 @@
 	// reservePart and reserveRoots are how far above a limit customers within their
 	// share may go: a part of it, for what the others send until routers hear of each
 	// other, and no less than some roots of it, by which a load differs from its mean
-	// by chance. In one customer's surge 97 to 100 in 100 requests of the others are
-	// answered in time with them, 95 to 100 with a part of 0.15, and 47 to 50 where
-	// customers aren't told apart.
+	// by chance.
 	reservePart  = 0.25
 	reserveRoots = 1.5
 )
@@ -31,9 +29,9 @@
 // Shares tells which customers ask for more than their share of what is served. It
 // is not safe for concurrent use.
 //
-// Load: one customer sends thirty times its usual, and more than all upstreams can do.
+// Load: one customer sends many times its usual, and more than all upstreams can do.
 // Harm prevented: each request meets the same limit, so who sends most is served most,
-// and six in ten requests of all the others are refused for a surge that isn't theirs.
+// and most requests of all the others are refused for a surge that isn't theirs.
 // A customer's share is what it asks for, up to a level that is the same for all:
 // nobody gets more by asking for more while somebody gets less than asked for.
 type Shares struct {
--- a/coordination/roster/buckets.go
+++ b/coordination/roster/buckets.go
@@ -12,7 +12,7 @@
 )
 
 // bucketCount is in how many parts rosters are compared: as many as a mask has
-// bits. Three thousand upstreams are 47 in each.
+// bits.
 const bucketCount = 64
 
 // Buckets names parts of a roster, by the bits of a mask.
@@ -35,8 +35,7 @@
 // Summary is a digest of each part, for another process to find which differ.
 type Summary []byte
 
-// summaryBytes is the length of a Summary: 32 bits for each part. Two parts that
-// differ have the same digest in one of four billion cases, until the next change.
+// summaryBytes is the length of a Summary: 32 bits for each part.
 const summaryBytes = 4 * bucketCount
 
 // Summary returns the digests of the own parts.
--- a/daemon/diskvm/member.go
+++ b/daemon/diskvm/member.go
@@ -14,10 +14,9 @@
 
 // Timing of consensus.
 //
-// Operators' changes have to be answered within seconds while a leader is lost,
-// so a leader is missed after 0.75 to 1.1 s; a disk that takes thirty times as
-// long as usual, some 15 ms a sync, is far from that. Five heartbeats fit, so
-// a lost one elects nobody.
+// Operators' changes have to be answered within seconds while a leader is lost. A
+// disk that takes tens of times as long as usual is far from the election timeout,
+// and several heartbeats fit into it, so a lost one elects nobody.
 const (
 	heartbeat       = 150 * time.Millisecond
 	electionTimeout = 750 * time.Millisecond
@@ -29,13 +28,11 @@
 	forgetLearner = 30 * time.Second
 	// mostVoters bounds the quorum: seven disk VMs bear the loss of three.
 	mostVoters = 7
-	// snapshotRate bounds snapshot traffic in bytes a second: a whole table of
-	// some 30 KB compressed goes at once, and a link of 3 Mbit/s keeps five
-	// sixths for the rest.
+	// snapshotRate bounds snapshot traffic in bytes a second: a whole table goes at
+	// once, and a small link keeps most of its room for the rest.
 	snapshotRate  = 64 << 10
 	snapshotBurst = 256 << 10
-	// snapshotEvery bounds the log's replay and its size on a disk of 128 MB:
-	// 256 changes of some kilobytes each.
+	// snapshotEvery bounds the log, in changes: its replay and its size on a disk.
 	snapshotEvery = 256
 	segmentBytes  = 1 << 20
 	// restartDelay is how long a member waits after its disk failed before it
--- a/daemon/diskvm/table.go
+++ b/daemon/diskvm/table.go
@@ -14,7 +14,7 @@
 
 const (
 	// leaderPatience bounds one question to the leader: a slow sync on a
-	// quorum of disks and a whole table over a link of 3 Mbit/s.
+	// quorum of disks and a whole table over a small VM's link.
 	leaderPatience = 500 * time.Millisecond
 	// retryPause is the time between two tries while no leader is known.
 	retryPause = 20 * time.Millisecond
--- a/daemon/loglines/loglines.go
+++ b/daemon/loglines/loglines.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// queueLines bounds the lines that wait for the pipe: 64 KB at the usual
-	// length.
+	// queueLines bounds the lines that wait for the pipe.
 	queueLines = 256
 	// maxBatch bounds one write, in bytes, to what a pipe takes at once.
 	maxBatch = 32 << 10
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -154,8 +154,7 @@
 }
 
 // unreachableTries bounds the upstreams that may take no connection before a
-// request is refused: with a quarter of all upstreams down, one request in 256
-// meets four of them.
+// request is refused.
 const unreachableTries = 4
 
 // mayTryElsewhere goes on after an attempt that never left.
--- a/transport/forward/timing.go
+++ b/transport/forward/timing.go
@@ -8,9 +8,7 @@
 
 // timelyPart is the part of a route's objective within which an answer begins that
 // hasn't waited at the upstream. The rest is for what the load grows by until other
-// routers know of it. With all of the objective, a surge of eight times was answered
-// in time for 3,094 of 9,704 callers whose objective was half as long as the others',
-// with half of it for 5,941, and for more of the others too.
+// routers know of it.
 const timelyPart = 0.5
 
 // timing tells the fleet once of each attempt whether its answer began in time, as
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -200,11 +200,9 @@
 //
 // Load pattern: a whole fleet comes back from a power loss, its VMs some tenths
 // of a second apart. Harm: an attempt at a VM that isn't up yet loses its first
-// packet, and the kernel sends another one after a second; routers answered 503
-// for that second, on each day that ended so, with all disk VMs long up. Grounds:
-// attempts of 150 ms, then 300 and 600, find a VM within 400 ms of its start in
-// the first half second; the full second, three round trips between distant
-// regions, is kept for slow ways.
+// packet, and the kernel sends another one after a second; routers refuse their
+// callers for that second, with all disk VMs long up. The first attempts are short,
+// and the full patience is kept for slow ways between regions.
 func connectPatience(failures int) time.Duration {
 	patience := firstConnect
 	for range failures {
