--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -81,8 +81,8 @@
 
 // wholeListLife is how long a router sends a whole list that it has packed, though
 // its roster has changed since: its digest says which state it is of, and what came
-// later is found like any other difference. Packing 3,000 upstreams takes 45
-// ms of a busy processor. Disk VMs send the newest, or they would be asked again.
+// later is found like any other difference. Packing thousands of upstreams takes a
+// busy processor long. Disk VMs send the newest, or they would be asked again.
 const wholeListLife = 500 * time.Millisecond
 
 // packedLists holds the lists of one state of a roster, each packed once: a whole
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -210,8 +210,8 @@
 //
 // Failure: two peers have dialled each other, and both connections go silent. If
 // each sent over the other's connection, no probe would ride on either, and both
-// would be taken for good. The guard holds because only one of two is used, that of the peer
-// whose name comes first, which sends over it and so watches it.
+// would be taken for good. The guard holds because only one of two is used, that of
+// the peer whose name comes first, which sends over it and so watches it.
 func (m *Mesh) goesBack(to protocol.RouterID, own *link) bool {
 	return m.inbounds[to] != nil && (own == nil || to < m.options.Self)
 }
