Disk VMs without room send routers to those that were served

Cause: after a loss of all power 195 routers want a table (5 KB packed) and a list (4 KB) from five disk VMs with links of 4.2 Mbit/s, half of which may go to them: 1.3 s. Asking other routers, 150 ms apart and by their place in the list, helps little as long as few know anything.

Ruled out: larger shares of the link (consensus waits behind them); leaving out upstreams that have left (half of the list, a quarter of the bytes).

Change: News names a router that was served a moment ago, for what the sender's link has no room for. That one answers, or remembers the wish for 0.4 s and answers when it can. Each is asked by four at the most, own data centre first, and who was sent to one becomes one, so that the wait grows with the logarithm of the routers. Who asks again is served by the disk VM itself.

Tests changed: TestTablesLeaveRoomOnTheLink asks as followers that aren't sent to others, with the same bounds; TestWhatEnginesKeepWaitsForTablesAndLists gives its routers a relay, as the product does.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -94,6 +94,8 @@
 	// many were.
 	neighbourAsked time.Duration
 	neighbours     int
+	// askers are the routers that have asked for what this one lacks.
+	askers map[protocol.RouterID]asker
 	// knewMostAt is when this router last knew most upstreams or had to ask disk VMs
 	// alone for them.
 	knewMostAt time.Duration
@@ -117,7 +119,7 @@
 // NewFollower returns a follower that knows only seeds. The roster is shared
 // with the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
-	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, lists: packedLists{wholeLife: wholeListLife}}
+	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, askers: map[protocol.RouterID]asker{}, lists: packedLists{wholeLife: wholeListLife}}
 	f.SetSeeds(0, seeds)
 	return f
 }
@@ -133,6 +135,7 @@
 func (f *Follower) Tick(now time.Duration) []Send {
 	f.forget(now)
 	f.noteLost(now)
+	f.answerAskers(now)
 	if !f.lacksUpstreams(now) {
 		f.knewMostAt = now
 	}
@@ -198,5 +201,9 @@
 	for _, id := range s.diskVMs {
 		f.Name(now, id)
 	}
-	return append(f.askList(now), f.pull(now)...)
+	sends := append(f.askList(now), f.pull(now)...)
+	if n.Ask != "" {
+		sends = append(sends, f.askPasser(now, n.Ask))
+	}
+	return sends
 }
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -137,6 +137,7 @@
 	for _, e := range entries {
 		f.roster.Merge(now, e)
 	}
+	defer f.answerAskers(now)
 	if f.sources[from] == nil {
 		f.agreeWithAll(now)
 		return
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -53,6 +53,9 @@
 	Upstreams int    `msgpack:"u"`
 	// Fleet is left out where the follower has it.
 	Fleet *Fleet `msgpack:"f,omitempty"`
+	// Ask names a router that can pass on what the receiver wants and the sender's
+	// link has no room for.
+	Ask protocol.RouterID `msgpack:"a,omitempty"`
 }
 
 // Fleet lists the processes that a disk VM knows.
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"endiveplank/coordination/document"
@@ -18,6 +20,12 @@
 	// asks routers alone for the upstreams: some seven of them, and time for the
 	// first ones to get them from disk VMs.
 	neighbourListsFor = time.Second
+	// passerPatience is how long a router that a disk VM has named is waited for
+	// before others are asked.
+	passerPatience = 300 * time.Millisecond
+	// askerLife is how long a router that has asked for what isn't known here is
+	// remembered.
+	askerLife = 400 * time.Millisecond
 )
 
 // askNeighbour asks another router for the table and the upstreams, another one
@@ -49,21 +57,55 @@
 	return f.relay != nil && f.relay.waits && !f.KnowsMost(now)
 }
 
-// Asked answers another router's wish for the table, if there is a newer one
-// here, and for the upstreams, if most are known here. The answers go out as the
-// relay's link has room.
+// askPasser asks the router that a disk VM has named for what this one lacks.
+func (f *Follower) askPasser(now time.Duration, id protocol.RouterID) Send {
+	f.neighbourAsked = now + passerPatience
+	return Send{To: id, Body: Watch{
+		Router: true, Version: f.version(), WantDocument: f.newest > f.version(), WantList: true, Have: f.roster.Summary(),
+	}}
+}
+
+// asker is what another router has asked for.
+type asker struct {
+	watch Watch
+	at    time.Duration
+}
+
+// Asked answers another router's wish for the table, if there is a newer one here,
+// and for the upstreams, if most are known here. What is lacking here too is sent
+// once it is known. The answers go out as the relay's link has room.
 func (f *Follower) Asked(now time.Duration, from protocol.RouterID, w Watch) {
 	if f.relay == nil {
 		return
 	}
-	if w.WantDocument && f.inForce != nil && w.Version < f.inForce.Version {
+	f.askers[from] = asker{watch: w, at: now}
+	f.answer(now, from)
+}
+
+// answerAskers answers those whose wishes can be met now.
+func (f *Follower) answerAskers(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(f.askers)) {
+		f.answer(now, id)
+	}
+}
+
+// answer sends a router what it has asked for, as far as it is known here.
+func (f *Follower) answer(now time.Duration, id protocol.RouterID) {
+	a := f.askers[id]
+	if a.watch.WantDocument && f.version() > a.watch.Version {
 		if f.whole.Result != f.inForce.Digest {
 			f.whole = document.MakeChange(nil, f.inForce)
 		}
-		f.relay.send(from, Document{Change: f.whole}, len(f.whole.Delta))
+		f.relay.send(id, Document{Change: f.whole}, len(f.whole.Delta))
+		a.watch.WantDocument = false
+	}
+	if a.watch.WantList && f.roster.Usable() > 0 && f.KnowsMost(now) {
+		list := f.lists.packed(now, f.roster, f.roster.Differing(a.watch.Have))
+		f.relay.send(id, list, len(list.Packed))
+		a.watch.WantList = false
 	}
-	if w.WantList && f.KnowsMost(now) {
-		list := f.lists.packed(now, f.roster, f.roster.Differing(w.Have))
-		f.relay.send(from, list, len(list.Packed))
+	f.askers[id] = a
+	if !a.watch.WantDocument && !a.watch.WantList || now-a.at > askerLife {
+		delete(f.askers, id)
 	}
 }
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -47,6 +47,9 @@
 	owed       owed
 	// has is the Summary of its roster when it last asked for a list.
 	has roster.Summary
+	// referred is when it was last sent to a passer, if it ever was.
+	referred     time.Duration
+	everReferred bool
 }
 
 // Publisher is the disk VM's side. It is not safe for concurrent use.
@@ -75,6 +78,7 @@
 	// that wait for room on it.
 	bulk    bucket
 	waiting []request
+	passers passers
 	// pushes bounds what changes of upstreams take of it.
 	pushes bucket
 	// keepers are the engines that keep prompts' beginnings, for routers that start.
@@ -205,8 +209,29 @@
 	if w.WantKeepers {
 		p.enqueue(request{from: from, what: wishKeepers, at: now})
 	}
-	sends := []Send{{To: from, Body: p.news(now, known)}}
-	return append(sends, p.SendWaiting(now)...)
+	large := p.SendWaiting(now)
+	news := p.news(now, known)
+	news.Ask = p.referral(now, from, known)
+	return append([]Send{{To: from, Body: news}}, large...)
+}
+
+// referral returns the router that a follower should ask for what it has to wait for
+// here, "" if there is none, or nothing to wait for. It waits here no longer. One that
+// asks again wasn't served by its passer, and is served here.
+func (p *Publisher) referral(now time.Duration, from protocol.RouterID, f *follower) protocol.RouterID {
+	waits := func(r request) bool { return r.from == from && r.what != wishKeepers }
+	again := f.everReferred && now-f.referred < passerLife
+	if !f.watch.Router || again || !slices.ContainsFunc(p.waiting, waits) {
+		return ""
+	}
+	asker := Router{ID: from, DataCentre: f.watch.DataCentre}
+	passer := p.passers.next(now, asker)
+	if passer != "" {
+		p.waiting = slices.DeleteFunc(p.waiting, waits)
+		p.passers.add(now, asker)
+		f.referred, f.everReferred = now, true
+	}
+	return passer
 }
 
 // bareNews is News without the list of processes.
--- a/coordination/control/recalled_test.go
+++ b/coordination/control/recalled_test.go
@@ -115,14 +115,15 @@
 		}
 	}
 	for i := range 83 {
-		w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1", "vm2", "vm3")
+		r := Router{ID: protocol.RouterID(fmt.Sprint("r", i))}
+		w.startRouter(r.ID, "vm1", "vm2", "vm3").SetRelay(NewRelay(r, 750_000))
 	}
-	w.run(1200 * time.Millisecond)
+	w.runRelays(1200 * time.Millisecond)
 	for _, id := range inOrder(w.routers) {
 		assert.Equal(t, w.routers[id].version(), uint64(8), "%s", id)
 		assert.Equal(t, w.routers[id].roster.Usable(), 100, "%s", id)
 	}
-	w.run(2 * time.Second)
+	w.runRelays(2 * time.Second)
 	told := 0
 	for _, id := range inOrder(w.routers) {
 		told += len(w.keeps[id])
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -159,9 +159,14 @@
 	return sends
 }
 
-// Accepted passes on a change that has just been put in force here.
+// Accepted passes on a change that has just been put in force here, in place of those
+// that wait. Whole tables, for routers that have none, still go: they are served by an
+// older one sooner.
 func (r *Relay) Accepted(change document.Change) {
-	r.queue = nil
+	r.queue = slices.DeleteFunc(r.queue, func(q queued) bool {
+		waiting, is := q.Body.(Document)
+		return is && waiting.Change.Base != document.Digest{}
+	})
 	if len(change.Delta) < largeChange {
 		return
 	}
--- a/coordination/control/tables.go
+++ b/coordination/control/tables.go
@@ -117,6 +117,7 @@
 		f.relay.Accepted(d.Change)
 	}
 	f.noteTable(from)
+	f.answerAskers(now)
 	return f.pull(now), true
 }
 
--- a/coordination/control/tables_test.go
+++ b/coordination/control/tables_test.go
@@ -206,8 +206,8 @@
 }
 
 func TestTablesLeaveRoomOnTheLink(t *testing.T) {
-	// All routers start at once and ask one disk VM for a whole table. What it
-	// sends in a second must stay below what its link carries.
+	// Many ask one disk VM for a whole table, and none can be sent to another for it.
+	// What it sends in a second must stay below what its link carries.
 	v := newWorld(1).vms["vm1"]
 	body := make([]byte, 60_000)
 	for i := range body {
@@ -223,7 +223,7 @@
 		}
 	}
 	for i := range 87 {
-		count(v.publisher.Watched(now, protocol.RouterID(fmt.Sprint("r", i)), Watch{Router: true, WantDocument: true}))
+		count(v.publisher.Watched(now, protocol.RouterID(fmt.Sprint("v", i)), Watch{WantDocument: true}))
 	}
 	for ; now < time.Second; now += 50 * time.Millisecond {
 		count(v.publisher.SendWaiting(now))
--- a/coordination/control/wishes.go
+++ b/coordination/control/wishes.go
@@ -59,12 +59,20 @@
 		}
 		if body != nil {
 			sends = append(sends, Send{To: p.waiting[0].from, Body: body})
+			p.served(now, p.waiting[0].from)
 		}
 		p.waiting = p.waiting[1:]
 	}
 	return sends
 }
 
+// served notes that a follower was sent something large, which a router can pass on.
+func (p *Publisher) served(now time.Duration, id protocol.RouterID) {
+	if w := p.followers[id].watch; w.Router {
+		p.passers.add(now, Router{ID: id, DataCentre: w.DataCentre})
+	}
+}
+
 // mayGo reports whether the link has room for a wish, and counts it.
 func (p *Publisher) mayGo(now time.Duration, what wish, size int) bool {
 	if what == wishKeepers {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -290,6 +290,7 @@
 	case control.List:
 		r.follower.TakeList(now, from, m)
 		r.takeRoster()
+		r.fabric.SendAll(r.relay.Due(now))
 	case control.Document:
 		sends, _ := r.follower.TakeDocument(now, from, m, r.accept)
 		r.fabric.SendAll(sends)
