Disk VMs tell each other what engines keep, and routers pass it on

Routers sent each prompt to the first engine in its order, while another one kept it: each disk VM remembered the fifth that it was told, every router had to be told by all five, and the links brought the half of it in two seconds.

Ruled out: engines that had evicted them (the same prompts were warm before the loss); copies that failed (most had no source but the common beginning).

Change: a disk VM tells the others once a second what routers have told it, at most 1,024 prompts of 12 bytes. A router that starts asks one of them in touch until it is told, and who has no room for it is sent to another router, as for tables and lists; what engines keep goes behind those. An empty list is no answer, so a disk VM that has lost its disk doesn't end the asking.

Tests changed: TestARouterThatStartsIsToldOnceWhatEnginesKeep had each router told by each disk VM; it now asks that one telling brings all, once, with a VM lost and one that remembers nothing. TestWhatEnginesKeepWaitsForTablesAndLists lets all disk VMs remember the same, with its bounds as they were.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -27,9 +27,6 @@
 	// that it hears, for one that knows which table is in force, before it takes a
 	// recalled one: the others answer within a few milliseconds.
 	recalledAfter = 50 * time.Millisecond
-	// mostKeeperTries is how often a disk VM is asked for what it remembers of prompts'
-	// beginnings; after a second or two the routers know most of them anew.
-	mostKeeperTries = 3
 	// lostAfter is how long a disk VM may be silent before the follower says
 	// that it has lost it.
 	lostAfter = 3 * WatchInterval
@@ -95,7 +92,8 @@
 	neighbourAsked time.Duration
 	neighbours     int
 	// askers are the routers that have asked for what this one lacks.
-	askers map[protocol.RouterID]asker
+	askers  map[protocol.RouterID]asker
+	keepers toldKeepers
 	// knewMostAt is when this router last knew most upstreams or had to ask disk VMs
 	// alone for them.
 	knewMostAt time.Duration
@@ -168,7 +166,7 @@
 	s := f.sources[id]
 	s.asked = now
 	w.Router = f.router
-	w.WantKeepers = f.router && s.askKeepers(now)
+	w.WantKeepers = f.router && s.inTouch(now) && f.keepers.ask(now)
 	w.Announcements = f.announcements
 	if f.relay != nil {
 		w.DataCentre = f.relay.self.DataCentre
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -25,7 +25,7 @@
 	passerPatience = 300 * time.Millisecond
 	// askerLife is how long a router that has asked for what isn't known here is
 	// remembered.
-	askerLife = 400 * time.Millisecond
+	askerLife = time.Second
 )
 
 // askNeighbour asks another router for the table and the upstreams, another one
@@ -62,6 +62,7 @@
 	f.neighbourAsked = now + passerPatience
 	return Send{To: id, Body: Watch{
 		Router: true, Version: f.version(), WantDocument: f.newest > f.version(), WantList: true, Have: f.roster.Summary(),
+		WantKeepers: !f.keepers.any,
 	}}
 }
 
@@ -72,8 +73,9 @@
 }
 
 // Asked answers another router's wish for the table, if there is a newer one here,
-// and for the upstreams, if most are known here. What is lacking here too is sent
-// once it is known. The answers go out as the relay's link has room.
+// for the upstreams, if most are known here, and for what engines keep, if this router
+// was told lately. What is lacking here too is sent once it is known. The answers go
+// out as the relay's link has room.
 func (f *Follower) Asked(now time.Duration, from protocol.RouterID, w Watch) {
 	if f.relay == nil {
 		return
@@ -104,8 +106,13 @@
 		f.relay.send(id, list, len(list.Packed))
 		a.watch.WantList = false
 	}
+	if list, any := f.passableKeepers(now); a.watch.WantKeepers && any {
+		f.relay.sendLast(id, list, len(list.Packed))
+		a.watch.WantKeepers = false
+	}
 	f.askers[id] = a
-	if !a.watch.WantDocument && !a.watch.WantList || now-a.at > askerLife {
+	met := !a.watch.WantDocument && !a.watch.WantList && !a.watch.WantKeepers
+	if met || now-a.at > askerLife {
 		delete(f.askers, id)
 	}
 }
--- a/coordination/control/passers.go
+++ b/coordination/control/passers.go
@@ -13,6 +13,8 @@
 	passerLife = time.Second
 	// mostAsking bounds the routers that are sent to one passer.
 	mostAsking = 4
+	// startingFor is how long after its first Watch a router counts as starting.
+	startingFor = 2 * time.Second
 )
 
 // passers are the routers that were sent tables and lists a moment ago, in order.
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -41,6 +41,8 @@
 type follower struct {
 	watch Watch
 	at    time.Duration
+	// since is when it began to follow.
+	since time.Duration
 	// listed is when the list of processes was last sent, if it ever was.
 	listed     time.Duration
 	everListed bool
@@ -83,6 +85,7 @@
 	pushes bucket
 	// keepers are the engines that keep prompts' beginnings, for routers that start.
 	keepers *balance.KeeperRecord
+	shared  sharedKeepers
 	// packedKeepers are those of packedKeepersAt, for all who ask at about that time.
 	packedKeepers   balance.KeeperList
 	packedKeepersAt time.Duration
@@ -194,7 +197,7 @@
 func (p *Publisher) Watched(now time.Duration, from protocol.RouterID, w Watch) []Send {
 	known := p.followers[from]
 	if known == nil {
-		known = &follower{}
+		known = &follower{since: now}
 		p.followers[from] = known
 	}
 	known.watch = w
@@ -217,11 +220,13 @@
 
 // referral returns the router that a follower should ask for what it has to wait for
 // here, "" if there is none, or nothing to wait for. It waits here no longer. One that
-// asks again wasn't served by its passer, and is served here.
+// asks again wasn't served by its passer, and is served here. Those that have followed
+// for a while get new tables by way of relays.
 func (p *Publisher) referral(now time.Duration, from protocol.RouterID, f *follower) protocol.RouterID {
-	waits := func(r request) bool { return r.from == from && r.what != wishKeepers }
-	again := f.everReferred && now-f.referred < passerLife
-	if !f.watch.Router || again || !slices.ContainsFunc(p.waiting, waits) {
+	waits := func(r request) bool { return r.from == from }
+	again := f.everReferred && now-f.referred < 2*passerLife
+	starting := f.watch.Router && now-f.since < startingFor
+	if !starting || again || !slices.ContainsFunc(p.waiting, waits) {
 		return ""
 	}
 	asker := Router{ID: from, DataCentre: f.watch.DataCentre}
--- a/coordination/control/recalled_test.go
+++ b/coordination/control/recalled_test.go
@@ -80,33 +80,44 @@
 	assert.Equal(t, r.version(), uint64(9))
 }
 
+// Guards: a router that starts is told a part of what engines keep, or never because
+// the disk VM that it asks is lost or remembers nothing.
 func TestARouterThatStartsIsToldOnceWhatEnginesKeep(t *testing.T) {
-	// A router is rolled. Each disk VM was told a part of what engines keep; the
-	// router asks all of them, again the one whose answer is lost, and none twice.
-	w := newWorld(3)
+	w := newWorld(4)
 	w.put(1)
-	for i, id := range inOrder(w.vms) {
-		w.vms[id].publisher.Keepers().Note(w.now, []balance.Kept{{Prompt: uint64(i), ID: 7}})
+	for i, id := range inOrder(w.vms)[:3] {
+		list := balance.NewKeeperList([]balance.Kept{{Prompt: uint64(i), ID: 7}})
+		w.vms[id].publisher.NoteKeepers(w.now, "r0", list)
+	}
+	w.run(2 * time.Second)
+	for _, id := range inOrder(w.vms) {
+		w.carry(id, w.vms[id].publisher.ShareKeepers(w.now, id))
+		assert.Assert(t, len(w.vms[id].publisher.ShareKeepers(w.now+time.Hour, id)) == 0, "it isn't told twice")
+	}
+	for _, id := range inOrder(w.vms) {
+		assert.Equal(t, len(w.vms[id].publisher.Keepers().Newest(w.now)), 3, "%s", id)
 	}
+	w.startVM("vm0")
+	w.tellVMs()
 	w.deaf["vm3"] = true
-	r := w.startRouter("r1", "vm1", "vm3")
-	w.run(time.Second)
-	w.deaf["vm3"] = false
+	r := w.startRouter("r1", "vm0", "vm1", "vm3")
 	w.run(5 * time.Second)
 	assert.Equal(t, len(w.keeps["r1"]), 3)
 	assert.Equal(t, r.version(), uint64(1))
 }
 
 func TestWhatEnginesKeepWaitsForTablesAndLists(t *testing.T) {
-	// All VMs of a large fleet were killed and are back. Each disk VM remembers
-	// six hundred prompts; sent to 83 routers before the lists of upstreams, on
+	// All VMs of a large fleet were killed and are back. The disk VMs remember
+	// three thousand prompts; sent to 83 routers before the lists of upstreams, on
 	// links of 3 Mbit/s, these left routers without an upstream for three seconds, and
 	// their callers were refused.
 	w := newWorld(5)
 	for at, id := range inOrder(w.vms) {
 		w.recall(id, 8)
 		for i := range 600 {
-			w.vms[id].publisher.Keepers().Note(w.now, []balance.Kept{{Prompt: uint64(600*at + i), ID: 7}})
+			for _, v := range w.vms {
+				v.publisher.Keepers().Note(w.now, []balance.Kept{{Prompt: uint64(600*at + i), ID: 7}})
+			}
 		}
 		for i := range 100 {
 			w.vms[id].roster.Merge(w.now, roster.Entry{
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -53,7 +53,8 @@
 	// relays are those of all data centres.
 	relays []Router
 	bulk   bucket
-	queue  []queued
+	// queue waits for room on the link, and last behind it.
+	queue, last []queued
 }
 
 // queued is a message that waits for room on the link.
@@ -180,12 +181,27 @@
 	r.queue = append(r.queue, queued{Send: Send{To: to, Body: body}, size: size})
 }
 
+// sendLast queues a message for a router behind all that send queues: callers wait for
+// tables and lists.
+func (r *Relay) sendLast(to protocol.RouterID, body any, size int) {
+	r.last = append(r.last, queued{Send: Send{To: to, Body: body}, size: size})
+}
+
 // Due returns what the link has room for now.
 func (r *Relay) Due(now time.Duration) []Send {
+	sends := r.take(now, &r.queue)
+	if len(r.queue) > 0 {
+		return sends
+	}
+	return append(sends, r.take(now, &r.last)...)
+}
+
+// take returns the messages of a queue that the link has room for.
+func (r *Relay) take(now time.Duration, queue *[]queued) []Send {
 	var sends []Send
-	for len(r.queue) > 0 && r.bulk.take(now, r.queue[0].size) {
-		sends = append(sends, r.queue[0].Send)
-		r.queue = r.queue[1:]
+	for len(*queue) > 0 && r.bulk.take(now, (*queue)[0].size) {
+		sends = append(sends, (*queue)[0].Send)
+		*queue = (*queue)[1:]
 	}
 	return sends
 }
--- a/coordination/control/returning_test.go
+++ b/coordination/control/returning_test.go
@@ -39,7 +39,8 @@
 	sent  int
 	vm    *vm
 	route *follow
-	kept  map[uint64]bool
+	// kept is how many prompts' keepers it was told, again those told twice.
+	kept int
 	// knewAt is when the router knew enough to serve its callers, 0 if it doesn't.
 	knewAt time.Duration
 }
@@ -72,7 +73,7 @@
 
 // hundreds is a fleet of hundreds of VMs whose disk VMs have small links.
 var hundreds = returningFleet{
-	routers: 195, upstreams: 122, left: 123, routes: 245, prompts: 700, diskVMRate: 525_000, routerRate: 1_250_000,
+	routers: 195, upstreams: 122, left: 123, routes: 245, prompts: 1300, diskVMRate: 525_000, routerRate: 1_250_000,
 }
 
 // word returns a name of letters and digits.
@@ -108,6 +109,10 @@
 	}
 	table := document.New(131, tableBody(random, s.routes))
 	entries := s.entries(random)
+	var kept []balance.Kept
+	for range s.prompts {
+		kept = append(kept, balance.Kept{Prompt: random.Uint64(), ID: balance.Short(random.Uint32())})
+	}
 	for i, id := range vms {
 		r := roster.New(roster.DefaultSettings())
 		for _, e := range entries {
@@ -116,9 +121,7 @@
 		v := &vm{roster: r, publisher: NewPublisher(r, int(s.diskVMRate/2))}
 		v.publisher.Recall(table)
 		v.publisher.SetDiskVMs(vms)
-		for range s.prompts {
-			v.publisher.Keepers().Note(0, []balance.Kept{{Prompt: random.Uint64(), ID: balance.Short(random.Uint32())}})
-		}
+		v.publisher.Keepers().Note(0, kept)
 		w.nodes[id] = &node{id: id, startAt: starts[i], rate: s.diskVMRate, vm: v}
 	}
 	for i := range s.routers {
@@ -127,7 +130,7 @@
 		r := roster.New(roster.DefaultSettings())
 		f := &follow{Follower: NewFollower(id, true, vms[:3], r), roster: r}
 		f.SetRelay(NewRelay(Router{ID: id, DataCentre: protocol.DataCentre(fmt.Sprint("hall-", dc))}, int(0.6*s.routerRate)))
-		w.nodes[id] = &node{id: id, startAt: time.Duration(random.IntN(250)) * time.Millisecond, rate: s.routerRate, route: f, kept: map[uint64]bool{}}
+		w.nodes[id] = &node{id: id, startAt: time.Duration(random.IntN(250)) * time.Millisecond, rate: s.routerRate, route: f}
 		w.routers = append(w.routers, id)
 	}
 	return w
@@ -233,10 +236,8 @@
 	case Watch:
 		f.Asked(w.now, a.from, body)
 	case balance.KeeperList:
-		f.TakeKeepers(a.from)
-		for _, k := range body.Kept() {
-			n.kept[k.Prompt] = true
-		}
+		f.TakeKeepers(w.now, body)
+		n.kept += len(body.Kept())
 	}
 	w.send(n, f.relay.Due(w.now))
 }
@@ -267,6 +268,22 @@
 	assert.Equal(t, back, len(w.routers), "routers that serve who was told to come back")
 }
 
+// Guards: routers learn late which engines keep prompts' beginnings, and callers who
+// come back wait for prompts that are read anew.
+func TestAFleetThatReturnsKnowsWhatEnginesKeepBeforeCallersComeBack(t *testing.T) {
+	w := hundreds.start()
+	w.run(450*time.Millisecond + comesBack)
+	told, bytes := 0, 0
+	for _, n := range w.nodes {
+		if n.kept >= hundreds.prompts {
+			told++
+		}
+		bytes += n.kept
+	}
+	assert.Assert(t, told >= 9*len(w.routers)/10, "%d of %d routers", told, len(w.routers))
+	assert.Assert(t, bytes <= 2*hundreds.prompts*len(w.routers), "each is told %d times, on average", bytes/hundreds.prompts/len(w.routers))
+}
+
 // Guards: a router is sent to another one for what a disk VM's link has no room for,
 // and that one is gone.
 func TestARouterThatIsSentToOneThatIsGoneIsServed(t *testing.T) {
--- a/coordination/control/sources.go
+++ b/coordination/control/sources.go
@@ -22,16 +22,11 @@
 	fleet     uint64
 	version   uint64
 	recalled  bool
-	// toldKeepers says that it has told which engines keep prompts' beginnings. keepersAskedAt
-	// is when it was last asked for that, for the keeperTries-th time.
-	toldKeepers    bool
-	keeperTries    int
-	keepersAskedAt time.Duration
-	routers        []Router
-	diskVMs        []protocol.RouterID
-	asked          time.Duration
-	heard          time.Duration
-	named          time.Duration
+	routers   []Router
+	diskVMs   []protocol.RouterID
+	asked     time.Duration
+	heard     time.Duration
+	named     time.Duration
 	// differs says that its roster isn't the own, and since when.
 	differs      bool
 	differsSince time.Duration
@@ -39,25 +34,6 @@
 	lost         bool
 }
 
-// askKeepers reports whether to ask which engines keep prompts' beginnings, and notes
-// that it is done.
-func (s *source) askKeepers(now time.Duration) bool {
-	again := s.keeperTries > 0
-	if s.toldKeepers || s.keeperTries >= mostKeeperTries || again && now-s.keepersAskedAt < eagerInterval {
-		return false
-	}
-	s.keeperTries++
-	s.keepersAskedAt = now
-	return true
-}
-
-// TakeKeepers notes that a disk VM has told which engines keep prompts' beginnings.
-func (f *Follower) TakeKeepers(from protocol.RouterID) {
-	if s := f.sources[from]; s != nil {
-		s.toldKeepers = true
-	}
-}
-
 // Preferred returns the disk VM in touch that this router prefers, "" for none.
 func (f *Follower) Preferred(now time.Duration) protocol.RouterID {
 	for _, id := range f.byPreference() {
--- a/coordination/control/wishes.go
+++ b/coordination/control/wishes.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"endiveplank/coordination/balance"
 	"endiveplank/coordination/document"
 	"endiveplank/protocol"
 )
@@ -97,8 +96,10 @@
 		list := p.lists.packed(now, p.roster, p.roster.Differing(f.has))
 		return list, len(list.Packed)
 	case wishKeepers:
-		list := p.keeperList(now)
-		return list, len(list.Packed)
+		if list := p.keeperList(now); len(list.Packed) > 0 {
+			return list, len(list.Packed)
+		}
+		return nil, 0
 	}
 	if p.version() <= f.watch.Version {
 		return nil, 0
@@ -107,17 +108,6 @@
 	return Document{Change: change}, len(change.Delta)
 }
 
-// keeperList returns what engines keep, packed at most packedLife ago: thousands of
-// prompts are sorted for it, and hundreds of routers start at once.
-func (p *Publisher) keeperList(now time.Duration) balance.KeeperList {
-	if !p.everPacked || now-p.packedKeepersAt >= packedLife {
-		p.packedKeepers = balance.NewKeeperList(p.keepers.Newest(now))
-		p.packedKeepersAt = now
-		p.everPacked = true
-	}
-	return p.packedKeepers
-}
-
 // changeFrom returns the change to the table in force from another, or the
 // whole where that one isn't known here.
 func (p *Publisher) changeFrom(base document.Digest) document.Change {
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -101,8 +101,11 @@
 			w.listBytes += len(body.Packed)
 			w.routers[send.To].TakeList(w.now, from, body)
 		case balance.KeeperList:
-			w.routers[send.To].TakeKeepers(from)
-			w.keeps[send.To] = append(w.keeps[send.To], body.Kept()...)
+			if v := w.vms[send.To]; v != nil {
+				v.publisher.NoteKeepers(w.now, from, body)
+			} else if w.routers[send.To].TakeKeepers(w.now, body) {
+				w.keeps[send.To] = append(w.keeps[send.To], body.Kept()...)
+			}
 		case Document:
 			w.documents++
 			more, _ := w.routers[send.To].TakeDocument(w.now, from, body, func(*document.Document) error { return nil })
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -150,6 +150,7 @@
 	vm.rememberOften(now)
 	vm.fabric.SendAll(vm.publisher.PushHeard(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
+	vm.fabric.SendAll(vm.publisher.ShareKeepers(now, vm.options.Settings.Self()))
 	if now-vm.expired >= expireInterval {
 		vm.expired = now
 		for _, id := range vm.roster.Expire(now) {
@@ -235,7 +236,7 @@
 		}
 		vm.fabric.Send(ack.To, ack.Body)
 	case balance.KeeperList:
-		vm.publisher.Keepers().Note(now, m.Kept())
+		vm.publisher.NoteKeepers(now, from, m)
 	case control.ChangesAck:
 		vm.publisher.Acknowledged(from, m)
 	case control.List:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -303,8 +303,10 @@
 	case balance.Loads:
 		r.book.TakeLoads(now, from, m)
 	case balance.KeeperList:
-		r.follower.TakeKeepers(from)
-		r.book.RecallKeepers(now, m.Kept())
+		if r.follower.TakeKeepers(now, m) {
+			r.book.RecallKeepers(now, m.Kept())
+		}
+		r.fabric.SendAll(r.relay.Due(now))
 	case crashes.Crash:
 		r.noteCrash(now, m)
 	default:
