An engine is a prompt's keeper once it has begun to answer it

Cause: a prompt was noted as kept, and told to all routers, when it was sent.

Ruled out: not noting it when it is sent: the next request with the prompt, a moment later, would be read on another engine.

Change: what is sent is noted here alone, until the answer begins; then it is told. An attempt that ends before takes the note back. Nothing is copied from an engine that still reads.

Guarded by TestAnEngineThatFailedAPromptUnreadKeepsNothing and TestNothingIsCopiedFromAnEngineThatStillReads; tests that took what is sent for kept let the answer begin.

--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -224,16 +224,23 @@
 	assert.Assert(t, !alone(now+4*unreachableFor))
 }
 
+// pickAnswered picks the engine of a prompt, which begins to answer it at once.
+func pickAnswered(b *Book, at time.Duration, random *rand.Rand, r Request) Choice {
+	made := b.Pick(at, random, r)
+	b.Keeps(at, made.ID, r.Prompt, r.Beginnings)
+	return made
+}
+
 func TestAPromptGoesWhereItsBeginningIsKept(t *testing.T) {
 	// Reading ten thousand tokens again takes a fifth of a second of an
 	// engine's time; every router has to find the engine that has read them.
 	a, b := newBook(12), newBook(12)
-	first := a.Pick(now, seeded(), prompt(7))
+	first := pickAnswered(a, now, seeded(), prompt(7))
 	assert.Equal(t, first.CopyFrom, "")
 	a.Started(first.ID)
 	loads, _ := a.OwnLoads(false)
 	b.TakeLoads(now, "a", loads)
-	second := b.Pick(now, seeded(), prompt(7))
+	second := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Equal(t, second.ID, first.ID)
 	assert.Equal(t, second.Reason, ReasonKeeper)
 	assert.Equal(t, second.CopyFrom, "")
@@ -243,31 +250,64 @@
 	// A third of all requests begin alike. Their engine has its fill, and the
 	// next one copies the beginning from it.
 	b := newBook(12)
-	first := b.Pick(now, seeded(), prompt(7))
+	first := pickAnswered(b, now, seeded(), prompt(7))
 	for range 10 {
 		b.Started(first.ID)
 	}
-	next := b.Pick(now, seeded(), prompt(7))
+	next := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Assert(t, next.ID != first.ID)
 	assert.Equal(t, next.CopyFrom, first.Address)
-	again := b.Pick(now, seeded(), prompt(7))
+	again := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Equal(t, again.ID, next.ID)
 	assert.Equal(t, again.CopyFrom, "", "it keeps it by now")
 }
 
-func TestALeavingEngineIsCopiedFromWhileItIsThere(t *testing.T) {
+// Guards: an engine that failed a prompt unread is taken for its keeper by this router
+// and all others.
+func TestAnEngineThatFailedAPromptUnreadKeepsNothing(t *testing.T) {
+	b := newBook(12)
+	kept := pickAnswered(b, now, seeded(), prompt(7))
+	for range 10 {
+		b.Started(kept.ID)
+	}
+	failed := b.Pick(now, seeded(), prompt(7))
+	assert.Assert(t, failed.ID != kept.ID)
+	assert.Equal(t, b.Pick(now, seeded(), prompt(7)).ID, failed.ID, "while it may be reading it")
+	told := len(b.keepers.news)
+	b.NotKept(failed.ID, 7)
+	b.NotKept(kept.ID, 7)
+	assert.Equal(t, b.Pick(now, seeded(), prompt(7)).CopyFrom, kept.Address, "the other one has read it")
+	assert.Equal(t, len(b.keepers.news), told)
+
+	b.NotKept(b.Pick(now, seeded(), prompt(8)).ID, 8)
+	assert.Equal(t, len(b.keepers.prompts[8]), 0)
+}
+
+// Guards: an engine is asked for what it is still reading.
+func TestNothingIsCopiedFromAnEngineThatStillReads(t *testing.T) {
 	b := newBook(12)
 	first := b.Pick(now, seeded(), prompt(7))
+	for range 10 {
+		b.Started(first.ID)
+	}
+	assert.Equal(t, b.Pick(now, seeded(), prompt(7)).CopyFrom, "")
+	b.Keeps(now, first.ID, 7, nil)
+	assert.Equal(t, b.Pick(now, seeded(), prompt(7)).CopyFrom, first.Address)
+}
+
+func TestALeavingEngineIsCopiedFromWhileItIsThere(t *testing.T) {
+	b := newBook(12)
+	first := pickAnswered(b, now, seeded(), prompt(7))
 	list := entries(12)
 	at := slices.IndexFunc(list, func(e roster.Entry) bool { return e.ID == first.ID })
 	list[at].State = roster.Draining
 	b.SetRoster(list)
-	next := b.Pick(now, seeded(), prompt(7))
+	next := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Assert(t, next.ID != first.ID)
 	assert.Equal(t, next.CopyFrom, first.Address)
 	list[at].State = roster.Gone
 	b.SetRoster(list)
-	other := b.Pick(now, seeded(), prompt(7))
+	other := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Equal(t, other.CopyFrom, "")
 }
 
@@ -275,7 +315,7 @@
 	// An engine crashes and starts again under its name. What it kept is gone;
 	// copied from it, a prompt would be read whole after a vain question.
 	b := newBook(2)
-	first := b.Pick(now, seeded(), prompt(7))
+	first := pickAnswered(b, now, seeded(), prompt(7))
 	list := entries(2)
 	at := slices.IndexFunc(list, func(e roster.Entry) bool { return e.ID == first.ID })
 	list[at].Born = 99
@@ -286,7 +326,7 @@
 func TestMemoryOfPromptsIsBounded(t *testing.T) {
 	b := newBook(3)
 	for key := range uint64(3 * mostPrompts) {
-		b.Pick(now, seeded(), prompt(key))
+		pickAnswered(b, now, seeded(), prompt(key))
 	}
 	assert.Assert(t, len(b.keepers.prompts) <= mostPrompts)
 }
@@ -332,7 +372,7 @@
 			key = 0
 		}
 		router := random.IntN(routers)
-		choice := books[router].Pick(at, random, prompt(key))
+		choice := pickAnswered(books[router], at, random, prompt(key))
 		mean := float64(len(running)) / float64(len(books[0].services["s"]))
 		if float64(held[choice.ID]) > 2*mean+3 {
 			over++
@@ -382,7 +422,7 @@
 	// prompt in demand has six. Sent elsewhere, the prompt's beginning would be copied
 	// for nothing. At the operators' bound it has to go elsewhere.
 	b := newBook(18)
-	keeper := b.Pick(now, seeded(), prompt(7)).ID
+	keeper := pickAnswered(b, now, seeded(), prompt(7)).ID
 	for _, e := range entries(18) {
 		for range 2 {
 			b.Started(e.ID)
@@ -391,11 +431,11 @@
 	for range 4 {
 		b.Started(keeper)
 	}
-	assert.Equal(t, b.Pick(now, seeded(), prompt(7)).ID, keeper, "six, of a mean of 2.2")
+	assert.Equal(t, pickAnswered(b, now, seeded(), prompt(7)).ID, keeper, "six, of a mean of 2.2")
 	for range 2 {
 		b.Started(keeper)
 	}
-	made := b.Pick(now, seeded(), prompt(7))
+	made := pickAnswered(b, now, seeded(), prompt(7))
 	assert.Assert(t, made.ID != keeper, "eight, of a mean of 2.3")
 	assert.Assert(t, made.CopyFrom != "")
 }
@@ -408,12 +448,12 @@
 	like := func(key uint64) Request {
 		return Request{Service: "s", Prompt: key, HasPrompt: true, Beginnings: []uint64{1, 2}}
 	}
-	first := b.Pick(now, seeded(), like(100))
+	first := pickAnswered(b, now, seeded(), like(100))
 	assert.Equal(t, first.CopyFrom, "")
-	assert.Equal(t, b.Pick(now, seeded(), like(100)).CopyFrom, "", "it is kept")
+	assert.Equal(t, pickAnswered(b, now, seeded(), like(100)).CopyFrom, "", "it is kept")
 	told := len(b.keepers.news)
 	for key := range uint64(20) {
-		made := b.Pick(now, seeded(), like(200+key))
+		made := pickAnswered(b, now, seeded(), like(200+key))
 		if made.ID == first.ID {
 			assert.Equal(t, made.CopyFrom, "")
 		} else {
@@ -421,6 +461,6 @@
 		}
 	}
 	assert.Equal(t, len(b.keepers.news)-told, 20, "the beginnings themselves are told once")
-	b.Pick(now+tellAgain+1, seeded(), like(100))
+	pickAnswered(b, now+tellAgain+1, seeded(), like(100))
 	assert.Equal(t, len(b.keepers.news)-told, 23, "and again after a while")
 }
--- a/coordination/balance/busy_test.go
+++ b/coordination/balance/busy_test.go
@@ -71,7 +71,7 @@
 	b := newBook(4)
 	limited := prompt(5)
 	limited.Limit = 3
-	keeper := b.Pick(now, seeded(), limited).ID
+	keeper := pickAnswered(b, now, seeded(), limited).ID
 	for range 3 {
 		b.Started(keeper)
 	}
--- a/coordination/balance/exchange_test.go
+++ b/coordination/balance/exchange_test.go
@@ -130,7 +130,7 @@
 	for range 3 {
 		g.round(true)
 	}
-	choice := g.books["r13"].Pick(g.at, seeded(), prompt(77))
+	choice := pickAnswered(g.books["r13"], g.at, seeded(), prompt(77))
 	for _, id := range g.order {
 		for range 2 {
 			g.books[id].Started("u05")
--- a/coordination/balance/keepers.go
+++ b/coordination/balance/keepers.go
@@ -31,7 +31,8 @@
 	ID     Short  `msgpack:"i"`
 }
 
-// keeper is an engine that a prompt was sent to.
+// keeper is an engine that a prompt was sent to, also while it hasn't read it: the next
+// request with that prompt goes there too.
 type keeper struct {
 	id   protocol.UpstreamID
 	born int64
@@ -39,6 +40,8 @@
 	at time.Duration
 	// told is when the routers were last told.
 	told time.Duration
+	// sure says that an answer to the prompt has begun there: the engine has read it.
+	sure bool
 }
 
 // keepers remembers which engines keep which prompts, by what this router and
@@ -61,7 +64,7 @@
 		if now-k.at > keeperLife {
 			continue
 		}
-		at := slices.IndexFunc(list, func(u *upstream) bool { return u.entry.ID == k.id && u.entry.Born == k.born })
+		at := slices.IndexFunc(list, k.isOf)
 		if at >= 0 {
 			found = append(found, list[at])
 		}
@@ -75,7 +78,7 @@
 	source := ""
 	for _, k := range b.keepers.prompts[prompt] {
 		u := b.upstreams[k.id]
-		if u == nil || u.entry.Born != k.born || now-k.at > keeperLife || u.entry.State == roster.Gone {
+		if u == nil || u.entry.Born != k.born || now-k.at > keeperLife || u.entry.State == roster.Gone || !k.sure {
 			continue
 		}
 		if u == chosen {
@@ -109,13 +112,42 @@
 // isKept reports whether an engine keeps a prompt, as far as is known.
 func (b *Book) isKept(now time.Duration, prompt uint64, u *upstream) bool {
 	return slices.ContainsFunc(b.keepers.prompts[prompt], func(k keeper) bool {
-		return k.id == u.entry.ID && k.born == u.entry.Born && now-k.at <= keeperLife
+		return k.isOf(u) && k.sure && now-k.at <= keeperLife
 	})
 }
 
-// keepsBeginnings notes who keeps the shorter beginnings of a prompt that is sent to
-// an engine, where nobody is known who was sent one lately: a source to copy from is
-// enough, and hundreds of prompts a second begin with the same.
+// isOf reports whether a keeper is this start of an upstream.
+func (k keeper) isOf(u *upstream) bool { return k.id == u.entry.ID && k.born == u.entry.Born }
+
+// Keeps notes that an engine has begun to answer a prompt, and so keeps its beginning
+// and the shorter ones.
+//
+// Load: all engines fail part of their requests for some seconds. Harm prevented: an
+// engine that has failed a request unread is taken for a keeper by all routers, which
+// go on sending the prompt there, and copy it from nowhere.
+func (b *Book) Keeps(now time.Duration, id protocol.UpstreamID, prompt uint64, beginnings []uint64) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	b.keeps(now, prompt, u)
+	b.keepsBeginnings(now, beginnings, u)
+}
+
+// NotKept notes that an attempt ended. If its answer hadn't begun, and no other one did
+// at that engine, it isn't a keeper.
+func (b *Book) NotKept(id protocol.UpstreamID, prompt uint64) {
+	list := slices.DeleteFunc(b.keepers.prompts[prompt], func(k keeper) bool { return k.id == id && !k.sure })
+	if len(list) == 0 {
+		delete(b.keepers.prompts, prompt)
+		return
+	}
+	b.keepers.prompts[prompt] = list
+}
+
+// keepsBeginnings notes who keeps the shorter beginnings of a prompt that an engine
+// answers, where nobody is known who did so lately: a source to copy from is enough,
+// and hundreds of prompts a second begin with the same.
 func (b *Book) keepsBeginnings(now time.Duration, beginnings []uint64, u *upstream) {
 	for _, key := range beginnings {
 		list := b.keepers.prompts[key]
@@ -125,9 +157,10 @@
 	}
 }
 
-// keeps notes that this router sends a prompt to an engine.
+// keeps notes that an engine keeps a prompt, and that the others have to be told.
 func (b *Book) keeps(now time.Duration, prompt uint64, u *upstream) {
 	k := b.keepers.note(now, prompt, u)
+	k.sure = true
 	if k.told == 0 || now-k.told > tellAgain {
 		k.told = max(now, 1)
 		b.keepers.news = append(b.keepers.news, Kept{Prompt: prompt, ID: u.own.ID})
@@ -139,11 +172,18 @@
 func (b *Book) takeKept(now time.Duration, kept []Kept) {
 	for _, k := range kept {
 		if u := b.byShort[k.ID]; u != nil {
-			b.keepers.note(now, k.Prompt, u).told = max(now, 1)
+			b.keepers.noteTold(now, k.Prompt, u)
 		}
 	}
 }
 
+// noteTold notes an engine that others have told of.
+func (k *keepers) noteTold(now time.Duration, prompt uint64, u *upstream) {
+	known := k.note(now, prompt, u)
+	known.told = max(now, 1)
+	known.sure = true
+}
+
 // note puts an engine in front of those that keep a prompt.
 func (k *keepers) note(now time.Duration, prompt uint64, u *upstream) *keeper {
 	list, known := k.prompts[prompt]
@@ -151,9 +191,9 @@
 		k.drop(now)
 	}
 	next := keeper{id: u.entry.ID, born: u.entry.Born, at: now}
-	at := slices.IndexFunc(list, func(old keeper) bool { return old.id == next.id && old.born == next.born })
+	at := slices.IndexFunc(list, func(old keeper) bool { return old.isOf(u) })
 	if at >= 0 {
-		next.told = list[at].told
+		next.told, next.sure = list[at].told, list[at].sure
 		list = slices.Delete(list, at, at+1)
 	}
 	list = slices.Insert(list, 0, next)
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -203,8 +203,7 @@
 	}
 	made := choice(chosen, reason, mean)
 	made.CopyFrom = b.sourceFor(now, r, chosen)
-	b.keeps(now, r.Prompt, chosen)
-	b.keepsBeginnings(now, r.Beginnings, chosen)
+	b.keepers.note(now, r.Prompt, chosen)
 	return made
 }
 
--- a/coordination/balance/record.go
+++ b/coordination/balance/record.go
@@ -41,8 +41,7 @@
 	// mostRecalled bounds what a router is told at its start.
 	mostRecalled = 2048
 	// recalledLife is how long ago a disk VM was told what it tells a router. Routers
-	// tell what is in use every tellAgain, each time another disk VM; with a longer
-	// one a router is told the same by several.
+	// tell what is in use every tellAgain.
 	recalledLife = tellAgain + tellAgain/2
 	// recalledFor is how long a router that was told of engines it doesn't know yet
 	// waits for the list of upstreams.
@@ -160,7 +159,7 @@
 	b.recalled = slices.DeleteFunc(b.recalled, func(k Kept) bool {
 		u := b.byShort[k.ID]
 		if _, known := b.keepers.prompts[k.Prompt]; u != nil && !known {
-			b.keepers.note(b.recalledAt, k.Prompt, u).told = b.recalledAt
+			b.keepers.noteTold(b.recalledAt, k.Prompt, u)
 		}
 		return u != nil
 	})
--- a/coordination/balance/record_test.go
+++ b/coordination/balance/record_test.go
@@ -19,7 +19,7 @@
 		if i == 20*prompts {
 			b.SetRoster(entries(engines))
 		}
-		made := b.Pick(now, random, prompt(uint64(i%prompts)*7919))
+		made := pickAnswered(b, now, random, prompt(uint64(i%prompts)*7919))
 		b.Started(made.ID)
 		flights = append(flights, made.ID)
 		if len(flights) > 3*engines {
@@ -41,7 +41,7 @@
 	kept := 0
 	for i := range prompts {
 		key := uint64(i) * 7919
-		made := b.Pick(now, seeded(), prompt(key))
+		made := pickAnswered(b, now, seeded(), prompt(key))
 		for _, u := range knows.keepersOf(now, key, knows.services["s"]) {
 			if u.entry.ID == made.ID {
 				kept++
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -60,9 +60,12 @@
 }
 
 // Ended implements forward.Fleet.
-func (r *Router) Ended(_ forward.Job, upstream protocol.UpstreamID, result balance.Result) {
+func (r *Router) Ended(job forward.Job, upstream protocol.UpstreamID, result balance.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if prompt, any := job.PromptKey(); any {
+		r.book.NotKept(upstream, prompt)
+	}
 	r.book.Ended(r.now(), upstream, result)
 }
 
@@ -104,6 +107,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.times.Note(kindOf(job, choice), took)
+	if prompt, any := job.PromptKey(); any {
+		r.book.Keeps(r.now(), choice.ID, prompt, job.Beginnings())
+	}
 }
 
 // room returns what is known of the room of a service. The lock is held.
