--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -304,7 +304,9 @@
 		r.book.TakeLoads(now, from, m)
 	case balance.KeeperList:
 		if r.follower.TakeKeepers(now, m) {
-			r.book.RecallKeepers(now, m.Kept())
+			kept := m.Kept()
+			r.log.Info().Str("event", "keepers-told").Str("from", string(from)).Int("prompts", len(kept)).Send()
+			r.book.RecallKeepers(now, kept)
 		}
 		r.fabric.SendAll(r.relay.Due(now))
 	case crashes.Crash:
