--- a/state/disk/fakedisk/fakedisk.go
+++ b/state/disk/fakedisk/fakedisk.go
@@ -46,6 +46,9 @@
 	failSyncs bool
 	capacity  int
 	syncs     int
+	// resumed is closed when a disk that answers nothing does so again; nil while it
+	// does.
+	resumed chan struct{}
 }
 
 // New returns an empty disk without limit.
@@ -53,6 +56,42 @@
 	return &Disk{names: map[string]*inode{}, syncedName: map[string]*inode{}}
 }
 
+// Stall makes the disk answer nothing until Resume.
+func (d *Disk) Stall() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.resumed == nil {
+		d.resumed = make(chan struct{})
+	}
+}
+
+// Resume ends a Stall.
+func (d *Disk) Resume() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.resumed != nil {
+		close(d.resumed)
+		d.resumed = nil
+	}
+}
+
+// Stalled reports whether the disk answers nothing.
+func (d *Disk) Stalled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.resumed != nil
+}
+
+// await returns once the disk answers.
+func (d *Disk) await() {
+	d.mu.Lock()
+	resumed := d.resumed
+	d.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
 // FailSyncs makes every later sync fail, or succeed again.
 func (d *Disk) FailSyncs(fail bool) {
 	d.mu.Lock()
@@ -211,6 +250,7 @@
 
 // Append implements disk.File. A full disk takes a part.
 func (f *file) Append(data []byte) error {
+	f.disk.await()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	if f.generation != f.disk.generation || !f.disk.powered() {
@@ -229,6 +269,7 @@
 
 // Sync implements disk.File.
 func (f *file) Sync() error {
+	f.disk.await()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	if f.generation != f.disk.generation || !f.disk.powered() {
--- a/state/replica/replica_test.go
+++ b/state/replica/replica_test.go
@@ -101,9 +101,22 @@
 		}
 		f.clock.Add(int64(20 * time.Millisecond))
 		for _, n := range f.running() {
-			select {
-			case n.ticks <- time.Time{}:
-			case <-n.replica.Done():
+			n.tick()
+		}
+	}
+}
+
+// tick gives a member its tick. One whose disk stalls may be waiting for that.
+func (n *node) tick() {
+	for {
+		select {
+		case n.ticks <- time.Time{}:
+			return
+		case <-n.replica.Done():
+			return
+		case <-time.After(time.Millisecond):
+			if n.disk.Stalled() {
+				return
 			}
 		}
 	}
