A router takes another one's recalled table only as it would a disk VM's

Cause, found on reading: a table that a router was offered by a disk VM just after that one's start, recalled from before it, is passed on to routers that start without a word of that. A router that has heard from a disk VM which table is in force, or could in a moment, would serve by the old one, with keys that were taken away since, until it had pulled the newer. The guard against that stood for disk VMs' own tables alone; asking neighbours went past it since routers ask each other, and named passers made it likelier.

Ruled out: refusing all tables older than the newest that is known: in a storm of changes a router that starts is served sooner by the last but one.

Change: a router says with the table that it is recalled, and the other takes it under the same condition as a disk VM's. A passer is asked for the table only once it may be taken, also by the pull that follows.

TestARecalledTableOfAnotherRouterIsTakenOnlyAsADiskVMsWouldBe was red without the condition.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -94,6 +94,7 @@
 	// askers are the routers that have asked for what this one lacks.
 	askers  map[protocol.RouterID]asker
 	keepers toldKeepers
+	passer  namedPasser
 	// knewMostAt is when this router last knew most upstreams or had to ask disk VMs
 	// alone for them.
 	knewMostAt time.Duration
@@ -201,7 +202,8 @@
 	}
 	sends := append(f.askList(now), f.pull(now)...)
 	if n.Ask != "" {
-		sends = append(sends, f.askPasser(now, n.Ask))
+		f.passer = namedPasser{id: n.Ask, at: now}
+		sends = append(sends, f.askPasser(now))
 	}
 	return sends
 }
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -95,6 +95,9 @@
 // whole.
 type Document struct {
 	Change document.Change `msgpack:"c"`
+	// Recalled says that a router sends it, and serves by it only as no disk VM knows
+	// yet whether there is a newer one.
+	Recalled bool `msgpack:"e,omitempty"`
 }
 
 // Heard tells a disk VM which upstreams still announce themselves.
--- a/coordination/control/neighbours.go
+++ b/coordination/control/neighbours.go
@@ -57,11 +57,26 @@
 	return f.relay != nil && f.relay.waits && !f.KnowsMost(now)
 }
 
-// askPasser asks the router that a disk VM has named for what this one lacks.
-func (f *Follower) askPasser(now time.Duration, id protocol.RouterID) Send {
+// namedPasser is the router that a disk VM has named last.
+type namedPasser struct {
+	id protocol.RouterID
+	at time.Duration
+	// askedTable says that it was asked for the table.
+	askedTable bool
+}
+
+// mayAsk reports whether the passer is still to be asked for the table.
+func (p namedPasser) mayAsk(now time.Duration) bool {
+	return p.id != "" && !p.askedTable && now-p.at < passerPatience
+}
+
+// askPasser asks the router that a disk VM has named for what this one lacks and may
+// take.
+func (f *Follower) askPasser(now time.Duration) Send {
 	f.neighbourAsked = now + passerPatience
-	return Send{To: id, Body: Watch{
-		Router: true, Version: f.version(), WantDocument: f.newest > f.version(), WantList: true, Have: f.roster.Summary(),
+	f.passer.askedTable = f.mayTake(now)
+	return Send{To: f.passer.id, Body: Watch{
+		Router: true, Version: f.version(), WantDocument: f.passer.askedTable, WantList: true, Have: f.roster.Summary(),
 		WantKeepers: !f.keepers.any,
 	}}
 }
@@ -98,7 +113,7 @@
 		if f.whole.Result != f.inForce.Digest {
 			f.whole = document.MakeChange(nil, f.inForce)
 		}
-		f.relay.send(id, Document{Change: f.whole}, len(f.whole.Delta))
+		f.relay.send(id, Document{Change: f.whole, Recalled: f.recalled}, len(f.whole.Delta))
 		a.watch.WantDocument = false
 	}
 	if a.watch.WantList && f.roster.Usable() > 0 && f.KnowsMost(now) {
--- a/coordination/control/recalled_test.go
+++ b/coordination/control/recalled_test.go
@@ -80,6 +80,32 @@
 	assert.Equal(t, r.version(), uint64(9))
 }
 
+// Guards: a router that knows which table is in force, or could in a moment, serves by
+// an old one that another router was offered by a disk VM that had been cut off.
+func TestARecalledTableOfAnotherRouterIsTakenOnlyAsADiskVMsWouldBe(t *testing.T) {
+	old := document.New(4, []byte("keys that were taken away since"))
+	passed := Document{Change: document.MakeChange(nil, old), Recalled: true}
+	accept := func(*document.Document) error { return nil }
+	for name, test := range map[string]struct {
+		news  []News
+		after time.Duration
+		taken bool
+	}{
+		"one VM knows the newest":       {[]News{{Version: 4, Recalled: true}, {Version: 9}}, recalledAfter, false},
+		"others could say in a moment":  {[]News{{Version: 4, Recalled: true}}, recalledAfter - time.Millisecond, false},
+		"another one recalls a newer":   {[]News{{Version: 4, Recalled: true}, {Version: 5, Recalled: true}}, recalledAfter, false},
+		"nobody knows of a newer table": {[]News{{Version: 4, Recalled: true}, {Version: 3, Recalled: true}}, recalledAfter, true},
+	} {
+		f := NewFollower("r1", true, nil, roster.New(roster.DefaultSettings()))
+		for i, n := range test.news {
+			f.TakeNews(0, protocol.RouterID(fmt.Sprint("vm", i)), n)
+		}
+		_, taken := f.TakeDocument(test.after, "r2", passed, accept)
+		assert.Equal(t, taken, test.taken, name)
+		assert.Equal(t, f.recalled, test.taken, name)
+	}
+}
+
 // Guards: a router that starts is told a part of what engines keep, or never because
 // the disk VM that it asks is lost or remembers nothing.
 func TestARouterThatStartsIsToldOnceWhatEnginesKeep(t *testing.T) {
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -163,16 +163,16 @@
 // Accepted passes on a change that has just been put in force here, in place of those
 // that wait. Whole tables, for routers that have none, still go: they are served by an
 // older one sooner.
-func (r *Relay) Accepted(change document.Change) {
+func (r *Relay) Accepted(d Document) {
 	r.queue = slices.DeleteFunc(r.queue, func(q queued) bool {
 		waiting, is := q.Body.(Document)
 		return is && waiting.Change.Base != document.Digest{}
 	})
-	if len(change.Delta) < largeChange {
+	if len(d.Change.Delta) < largeChange {
 		return
 	}
 	for _, id := range r.receivers {
-		r.send(id, Document{Change: change}, len(change.Delta))
+		r.send(id, d, len(d.Change.Delta))
 	}
 }
 
--- a/coordination/control/tables.go
+++ b/coordination/control/tables.go
@@ -24,6 +24,9 @@
 	f.pulling = true
 	f.pulledFrom = from
 	f.pulledAt = now
+	if f.passer.mayAsk(now) {
+		return []Send{f.askPasser(now)}
+	}
 	return []Send{f.watch(now, from, Watch{WantDocument: true})}
 }
 
@@ -64,6 +67,18 @@
 	return ""
 }
 
+// mayTake reports whether a disk VM in touch has a newer table that this router may
+// serve by.
+func (f *Follower) mayTake(now time.Duration) bool {
+	recalled := f.newestRecalled(now)
+	for _, s := range f.sources {
+		if s.inTouch(now) && s.version > f.version() && (!s.recalled || s.version == recalled) {
+			return true
+		}
+	}
+	return false
+}
+
 // newestRecalled returns the version of the newest table that a disk VM in touch has
 // recalled, 0 where this router may not serve by one: some disk VM in touch knows
 // which table is in force, or could say so in a moment.
@@ -102,6 +117,9 @@
 	if f.inForce != nil && d.Change.Version <= f.inForce.Version {
 		return nil, false
 	}
+	if d.Recalled && d.Change.Version != f.newestRecalled(now) {
+		return nil, false
+	}
 	next, err := d.Change.Apply(f.inForce)
 	if err != nil {
 		f.pulling = false
@@ -113,18 +131,18 @@
 	}
 	f.inForce = next
 	f.pulling = false
+	f.noteTable(from, d)
 	if f.relay != nil {
-		f.relay.Accepted(d.Change)
+		f.relay.Accepted(Document{Change: d.Change, Recalled: f.recalled})
 	}
-	f.noteTable(from)
 	f.answerAskers(now)
 	return f.pull(now), true
 }
 
 // noteTable says that another table is served by, and by whose word.
-func (f *Follower) noteTable(from protocol.RouterID) {
+func (f *Follower) noteTable(from protocol.RouterID, d Document) {
 	s := f.sources[from]
-	f.recalled = s != nil && s.recalled
+	f.recalled = d.Recalled || s != nil && s.recalled
 	what := BeliefTable
 	if f.recalled {
 		what = BeliefRecalled
