Changes of upstreams are packed and bounded by the disk VMs' links

A model without network, in which each byte takes its time on the links of both ends, shows the same and what fills them: changes of upstreams, 150 bytes for each of some fifty followers that are told while there is no room for everybody, and their repetitions, which nothing bounded; names of processes with each answer to a Watch.

Ruled out: announcements that routers have to hand on (none failed in the model once the links had room); lists (bounded already); processor time of the disk VMs (47% of their share at the busiest).

Change: many entries travel packed; changes go to everybody, to those that pass on, or to the other disk VMs alone, as the link has room, with their repetitions; upstreams that leave go first; who isn't told compares lists, as after a lost message. Names of processes count as lists. All that a disk VM sends counts towards four fifths of its link, and what can wait goes while that isn't used up. Shares of links stand in control; settings say the link's rate. A router's part of taking announcements moved to control, where the model plays it; packing reuses its buffers.

Tests changed: two counted entries that disk VMs push; packed entries are a fifth of the bytes, so they count bytes against what the links carry for changes in that time, below the old bounds in bytes. Rates are links' rates now, doubled where shares of them stood.

--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -40,6 +40,7 @@
 // something new is answered only when a disk VM has that (see forwards), so no
 // router holds what nobody else knows.
 func (p *Publisher) AnnounceAt(now time.Duration, e roster.Entry) string {
+	p.link.spend(now, announcementBytes)
 	if e.State != roster.Ready || p.roster.Usable() < handOverFrom {
 		return ""
 	}
@@ -79,6 +80,19 @@
 	return 2*f.InTouch(now) > len(f.sources)
 }
 
+// TakeAnnouncement takes an upstream's announcement at a router. It returns the number
+// of the message to a disk VM whose acknowledgement is to be waited for, if any is.
+func (f *Follower) TakeAnnouncement(now time.Duration, e roster.Entry) (known bool, number uint64, waits bool) {
+	if !f.MayConfirm(now) {
+		return false, 0, false
+	}
+	if f.roster.Confirm(now, e) {
+		return true, 0, false
+	}
+	f.roster.Announced(now, e)
+	return false, f.Forward(e), true
+}
+
 // share returns the proofs of life that disk VMs have to be told, once in a while.
 func (f *Follower) share(now time.Duration) []Send {
 	if now-f.shared < shareInterval {
--- a/coordination/control/bucket.go
+++ b/coordination/control/bucket.go
@@ -42,6 +42,19 @@
 	return true
 }
 
+// hasRoom reports whether anything may go now.
+func (b *bucket) hasRoom(now time.Duration) bool {
+	b.fill(now)
+	return b.tokens > 0
+}
+
+// spend counts n bytes that have gone, whether there was room or not, with a debt of
+// at most one burst.
+func (b *bucket) spend(now time.Duration, n int) {
+	b.fill(now)
+	b.tokens = max(b.tokens-float64(n), -b.burst)
+}
+
 // takeWhole is take without overdraft: all n bytes have room or none go.
 func (b *bucket) takeWhole(now time.Duration, n int) bool {
 	b.fill(now)
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -101,7 +101,12 @@
 
 // TakeChanges merges what a disk VM was just told, and passes it on.
 func (f *Follower) TakeChanges(now time.Duration, from protocol.RouterID, c Changes) []Send {
-	for _, e := range c.Entries {
+	entries, err := c.all()
+	if err != nil {
+		f.beliefs = append(f.beliefs, Belief{What: BeliefUnreadable, About: from})
+		return nil
+	}
+	for _, e := range entries {
 		f.roster.Merge(now, e)
 	}
 	if c.Number == 0 {
--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -122,7 +122,7 @@
 	for i := range 1000 {
 		v.Merge(0, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
 	}
-	p := NewPublisher(v, 1<<30)
+	p := NewPublisher(v, 2<<30)
 	lists := 0
 	packed := map[*byte]bool{}
 	for n := range 100 {
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -72,8 +72,29 @@
 	// Number is 0 for those that a router passes on, which aren't acknowledged.
 	Number uint64 `msgpack:"n"`
 	// PassOn says that the routers behind the receiver weren't told.
-	PassOn  bool           `msgpack:"p,omitempty"`
-	Entries []roster.Entry `msgpack:"e"`
+	PassOn bool `msgpack:"p,omitempty"`
+	// Entries are a few, Packed many, compressed; see packEntries.
+	Entries []roster.Entry `msgpack:"e,omitempty"`
+	Packed  []byte         `msgpack:"k,omitempty"`
+}
+
+// newChanges packs entries where that is worth it.
+func newChanges(entries []roster.Entry) Changes {
+	if len(entries) < packFrom {
+		return Changes{Entries: entries}
+	}
+	return Changes{Packed: packEntries(entries)}
+}
+
+// size is about what the message takes, in bytes.
+func (c Changes) size() int { return changesBytes + entryBytes*len(c.Entries) + len(c.Packed) }
+
+// all returns the entries. Error: damage.
+func (c Changes) all() ([]roster.Entry, error) {
+	if len(c.Packed) == 0 {
+		return c.Entries, nil
+	}
+	return unpackEntries(c.Packed)
 }
 
 // ChangesAck acknowledges Changes.
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -75,8 +75,23 @@
 
 // packList makes the list of upstreams that followers are sent.
 func packList(r *roster.Roster, buckets roster.Buckets) List {
-	packed := document.Compress(codec.Marshal(r.EntriesIn(buckets)))
-	return List{Digest: r.Digest(), Buckets: buckets, Packed: packed}
+	return List{Digest: r.Digest(), Buckets: buckets, Packed: packEntries(r.EntriesIn(buckets))}
+}
+
+// packEntries compresses entries: their names and addresses are much alike.
+func packEntries(entries []roster.Entry) []byte {
+	return document.Compress(codec.Marshal(entries))
+}
+
+// unpackEntries is the reverse of packEntries. Error: damage.
+func unpackEntries(packed []byte) ([]roster.Entry, error) {
+	data, err := document.Decompress(packed)
+	if err != nil {
+		return nil, err
+	}
+	var entries []roster.Entry
+	err = codec.Unmarshal(data, &entries)
+	return entries, err
 }
 
 // wholeListLife is how long a router sends a whole list that it has packed, though
@@ -128,12 +143,4 @@
 }
 
 // unpack returns the entries. Error: damage.
-func (l List) unpack() ([]roster.Entry, error) {
-	data, err := document.Decompress(l.Packed)
-	if err != nil {
-		return nil, err
-	}
-	var entries []roster.Entry
-	err = codec.Unmarshal(data, &entries)
-	return entries, err
-}
+func (l List) unpack() ([]roster.Entry, error) { return unpackEntries(l.Packed) }
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -25,6 +25,18 @@
 	// packedLife is how long a list that was packed is used: hundreds of
 	// watches a second would each sort and compress the same names.
 	packedLife = 200 * time.Millisecond
+	// The parts of the link that all this VM sends may take before what can wait
+	// does, that tables and lists may, and that changes of upstreams may. Consensus and
+	// operators' calls need the rest, and all of it for moments.
+	usedShare = 0.8
+	bulkShare = 0.5
+	pushShare = 0.25
+	// linkBurst is for how long the link may be used up before what can wait does.
+	linkBurst = 200 * time.Millisecond
+	// announcementBytes and newsBytes are what the answers to an announcement and to a
+	// Watch take on the link, with their packets.
+	announcementBytes = 400
+	newsBytes         = 150
 	// keepPrevious is how many earlier tables are kept to make small changes
 	// from: those of the last second of a storm of changes.
 	keepPrevious = 8
@@ -47,6 +59,8 @@
 	listed     time.Duration
 	everListed bool
 	owed       owed
+	// tier is as of the last changes.
+	tier tier
 	// has is the Summary of its roster when it last asked for a list.
 	has roster.Summary
 	// referred is when it was last sent to a passer, if it ever was.
@@ -76,8 +90,9 @@
 	previous []*document.Document
 	// heard are upstreams whose change has to be sent on.
 	heard []protocol.UpstreamID
-	// bulk bounds what tables and lists take of the link, and waiting are those
-	// that wait for room on it.
+	// link counts all that this VM sends; bulk bounds what tables and lists take of it,
+	// and waiting are those that wait for room.
+	link    bucket
 	bulk    bucket
 	waiting []request
 	passers passers
@@ -92,12 +107,14 @@
 	everPacked      bool
 }
 
-// NewPublisher returns the side of a disk VM. Tables and lists take at most
-// bulkRate bytes a second of its link. The roster is shared with the caller.
-func NewPublisher(r *roster.Roster, bulkRate int) *Publisher {
+// NewPublisher returns the side of a disk VM whose link carries linkRate bytes a second.
+// The roster is shared with the caller.
+func NewPublisher(r *roster.Roster, linkRate int) *Publisher {
+	rate := float64(linkRate)
 	return &Publisher{
-		bulk:         newBucket(float64(bulkRate), bulkBurst),
-		pushes:       newBucket(pushShare*float64(bulkRate), pushShare*float64(bulkRate)),
+		link:         newBucket(usedShare*rate, linkBurst.Seconds()*rate),
+		bulk:         newBucket(bulkShare*rate, bulkBurst),
+		pushes:       newBucket(pushShare*rate, pushShare*rate),
 		keepers:      balance.NewKeeperRecord(),
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
@@ -202,6 +219,7 @@
 	}
 	known.watch = w
 	known.at = now
+	p.link.spend(now, newsBytes)
 	if w.WantDocument && p.version() > w.Version {
 		p.enqueue(request{from: from, what: wishTable, at: now})
 	}
@@ -258,7 +276,7 @@
 		p.fleet = packFleet(p.diskVMs, p.Routers(now))
 		p.fleetAt = now
 	}
-	if p.fleet.Digest != f.watch.Fleet {
+	if p.fleet.Digest != f.watch.Fleet && p.mayGo(now, wishList, len(p.fleet.Packed)) {
 		news.Fleet = &p.fleet
 		f.listed = now
 		f.everListed = true
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
 
@@ -12,14 +13,15 @@
 	// acknowledged: a busy router answers within some tens of milliseconds, and
 	// leaving upstreams must be known within two seconds.
 	resendInterval = 300 * time.Millisecond
-	// pushShare is what changes may take of the link, for each byte of tables and
-	// lists, and their burst in seconds.
-	pushShare = 0.5
-	// entryBytes is what an upstream takes in a message.
-	entryBytes = 150
 	// mostDoublings bounds the waits between further repetitions. By then a
 	// comparison of lists has shown the difference.
 	mostDoublings = 4
+	// packFrom is the number of entries from which they are packed.
+	packFrom = 4
+	// entryBytes is what an entry takes that isn't packed, and changesBytes the rest of
+	// the message.
+	entryBytes   = 150
+	changesBytes = 60
 )
 
 // owed are the changes that a follower hasn't acknowledged.
@@ -33,41 +35,38 @@
 	resends  int
 }
 
-// due returns the upstreams whose change has to go out now: those just heard of,
-// or, when an acknowledgement is late, all that are owed.
-//
-// Load: a thousand upstreams announce themselves while the links are full.
-// Harm prevented: changes sent again and again because their acknowledgements
-// wait behind them. So a new change goes out alone, and the waits between
-// repetitions double.
-func (o *owed) due(now time.Duration, heard []protocol.UpstreamID) []protocol.UpstreamID {
-	late := len(o.under) > 0 && now >= o.resendAt
-	if !late && len(heard) == 0 {
-		return nil
-	}
+// add notes changes that go out, and returns the number of their message.
+func (o *owed) add(now time.Duration, ids []protocol.UpstreamID) uint64 {
 	if len(o.under) == 0 {
 		o.under = map[protocol.UpstreamID]uint64{}
 		o.resends = 0
 		o.resendAt = now + resendInterval
 	}
 	o.number++
-	for _, id := range heard {
+	for _, id := range ids {
 		o.under[id] = o.number
 	}
-	if !late {
-		return heard
+	return o.number
+}
+
+// late returns what has to go out again as its acknowledgement is late, by name.
+func (o *owed) late(now time.Duration) []protocol.UpstreamID {
+	if len(o.under) == 0 || now < o.resendAt {
+		return nil
 	}
 	o.resends++
 	o.resendAt = now + resendInterval<<min(o.resends, mostDoublings)
-	all := make([]protocol.UpstreamID, 0, len(o.under))
+	ids := make([]protocol.UpstreamID, 0, len(o.under))
 	for id := range o.under {
-		o.under[id] = o.number
-		all = append(all, id)
+		ids = append(ids, id)
 	}
-	slices.Sort(all)
-	return all
+	slices.Sort(ids)
+	return ids
 }
 
+// forget drops what was owed: the follower finds it by comparing lists.
+func (o *owed) forget() { o.under, o.resends = nil, 0 }
+
 // paid notes that the message of a number was taken.
 func (o *owed) paid(number uint64) {
 	for id, under := range o.under {
@@ -85,56 +84,156 @@
 	}
 }
 
-// PushHeard tells the followers the changes that upstreams have told this VM, and
-// again those that haven't been acknowledged. While the link has no room for that,
-// only those routers are told that pass changes on; see Relay.
+// PushHeard tells the followers the changes that upstreams have told this VM, those
+// that leave first, and again those that haven't been acknowledged.
 //
-// Load: many upstreams start within a second or two and announce themselves to the
-// disk VMs, which all routers follow. Harm prevented: a message for each upstream
-// from each VM to each router, which fills the links for seconds. So changes are
-// gathered for some tens of milliseconds, and only the VM that was told sends them.
+// Load: thousands of upstreams start within a second or two and announce themselves to
+// the disk VMs, which all routers follow. Harm prevented: a message for each upstream
+// from each VM to each router, which fills the links for minutes; announcements are
+// answered too late, upstreams come again over new connections, and no table is
+// accepted. So changes are gathered for some tens of milliseconds, only the VM that was
+// told sends them, and while the link has no room to tell everybody, it tells those
+// that pass them on, or else the other VMs alone. Who isn't told compares lists, which
+// take a tenth of the bytes.
 //
 // Failure guarded: a connection is replaced or reset with a change on it. The
 // router would send to an upstream that has said it leaves until a comparison of
 // rosters shows the difference, a second and more later.
 func (p *Publisher) PushHeard(now time.Duration) []Send {
-	var sends []Send
+	leaving, others := p.takeHeard()
+	sends := p.push(now, leaving)
+	sends = append(sends, p.push(now, others)...)
+	return append(sends, p.repeat(now)...)
+}
+
+// takeHeard returns the upstreams that were heard of: those that leave, and the others.
+func (p *Publisher) takeHeard() (leaving, others []protocol.UpstreamID) {
+	for _, id := range p.heard {
+		if e, known := p.roster.Entry(id); known && e.State != roster.Ready {
+			leaving = append(leaving, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	p.heard = nil
+	return leaving, others
+}
+
+// push sends changes to as many followers as there is room for.
+func (p *Publisher) push(now time.Duration, ids []protocol.UpstreamID) []Send {
+	if len(ids) == 0 {
+		return nil
+	}
+	changes := p.changes(ids)
+	size := changes.size()
 	present := p.present(now)
+	audience := p.audience(now, present)
+	told := everyone
+	switch {
+	case p.mayPush(now, size*audience[everyone]):
+	case p.mayPush(now, size*audience[passingOn]):
+		told = passingOn
+		changes.PassOn = true
+	default:
+		told = diskVMsOnly
+		p.pushes.take(now, size*audience[diskVMsOnly])
+	}
+	var sends []Send
+	for _, id := range present {
+		f := p.followers[id]
+		if f.tier < told {
+			f.owed.forget()
+			continue
+		}
+		changes.Number = f.owed.add(now, ids)
+		sends = append(sends, Send{To: id, Body: changes})
+	}
+	return sends
+}
+
+// tier says to which followers changes go while the link has little room.
+type tier uint8
+
+const (
+	// everyone is told while there is room.
+	everyone tier = iota
+	// passingOn are the disk VMs and the routers that pass changes on.
+	passingOn
+	// diskVMsOnly are the other disk VMs.
+	diskVMsOnly
+	tiers
+)
+
+// audience sorts the followers into tiers and returns how many are told by each.
+func (p *Publisher) audience(now time.Duration, present []protocol.RouterID) [tiers]int {
 	routers := len(p.Routers(now))
-	toAll := len(p.heard) == 0 || p.pushes.takeWhole(now, entryBytes*len(p.heard)*len(present))
+	var counts [tiers]int
 	for _, id := range present {
 		f := p.followers[id]
-		if !toAll && f.leftOut(routers) {
-			f.owed = owed{}
+		f.tier = f.tierAmong(routers)
+		for t := everyone; t <= f.tier; t++ {
+			counts[t]++
+		}
+	}
+	return counts
+}
+
+// tierAmong returns the last tier that a follower belongs to. A router of a fleet large
+// enough for relays that passes nothing on is told only while everyone is. That holds
+// too for one that has just started and doesn't know yet who passes on to it.
+func (f *follower) tierAmong(routers int) tier {
+	switch {
+	case !f.watch.Router:
+		return diskVMsOnly
+	case f.watch.Relays || routers < relayFrom:
+		return passingOn
+	}
+	return everyone
+}
+
+// repeat sends again what wasn't acknowledged, as far as there is room.
+//
+// Load: a thousand upstreams announce themselves while the links are full.
+// Harm prevented: changes sent again and again because their acknowledgements
+// wait behind them. So the waits between repetitions double, and what has no room is
+// left to the comparison of lists.
+func (p *Publisher) repeat(now time.Duration) []Send {
+	var sends []Send
+	for _, id := range p.present(now) {
+		f := p.followers[id]
+		late := f.owed.late(now)
+		if len(late) == 0 {
 			continue
 		}
-		if due := f.owed.due(now, p.heard); len(due) > 0 {
-			changes := p.changes(f.owed.number, due)
-			changes.PassOn = !toAll
-			sends = append(sends, Send{To: id, Body: changes})
+		changes := p.changes(late)
+		if !p.mayPush(now, changes.size()) {
+			f.owed.forget()
+			continue
 		}
+		changes.Number = f.owed.add(now, late)
+		sends = append(sends, Send{To: id, Body: changes})
 	}
-	p.heard = nil
 	return sends
 }
 
-// leftOut reports whether a follower isn't told of changes while the link has no
-// room to tell everybody: a router of a fleet large enough for relays that passes
-// nothing on. That holds too for one that has just started and doesn't know yet
-// who passes on to it. It compares lists.
-func (f *follower) leftOut(routers int) bool {
-	return f.watch.Router && !f.watch.Relays && routers >= relayFrom
+// mayPush reports whether the link has room for changes, and counts them.
+func (p *Publisher) mayPush(now time.Duration, bytes int) bool {
+	if !p.link.hasRoom(now) || !p.pushes.takeWhole(now, bytes) {
+		return false
+	}
+	p.link.spend(now, bytes)
+	return true
 }
 
 // changes makes the message about some upstreams.
-func (p *Publisher) changes(number uint64, ids []protocol.UpstreamID) Changes {
-	changes := Changes{Number: number}
+func (p *Publisher) changes(ids []protocol.UpstreamID) Changes {
+	var entries []roster.Entry
 	for _, id := range ids {
 		if e, known := p.roster.Entry(id); known {
-			changes.Entries = append(changes.Entries, e)
+			entries = append(entries, e)
 		}
 	}
-	return changes
+	return newChanges(entries)
 }
 
 // Acknowledged notes that a follower has taken changes.
--- a/coordination/control/pushes_test.go
+++ b/coordination/control/pushes_test.go
@@ -53,13 +53,13 @@
 	// routers start, and the disk VM's link is full: acknowledgements take seconds.
 	// Sent again with each new change, the changes alone would take minutes of it.
 	v := roster.New(roster.DefaultSettings())
-	p := NewPublisher(v, 1<<20)
+	p := NewPublisher(v, 2<<20)
 	p.Watched(0, "r1", Watch{Router: true})
 	const upstreams, steps = 1000, 20
 	at, entries := time.Duration(0), 0
 	count := func(sends []Send) {
 		for _, send := range sends {
-			entries += len(send.Body.(Changes).Entries)
+			entries += len(entriesOf(send))
 		}
 	}
 	for i := range upstreams {
@@ -83,7 +83,7 @@
 	// A busy router acknowledges two messages long after they were sent, the
 	// second one first. Only what neither carried is sent again.
 	v := roster.New(roster.DefaultSettings())
-	p := NewPublisher(v, 1<<20)
+	p := NewPublisher(v, 2<<20)
 	p.Watched(0, "r1", Watch{Router: true})
 	push := func(at time.Duration, ids ...protocol.UpstreamID) Changes {
 		for _, id := range ids {
--- a/coordination/control/recalled_test.go
+++ b/coordination/control/recalled_test.go
@@ -153,7 +153,7 @@
 	}
 	for i := range 83 {
 		r := Router{ID: protocol.RouterID(fmt.Sprint("r", i))}
-		w.startRouter(r.ID, "vm1", "vm2", "vm3").SetRelay(NewRelay(r, 750_000))
+		w.startRouter(r.ID, "vm1", "vm2", "vm3").SetRelay(NewRelay(r, 1_250_000))
 	}
 	w.runRelays(1200 * time.Millisecond)
 	for _, id := range inOrder(w.routers) {
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -27,6 +27,9 @@
 	// on to it, before it asks a disk VM. It leaves a disk VM half of the time
 	// in which a change has to be in force.
 	relayPatience = 1200 * time.Millisecond
+	// relayShare is the part of a router's link that what it passes on may take;
+	// callers' answers need less than the rest.
+	relayShare = 0.6
 )
 
 // Relay passes large tables and changes of upstreams on from router to router.
@@ -63,10 +66,9 @@
 	size int
 }
 
-// NewRelay returns the relay of a router whose tables may take linkRate bytes a
-// second of its link.
+// NewRelay returns the relay of a router whose link carries linkRate bytes a second.
 func NewRelay(self Router, linkRate int) *Relay {
-	return &Relay{self: self, bulk: newBucket(float64(linkRate), bulkBurst)}
+	return &Relay{self: self, bulk: newBucket(relayShare*float64(linkRate), bulkBurst)}
 }
 
 // SetRouters tells which other routers there are.
@@ -155,7 +157,7 @@
 func (r *Relay) PassOn(c Changes) []Send {
 	var sends []Send
 	for _, id := range r.receivers {
-		sends = append(sends, Send{To: id, Body: Changes{Entries: c.Entries}})
+		sends = append(sends, Send{To: id, Body: Changes{Entries: c.Entries, Packed: c.Packed}})
 	}
 	return sends
 }
--- a/coordination/control/relay_test.go
+++ b/coordination/control/relay_test.go
@@ -28,7 +28,7 @@
 		routers = append(routers, Router{ID: protocol.RouterID(fmt.Sprint("r", i)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%3))})
 	}
 	for at, r := range routers {
-		relay := NewRelay(r, 750_000)
+		relay := NewRelay(r, 1_250_000)
 		relay.SetRouters(append(append([]Router{}, routers[:at]...), routers[at+1:]...))
 		w.startRouter(r.ID, "vm1").SetRelay(relay)
 	}
@@ -70,14 +70,15 @@
 	for _, id := range inOrder(w.vms) {
 		sends := w.vms[id].publisher.PushHeard(w.now)
 		for _, send := range sends {
-			fromVMs += len(send.Body.(Changes).Entries)
+			fromVMs += send.Body.(Changes).size()
 		}
 		w.carry(id, sends)
 	}
 	for i := range 300 {
 		assert.Equal(t, w.knowing(startOf(i, 2)), 90, "at once")
 	}
-	assert.Assert(t, fromVMs <= 300*90/5, "%d entries from disk VMs in place of %d", fromVMs, 300*90)
+	most := 5 * pushShare * 375_000
+	assert.Assert(t, float64(fromVMs) <= most, "%d bytes from disk VMs, whose links carry %.0f for them in a second", fromVMs, most)
 }
 
 func TestAChangeReachesRoutersWhoseRelayIsGone(t *testing.T) {
@@ -137,7 +138,7 @@
 	w.lists = 0
 	for _, id := range inOrder(w.routers)[:30] {
 		before := w.routers[id].relay
-		again := NewRelay(before.self, 750_000)
+		again := NewRelay(before.self, 1_250_000)
 		again.SetRouters(before.others)
 		w.startRouter(id, "vm1").SetRelay(again)
 	}
@@ -157,7 +158,7 @@
 	}
 	found := map[protocol.RouterID]balance.Neighbours{}
 	for at, r := range routers {
-		relay := NewRelay(r, 750_000)
+		relay := NewRelay(r, 1_250_000)
 		relay.SetRouters(append(append([]Router{}, routers[:at]...), routers[at+1:]...))
 		found[r.ID] = relay.Neighbours()
 	}
@@ -185,7 +186,7 @@
 	w.put(1)
 	for i := range 90 {
 		r := Router{ID: protocol.RouterID(fmt.Sprint("r", i)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%3))}
-		w.startRouter(r.ID, "vm1").SetRelay(NewRelay(r, 750_000))
+		w.startRouter(r.ID, "vm1").SetRelay(NewRelay(r, 1_250_000))
 	}
 	pushed := 0
 	for tick := range 40 {
@@ -195,7 +196,7 @@
 		for _, id := range inOrder(w.vms) {
 			sends := w.vms[id].publisher.PushHeard(w.now)
 			for _, send := range sends {
-				pushed += len(send.Body.(Changes).Entries)
+				pushed += send.Body.(Changes).size()
 			}
 			w.carry(id, sends)
 		}
@@ -208,7 +209,8 @@
 	for i := range 900 {
 		assert.Equal(t, w.knowing(startOf(i, 1)), 90)
 	}
-	assert.Assert(t, pushed <= 900*90/4, "%d entries were pushed, of %d in all", pushed, 900*90)
+	most := 5 * pushShare * 375_000 * (w.now.Seconds() + 1)
+	assert.Assert(t, float64(pushed) <= most, "%d bytes were pushed, %.0f have room", pushed, most)
 	whole := len(packList(w.vms["vm1"].roster, roster.AllBuckets).Packed)
 	assert.Assert(t, w.listBytes <= 2*90*whole, "lists of %d bytes from disk VMs, a whole one has %d", w.listBytes, whole)
 }
--- a/coordination/control/returning_test.go
+++ b/coordination/control/returning_test.go
@@ -118,7 +118,7 @@
 		for _, e := range entries {
 			r.Merge(0, e)
 		}
-		v := &vm{roster: r, publisher: NewPublisher(r, int(s.diskVMRate/2))}
+		v := &vm{roster: r, publisher: NewPublisher(r, int(s.diskVMRate))}
 		v.publisher.Recall(table)
 		v.publisher.SetDiskVMs(vms)
 		v.publisher.Keepers().Note(0, kept)
@@ -129,7 +129,7 @@
 		id := protocol.RouterID(fmt.Sprintf("10.%d.0.%d:7400", dc+1, 100+i/len(starts)))
 		r := roster.New(roster.DefaultSettings())
 		f := &follow{Follower: NewFollower(id, true, vms[:3], r), roster: r}
-		f.SetRelay(NewRelay(Router{ID: id, DataCentre: protocol.DataCentre(fmt.Sprint("hall-", dc))}, int(0.6*s.routerRate)))
+		f.SetRelay(NewRelay(Router{ID: id, DataCentre: protocol.DataCentre(fmt.Sprint("hall-", dc))}, int(s.routerRate)))
 		w.nodes[id] = &node{id: id, startAt: time.Duration(random.IntN(250)) * time.Millisecond, rate: s.routerRate, route: f}
 		w.routers = append(w.routers, id)
 	}
--- a/coordination/control/tables_test.go
+++ b/coordination/control/tables_test.go
@@ -89,7 +89,7 @@
 	}
 	for _, name := range names {
 		r := w.startRouter(name, "vm1")
-		relay := NewRelay(Router{ID: name}, 750_000)
+		relay := NewRelay(Router{ID: name}, 1_250_000)
 		relay.SetRouters(othersOf(name, names))
 		r.SetRelay(relay)
 		routers = append(routers, r)
@@ -144,7 +144,7 @@
 	for i := range 87 {
 		name := protocol.RouterID(fmt.Sprint("r", i))
 		r := w.startRouter(name, "vm1")
-		r.SetRelay(NewRelay(Router{ID: name}, 750_000))
+		r.SetRelay(NewRelay(Router{ID: name}, 1_250_000))
 	}
 	for range 10 {
 		w.runRelays(100 * time.Millisecond)
--- a/coordination/control/wishes.go
+++ b/coordination/control/wishes.go
@@ -74,10 +74,14 @@
 
 // mayGo reports whether the link has room for a wish, and counts it.
 func (p *Publisher) mayGo(now time.Duration, what wish, size int) bool {
-	if what == wishKeepers {
-		return p.bulk.takeWhole(now, size)
+	if !p.link.hasRoom(now) {
+		return false
 	}
-	return p.bulk.take(now, size)
+	took := what == wishKeepers && p.bulk.takeWhole(now, size) || what != wishKeepers && p.bulk.take(now, size)
+	if took {
+		p.link.spend(now, size)
+	}
+	return took
 }
 
 // wished returns what a follower asked for and its size in bytes, nil if it has
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -46,7 +46,7 @@
 
 func (w *world) startVM(id protocol.RouterID) {
 	r := roster.New(roster.DefaultSettings())
-	w.vms[id] = &vm{roster: r, publisher: NewPublisher(r, 187_500)}
+	w.vms[id] = &vm{roster: r, publisher: NewPublisher(r, 375_000)}
 }
 
 // tellVMs tells all disk VMs of each other, as the log's configuration does.
@@ -148,3 +148,12 @@
 	}
 	return f.InForce().Version
 }
+
+// entriesOf returns the upstreams in a message with changes.
+func entriesOf(s Send) []roster.Entry {
+	entries, err := s.Body.(Changes).all()
+	if err != nil {
+		panic(err)
+	}
+	return entries
+}
--- a/coordination/document/delta.go
+++ b/coordination/document/delta.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -138,10 +139,9 @@
 // Compress returns data in a form that Decompress reads.
 func Compress(data []byte) []byte {
 	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.DefaultCompression)
-	if err != nil {
-		panic("document: invariant broken: the compression level is valid: " + err.Error())
-	}
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&packed)
 	if _, err := writer.Write(data); err != nil {
 		panic("document: invariant broken: a buffer takes every write: " + err.Error())
 	}
@@ -151,6 +151,15 @@
 	return packed.Bytes()
 }
 
+// writers are kept for further use: a new one takes most of a megabyte.
+var writers = sync.Pool{New: func() any {
+	writer, err := flate.NewWriter(io.Discard, flate.DefaultCompression)
+	if err != nil {
+		panic("document: invariant broken: the compression level is valid: " + err.Error())
+	}
+	return writer
+}}
+
 // Decompress returns what Compress was given. Error: damaged data, or more
 // than MaxBytes.
 func Decompress(packed []byte) ([]byte, error) {
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -88,7 +88,7 @@
 		quit:   make(chan struct{}),
 	}
 	self := options.Settings.Self()
-	vm.publisher = control.NewPublisher(vm.roster, options.Settings.TableRate())
+	vm.publisher = control.NewPublisher(vm.roster, options.Settings.LinkRate())
 	vm.remembered, err = openRemembered(options.Settings.DataFolder)
 	if err != nil {
 		_ = folder.Close()
--- a/daemon/router/announcements.go
+++ b/daemon/router/announcements.go
@@ -85,15 +85,13 @@
 func (r *Router) noteAnnouncement(e roster.Entry) (known bool, number uint64, message *forwarded) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	if r.leaving.Load() || !r.follower.MayConfirm(now) {
+	if r.leaving.Load() {
 		return false, 0, nil
 	}
-	if r.roster.Confirm(now, e) {
-		return true, 0, nil
+	known, number, waits := r.follower.TakeAnnouncement(r.now(), e)
+	if !waits {
+		return known, 0, nil
 	}
-	r.roster.Announced(now, e)
 	r.takeRoster()
-	number = r.follower.Forward(e)
 	return false, number, r.announcements.await(number)
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -118,7 +118,7 @@
 	}
 	self := options.Settings.Self()
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
-	r.relay = control.NewRelay(control.Router{ID: self, DataCentre: options.Settings.DataCentre}, options.Settings.TableRate())
+	r.relay = control.NewRelay(control.Router{ID: self, DataCentre: options.Settings.DataCentre}, options.Settings.LinkRate())
 	r.follower.SetRelay(r.relay)
 	r.follower.SetAnnouncements(options.Settings.Listen.Announcements)
 	r.book = balance.NewBook(balance.Settings{
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -51,15 +51,15 @@
 	}
 }
 
-// bulkRate is how fast lists and tables go out, in bytes a second.
-const bulkRate = 1 << 20
+// linkRate is what a disk VM's link carries, in bytes a second.
+const linkRate = 2 << 20
 
 // startDiskVM starts one that lists an upstream and has a table of one version.
 func startDiskVM(t *testing.T, address, upstream string) *diskVM {
 	t.Helper()
 	known := roster.New(roster.DefaultSettings())
 	known.Merge(0, roster.Entry{ID: "u1", Service: "s", Address: upstream, State: roster.Ready, Sequence: 1})
-	vm := &diskVM{started: time.Now(), publisher: control.NewPublisher(known, bulkRate)}
+	vm := &diskVM{started: time.Now(), publisher: control.NewPublisher(known, linkRate)}
 	table := document.New(7, []byte("a table"))
 	vm.publisher.SetDocument(0, table, document.MakeChange(nil, table))
 	vm.publisher.SetDiskVMs([]protocol.RouterID{protocol.RouterID(address)})
--- a/settings/direct/direct_test.go
+++ b/settings/direct/direct_test.go
@@ -49,5 +49,5 @@
 	s := Defaults()
 	s.Role = RoleDiskVM
 	s.Link.Mbps = 3
-	assert.Equal(t, s.TableRate(), 187_500)
+	assert.Equal(t, s.LinkRate(), 375_000)
 }
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -137,22 +137,10 @@
 	Mbps float64 `json:"mbps"`
 }
 
-// The parts of a link that routing tables may take. Consensus, announcements and
-// operators' calls need less than half of a disk VM's link even while changes
-// follow each other quickly; callers' answers need less than that of a router's.
-const (
-	diskVMTableShare = 0.5
-	routerTableShare = 0.6
-)
-
-// TableRate returns the bytes a second that routing tables may take of a link.
-func (s Settings) TableRate() int {
+// LinkRate returns the bytes a second that the VM's link carries.
+func (s Settings) LinkRate() int {
 	const bitsPerByte = 8
-	share := routerTableShare
-	if s.Role == RoleDiskVM {
-		share = diskVMTableShare
-	}
-	return int(share * s.Link.Mbps * 1e6 / bitsPerByte)
+	return int(s.Link.Mbps * 1e6 / bitsPerByte)
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
