Tables don't wait for the rest of a disk VM's link; owed changes are forgotten one by one

And a follower that isn't told of upstreams that start was no longer owed those that leave, sent a moment before.

Change: tables are bounded by their own share alone; a follower is forgotten what this message would have carried. The models are as before.

--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -64,8 +64,12 @@
 	return ids
 }
 
-// forget drops what was owed: the follower finds it by comparing lists.
-func (o *owed) forget() { o.under, o.resends = nil, 0 }
+// forget drops what is owed of some upstreams: the follower finds it by comparing lists.
+func (o *owed) forget(ids []protocol.UpstreamID) {
+	for _, id := range ids {
+		delete(o.under, id)
+	}
+}
 
 // paid notes that the message of a number was taken.
 func (o *owed) paid(number uint64) {
@@ -142,7 +146,7 @@
 	for _, id := range present {
 		f := p.followers[id]
 		if f.tier < told {
-			f.owed.forget()
+			f.owed.forget(ids)
 			continue
 		}
 		changes.Number = f.owed.add(now, ids)
@@ -207,7 +211,7 @@
 		}
 		changes := p.changes(late)
 		if !p.mayPush(now, changes.size()) {
-			f.owed.forget()
+			f.owed.forget(late)
 			continue
 		}
 		changes.Number = f.owed.add(now, late)
--- a/coordination/control/wishes.go
+++ b/coordination/control/wishes.go
@@ -72,9 +72,10 @@
 	}
 }
 
-// mayGo reports whether the link has room for a wish, and counts it.
+// mayGo reports whether the link has room for a wish, and counts it. Tables wait only
+// for each other: without one a router refuses its callers, or serves by an old one.
 func (p *Publisher) mayGo(now time.Duration, what wish, size int) bool {
-	if !p.link.hasRoom(now) {
+	if what != wishTable && !p.link.hasRoom(now) {
 		return false
 	}
 	took := what == wishKeepers && p.bulk.takeWhole(now, size) || what != wishKeepers && p.bulk.take(now, size)
