--- a/coordination/control/announcements_test.go
+++ b/coordination/control/announcements_test.go
@@ -100,10 +100,9 @@
 // listed counts the upstreams that a disk VM lists.
 func (w *world) listed(id protocol.RouterID) int { return w.vms[id].roster.Usable() }
 
+// Guards: unchanged announcements of hundreds of upstreams fill the disk VMs' links and
+// processors.
 func TestManyUpstreamsAnnounceThemselvesToRouters(t *testing.T) {
-	// Six hundred upstreams announce themselves each second and nothing about
-	// them changes. If the disk VMs heard all that, their processors and links
-	// would be full of it, and changes of the table would wait behind.
 	w := newWorld(3)
 	w.put(1)
 	w.startTakers(30)
@@ -129,9 +128,8 @@
 	}
 }
 
+// Guards: upstreams go on announcing themselves to routers that have lost power.
 func TestRoutersThatAreGoneTakeNoAnnouncements(t *testing.T) {
-	// Half of the routers lose power. Their upstreams must be heard by the disk
-	// VMs again, and soon by the other routers.
 	w := newWorld(3)
 	w.put(1)
 	w.startTakers(20)
@@ -149,9 +147,9 @@
 	}
 }
 
+// Guards: a router cut off from the disk VMs takes proofs of life, and sound upstreams
+// are forgotten.
 func TestARouterOutOfTouchSendsUpstreamsToTheDiskVMs(t *testing.T) {
-	// A router loses its way to the disk VMs and its upstreams don't. If it went
-	// on taking their proofs of life, sound upstreams would be forgotten.
 	w := newWorld(3)
 	w.put(1)
 	r := w.startRouter("r0", "vm1")
@@ -166,8 +164,8 @@
 	assert.Assert(t, !r.MayConfirm(w.now))
 }
 
+// Guards: few upstreams depend on routers that may be gone.
 func TestFewUpstreamsAreHeardByTheDiskVMs(t *testing.T) {
-	// With fifteen upstreams a lost router would cost more than it spares.
 	w := newWorld(3)
 	w.put(1)
 	w.startTakers(9)
@@ -176,10 +174,9 @@
 	assert.Equal(t, w.atVMs(calls), 5*15)
 }
 
+// Guards: routers that know no upstream yet send all of them back to the disk VMs again
+// and again.
 func TestUpstreamsThatStartTogetherCallTheDiskVMsOnce(t *testing.T) {
-	// A whole fleet starts, and no router knows any upstream yet. Sent back to the
-	// disk VMs by routers that don't know them, a thousand upstreams would call
-	// those again and again until lists have gone round.
 	w := newWorld(3)
 	w.put(1)
 	w.startTakers(30)
--- a/coordination/control/follower_test.go
+++ b/coordination/control/follower_test.go
@@ -8,10 +8,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards: two of the three addresses of the settings are gone, and a router finds
+// nothing.
 func TestARouterLearnsAllFromOneAddress(t *testing.T) {
-	// A router starts with three addresses, two of which belong to VMs that
-	// are gone. It has to find the table, the other disk VMs and the upstreams
-	// through the one that is left.
 	w := newWorld(5)
 	w.put(4)
 	r := w.startRouter("r1", "gone1", "gone2", "vm3")
--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -11,10 +11,8 @@
 	"endiveplank/protocol"
 )
 
+// Guards: a router takes upstreams of which it is told nothing new for silent.
 func TestUpstreamsThatNeverChangeStayListed(t *testing.T) {
-	// Upstreams announce themselves to the disk VMs each second and nothing
-	// about them changes, so routers are told nothing. A router that took that
-	// for silence would have no upstream left after half a minute.
 	w := newWorld(3)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -43,9 +41,9 @@
 	assert.Assert(t, !known)
 }
 
+// Guards: a change that one disk VM alone was told stays unknown because the others
+// agree with the router.
 func TestADifferenceWithOneVMIsEndedWhileOthersAgree(t *testing.T) {
-	// One disk VM alone was told that an upstream leaves, and its messages are
-	// lost. That the others agree with the router must not hide it.
 	w := newWorld(3)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -61,10 +59,9 @@
 	assert.Equal(t, found.State, roster.Draining)
 }
 
+// Guards: a router drops upstreams that a restarted disk VM has not heard of yet, or
+// misses that one leaves.
 func TestARestartedVMSendsItsWholeRoster(t *testing.T) {
-	// A disk VM restarts and knows one upstream alone, which is leaving. The
-	// router must learn that, and keep the others until they have been unlisted
-	// for long.
 	w := newWorld(1)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -83,10 +80,8 @@
 	assert.Equal(t, found.State, roster.Ready)
 }
 
+// Guards: whole lists are sent for a few changes and fill the link.
 func TestADifferenceCostsWhatDiffers(t *testing.T) {
-	// A thousand upstreams are known everywhere; three changes were told to one
-	// disk VM alone. Each of a hundred routers has to find them, and if each were
-	// sent the whole list for it, the link would be full for seconds.
 	w := newWorld(1)
 	w.put(1)
 	vm := w.vms["vm1"]
@@ -114,10 +109,8 @@
 	assert.Equal(t, r.roster.Usable(), 1000, "what wasn't sent again is still listed")
 }
 
+// Guards: a list of its own is packed for each router that lacks another part.
 func TestRoutersThatLackMuchAreSentOneList(t *testing.T) {
-	// Links were full, and each of a hundred routers has missed another thirty of a
-	// thousand changes. A list of its own for each would take a disk VM's processor
-	// for seconds.
 	v := roster.New(roster.DefaultSettings())
 	for i := range 1000 {
 		v.Merge(0, roster.Entry{ID: protocol.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), State: roster.Ready, Sequence: 1})
@@ -144,10 +137,8 @@
 	assert.Equal(t, len(packed), 1)
 }
 
+// Guards: every router asks every disk VM for its list at a start.
 func TestAFleetThatStartsAsksForFewLists(t *testing.T) {
-	// All VMs lost power and are back. The disk VMs know the upstreams from
-	// their disks, each some more than the others. If every router asked all of
-	// them for all, the links would be full and no leader elected.
 	w := newWorld(5)
 	for n, v := range []protocol.RouterID{"vm1", "vm2", "vm3", "vm4", "vm5"} {
 		for i := range 90 + n {
@@ -170,10 +161,8 @@
 	}
 }
 
+// Guards: a list that grows is packed anew for each router that asks.
 func TestAWholeListIsPackedSeldomWhileItGrows(t *testing.T) {
-	// Upstreams start one after the other, and routers that lack most of them ask
-	// for the list all the time. Packed anew for each question it would take a
-	// router's whole processor.
 	r := roster.New(roster.DefaultSettings())
 	lists := &packedLists{wholeLife: wholeListLife}
 	packed := map[uint64]bool{}
--- a/coordination/control/pushes_test.go
+++ b/coordination/control/pushes_test.go
@@ -11,10 +11,9 @@
 	"endiveplank/protocol"
 )
 
+// Guards: the word that an upstream leaves is lost with a connection, and work goes on
+// going there.
 func TestAChangeThatIsLostOnTheWayIsSentAgain(t *testing.T) {
-	// An upstream says that it leaves, and the connection that carries the news
-	// to one router is replaced at that moment. For two seconds and more the
-	// router would send work to it; it must know within a fraction of that.
 	w := newWorld(3)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -48,10 +47,8 @@
 	assert.Equal(t, len(v.publisher.PushHeard(w.now)), 0, "acknowledged by all")
 }
 
+// Guards: changes whose acknowledgements are late are sent again with each new one.
 func TestAFullLinkIsNotFilledWithRepetitions(t *testing.T) {
-	// A thousand upstreams announce themselves within a second while a hundred
-	// routers start, and the disk VM's link is full: acknowledgements take seconds.
-	// Sent again with each new change, the changes alone would take minutes of it.
 	v := roster.New(roster.DefaultSettings())
 	p := NewPublisher(v, 2<<20)
 	p.Watched(0, "r1", Watch{Router: true})
@@ -79,9 +76,9 @@
 	assert.Assert(t, entries <= 4*upstreams, "%d entries were sent for %d upstreams", entries, upstreams)
 }
 
+// Guards: acknowledged changes are sent again because acknowledgements came late and
+// out of order.
 func TestALateAcknowledgementPaysForWhatItCarried(t *testing.T) {
-	// A busy router acknowledges two messages long after they were sent, the
-	// second one first. Only what neither carried is sent again.
 	v := roster.New(roster.DefaultSettings())
 	p := NewPublisher(v, 2<<20)
 	p.Watched(0, "r1", Watch{Router: true})
--- a/coordination/control/recalled_test.go
+++ b/coordination/control/recalled_test.go
@@ -18,11 +18,8 @@
 	w.vms[id].publisher.Recall(document.New(version, []byte(fmt.Sprint("table ", version))))
 }
 
+// Guards: callers are refused for want of a table until a leader is elected.
 func TestRoutersServeByARecalledTableUntilThereIsALeader(t *testing.T) {
-	// All VMs lose power right after a change, and are back. Two of five disks are
-	// lost, and the votes of the others are split for a second. Callers are there
-	// from the first moment; no router may refuse them for want of a table. One
-	// disk VM had missed the latest changes.
 	w := newWorld(5)
 	w.recall("vm1", 6)
 	w.recall("vm2", 8)
@@ -43,9 +40,9 @@
 	}
 }
 
+// Guards: routers go back to the earlier tables that a disk VM passes by while it reads
+// its log.
 func TestARecalledTableGivesWayToNoOlderOne(t *testing.T) {
-	// A disk VM reads its log anew after a start and passes by all earlier tables.
-	// Routers must not be told of these, and the recalled one is confirmed.
 	w := newWorld(3)
 	for _, id := range inOrder(w.vms) {
 		w.recall(id, 8)
@@ -63,10 +60,8 @@
 	assert.Equal(t, r.version(), uint64(9))
 }
 
+// Guards: a router that starts serves by an old table of a disk VM that was cut off.
 func TestARouterThatStartsInAFleetThatRunsTakesNoRecalledTable(t *testing.T) {
-	// One disk VM was cut off for minutes and has just started again: it recalls a
-	// table with keys that were taken away since. A router that starts then, and
-	// hears that VM first, must not serve by it.
 	w := newWorld(3)
 	w.deaf["vm1"] = true
 	w.put(9)
@@ -132,11 +127,9 @@
 	assert.Equal(t, r.version(), uint64(1))
 }
 
+// Guards: what engines keep goes before lists, and routers have no upstream for
+// seconds.
 func TestWhatEnginesKeepWaitsForTablesAndLists(t *testing.T) {
-	// All VMs of a large fleet were killed and are back. The disk VMs remember
-	// three thousand prompts; sent to 83 routers before the lists of upstreams, on
-	// links of 3 Mbit/s, these left routers without an upstream for three seconds, and
-	// their callers were refused.
 	w := newWorld(5)
 	for at, id := range inOrder(w.vms) {
 		w.recall(id, 8)
--- a/coordination/control/relay_test.go
+++ b/coordination/control/relay_test.go
@@ -58,10 +58,8 @@
 	return count
 }
 
+// Guards: changes of many upstreams fill the disk VMs' links.
 func TestChangesOfManyUpstreamsGoFromRouterToRouter(t *testing.T) {
-	// A third of 900 upstreams restarts and says so to five disk VMs on small
-	// links. Sent to 90 routers by each of them the changes fill the links for
-	// seconds, and a new table isn't in force in time.
 	w := relayWorld(900)
 	for i := range 300 {
 		w.tell(inOrder(w.vms)[i%5], startOf(i, 2))
@@ -81,10 +79,8 @@
 	assert.Assert(t, float64(fromVMs) <= most, "%d bytes from disk VMs, whose links carry %.0f for them in a second", fromVMs, most)
 }
 
+// Guards: a router sends to an upstream that leaves because its relay has lost power.
 func TestAChangeReachesRoutersWhoseRelayIsGone(t *testing.T) {
-	// A router that passes changes on has lost power a moment ago, and an
-	// upstream says that it leaves. Within two seconds no other router may send
-	// to that.
 	w := relayWorld(10)
 	gone := protocol.RouterID("")
 	for _, id := range inOrder(w.routers) {
@@ -103,9 +99,8 @@
 	assert.Equal(t, w.knowing(leaving), 89)
 }
 
+// Guards: a change depends on a relay though the link has room.
 func TestAFewChangesAreToldToEachRouter(t *testing.T) {
-	// One upstream leaves. While the link has room nobody depends on another
-	// router for that, which may be gone.
 	w := relayWorld(10)
 	for _, r := range w.routers {
 		r.relay.receivers = nil
@@ -117,9 +112,8 @@
 	assert.Equal(t, w.knowing(leaving), 90)
 }
 
+// Guards: routers are passed changes from other data centres.
 func TestChangesStayInTheDataCentre(t *testing.T) {
-	// Bytes between data centres are dear: whoever passes on to a router is in
-	// its own.
 	w := relayWorld(10)
 	for _, id := range inOrder(w.routers) {
 		relay := w.routers[id].relay
@@ -130,10 +124,8 @@
 	}
 }
 
+// Guards: routers that restart wait for the disk VMs' links.
 func TestRoutersThatStartGetTheUpstreamsFromEachOther(t *testing.T) {
-	// A third of 90 routers restarts in a fleet of 900 upstreams. The disk VMs'
-	// links would take seconds for their lists, in which those routers refuse
-	// their callers.
 	w := relayWorld(900)
 	w.lists = 0
 	for _, id := range inOrder(w.routers)[:30] {
@@ -149,9 +141,8 @@
 	assert.Assert(t, w.lists <= 10, "%d lists from disk VMs for 30 routers", w.lists)
 }
 
+// Guards: a router that no relay adds up for is missing in all choices.
 func TestAllRoutersAgreeWhoAddsUpForWhom(t *testing.T) {
-	// Three hundred routers work out by themselves who tells whom of its work. One
-	// that nobody adds up for would be missing in all choices.
 	var routers []Router
 	for i := range 300 {
 		routers = append(routers, Router{ID: protocol.RouterID(fmt.Sprint("r", i)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", i%3))})
@@ -178,10 +169,8 @@
 	assert.Equal(t, relays, 30)
 }
 
+// Guards: each router is told of each upstream that starts, and the links are full.
 func TestAFleetThatStartsIsNotFloodedWithItsUpstreams(t *testing.T) {
-	// All VMs and 900 upstreams start at once, and no router knows the others yet.
-	// Told of each upstream by the disk VM that hears it, ninety routers would fill
-	// the links for half a minute: no table could be put in that time.
 	w := newWorld(5)
 	w.put(1)
 	for i := range 90 {
--- a/coordination/control/tables_test.go
+++ b/coordination/control/tables_test.go
@@ -13,9 +13,8 @@
 	"endiveplank/protocol"
 )
 
+// Guards: every disk VM sends every router the whole of a new table.
 func TestATableThatChangesIsPulledFromOne(t *testing.T) {
-	// Five disk VMs tell of a new table. If each sent it whole to each router,
-	// their links would be full for seconds.
 	w := newWorld(5)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -27,8 +26,9 @@
 	assert.Equal(t, w.documents-before, 1)
 }
 
+// Guards: the disk VM that was asked for a table loses power, and the router waits for
+// it.
 func TestAnotherVMIsAskedWhenOneDoesNotSend(t *testing.T) {
-	// The disk VM that was asked for the table loses power before it answers.
 	w := newWorld(3)
 	w.put(1)
 	r := w.startRouter("r1", "vm1")
@@ -47,10 +47,8 @@
 	assert.Equal(t, r.version(), uint64(2))
 }
 
+// Guards: all routers ask the leader for a new table, and the other voters miss it.
 func TestRoutersSpreadOverTheVMsForTheirTables(t *testing.T) {
-	// 87 routers hear of a new table at the same moment, from the leader first.
-	// If all asked the leader, its link would be full for seconds, the other
-	// voters would miss it, and the next change would wait for an election.
 	w := newWorld(5)
 	w.put(1)
 	var routers []*follow
@@ -76,10 +74,8 @@
 	}
 }
 
+// Guards: a large table takes the disk VMs seconds to send to all routers.
 func TestALargeTableGoesFromRouterToRouter(t *testing.T) {
-	// An operator adds 1,200 routes at once. Five disk VMs on small links would
-	// take seconds to send them to 87 routers; each sends them to a few, which
-	// pass them on.
 	w := newWorld(5)
 	w.put(1)
 	var routers []*follow
@@ -127,10 +123,8 @@
 	return others
 }
 
+// Guards: routers that return together wait for a few disk VMs to send each a table.
 func TestRoutersThatStartTogetherGetTheTableFromEachOther(t *testing.T) {
-	// All VMs lost power; of five disk VMs two have lost their disks. 87 routers
-	// want a table of 10 KB from the others, whose links would take them more
-	// than a second.
 	w := newWorld(3)
 	body := make([]byte, 10_000)
 	random := rand.New(rand.NewPCG(1, 1))
@@ -205,9 +199,8 @@
 	w.documents, w.lists, w.listBytes = documents, lists, listBytes
 }
 
+// Guards: tables take more than their share of a disk VM's link.
 func TestTablesLeaveRoomOnTheLink(t *testing.T) {
-	// Many ask one disk VM for a whole table, and none can be sent to another for it.
-	// What it sends in a second must stay below what its link carries.
 	v := newWorld(1).vms["vm1"]
 	body := make([]byte, 60_000)
 	for i := range body {
@@ -231,9 +224,9 @@
 	assert.Assert(t, sent > 150_000 && sent < 250_000, "%d bytes", sent)
 }
 
+// Guards: a router that reaches a disk VM that was cut off goes back to its older
+// table.
 func TestARouterNeverGoesBack(t *testing.T) {
-	// A disk VM was cut off while the table changed, and a router reaches it
-	// alone afterwards. The change was accepted and must stay in force.
 	w := newWorld(2)
 	w.put(1)
 	r := w.startRouter("r1", "vm1", "vm2")
