Settings take fractions wherever a sheet's bounds come in

Cause: the platform fills our templates from the sheet's bounds, any of which may be a fraction.

Ruled out: rounding in the template (it can't), whole numbers by a filter of the parser (33.9 isn't 33).

Names of settings are unchanged, whole numbers are read as before.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -119,7 +119,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory.LimitMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryLimitShare * settings.Memory.LimitMB * (1 << 20)))
 	lines := loglines.New(os.Stdout, settings.Name, settings.Log.LinesPerSecond)
 	defer lines.Close(logFlushTimeout)
 	log := newDirectLogger(settings, lines)
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -109,7 +109,7 @@
 	// Multiple and Slack bound an upstream's load: at most Multiple times the mean load
 	// of its service plus Slack.
 	Multiple float64
-	Slack    int
+	Slack    float64
 	// DataCentre is the router's own; of equally loaded upstreams, those there are
 	// preferred.
 	DataCentre protocol.DataCentre
--- a/coordination/balance/bound.go
+++ b/coordination/balance/bound.go
@@ -54,7 +54,7 @@
 // requests is as quick. Where each request takes more of an engine's capacity, operators
 // set a lower multiple.
 func (b *Balancer) loadBound(mean float64) float64 {
-	return b.settings.Multiple*mean + float64(b.settings.Slack) - 1
+	return b.settings.Multiple*mean + b.settings.Slack - 1
 }
 
 // excessWeight is by how much the load bound falls for each request that the candidates
--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -8,7 +8,7 @@
 	// Ratio is the number of retries allowed for each request.
 	Ratio float64
 	// Slack is the number of retries allowed in addition, for all routers together.
-	Slack int
+	Slack float64
 	// Length is the length of the sliding window in which requests and retries are
 	// counted.
 	Length time.Duration
@@ -80,7 +80,7 @@
 		requests += s.requests
 		retries += s.retries
 	}
-	allowed := w.settings.Ratio*float64(requests) + float64(w.settings.Slack)/float64(max(routers, 1))
+	allowed := w.settings.Ratio*float64(requests) + w.settings.Slack/float64(max(routers, 1))
 	return int(windowMargin*allowed) - retries
 }
 
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -138,7 +138,7 @@
 	s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	s.Listen.Readiness = fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	s.Seeds = []string{fmt.Sprintf("127.0.0.2:%d", freePort(t))}
-	s.Stop.UnreadyMS, s.Stop.GraceMS = int(unready.Milliseconds()), 30_000
+	s.Stop.UnreadyMS, s.Stop.GraceMS = float64(unready.Milliseconds()), 30_000
 	r, err := New(Options{
 		Settings: s, Dialect: dialecttest.Plain{}, ParseTable: parseTable, Log: zerolog.Nop(), RequestLog: zerolog.Nop(),
 		Random: rand.New(rand.NewPCG(1, 1)),
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -83,10 +83,10 @@
 // Upstream describes the behaviour of upstreams.
 type Upstream struct {
 	// HeartbeatMS is the time between two announcements.
-	HeartbeatMS int `json:"heartbeat_ms"`
+	HeartbeatMS float64 `json:"heartbeat_ms"`
 	// LeaveMS is the time after an upstream's notice that it leaves within which
 	// routers must stop sending it requests.
-	LeaveMS int `json:"leave_ms"`
+	LeaveMS float64 `json:"leave_ms"`
 }
 
 // Retries limits the retries of all routers together.
@@ -94,9 +94,9 @@
 	// Ratio is the maximum ratio of retries to requests of a service.
 	Ratio float64 `json:"ratio"`
 	// WindowMS is the window over which retries and requests are counted.
-	WindowMS int `json:"window_ms"`
+	WindowMS float64 `json:"window_ms"`
 	// Slack is the number of retries that are allowed in a window in addition.
-	Slack int `json:"slack"`
+	Slack float64 `json:"slack"`
 }
 
 // Window returns WindowMS as a duration.
@@ -107,7 +107,7 @@
 	// Multiple and Slack are the load bound: no upstream may have more requests
 	// than Multiple times the mean of its service plus Slack.
 	Multiple float64 `json:"multiple"`
-	Slack    int     `json:"slack"`
+	Slack    float64 `json:"slack"`
 }
 
 // SlowStart limits what all routers together send to an upstream that is cold. The rate
@@ -124,10 +124,10 @@
 type Stop struct {
 	// UnreadyMS is how long a stopping router reports unready and still accepts
 	// requests.
-	UnreadyMS int `json:"unready_ms"`
+	UnreadyMS float64 `json:"unready_ms"`
 	// GraceMS is the time after the stop signal at which the platform kills the
 	// process.
-	GraceMS int `json:"grace_ms"`
+	GraceMS float64 `json:"grace_ms"`
 }
 
 // Unready returns UnreadyMS as a duration.
@@ -147,7 +147,7 @@
 // Memory limits the memory of the process.
 type Memory struct {
 	// LimitMB is the platform's memory limit, above which it kills the process.
-	LimitMB int `json:"limit_mb"`
+	LimitMB float64 `json:"limit_mb"`
 }
 
 // Link describes the VM's network link.
@@ -162,7 +162,7 @@
 	return int(s.Link.Mbps * 1e6 / bitsPerByte)
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 // Defaults returns the values of fields that a document leaves out.
 //
