--- a/coordination/balance/average.go
+++ b/coordination/balance/average.go
@@ -43,5 +43,5 @@
 // by delta.
 func (b *Balancer) addElsewhere(now time.Duration, u *upstream, delta int) {
 	u.elsewhereAverage.update(now, b.averageTimeConstant(), u.elsewhere)
-	u.elsewhere += delta
+	u.changeLoad(0, delta)
 }
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -36,6 +36,18 @@
 
 func plain() Request { return Request{Service: "s"} }
 
+// usableAt returns the upstreams that may take a plain request.
+func usableAt(b *Balancer, at time.Duration) []*upstream {
+	found := b.usable(at, plain())
+	return slices.Collect(found.all())
+}
+
+// holders returns the upstreams that hold a prefix, available or not.
+func holders(b *Balancer, at time.Duration, prefix uint64) []*upstream {
+	found := candidates{pool: b.poolOf("s"), balancer: b, now: at, request: plain(), resort: untried}
+	return b.holdersOf(&found, prefix)
+}
+
 func prompt(key uint64) Request { return Request{Service: "s", Prompt: key, HasPrompt: true} }
 
 func TestLoadOfADisconnectedRouterIsDroppedUntilItReports(t *testing.T) {
@@ -209,7 +221,7 @@
 			result = Failed
 		}
 		b.Ended(at, choice.ID, result)
-		excluded += 3 - len(b.usable(at, plain()).list)
+		excluded += 3 - len(usableAt(b, at))
 	}
 	assert.Assert(t, excluded < 3*3000/50, "excluded %d of %d times", excluded, 3*3000)
 }
@@ -233,7 +245,7 @@
 	// Guards: requests keep trying an upstream to which no connection can be made.
 	b := newBalancer(2)
 	ejected := func(at time.Duration) bool {
-		return !slices.ContainsFunc(b.usable(at, plain()).list, func(u *upstream) bool { return u.entry.ID == "u00" })
+		return !slices.ContainsFunc(usableAt(b, at), func(u *upstream) bool { return u.entry.ID == "u00" })
 	}
 	b.Started("u00")
 	b.Ended(now, "u00", Unreachable)
@@ -346,7 +358,7 @@
 	at := slices.IndexFunc(list, func(e roster.Entry) bool { return e.ID == first.ID })
 	list[at].StartedAt = 99
 	b.SetRoster(list)
-	assert.Equal(t, len(b.holdersOf(now, 7, b.services["s"])), 0)
+	assert.Equal(t, len(holders(b, now, 7)), 0)
 }
 
 func TestCacheHoldersAreBounded(t *testing.T) {
@@ -401,7 +413,7 @@
 		}
 		router := random.IntN(routers)
 		choice := pickAnswered(balancers[router], at, random, prompt(key))
-		mean := float64(len(running)) / float64(len(balancers[0].services["s"]))
+		mean := float64(len(running)) / float64(len(balancers[0].pools["s"].all))
 		if float64(inFlight[choice.ID]) > 2*mean+3 {
 			over++
 		}
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -50,18 +50,44 @@
 	// Cached announces prefixes that engines have in their caches, because they have
 	// recently begun to answer prompts with them.
 	Cached []CachedPrefix `msgpack:"k,omitempty"`
+	// Omitted is the load in flight on upstreams of each service that a relay knows of
+	// beyond what its reports tell by upstream. It counts until the next report.
+	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+}
+
+// empty reports whether the report says nothing.
+func (r LoadReport) empty() bool {
+	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0
+}
+
+// ServiceID is a hash that stands for a service's name in messages between routers.
+type ServiceID uint32
+
+// serviceIDOf returns the ServiceID of a service.
+func serviceIDOf(service protocol.Service) ServiceID {
+	return ServiceID(xxhash.Sum64String(string(service)))
+}
+
+// ServiceLoad is a load on the upstreams of one service.
+type ServiceLoad struct {
+	ID       ServiceID `msgpack:"i"`
+	InFlight int       `msgpack:"n"`
 }
 
 // remoteLoads is what another router has reported.
 type remoteLoads struct {
+	loadSums
 	receivedAt time.Duration
-	upstreams  map[ShortID]UpstreamLoad
+	omitted    []ServiceLoad
 }
 
 // upstream is this router's view of one upstream.
 type upstream struct {
 	entry roster.Entry
-	own   UpstreamLoad
+	// pool is the pool of its service, and key the hash of its ID.
+	pool *pool
+	key  uint64
+	own  UpstreamLoad
 	// reported is own as last reported to the other routers.
 	reported UpstreamLoad
 	// elsewhere is the number of the other routers' requests in flight, elsewhereAverage
@@ -71,6 +97,8 @@
 	health           health
 	// lastServed is when an upstream was last known to have answered a request.
 	lastServed time.Duration
+	// suspect says that it is in Balancer.suspects.
+	suspect bool
 	// reportedEjected is health.isEjected as last returned by HealthChanges.
 	reportedEjected bool
 }
@@ -81,19 +109,28 @@
 // Balancer holds a router's view of the upstreams and chooses among them. It is not safe
 // for concurrent use.
 type Balancer struct {
-	upstreams    map[protocol.UpstreamID]*upstream
-	byShortID    map[ShortID]*upstream
-	services     map[protocol.Service][]*upstream
+	upstreams map[protocol.UpstreamID]*upstream
+	byShortID map[ShortID]*upstream
+	pools     map[protocol.Service]*pool
+	// busy holds the upstreams that run requests of this router, and unreported those
+	// whose own load has changed since the last report.
+	busy, unreported map[*upstream]struct{}
+	// omittedLoad is the load that other routers report by service alone.
+	omittedLoad map[ServiceID]int
+	// suspects holds the upstreams that failed or refused requests lately.
+	suspects     map[*upstream]struct{}
 	baselines    map[protocol.Service]baseline
 	routers      map[protocol.RouterID]*remoteLoads
 	cacheHolders *cacheHolders
 	settings     Settings
-	// neighbours are the routers that this one exchanges load reports with. If this
-	// router is a relay, reported is the load as last sent to each neighbour, and
-	// relayQueue holds the cached prefixes that are still to be sent.
+	// neighbours are the routers that this one exchanges load reports with, and roles
+	// what each of them is to this one.
 	neighbours Neighbours
-	reported   map[protocol.RouterID]map[ShortID]UpstreamLoad
-	relayQueue []queuedPrefix
+	roles      map[protocol.RouterID]role
+	// relay and the queues of cached prefixes are in use if this router is a relay.
+	relay              relaySums
+	prefixesForMembers []queuedPrefix
+	prefixesForRelays  []CachedPrefix
 	// unrecorded holds the cached prefixes that are still to be sent to a disk VM.
 	// restored holds those that a disk VM sent at restoredAt for upstreams that aren't
 	// in the roster yet.
@@ -120,12 +157,15 @@
 	return &Balancer{
 		upstreams:    map[protocol.UpstreamID]*upstream{},
 		byShortID:    map[ShortID]*upstream{},
-		services:     map[protocol.Service][]*upstream{},
+		pools:        map[protocol.Service]*pool{},
+		busy:         map[*upstream]struct{}{},
+		unreported:   map[*upstream]struct{}{},
+		suspects:     map[*upstream]struct{}{},
+		omittedLoad:  map[ServiceID]int{},
 		baselines:    map[protocol.Service]baseline{},
 		routers:      map[protocol.RouterID]*remoteLoads{},
 		cacheHolders: newCacheHolders(),
 		settings:     settings,
-		reported:     map[protocol.RouterID]map[ShortID]UpstreamLoad{},
 	}
 }
 
@@ -139,63 +179,105 @@
 	}
 }
 
+// rebuildDivisor sets the share of the upstreams, one in rebuildDivisor, from which on
+// changed entries cost less if the pools are made anew.
+const rebuildDivisor = 16
+
 // SetRoster replaces the list of upstreams. Upstreams that are no longer listed are kept
 // until this router's requests to them have ended. SetRoster returns the entries whose
 // state, address or incarnation changed, or that have become cold.
 func (b *Balancer) SetRoster(entries []roster.Entry) []roster.Entry {
-	listed := map[protocol.UpstreamID]bool{}
-	var changed []roster.Entry
+	listed := make(map[protocol.UpstreamID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		u := b.upstreams[e.ID]
-		if u == nil {
-			if e.State == roster.Gone {
-				continue
-			}
-			short := shortIDOf(e.ID)
-			u = &upstream{own: UpstreamLoad{ID: short}, reported: UpstreamLoad{ID: short}}
-			b.upstreams[e.ID] = u
-		}
-		if u.entry.State != e.State || u.entry.Address != e.Address || u.entry.StartedAt != e.StartedAt || u.entry.ColdCount != e.ColdCount {
-			changed = append(changed, e)
-		}
-		if u.entry.StartedAt != e.StartedAt {
-			u.health = health{}
-		}
-		u.entry = e
 	}
-	for id, u := range b.upstreams {
+	all := slices.Clone(entries)
+	for id := range b.upstreams {
 		if !listed[id] {
-			u.entry.State = roster.Gone
+			all = append(all, roster.Entry{ID: id, State: roster.Gone})
 		}
-		if u.entry.State == roster.Gone && u.own.InFlight == 0 {
-			delete(b.upstreams, id)
+	}
+	return b.ApplyEntries(all)
+}
+
+// ApplyEntries takes over entries that have changed. It returns those whose state, address
+// or incarnation changed, or that have become cold. Upstreams that are gone are kept until
+// this router's requests to them have ended.
+func (b *Balancer) ApplyEntries(entries []roster.Entry) []roster.Entry {
+	rebuild := len(entries)*rebuildDivisor > len(b.upstreams)
+	var changed []roster.Entry
+	for _, e := range entries {
+		u, differs := b.applyEntry(e, rebuild)
+		if differs {
+			changed = append(changed, u.entry)
 		}
 	}
-	b.index()
-	b.sumElsewhere()
+	if rebuild {
+		b.rebuildPools()
+	}
 	b.applyRestored()
 	return changed
 }
 
-// index rebuilds the maps by service and by ShortID. The upstreams of a service are
-// sorted by ID.
-func (b *Balancer) index() {
-	b.services = map[protocol.Service][]*upstream{}
-	b.byShortID = map[ShortID]*upstream{}
-	for _, u := range b.upstreams {
-		b.byShortID[u.own.ID] = u
-		b.services[u.entry.Service] = append(b.services[u.entry.Service], u)
+// applyEntry takes over one entry, and reports whether it differs in what matters to
+// requests. If rebuild is set, the caller makes the pools anew.
+func (b *Balancer) applyEntry(e roster.Entry, rebuild bool) (u *upstream, differs bool) {
+	u = b.upstreams[e.ID]
+	if u == nil {
+		if e.State == roster.Gone {
+			return nil, false
+		}
+		u = b.addUpstream(e.ID)
+	}
+	if e.State == roster.Gone {
+		// The entry may be all that is left of a removed upstream.
+		e = u.entry
+		e.State = roster.Gone
+	}
+	before := u.entry
+	if before.StartedAt != e.StartedAt {
+		u.health = health{}
+	}
+	if u.pool != nil && !rebuild {
+		u.pool.remove(u)
 	}
-	for _, list := range b.services {
-		slices.SortFunc(list, func(x, y *upstream) int { return cmp.Compare(x.entry.ID, y.entry.ID) })
+	u.entry = e
+	switch {
+	case e.State == roster.Gone && u.own.InFlight == 0:
+		b.removeUpstream(u)
+	case !rebuild:
+		b.addToPool(u)
+	}
+	return u, before.State != e.State || before.Address != e.Address || before.StartedAt != e.StartedAt || before.ColdCount != e.ColdCount
+}
+
+// addUpstream adds an upstream without an entry.
+func (b *Balancer) addUpstream(id protocol.UpstreamID) *upstream {
+	short := shortIDOf(id)
+	u := &upstream{key: xxhash.Sum64String(string(id)), own: UpstreamLoad{ID: short}, reported: UpstreamLoad{ID: short}}
+	b.upstreams[id] = u
+	b.byShortID[short] = u
+	for _, remote := range b.routers {
+		u.elsewhere += remote.loads[short].InFlight
 	}
+	return u
+}
+
+// removeUpstream removes an upstream, which its pool no longer holds.
+func (b *Balancer) removeUpstream(u *upstream) {
+	delete(b.upstreams, u.entry.ID)
+	if b.byShortID[u.own.ID] == u {
+		delete(b.byShortID, u.own.ID)
+	}
+	delete(b.busy, u)
+	delete(b.unreported, u)
+	delete(b.suspects, u)
 }
 
 // AnyReady reports whether any upstream accepts requests.
 func (b *Balancer) AnyReady() bool {
-	for _, u := range b.upstreams {
-		if u.entry.State == roster.Ready {
+	for _, p := range b.pools {
+		if len(p.ready) > 0 {
 			return true
 		}
 	}
@@ -233,7 +315,9 @@
 // Started records that a request was sent to an upstream.
 func (b *Balancer) Started(id protocol.UpstreamID) {
 	if u := b.upstreams[id]; u != nil {
-		u.own.InFlight++
+		u.changeLoad(1, 0)
+		b.busy[u] = struct{}{}
+		b.unreported[u] = struct{}{}
 	}
 }
 
@@ -243,16 +327,21 @@
 	if u == nil {
 		return
 	}
-	u.own.InFlight = max(0, u.own.InFlight-1)
-	u.recordResult(now, result)
+	if u.own.InFlight > 0 {
+		u.changeLoad(-1, 0)
+	}
+	if u.own.InFlight == 0 {
+		delete(b.busy, u)
+	}
+	b.recordResult(now, u, result)
 	if u.entry.State == roster.Gone && u.own.InFlight == 0 {
-		delete(b.upstreams, id)
-		b.index()
+		u.pool.remove(u)
+		b.removeUpstream(u)
 	}
 }
 
 // recordResult counts a result, for this router's decisions and for its load reports.
-func (u *upstream) recordResult(now time.Duration, result Result) {
+func (b *Balancer) recordResult(now time.Duration, u *upstream, result Result) {
 	switch result {
 	case Served:
 		u.own.Served++
@@ -260,14 +349,44 @@
 	case Failed, Unreachable:
 		u.own.Failed++
 	}
-	u.health.record(now, result, 1)
+	b.unreported[u] = struct{}{}
+	b.recordHealth(now, u, result, 1)
+}
+
+// recordHealth counts outcomes for outlier detection.
+func (b *Balancer) recordHealth(now time.Duration, u *upstream, result Result, count uint64) {
+	u.health.record(now, result, count)
+	if count > 0 && result != Served && result != Abandoned {
+		b.suspect(u)
+	}
+}
+
+// suspect adds an upstream to the suspects.
+func (b *Balancer) suspect(u *upstream) {
+	if u.suspect {
+		return
+	}
+	u.suspect = true
+	b.suspects[u] = struct{}{}
+	if u.pool != nil {
+		u.pool.suspects++
+	}
+}
+
+// acquit removes an upstream from the suspects.
+func (b *Balancer) acquit(u *upstream) {
+	u.suspect = false
+	delete(b.suspects, u)
+	if u.pool != nil {
+		u.pool.suspects--
+	}
 }
 
 // RecordResult records the result of a request without ending it: Ended records the end,
 // as Abandoned if the result was not known then.
 func (b *Balancer) RecordResult(now time.Duration, id protocol.UpstreamID, result Result) {
 	if u := b.upstreams[id]; u != nil {
-		u.recordResult(now, result)
+		b.recordResult(now, u, result)
 	}
 }
 
@@ -291,15 +410,17 @@
 // HealthChanges returns the changes since the last call, sorted by ID.
 func (b *Balancer) HealthChanges(now time.Duration) []HealthChange {
 	var changed []HealthChange
-	for id, u := range b.upstreams {
+	for u := range b.suspects {
 		ejected := u.health.isEjected(now)
-		if ejected == u.reportedEjected {
-			continue
+		if ejected != u.reportedEjected {
+			u.reportedEjected = ejected
+			changed = append(changed, HealthChange{
+				ID: u.entry.ID, Ejected: ejected, Failed: u.health.failed, Served: u.health.served, Backoff: u.health.backoff,
+			})
+		}
+		if !ejected && u.health.isClean(now) {
+			b.acquit(u)
 		}
-		u.reportedEjected = ejected
-		changed = append(changed, HealthChange{
-			ID: id, Ejected: ejected, Failed: u.health.failed, Served: u.health.served, Backoff: u.health.backoff,
-		})
 	}
 	slices.SortFunc(changed, func(x, y HealthChange) int { return cmp.Compare(x.ID, y.ID) })
 	return changed
@@ -307,41 +428,69 @@
 
 // ApplyLoadReport applies another router's report, or the total that a relay sends.
 func (b *Balancer) ApplyLoadReport(now time.Duration, from protocol.RouterID, report LoadReport) {
-	if !b.neighbours.accepts(from) {
+	if !b.accepts(from) {
 		return
 	}
 	remote := b.routers[from]
 	if remote == nil {
-		remote = &remoteLoads{upstreams: map[ShortID]UpstreamLoad{}}
+		remote = &remoteLoads{loadSums: newLoadSums()}
 		b.routers[from] = remote
 	}
 	remote.receivedAt = now
 	if report.Full {
-		b.endOmitted(now, remote, report)
+		b.endOmitted(now, from, report)
 	}
 	for _, load := range report.Upstreams {
-		b.applyUpstreamLoad(now, remote, load)
+		b.applyUpstreamLoad(now, from, load)
 	}
+	b.setOmitted(remote, report.Omitted)
 	b.applyCached(now, report.Cached)
 	b.queueForRelay(from, report.Cached)
 }
 
 // endOmitted sets another router's load to zero on the upstreams that its full report
 // omits.
-func (b *Balancer) endOmitted(now time.Duration, remote *remoteLoads, report LoadReport) {
-	named := map[ShortID]bool{}
+func (b *Balancer) endOmitted(now time.Duration, from protocol.RouterID, report LoadReport) {
+	named := make(map[ShortID]bool, len(report.Upstreams))
 	for _, load := range report.Upstreams {
 		named[load.ID] = true
 	}
-	for id, before := range remote.upstreams {
-		if named[id] || before.InFlight == 0 {
+	remote := b.routers[from]
+	for id := range remote.busy {
+		if named[id] {
 			continue
 		}
-		if u := b.byShortID[id]; u != nil {
-			b.addElsewhere(now, u, -before.InFlight)
-		}
-		before.InFlight = 0
-		remote.upstreams[id] = before
+		load := remote.loads[id]
+		load.InFlight = 0
+		b.replaceLoad(now, from, load)
+	}
+}
+
+// replaceLoad replaces another router's load on one upstream, and returns the one before.
+func (b *Balancer) replaceLoad(now time.Duration, from protocol.RouterID, load UpstreamLoad) (before UpstreamLoad, known bool) {
+	remote := b.routers[from]
+	before, known = remote.loads[load.ID]
+	before.ID = load.ID
+	remote.set(load)
+	if u := b.byShortID[load.ID]; u != nil && load.InFlight != before.InFlight {
+		b.addElsewhere(now, u, load.InFlight-before.InFlight)
+	}
+	b.addToSums(from, before, load)
+	return before, known
+}
+
+// setOmitted replaces the load that another router reports by service alone.
+func (b *Balancer) setOmitted(remote *remoteLoads, omitted []ServiceLoad) {
+	b.countOmitted(remote, -1)
+	remote.omitted = omitted
+	b.countOmitted(remote, 1)
+}
+
+// countOmitted adds what a router reports by service alone to the sums, or subtracts it if
+// sign is -1.
+func (b *Balancer) countOmitted(remote *remoteLoads, sign int) {
+	for _, load := range remote.omitted {
+		b.omittedLoad[load.ID] += sign * load.InFlight
 	}
 }
 
@@ -353,30 +502,26 @@
 // fill engines beyond the operators' bound.
 func (b *Balancer) DropLoad(now time.Duration, id protocol.RouterID) bool {
 	remote := b.routers[id]
-	if remote == nil || id == b.neighbours.Relay || slices.Contains(b.neighbours.Relays, id) {
+	if remote == nil || id == b.neighbours.Relay || b.isNeighbourRelay(id) {
 		return false
 	}
-	b.endOmitted(now, remote, LoadReport{Full: true})
+	b.endOmitted(now, id, LoadReport{Full: true})
 	return true
 }
 
 // applyUpstreamLoad replaces another router's load on one upstream, and counts the
 // requests that have ended since its last report. It counts none if there was no report
 // before, or if the totals are lower than before, as after a restart of that router.
-func (b *Balancer) applyUpstreamLoad(now time.Duration, remote *remoteLoads, load UpstreamLoad) {
-	before, known := remote.upstreams[load.ID]
-	remote.upstreams[load.ID] = load
+func (b *Balancer) applyUpstreamLoad(now time.Duration, from protocol.RouterID, load UpstreamLoad) {
+	before, known := b.replaceLoad(now, from, load)
 	u := b.byShortID[load.ID]
-	if u == nil {
+	if u == nil || !known || load.Failed < before.Failed || load.Served < before.Served {
 		return
 	}
-	b.addElsewhere(now, u, load.InFlight-before.InFlight)
-	if known && load.Failed >= before.Failed && load.Served >= before.Served {
-		u.health.record(now, Failed, load.Failed-before.Failed)
-		u.health.record(now, Served, load.Served-before.Served)
-		if load.Served > before.Served {
-			u.lastServed = now
-		}
+	b.recordHealth(now, u, Failed, load.Failed-before.Failed)
+	b.recordHealth(now, u, Served, load.Served-before.Served)
+	if load.Served > before.Served {
+		u.lastServed = now
 	}
 }
 
@@ -387,30 +532,26 @@
 	var silent []protocol.RouterID
 	for id, remote := range b.routers {
 		if now-remote.receivedAt > reportTTL {
-			delete(b.routers, id)
+			b.forgetRouter(id)
 			silent = append(silent, id)
 		}
 	}
-	if len(silent) > 0 {
-		b.sumElsewhere()
-	}
 	slices.Sort(silent)
 	return silent
 }
 
-// Routers returns the number of other routers whose load counts.
-func (b *Balancer) Routers() int { return len(b.routers) }
-
-// sumElsewhere recomputes the other routers' load on every upstream.
-func (b *Balancer) sumElsewhere() {
-	for _, u := range b.upstreams {
-		u.elsewhere = 0
-	}
-	for _, remote := range b.routers {
-		for id, load := range remote.upstreams {
-			if u := b.byShortID[id]; u != nil {
-				u.elsewhere += load.InFlight
-			}
+// forgetRouter drops all that another router has reported.
+func (b *Balancer) forgetRouter(id protocol.RouterID) {
+	remote := b.routers[id]
+	b.setOmitted(remote, nil)
+	delete(b.routers, id)
+	for _, load := range remote.loads {
+		if u := b.byShortID[load.ID]; u != nil {
+			u.changeLoad(0, -load.InFlight)
 		}
+		b.addToSums(id, load, UpstreamLoad{ID: load.ID})
 	}
 }
+
+// Routers returns the number of other routers whose load counts.
+func (b *Balancer) Routers() int { return len(b.routers) }
--- a/coordination/balance/bound.go
+++ b/coordination/balance/bound.go
@@ -1,50 +1,5 @@
 package balance
 
-import (
-	"slices"
-
-	"endiveplank/coordination/roster"
-	"endiveplank/protocol"
-)
-
-// capacityDivisor sets the share of a service's upstreams, one in capacityDivisor, that
-// must have capacity for a request.
-const capacityDivisor = 2
-
-// belowLimit returns the upstreams whose load is below a limit, or none if they are fewer
-// than half.
-//
-// Under an overload, and with many routers that exchange their loads only now and then,
-// the few engines below the limit would otherwise get the requests of all routers until
-// the next reports, and exceed the operators' load bound. Each upstream's own load is
-// compared, not the mean: engines that are slower than others have queues even if the
-// mean is low.
-func belowLimit(limit int, list []*upstream) []*upstream {
-	if limit <= 0 {
-		return list
-	}
-	found := slices.DeleteFunc(slices.Clone(list), func(u *upstream) bool { return u.load() >= limit })
-	if len(found)*capacityDivisor < len(list) {
-		return nil
-	}
-	return found
-}
-
-// mean returns the mean load of a service's upstreams that accept requests.
-func (b *Balancer) mean(service protocol.Service) float64 {
-	sum, count := 0, 0
-	for _, u := range b.services[service] {
-		if u.entry.State == roster.Ready {
-			sum += u.load()
-			count++
-		}
-	}
-	if count == 0 {
-		return 0
-	}
-	return float64(sum) / float64(count)
-}
-
 // loadBound returns the load up to which an upstream is chosen while others have less:
 // the operators' bound minus one, as other routers' latest requests aren't known yet.
 //
@@ -68,12 +23,12 @@
 // that bound exceed it with the requests of other routers that aren't known yet. So the
 // bound falls as the candidates carry more than the mean, down to hardly more than what
 // they carry. A few cold engines in a large pool change little.
-func (b *Balancer) boundFor(mean float64, found candidates) float64 {
+func (b *Balancer) boundFor(mean float64, found *candidates) float64 {
 	bound := b.loadBound(mean)
 	if found.evacuated+found.cold == 0 {
 		return bound
 	}
-	carried := meanLoad(found.list)
+	carried := found.meanLoad()
 	return min(bound, max(bound-excessWeight*(carried-mean), carried+1))
 }
 
@@ -83,21 +38,22 @@
 // When two of three data centres are evacuated, the engines of the third have three times
 // the mean load of all. The operators' bound holds then too, so what is beyond it is
 // refused at once instead of being added to engines that are over it.
-func (b *Balancer) exceedsBound(mean float64, r Request, found candidates) bool {
-	if found.evacuated+found.cold == 0 || len(r.Tried) > 0 {
+func (b *Balancer) exceedsBound(mean float64, found *candidates) bool {
+	if found.evacuated+found.cold == 0 || len(found.request.Tried) > 0 {
 		return false
 	}
-	return firstWithin(b.loadBound(mean), found.list) == nil
+	return !found.anyWithin(b.loadBound(mean))
 }
 
-// meanLoad returns the mean load of some upstreams.
-func meanLoad(list []*upstream) float64 {
-	if len(list) == 0 {
-		return 0
-	}
-	sum := 0
-	for _, u := range list {
+// meanLoad returns the mean load of the candidates.
+func (c *candidates) meanLoad() float64 {
+	sum, count := 0, 0
+	for u := range c.all() {
 		sum += u.load()
+		count++
 	}
-	return float64(sum) / float64(len(list))
+	if count == 0 {
+		return 0
+	}
+	return float64(sum) / float64(count)
 }
--- a/coordination/balance/cacheholders.go
+++ b/coordination/balance/cacheholders.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -61,20 +60,19 @@
 	return &cacheHolders{byPrefix: map[uint64][]cacheHolder{}}
 }
 
-// holdersOf returns the engines of a list that hold a prefix, the most recently used
-// first.
-func (b *Balancer) holdersOf(now time.Duration, prefix uint64, list []*upstream) []*upstream {
-	var found []*upstream
+// holdersOf returns the candidates that hold a prefix, the most recently used first.
+func (b *Balancer) holdersOf(found *candidates, prefix uint64) []*upstream {
+	var holders []*upstream
 	for _, k := range b.cacheHolders.byPrefix[prefix] {
-		if now-k.usedAt > holderTTL {
+		u := b.upstreams[k.id]
+		if found.now-k.usedAt > holderTTL || u == nil || u.entry.State != roster.Ready || !k.matches(u) {
 			continue
 		}
-		at := slices.IndexFunc(list, k.matches)
-		if at >= 0 {
-			found = append(found, list[at])
+		if u.pool == found.pool && found.has(u) {
+			holders = append(holders, u)
 		}
 	}
-	return found
+	return holders
 }
 
 // copySource returns the address of an engine that holds a prefix, which may be draining.
@@ -234,23 +232,3 @@
 		delete(k.byPrefix, prefix)
 	}
 }
-
-// rendezvousOrder sorts upstreams by rendezvous hashing of a prefix. The order is the
-// same on every router, and when an upstream joins or leaves, only the prefixes move that
-// belong to it.
-func rendezvousOrder(prefix uint64, list []*upstream) []*upstream {
-	type ranked struct {
-		rank uint64
-		u    *upstream
-	}
-	all := make([]ranked, 0, len(list))
-	for _, u := range list {
-		all = append(all, ranked{rank(prefix, u.entry.ID), u})
-	}
-	slices.SortFunc(all, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
-	ordered := make([]*upstream, 0, len(list))
-	for _, r := range all {
-		ordered = append(ordered, r.u)
-	}
-	return ordered
-}
--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -1,71 +1,170 @@
 package balance
 
 import (
+	"iter"
 	"slices"
 	"time"
+)
+
+// capacityDivisor sets the share of a service's upstreams, one in capacityDivisor, that
+// must have capacity for a request.
+const capacityDivisor = 2
 
-	"endiveplank/coordination/roster"
+// resort says which upstreams a request may go to.
+type resort uint8
+
+const (
+	// available upstreams are untried and don't fail often.
+	available resort = iota
+	// untried upstreams may be unavailable.
+	untried
+	// tried upstreams got the request before.
+	tried
 )
 
-// candidates are the upstreams that may take a request.
+// candidates are the upstreams that may take a request: those of a pool that are ready,
+// not evacuated, admitted, and as good as resort says. No list of them is made, because
+// almost all upstreams of a large pool are candidates.
 type candidates struct {
-	list []*upstream
-	// lastResort says that they are unavailable or were tried before.
-	lastResort bool
-	// evacuated and cold count those that were passed over, as in Choice.
+	pool     *pool
+	balancer *Balancer
+	now      time.Duration
+	request  Request
+	resort   resort
+	// evacuated and cold count the upstreams that were passed over, as in Choice.
 	evacuated, cold int
-}
-
-// noneReason says why there is no candidate.
-func (c candidates) noneReason() Reason {
-	switch {
-	case c.cold > 0:
-		return ReasonCold
-	case c.evacuated > 0:
-		return ReasonEvacuated
-	}
-	return ReasonNoUpstream
+	// limit is the load from which on an upstream is no candidate, 0 for none.
+	limit int
+	// maxExcess is the highest failure rate beyond bestRate that a candidate may have, if
+	// reliableOnly is set.
+	reliableOnly        bool
+	bestRate, maxExcess float64
 }
 
 // usable returns the upstreams of a service that may take the request: those that are
 // ready, untried and available; if there are none, the untried ones, although they are
-// unavailable; and if all were tried, the tried ones, if the request allows it. lastResort is
-// set in the latter two cases. Upstreams in evacuated data centres and those that the
-// request isn't admitted to are no last resort either.
+// unavailable; and if all were tried, the tried ones, if the request allows it. Upstreams in
+// evacuated data centres and those that the request isn't admitted to are no last resort
+// either.
 //
 // The tried ones count for a service that has one upstream left, on which one request in
 // seven fails by itself: with no other upstream for the retry, the caller would get no
 // answer, not even the upstream's error, although a third of the retries are served.
 func (b *Balancer) usable(now time.Duration, r Request) candidates {
-	var found candidates
-	var healthy, untried, tried []*upstream
-	for _, u := range b.services[r.Service] {
-		switch {
-		case u.entry.State != roster.Ready:
-			continue
-		case b.evacuated[u.entry.DataCentre]:
-			found.evacuated++
-			continue
-		case r.Admits != nil && !r.Admits(u.entry.ID):
-			found.cold++
-			continue
-		case slices.Contains(r.Tried, u.entry.ID):
-			tried = append(tried, u)
-			continue
+	c := candidates{pool: b.poolOf(r.Service), balancer: b, now: now, request: r}
+	for dataCentre := range b.evacuated {
+		c.evacuated += c.pool.readyIn[dataCentre]
+	}
+	c.cold = c.countCold()
+	if c.any() {
+		return c
+	}
+	if c.resort = untried; c.any() || !r.AllowTried {
+		return c
+	}
+	c.resort = tried
+	return c
+}
+
+// countCold returns how many upstreams the request isn't admitted to.
+func (c *candidates) countCold() int {
+	if c.request.Admits == nil {
+		return 0
+	}
+	cold := 0
+	for _, u := range c.pool.ready {
+		if !c.balancer.evacuated[u.entry.DataCentre] && !c.request.Admits(u.entry.ID) {
+			cold++
+		}
+	}
+	return cold
+}
+
+// has reports whether an upstream of the pool that is ready is a candidate.
+func (c *candidates) has(u *upstream) bool {
+	if c.balancer.evacuated[u.entry.DataCentre] || c.request.Admits != nil && !c.request.Admits(u.entry.ID) {
+		return false
+	}
+	if c.limit > 0 && u.load() >= c.limit {
+		return false
+	}
+	if wasTried := slices.Contains(c.request.Tried, u.entry.ID); wasTried != (c.resort == tried) {
+		return false
+	}
+	if !u.suspect {
+		return true
+	}
+	return (c.resort != available || !u.health.isUnavailable(c.now)) && c.isReliable(u)
+}
+
+// isReliable reports whether an upstream fails as rarely as candidates must.
+func (c *candidates) isReliable(u *upstream) bool {
+	return !c.reliableOnly || u.excessFailureRate(c.now, c.bestRate) <= c.maxExcess
+}
+
+// all iterates over the candidates, in the order of their IDs.
+func (c *candidates) all() iter.Seq[*upstream] {
+	return func(yield func(*upstream) bool) {
+		for _, u := range c.pool.ready {
+			if c.has(u) && !yield(u) {
+				return
+			}
 		}
-		untried = append(untried, u)
-		if !u.health.isUnavailable(now) {
-			healthy = append(healthy, u)
+	}
+}
+
+// any reports whether there is a candidate.
+func (c *candidates) any() bool {
+	for range c.all() {
+		return true
+	}
+	return false
+}
+
+// anyWithin reports whether the load of any candidate is within a bound.
+func (c *candidates) anyWithin(bound float64) bool {
+	for u := range c.all() {
+		if float64(u.load()) <= bound {
+			return true
 		}
 	}
-	found.lastResort = len(healthy) == 0
+	return false
+}
+
+// count returns the number of candidates.
+func (c *candidates) count() int {
+	count := 0
+	for range c.all() {
+		count++
+	}
+	return count
+}
+
+// limitLoad leaves out upstreams whose load has reached a limit. It leaves out all if the
+// others are fewer than half.
+//
+// Under an overload, and with many routers that exchange their loads only now and then,
+// the few engines below the limit would otherwise get the requests of all routers until
+// the next reports, and exceed the operators' load bound. Each upstream's own load is
+// compared, not the mean: engines that are slower than others have queues even if the
+// mean is low.
+func (c *candidates) limitLoad(limit int) (enough bool) {
+	if limit <= 0 {
+		return c.any()
+	}
+	before := c.count()
+	c.limit = limit
+	left := c.count()
+	return left > 0 && left*capacityDivisor >= before
+}
+
+// noneReason says why there is no candidate.
+func (c *candidates) noneReason() Reason {
 	switch {
-	case len(healthy) > 0:
-		found.list = healthy
-	case len(untried) == 0 && r.AllowTried:
-		found.list = tried
-	default:
-		found.list = untried
+	case c.cold > 0:
+		return ReasonCold
+	case c.evacuated > 0:
+		return ReasonEvacuated
 	}
-	return found
+	return ReasonNoUpstream
 }
--- a/coordination/balance/exchange.go
+++ b/coordination/balance/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -53,12 +52,6 @@
 	return all
 }
 
-// accepts reports whether to apply a router's reports. A mesh accepts any router's: other
-// routers receive reports of a router that has just started before their list names it.
-func (n Neighbours) accepts(id protocol.RouterID) bool {
-	return !n.grouped() || slices.Contains(n.all(), id)
-}
-
 // grouped reports whether relays aggregate the load reports.
 func (n Neighbours) grouped() bool {
 	return n.Relay != "" || len(n.Members) > 0 || len(n.Relays) > 0
@@ -70,6 +63,36 @@
 		slices.Equal(n.Members, other.Members) && slices.Equal(n.Relays, other.Relays)
 }
 
+// role is what a neighbour is to this router.
+type role uint8
+
+const (
+	// roleNone is that of a router that is no neighbour.
+	roleNone role = iota
+	// rolePeer is that of this router's relay or member, or of a router in a mesh.
+	rolePeer
+	// roleRelay is that of another relay, if this router is one.
+	roleRelay
+)
+
+// roles returns the role of each neighbour.
+func (n Neighbours) roles() map[protocol.RouterID]role {
+	roles := map[protocol.RouterID]role{}
+	for _, id := range n.all() {
+		roles[id] = rolePeer
+	}
+	for _, id := range n.Relays {
+		roles[id] = roleRelay
+	}
+	return roles
+}
+
+// accepts reports whether to apply a router's reports. A mesh accepts any router's: other
+// routers receive reports of a router that has just started before their list names it.
+func (b *Balancer) accepts(id protocol.RouterID) bool {
+	return !b.neighbours.grouped() || b.roles[id] != roleNone
+}
+
 // SetNeighbours replaces the neighbours. If relays aggregate the reports, it drops what
 // routers that are no neighbours any more have reported: a router that changes its relay
 // would otherwise count the same load twice.
@@ -77,16 +100,21 @@
 	if b.neighbours.equal(n) {
 		return
 	}
-	b.neighbours = n
-	if !n.grouped() {
+	roles, wasRelay := n.roles(), b.isRelay()
+	for id := range b.routers {
+		if n.grouped() && (roles[id] == roleNone || wasRelay && roles[id] != b.roles[id]) {
+			b.forgetRouter(id)
+		}
+	}
+	b.neighbours, b.roles = n, roles
+	switch {
+	case !b.isRelay():
+		b.stopRelay()
 		return
+	case !wasRelay:
+		b.startRelay()
 	}
-	all := n.all()
-	maps.DeleteFunc(b.routers, func(id protocol.RouterID, _ *remoteLoads) bool { return !slices.Contains(all, id) })
-	maps.DeleteFunc(b.reported, func(id protocol.RouterID, _ map[ShortID]UpstreamLoad) bool {
-		return id != otherRelays && !slices.Contains(all, id)
-	})
-	b.sumElsewhere()
+	b.setMembers(n.Members)
 }
 
 // ReportInterval returns how often this router reports its load. In a mesh the interval
@@ -99,39 +127,44 @@
 	return max(minReportInterval, time.Duration(len(b.neighbours.Mesh)+1)*intervalPerRouter)
 }
 
-// OutgoingReport is a load report to another router.
+// OutgoingReport is a load report to other routers.
 type OutgoingReport struct {
-	To     protocol.RouterID
+	To     []protocol.RouterID
 	Report LoadReport
 }
 
 // PendingReports returns the changes that the neighbours don't know yet, or full reports.
 func (b *Balancer) PendingReports(full bool) []OutgoingReport {
-	n := b.neighbours
-	if n.grouped() && n.Relay == "" {
+	if b.isRelay() {
 		return b.relayReports(full)
 	}
 	report, ok := b.OwnLoadReport(full)
 	if !ok {
 		return nil
 	}
-	var reports []OutgoingReport
-	for _, id := range n.all() {
-		reports = append(reports, OutgoingReport{To: id, Report: report})
-	}
-	return reports
+	return []OutgoingReport{{To: b.neighbours.all(), Report: report}}
 }
 
 // OwnLoadReport returns the part of this router's load that the other routers don't know
 // yet, or all of it. False means that there is nothing to send.
 func (b *Balancer) OwnLoadReport(full bool) (LoadReport, bool) {
 	report := LoadReport{Full: full}
-	for _, u := range b.upstreams {
-		if full && u.own.InFlight > 0 || u.own != u.reported {
+	for u := range b.unreported {
+		if u.own != u.reported {
 			report.Upstreams = append(report.Upstreams, u.own)
 		}
+	}
+	if full {
+		for u := range b.busy {
+			if u.own == u.reported {
+				report.Upstreams = append(report.Upstreams, u.own)
+			}
+		}
+	}
+	for u := range b.unreported {
 		u.reported = u.own
 	}
+	clear(b.unreported)
 	slices.SortFunc(report.Upstreams, func(x, y UpstreamLoad) int { return cmp.Compare(x.ID, y.ID) })
 	report.Cached = b.cacheHolders.takeUnannounced()
 	return report, full || len(report.Upstreams) > 0 || len(report.Cached) > 0
--- a/coordination/balance/exchange_test.go
+++ b/coordination/balance/exchange_test.go
@@ -55,9 +55,11 @@
 			continue
 		}
 		for _, report := range g.balancers[id].PendingReports(full) {
-			g.messages[report.To]++
-			if !g.gone[report.To] {
-				g.balancers[report.To].ApplyLoadReport(g.at, id, report.Report)
+			for _, to := range report.To {
+				g.messages[to]++
+				if !g.gone[to] {
+					g.balancers[to].ApplyLoadReport(g.at, id, report.Report)
+				}
 			}
 		}
 	}
@@ -145,9 +147,9 @@
 	}
 	for _, id := range g.order {
 		assert.Assert(t, g.balancers[id].upstreams["u05"].health.isEjected(g.at), "%s", id)
-		holders := g.balancers[id].holdersOf(g.at, 77, g.balancers[id].services["s"])
-		assert.Equal(t, len(holders), 1, "%s", id)
-		assert.Equal(t, holders[0].entry.ID, choice.ID)
+		known := holders(g.balancers[id], g.at, 77)
+		assert.Equal(t, len(known), 1, "%s", id)
+		assert.Equal(t, known[0].entry.ID, choice.ID)
 	}
 }
 
--- a/coordination/balance/excluded_test.go
+++ b/coordination/balance/excluded_test.go
@@ -69,13 +69,13 @@
 	perEngine := map[protocol.UpstreamID]int{}
 	for router := range 62 {
 		b := newBalancer(9)
-		for i, u := range b.services["s"] {
-			u.elsewhere = 10
+		for i, u := range b.pools["s"].all {
+			u.changeLoad(0, 10)
 			if i < 4 {
 				b.cacheHolders.addAnnounced(now, 7, u)
 			}
 		}
-		b.services["s"][0].elsewhere = 8
+		b.pools["s"].all[0].changeLoad(0, -2)
 		perEngine[b.Pick(now, rand.New(rand.NewPCG(uint64(router), 1)), prompt(7)).ID]++
 	}
 	assert.Equal(t, len(perEngine), 4)
@@ -90,10 +90,10 @@
 	perEngine := map[protocol.UpstreamID]int{}
 	for router := range 62 {
 		b := newBalancer(9)
-		for i, u := range b.services["s"] {
+		for i, u := range b.pools["s"].all {
 			if i < 2 {
 				b.cacheHolders.addAnnounced(now, 7, u)
-				u.elsewhere = 100
+				u.changeLoad(0, 100)
 			}
 		}
 		choice := b.Pick(now, rand.New(rand.NewPCG(uint64(router), 1)), prompt(7))
@@ -103,6 +103,12 @@
 	assert.Equal(t, len(perEngine), 2)
 }
 
+// boundFor returns the load bound for the candidates of a request.
+func boundFor(b *Balancer, r Request) float64 {
+	found := b.usable(now, r)
+	return b.boundFor(b.mean(r.Service), &found)
+}
+
 func TestLoadBoundIsLowerWhileADataCentreIsEvacuated(t *testing.T) {
 	// Guards: a third of the engines takes nothing, and the others exceed the operators'
 	// load bound, which is by the mean of all, with requests that other routers don't
@@ -117,13 +123,13 @@
 	}
 	mean := b.mean("s")
 	assert.Equal(t, mean, 6.0)
-	assert.Equal(t, b.boundFor(mean, b.usable(now, plain())), 14.0)
+	assert.Equal(t, boundFor(b, plain()), 14.0)
 	b.SetEvacuated([]protocol.DataCentre{"dc1"})
-	assert.Equal(t, b.boundFor(mean, b.usable(now, plain())), 10.0)
+	assert.Equal(t, boundFor(b, plain()), 10.0)
 	b.SetEvacuated(nil)
 	oneCold := plain()
 	oneCold.Admits = func(id protocol.UpstreamID) bool { return id != "u00" }
-	assert.Assert(t, b.boundFor(mean, b.usable(now, oneCold)) > 13, "one cold engine of nine changes little")
+	assert.Assert(t, boundFor(b, oneCold) > 13, "one cold engine of nine changes little")
 }
 
 func TestLoadBoundHoldsWhileTwoOfThreeDataCentresAreEvacuated(t *testing.T) {
--- a/coordination/balance/health.go
+++ b/coordination/balance/health.go
@@ -116,3 +116,18 @@
 	}
 	return h.failed > maxFailureRate*(h.failed+h.served)
 }
+
+// negligibleFailures is the weighted number of failures below which an upstream counts as
+// one that hasn't failed.
+const negligibleFailures = 0.001
+
+// isClean reports whether an upstream has no failure that still counts, and no backoff. It
+// then forgets the rest.
+func (h *health) isClean(now time.Duration) bool {
+	h.decay(now)
+	if h.failed >= negligibleFailures || now < h.backoffUntil {
+		return false
+	}
+	h.failed = 0
+	return true
+}
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -89,38 +89,33 @@
 // as far as the others have spare capacity; see reliable.
 func (b *Balancer) Pick(now time.Duration, random *rand.Rand, r Request) Choice {
 	found := b.usable(now, r)
-	choice := b.pickFrom(now, random, r, found)
+	choice := b.pickFrom(random, &found)
 	choice.Evacuated, choice.Cold = found.evacuated, found.cold
 	return choice
 }
 
 // pickFrom chooses among the candidates.
-func (b *Balancer) pickFrom(now time.Duration, random *rand.Rand, r Request, found candidates) Choice {
-	list := found.list
-	if len(list) == 0 {
+func (b *Balancer) pickFrom(random *rand.Rand, found *candidates) Choice {
+	if !found.any() {
 		return Choice{Reason: found.noneReason()}
 	}
-	mean := b.mean(r.Service)
-	if list = belowLimit(r.LoadLimit, list); len(list) == 0 {
-		return Choice{Reason: ReasonNoCapacity, Limit: r.LoadLimit, Mean: mean}
+	mean := b.mean(found.request.Service)
+	if limit := found.request.LoadLimit; !found.limitLoad(limit) {
+		return Choice{Reason: ReasonNoCapacity, Limit: limit, Mean: mean}
 	}
-	if b.exceedsBound(mean, r, found) {
+	if b.exceedsBound(mean, found) {
 		return Choice{Reason: ReasonNoCapacity, Limit: int(b.loadBound(mean)), Mean: mean}
 	}
-	excluded := 0
 	bound := b.boundFor(mean, found)
-	if reliable := b.reliable(now, r, list); firstWithin(bound, reliable) != nil {
-		excluded = len(list) - len(reliable)
-		list = reliable
-	}
+	excluded := b.excludeUnreliable(found, bound)
 	var choice Choice
 	switch {
-	case r.HasPrompt:
-		choice = b.pickForPrompt(now, random, r, list, mean, bound)
-	case found.lastResort:
-		choice = newChoice(b.leastLoaded(now, random, list), ReasonLastResort, mean)
+	case found.request.HasPrompt:
+		choice = b.pickForPrompt(random, found, mean, bound)
+	case found.resort != available:
+		choice = newChoice(b.leastLoaded(random, found), ReasonLastResort, mean)
 	default:
-		choice = newChoice(b.leastLoaded(now, random, list), ReasonLeastLoaded, mean)
+		choice = newChoice(b.leastLoaded(random, found), ReasonLeastLoaded, mean)
 	}
 	choice.Excluded = excluded
 	return choice
--- a/coordination/balance/plain.go
+++ b/coordination/balance/plain.go
@@ -1,9 +1,12 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"endiveplank/protocol"
 )
 
 // leastLoaded returns an upstream with a low load. Among those with the fewest requests
@@ -16,16 +19,55 @@
 // the server that looked idle, then all to the next one, and requests would queue with
 // half of the capacity unused. A router knows its own load exactly, and an average over a
 // few reports tells a slow server from a momentary queue.
-func (b *Balancer) leastLoaded(now time.Duration, random *rand.Rand, list []*upstream) *upstream {
-	least := list[0].own.InFlight
+func (b *Balancer) leastLoaded(random *rand.Rand, found *candidates) *upstream {
+	idle := fewestOwn(found.sample(random, b.settings.DataCentre))
+	if near := b.localCandidates(found.now, idle); len(near) > 0 {
+		return near[random.IntN(len(near))]
+	}
+	return b.drawWeighted(found.now, random, idle)
+}
+
+// fewestOwn returns the upstreams with the fewest requests of this router. It reuses the
+// list.
+func fewestOwn(list []*upstream) []*upstream {
+	least := math.MaxInt
 	for _, u := range list {
 		least = min(least, u.own.InFlight)
 	}
-	idle := slices.DeleteFunc(slices.Clone(list), func(u *upstream) bool { return u.own.InFlight > least })
-	if near := b.localCandidates(now, idle); len(near) > 0 {
-		return near[random.IntN(len(near))]
+	return slices.DeleteFunc(list, func(u *upstream) bool { return u.own.InFlight > least })
+}
+
+// maxCompared is the number of upstreams up to which a request without a prompt compares
+// all. Of more it compares a random sample: among many, one with a low load is found
+// nearly as well.
+const maxCompared = 256
+
+// sample returns all candidates, or some of them if the pool is large.
+func (c *candidates) sample(random *rand.Rand, dataCentre protocol.DataCentre) []*upstream {
+	if len(c.pool.ready) > maxCompared {
+		if some := c.drawn(random, dataCentre); len(some) > 0 {
+			return some
+		}
+	}
+	list := make([]*upstream, 0, len(c.pool.ready))
+	for u := range c.all() {
+		list = append(list, u)
+	}
+	return list
+}
+
+// drawn returns a random sample of a large pool's candidates, some of them more than once.
+// Half of the sample is from one data centre, if it has enough of the pool.
+func (c *candidates) drawn(random *rand.Rand, dataCentre protocol.DataCentre) []*upstream {
+	some := make([]*upstream, 0, maxCompared)
+	for draw := 0; draw < maxCompared*len(c.pool.readyIn) && len(some) < maxCompared; draw++ {
+		u := c.pool.ready[random.IntN(len(c.pool.ready))]
+		local := draw >= maxCompared/2
+		if (!local || u.entry.DataCentre == dataCentre) && c.has(u) {
+			some = append(some, u)
+		}
 	}
-	return b.drawWeighted(now, random, idle)
+	return some
 }
 
 // localMargin is how far the other routers' average load on an upstream in the own data
--- /dev/null
+++ b/coordination/balance/pool.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
+)
+
+// pool holds the upstreams of one service. Its lists and sums follow each change, so that
+// choosing an upstream among ten thousand looks at few of them.
+type pool struct {
+	// all are the upstreams of the service, and ready those of them that accept requests,
+	// both sorted by ID. keys are the hashes of the ready ones' IDs, in the same order.
+	all   []*upstream
+	ready []*upstream
+	keys  []uint64
+	// load is the number of requests in flight on the ready ones.
+	load int
+	// readyIn counts the ready ones by data centre.
+	readyIn map[protocol.DataCentre]int
+	// suspects is how many of all are in Balancer.suspects.
+	suspects int
+}
+
+func newPool() *pool { return &pool{readyIn: map[protocol.DataCentre]int{}} }
+
+// byID compares an upstream with an ID.
+func byID(u *upstream, id protocol.UpstreamID) int { return cmp.Compare(u.entry.ID, id) }
+
+// insert adds an upstream.
+func (p *pool) insert(u *upstream) {
+	at, _ := slices.BinarySearchFunc(p.all, u.entry.ID, byID)
+	p.all = slices.Insert(p.all, at, u)
+	p.count(u, 1)
+	if u.entry.State != roster.Ready {
+		return
+	}
+	at, _ = slices.BinarySearchFunc(p.ready, u.entry.ID, byID)
+	p.ready = slices.Insert(p.ready, at, u)
+	p.keys = slices.Insert(p.keys, at, u.key)
+}
+
+// remove removes an upstream, whose entry must be as it was when it was added.
+func (p *pool) remove(u *upstream) {
+	if at, found := slices.BinarySearchFunc(p.all, u.entry.ID, byID); found {
+		p.all = slices.Delete(p.all, at, at+1)
+		p.count(u, -1)
+	}
+	if at, found := slices.BinarySearchFunc(p.ready, u.entry.ID, byID); found {
+		p.ready = slices.Delete(p.ready, at, at+1)
+		p.keys = slices.Delete(p.keys, at, at+1)
+	}
+}
+
+// count adds an upstream to the sums, or subtracts it if sign is -1.
+func (p *pool) count(u *upstream, sign int) {
+	if u.suspect {
+		p.suspects += sign
+	}
+	if u.entry.State != roster.Ready {
+		return
+	}
+	p.load += sign * u.load()
+	p.readyIn[u.entry.DataCentre] += sign
+	if p.readyIn[u.entry.DataCentre] == 0 {
+		delete(p.readyIn, u.entry.DataCentre)
+	}
+}
+
+// noPool stands for the pool of an unknown service.
+var noPool = newPool()
+
+// poolOf returns the pool of a service.
+func (b *Balancer) poolOf(service protocol.Service) *pool {
+	if p := b.pools[service]; p != nil {
+		return p
+	}
+	return noPool
+}
+
+// mean returns the mean load of a service's upstreams that accept requests.
+func (b *Balancer) mean(service protocol.Service) float64 {
+	p := b.poolOf(service)
+	if len(p.ready) == 0 {
+		return 0
+	}
+	return float64(p.load+b.omittedLoad[serviceIDOf(service)]) / float64(len(p.ready))
+}
+
+// addToPool puts an upstream into the pool of its service.
+func (b *Balancer) addToPool(u *upstream) {
+	p := b.pools[u.entry.Service]
+	if p == nil {
+		p = newPool()
+		b.pools[u.entry.Service] = p
+	}
+	u.pool = p
+	p.insert(u)
+}
+
+// rebuildPools makes all pools anew.
+func (b *Balancer) rebuildPools() {
+	b.pools = map[protocol.Service]*pool{}
+	for _, u := range b.upstreams {
+		p := b.pools[u.entry.Service]
+		if p == nil {
+			p = newPool()
+			b.pools[u.entry.Service] = p
+		}
+		u.pool = p
+		p.all = append(p.all, u)
+		p.count(u, 1)
+	}
+	for _, p := range b.pools {
+		slices.SortFunc(p.all, func(x, y *upstream) int { return cmp.Compare(x.entry.ID, y.entry.ID) })
+		for _, u := range p.all {
+			if u.entry.State == roster.Ready {
+				p.ready = append(p.ready, u)
+				p.keys = append(p.keys, u.key)
+			}
+		}
+	}
+}
+
+// changeLoad changes the number of requests in flight on an upstream: this router's by own,
+// and the other routers' by elsewhere.
+func (u *upstream) changeLoad(own, elsewhere int) {
+	u.own.InFlight += own
+	u.elsewhere += elsewhere
+	if u.pool != nil && u.entry.State == roster.Ready {
+		u.pool.load += own + elsewhere
+	}
+}
--- a/coordination/balance/prompt.go
+++ b/coordination/balance/prompt.go
@@ -2,10 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
 
 	"endiveplank/protocol"
 )
@@ -14,18 +10,19 @@
 // else the first within the bound by rendezvous hashing. That order is the same on every
 // router and after every restart, so routers that have lost their view of the cache holders
 // still send most prompts to them.
-func (b *Balancer) pickForPrompt(now time.Duration, random *rand.Rand, r Request, list []*upstream, mean, bound float64) Choice {
-	holders := b.holdersOf(now, r.Prompt, list)
+func (b *Balancer) pickForPrompt(random *rand.Rand, found *candidates, mean, bound float64) Choice {
+	r := found.request
+	holders := b.holdersOf(found, r.Prompt)
 	chosen, reason := pickHolder(random, bound, holders), ReasonCacheHolder
 	if chosen == nil {
-		chosen, reason = pickInOrder(random, bound, r.Prompt, list, len(holders)), ReasonRendezvous
+		chosen, reason = pickInOrder(random, bound, r.Prompt, found, len(holders)), ReasonRendezvous
 	}
 	if chosen == nil {
-		chosen, reason = b.leastLoaded(now, random, list), ReasonLeastLoaded
+		chosen, reason = b.leastLoaded(random, found), ReasonLeastLoaded
 	}
 	choice := newChoice(chosen, reason, mean)
-	choice.CopyFrom = b.copySourceFor(now, r, chosen)
-	b.cacheHolders.add(now, r.Prompt, chosen)
+	choice.CopyFrom = b.copySourceFor(found.now, r, chosen)
+	b.cacheHolders.add(found.now, r.Prompt, chosen)
 	return choice
 }
 
@@ -62,42 +59,38 @@
 // although it has several.
 const alternatives = 2
 
-// pickInOrder returns the first upstream within the bound by rendezvous hashing of a
+// pickInOrder returns the first candidate within the bound by rendezvous hashing of a
 // prompt, nil if there is none. Of a prompt that is in demand, with several holders beyond
 // the bound, all routers would send the same next engine everything until its load is
 // known, so it draws one of the first two.
-func pickInOrder(random *rand.Rand, bound float64, key uint64, list []*upstream, holders int) *upstream {
-	order := slices.DeleteFunc(rendezvousOrder(key, list), func(u *upstream) bool { return float64(u.load()) > bound })
-	switch {
-	case len(order) == 0:
-		return nil
-	case holders < alternatives:
-		return order[0]
+func pickInOrder(random *rand.Rand, bound float64, prompt uint64, found *candidates, holders int) *upstream {
+	first, second := firstInOrder(bound, prompt, found)
+	if holders < alternatives || second == nil || random.IntN(alternatives) == 0 {
+		return first
 	}
-	return order[random.IntN(min(alternatives, len(order)))]
+	return second
 }
 
-// firstWithin returns the first upstream whose load is within a bound, nil if there is
-// none.
-func firstWithin(bound float64, list []*upstream) *upstream {
-	for _, u := range list {
-		if float64(u.load()) <= bound {
-			return u
+// firstInOrder returns the first two candidates within the bound by rendezvous hashing.
+// The order is the same on every router, and when an upstream joins or leaves, only the
+// prompts move that belong to it.
+func firstInOrder(bound float64, prompt uint64, found *candidates) (first, second *upstream) {
+	firstRank, secondRank := uint64(0), uint64(0)
+	mixed := protocol.Mix(prompt)
+	for at, key := range found.pool.keys {
+		r := protocol.Mix(key ^ mixed)
+		if second != nil && r <= secondRank {
+			continue
+		}
+		u := found.pool.ready[at]
+		if float64(u.load()) > bound || !found.has(u) {
+			continue
+		}
+		if first == nil || r > firstRank {
+			first, firstRank, second, secondRank = u, r, first, firstRank
+		} else {
+			second, secondRank = u, r
 		}
 	}
-	return nil
-}
-
-// rank returns an upstream's rank for a prompt in rendezvous hashing.
-func rank(key uint64, id protocol.UpstreamID) uint64 {
-	return mix(xxhash.Sum64String(string(id)) ^ mix(key))
-}
-
-// mix spreads the bits of a key (the finaliser of SplitMix64).
-func mix(key uint64) uint64 {
-	key ^= key >> 30
-	key *= 0xbf58476d1ce4e5b9
-	key ^= key >> 27
-	key *= 0x94d049bb133111eb
-	return key ^ key>>31
+	return first, second
 }
--- a/coordination/balance/record_test.go
+++ b/coordination/balance/record_test.go
@@ -42,7 +42,7 @@
 	for i := range prompts {
 		key := uint64(i) * 7919
 		choice := pickAnswered(b, now, seeded(), prompt(key))
-		for _, u := range reference.holdersOf(now, key, reference.services["s"]) {
+		for _, u := range holders(reference, now, key) {
 			if u.entry.ID == choice.ID {
 				cached++
 			}
--- a/coordination/balance/reliable.go
+++ b/coordination/balance/reliable.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
 
@@ -36,28 +37,36 @@
 	failureRate float64
 }
 
-// reliable returns the upstreams of a list that aren't much likelier to lose a request
-// than the best ones of the service, nil if there are none. Differences that may be
-// random don't count.
+// excludeUnreliable leaves out the candidates that are much likelier to lose a request
+// than the best upstreams of the service, unless none of the others is within the load
+// bound. Differences that may be random don't count. It returns how many it left out.
 //
 // It guards against engines, one or most of them, that lose a third or a tenth of their
 // answers for some seconds while their health checks pass. Requests that can't be retried
 // would be lost there although others would answer them; such requests were most of those
 // that were never answered. Requests that may be retried are sent elsewhere only at four
 // times that failure rate, and so keep measuring the upstream.
-func (b *Balancer) reliable(now time.Duration, r Request, list []*upstream) []*upstream {
-	maxExcess := maxExcessFailures
-	if !r.NoRetry {
-		maxExcess /= retryCost
+func (b *Balancer) excludeUnreliable(found *candidates, bound float64) int {
+	if found.pool.suspects == 0 {
+		return 0
+	}
+	found.bestRate = b.baselineOf(found.now, found.request.Service)
+	found.maxExcess = maxExcessFailures
+	if !found.request.NoRetry {
+		found.maxExcess /= retryCost
 	}
-	bestRate := b.baselineOf(now, r.Service)
-	var found []*upstream
-	for _, u := range list {
-		if u.excessFailureRate(now, bestRate) <= maxExcess {
-			found = append(found, u)
+	excluded := 0
+	for u := range b.suspects {
+		if u.pool == found.pool && u.entry.State == roster.Ready && found.has(u) && u.excessFailureRate(found.now, found.bestRate) > found.maxExcess {
+			excluded++
 		}
 	}
-	return found
+	found.reliableOnly = true
+	if found.anyWithin(bound) {
+		return excluded
+	}
+	found.reliableOnly = false
+	return 0
 }
 
 // IsOutlier reports whether an upstream is likelier to lose a request than the best ones
@@ -79,19 +88,24 @@
 	if found && now-cached.at < baselineTTL {
 		return cached.failureRate
 	}
-	rate := bestFailureRate(now, b.services[service])
+	rate := bestFailureRate(now, b.poolOf(service))
 	b.baselines[service] = baseline{at: now, failureRate: rate}
 	return rate
 }
 
-// bestFailureRate returns the failure rate of the best upstreams together.
-func bestFailureRate(now time.Duration, list []*upstream) float64 {
-	ordered := slices.Clone(list)
+// bestFailureRate returns the failure rate of the best upstreams together. Upstreams that
+// aren't suspects haven't failed lately.
+func bestFailureRate(now time.Duration, p *pool) float64 {
+	best := (len(p.all) + bestDivisor - 1) / bestDivisor
+	if len(p.all)-p.suspects >= best {
+		return 0
+	}
+	ordered := slices.Clone(p.all)
 	slices.SortStableFunc(ordered, func(x, y *upstream) int {
 		return cmp.Compare(x.health.failureRate(now, 0), y.health.failureRate(now, 0))
 	})
 	failed, all := 0.0, 0.0
-	for _, u := range ordered[:(len(ordered)+bestDivisor-1)/bestDivisor] {
+	for _, u := range ordered[:best] {
 		failed += u.health.failed
 		all += u.health.failed + u.health.served
 	}
--- a/coordination/roster/cold.go
+++ b/coordination/roster/cold.go
@@ -38,11 +38,8 @@
 	if known.StartedAt != e.StartedAt || known.State == Gone || known.ColdCount >= e.ColdCount {
 		return false
 	}
-	r.removeFromDigests(known.Entry)
 	known.ColdCount = e.ColdCount
-	r.addToDigests(known.Entry)
-	r.revision++
-	known.revision = r.revision
+	r.noteChange(known)
 	return true
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,23 +90,24 @@
 	return a == b
 }
 
+// maxUsualDigestText is the size of the text that an entry's digest is made from, unless
+// its names are unusually long.
+const maxUsualDigestText = 192
+
 // record is an entry with the bookkeeping of this process, which isn't sent to
 // others.
 type record struct {
 	Entry
 	// lastHeard is when this process last received anything about the upstream.
-	// lastAnnounced is when the upstream last announced itself to this process,
-	// if it ever did (everAnnounced).
+	// lastAnnounced is when the upstream last announced itself to this process.
 	lastHeard     time.Duration
 	lastAnnounced time.Duration
-	everAnnounced bool
 	// bucket is the bucket of the upstream's ID.
 	bucket int
+	// digest is the entry's digest if the upstream counts in the roster's digests, else 0.
+	digest uint64
 	// coldUntil is when the upstream's cold time ends.
 	coldUntil time.Duration
-	// revision is the value of Roster.revision at the entry's last change that
-	// matters to routers.
-	revision uint64
 }
 
 // Settings of a Roster.
@@ -135,7 +136,6 @@
 	records  map[protocol.UpstreamID]*record
 	// upstreamAt maps each address to the upstream that holds it.
 	upstreamAt map[string]protocol.UpstreamID
-	revision   uint64
 	// digest covers the upstreams that haven't left, and usable is their number.
 	// Both are updated with each change and not computed anew, because a thousand
 	// upstreams that announce themselves to a disk VM that has just started are a
@@ -144,6 +144,13 @@
 	usable int
 	// bucketDigests are the digests of the single buckets.
 	bucketDigests [bucketCount]uint64
+	changes       changeLog
+	// announced holds the upstreams that have announced themselves to this process.
+	announced map[protocol.UpstreamID]*record
+	// refreshedAt is when RefreshAll last found all upstreams listed.
+	refreshedAt time.Duration
+	// nextExpiry is a time before which no entry expires.
+	nextExpiry time.Duration
 }
 
 // emptyDigest is the digest of a roster without upstreams. It isn't 0, because a
@@ -156,6 +163,7 @@
 		settings:   settings,
 		records:    map[protocol.UpstreamID]*record{},
 		upstreamAt: map[string]protocol.UpstreamID{},
+		announced:  map[protocol.UpstreamID]*record{},
 		digest:     emptyDigest,
 	}
 }
@@ -165,7 +173,7 @@
 func (r *Roster) ForgetSilent() time.Duration { return r.settings.ForgetSilent }
 
 // Revision returns the number of changes so far that matter to routers.
-func (r *Roster) Revision() uint64 { return r.revision }
+func (r *Roster) Revision() uint64 { return r.changes.revision }
 
 // Digest returns a digest that differs between rosters that routers would use
 // differently. It leaves out upstreams that have left, because processes forget
@@ -175,35 +183,50 @@
 // Usable returns the number of upstreams that haven't left.
 func (r *Roster) Usable() int { return r.usable }
 
-// addToDigests adds an entry to the digests and to usable, unless the upstream has
-// left.
-func (r *Roster) addToDigests(e Entry) {
-	if e.State == Ready || e.State == Draining {
-		digest := entryDigest(e)
-		r.digest += digest
-		r.bucketDigests[bucketOf(e.ID)] += digest
-		r.usable++
+// updateDigests makes the digests and usable follow a record's entry.
+func (r *Roster) updateDigests(known *record) {
+	before := known.digest
+	known.digest = 0
+	if known.State == Ready || known.State == Draining {
+		known.digest = entryDigest(known.Entry)
 	}
+	r.digest += known.digest - before
+	r.bucketDigests[known.bucket] += known.digest - before
+	r.usable += listedCount(known.digest) - listedCount(before)
 }
 
-// removeFromDigests undoes addToDigests for an entry.
-func (r *Roster) removeFromDigests(e Entry) {
-	if e.State == Ready || e.State == Draining {
-		digest := entryDigest(e)
-		r.digest -= digest
-		r.bucketDigests[bucketOf(e.ID)] -= digest
-		r.usable--
+// listedCount returns 1 for the digest of an upstream that hasn't left, else 0.
+func listedCount(digest uint64) int {
+	if digest != 0 {
+		return 1
 	}
+	return 0
+}
+
+// noteChange records a change that matters to routers.
+func (r *Roster) noteChange(known *record) {
+	r.updateDigests(known)
+	r.changes.add(known.ID, len(r.records))
 }
 
 // entryDigest returns a digest of the fields that matter to routers, which are the
-// fields that sameToRouters compares.
+// fields that sameToRouters compares. It is never 0.
 func entryDigest(e Entry) uint64 {
-	text := fmt.Sprintf("%s\n%s\n%s\n%s\n%s\n%d %d %d", e.ID, e.Service, e.Address, e.DataCentre, e.Build, e.Slots, e.StartedAt, e.State)
+	text := make([]byte, 0, maxUsualDigestText)
+	for _, field := range [...]string{string(e.ID), string(e.Service), e.Address, string(e.DataCentre), e.Build} {
+		text = append(text, field...)
+		text = append(text, '\n')
+	}
+	text = strconv.AppendInt(text, int64(e.Slots), 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, e.StartedAt, 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(e.State), 10)
 	if e.ColdCount != 0 {
-		text += fmt.Sprintf(" %d", e.ColdCount)
+		text = append(text, ' ')
+		text = strconv.AppendUint(text, e.ColdCount, 10)
 	}
-	return xxhash.Sum64String(text)
+	return max(xxhash.Sum64(text), 1)
 }
 
 // RecordAnnouncement merges an announcement that the upstream itself sent to this
@@ -212,8 +235,7 @@
 	e = r.withColdCount(now, e)
 	changed := r.Merge(now, e)
 	if known := r.records[e.ID]; known != nil && known.StartedAt == e.StartedAt && known.Sequence == e.Sequence {
-		known.lastAnnounced = now
-		known.everAnnounced = true
+		r.noteAnnounced(now, known)
 	}
 	return changed
 }
@@ -230,11 +252,16 @@
 	}
 	known.Sequence = max(known.Sequence, e.Sequence)
 	known.lastHeard = now
-	known.lastAnnounced = now
-	known.everAnnounced = true
+	r.noteAnnounced(now, known)
 	return true
 }
 
+// noteAnnounced records that an upstream announced itself to this process.
+func (r *Roster) noteAnnounced(now time.Duration, known *record) {
+	known.lastAnnounced = now
+	r.announced[known.ID] = known
+}
+
 // Merge takes over an entry from an announcement or from another VM's roster if it
 // is newer than the known one. An entry whose address belongs to an upstream that
 // started later is stored as Gone. Merge reports whether anything changed that
@@ -268,16 +295,11 @@
 		known = &record{bucket: bucketOf(e.ID)}
 		r.records[e.ID] = known
 	}
-	if changed {
-		r.removeFromDigests(known.Entry)
-		r.addToDigests(e)
-	}
 	known.Entry = e
 	known.coldUntil = now + e.ColdFor
 	known.lastHeard = now
 	if changed {
-		r.revision++
-		known.revision = r.revision
+		r.noteChange(known)
 	}
 	if e.State != Gone {
 		r.claimAddress(e)
@@ -294,10 +316,9 @@
 	if before == nil || before.ID == e.ID || before.State == Gone || before.Address != e.Address {
 		return
 	}
-	r.removeFromDigests(before.Entry)
+	before.lastHeard = r.heardAt(before)
 	before.State = Gone
-	r.revision++
-	before.revision = r.revision
+	r.noteChange(before)
 }
 
 // Leave records that an upstream has sent that it leaves. startedAt and sequence
@@ -323,9 +344,9 @@
 	Content uint32 `msgpack:"c"`
 }
 
-// heartbeatOf returns the heartbeat for an entry.
-func heartbeatOf(e Entry) Heartbeat {
-	return Heartbeat{ID: e.ID, StartedAt: e.StartedAt, Sequence: e.Sequence, Content: uint32(entryDigest(e))}
+// heartbeat returns the heartbeat of an upstream that hasn't left.
+func (known *record) heartbeat() Heartbeat {
+	return Heartbeat{ID: known.ID, StartedAt: known.StartedAt, Sequence: known.Sequence, Content: uint32(known.digest)}
 }
 
 // Refresh records a heartbeat that another VM has received. It reports false if
@@ -345,7 +366,7 @@
 		return true
 	}
 	known.lastHeard = now
-	if heartbeatOf(known.Entry).Content != h.Content {
+	if known.heartbeat().Content != h.Content {
 		return false
 	}
 	known.Sequence = h.Sequence
@@ -356,12 +377,14 @@
 // a router keeps them. An upstream announces itself to a disk VM or to one router, so
 // most routers never hear from it and would otherwise drop it as silent. An upstream
 // that no disk VM lists any more is still dropped.
-func (r *Roster) RefreshAll(now time.Duration) {
-	for _, known := range r.records {
-		if known.State != Gone {
-			known.lastHeard = now
-		}
+func (r *Roster) RefreshAll(now time.Duration) { r.refreshedAt = now }
+
+// heardAt returns when this process last received anything about an upstream.
+func (r *Roster) heardAt(known *record) time.Duration {
+	if known.State == Gone {
+		return known.lastHeard
 	}
+	return max(known.lastHeard, r.refreshedAt)
 }
 
 // RefreshListed records that a disk VM lists the given upstreams.
@@ -379,32 +402,15 @@
 // they receive, five VMs would send each heartbeat twenty times instead of four.
 func (r *Roster) HeartbeatsSince(since time.Duration) []Heartbeat {
 	var heartbeats []Heartbeat
-	for _, known := range r.records {
-		if known.everAnnounced && known.lastAnnounced > since && known.State != Gone {
-			heartbeats = append(heartbeats, heartbeatOf(known.Entry))
+	for _, known := range r.announced {
+		if known.lastAnnounced > since && known.State != Gone {
+			heartbeats = append(heartbeats, known.heartbeat())
 		}
 	}
 	slices.SortFunc(heartbeats, func(a, b Heartbeat) int { return cmp.Compare(a.ID, b.ID) })
 	return heartbeats
 }
 
-// ChangedSince returns the entries that changed after the given revision, in the
-// order of their changes.
-func (r *Roster) ChangedSince(revision uint64) []Entry {
-	var changed []*record
-	for _, known := range r.records {
-		if known.revision > revision {
-			changed = append(changed, known)
-		}
-	}
-	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
-	entries := make([]Entry, 0, len(changed))
-	for _, known := range changed {
-		entries = append(entries, known.Entry)
-	}
-	return entries
-}
-
 // Entries returns all entries, sorted by ID.
 func (r *Roster) Entries() []Entry { return r.EntriesIn(AllBuckets) }
 
@@ -421,13 +427,16 @@
 // silent for ForgetSilent. It returns the upstreams removed for their silence.
 // Their removal isn't sent to other VMs, because each VM detects the silence itself.
 func (r *Roster) Expire(now time.Duration) []protocol.UpstreamID {
+	if now < r.nextExpiry {
+		return nil
+	}
+	// Entries that are added later expire later.
+	r.nextExpiry = now + min(r.settings.ForgetSilent, r.settings.ForgetGone)
 	var silent []protocol.UpstreamID
 	for id, known := range r.records {
-		keep := r.settings.ForgetSilent
-		if known.State == Gone {
-			keep = r.settings.ForgetGone
-		}
-		if now-known.lastHeard < keep {
+		expiry := r.heardAt(known) + r.keepFor(known)
+		if now < expiry {
+			r.nextExpiry = min(r.nextExpiry, expiry)
 			continue
 		}
 		if known.State != Gone {
@@ -439,10 +448,21 @@
 	return silent
 }
 
+// keepFor returns how long an entry is kept after this process last received anything
+// about it.
+func (r *Roster) keepFor(known *record) time.Duration {
+	if known.State == Gone {
+		return r.settings.ForgetGone
+	}
+	return r.settings.ForgetSilent
+}
+
 // forget removes an upstream and frees its address.
 func (r *Roster) forget(id protocol.UpstreamID, known *record) {
-	r.removeFromDigests(known.Entry)
+	known.State = Gone
+	r.noteChange(known)
 	delete(r.records, id)
+	delete(r.announced, id)
 	if r.upstreamAt[known.Address] == id {
 		delete(r.upstreamAt, known.Address)
 	}
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// changedSince returns the entries that changed after a revision.
+func changedSince(t *testing.T, r *Roster, revision uint64) []Entry {
+	t.Helper()
+	changed, complete := r.ChangedSince(revision)
+	assert.Assert(t, complete)
+	return changed
+}
+
+// heartbeatOf returns the heartbeat of an upstream with this entry.
+func heartbeatOf(e Entry) Heartbeat {
+	return (&record{Entry: e, digest: entryDigest(e)}).heartbeat()
+}
+
 func TestOnlyChangesThatMatterArePushed(t *testing.T) {
 	// 94 upstreams announce themselves every second. If each announcement were
 	// pushed to 87 routers, the disk VMs' links would be saturated.
@@ -195,11 +208,11 @@
 	r.Merge(now, ready("1", "a", 100, 1))
 	revision := r.Revision()
 	assert.Assert(t, !r.Merge(now, ready("1", "a", 100, 2)))
-	assert.Equal(t, len(r.ChangedSince(revision)), 0)
+	assert.Equal(t, len(changedSince(t, r, revision)), 0)
 	draining := ready("1", "a", 100, 3)
 	draining.State = Draining
 	assert.Assert(t, r.Merge(now, draining))
-	assert.Equal(t, len(r.ChangedSince(revision)), 1)
+	assert.Equal(t, len(changedSince(t, r, revision)), 1)
 }
 
 func TestSilentEntriesExpireBeforeTombstones(t *testing.T) {
@@ -264,7 +277,7 @@
 			}
 			recomputed := New(DefaultSettings())
 			for _, listed := range r.Entries() {
-				recomputed.addToDigests(listed)
+				recomputed.store(at, nil, listed)
 			}
 			assert.Equal(t, r.Digest(), recomputed.Digest(), "seed %d", seed)
 			assert.Equal(t, r.Usable(), recomputed.Usable(), "seed %d", seed)
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -95,11 +95,16 @@
 func (f *Fabric) Counts() peer.Counts { return f.mesh.Counts() }
 
 // Send queues a message. It never blocks, and the message may be lost.
-func (f *Fabric) Send(to protocol.RouterID, body any) {
-	kind := kindOf(body)
-	f.mesh.SetAddress(to, string(to))
-	if !f.mesh.Send(to, kind, encode(body), false) {
-		f.log.Debug().Str("event", "not-sent").Stringer("kind", kind).Str("to", string(to)).Send()
+func (f *Fabric) Send(to protocol.RouterID, body any) { f.SendEach([]protocol.RouterID{to}, body) }
+
+// SendEach queues a message for several processes, encoded once.
+func (f *Fabric) SendEach(to []protocol.RouterID, body any) {
+	kind, payload := kindOf(body), encode(body)
+	for _, id := range to {
+		f.mesh.SetAddress(id, string(id))
+		if !f.mesh.Send(id, kind, payload, false) {
+			f.log.Debug().Str("event", "not-sent").Stringer("kind", kind).Str("to", string(id)).Send()
+		}
 	}
 }
 
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -186,9 +186,7 @@
 	}
 	crash := crashes.Crash{Digest: digest, Upstream: upstream, Attempt: r.random.Uint64()}
 	r.recordCrash(r.now(), crash)
-	for _, other := range r.others {
-		r.fabric.Send(other, crash)
-	}
+	r.fabric.SendEach(r.others, crash)
 }
 
 // recordCrash counts a crash and logs if the request is quarantined for it. The lock is
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -258,7 +258,7 @@
 		r.fullReportSentAt = now
 	}
 	for _, message := range r.balancer.PendingReports(full) {
-		r.fabric.Send(message.To, message.Report)
+		r.fabric.SendEach(message.To, message.Report)
 	}
 	if full {
 		r.sendCacheHolders(now)
@@ -286,9 +286,16 @@
 	if r.roster.Revision() == r.rosterRevision {
 		return
 	}
+	before := r.rosterRevision
 	r.rosterRevision = r.roster.Revision()
 	now := r.now()
-	changed := r.balancer.SetRoster(r.roster.Entries())
+	entries, complete := r.roster.ChangedSince(before)
+	var changed []roster.Entry
+	if complete {
+		changed = r.balancer.ApplyEntries(entries)
+	} else {
+		changed = r.balancer.SetRoster(r.roster.Entries())
+	}
 	for _, e := range changed {
 		if e.State != roster.Ready {
 			r.pool.CloseIdle(e.Address)
--- a/standin/answer/answer.go
+++ b/standin/answer/answer.go
@@ -15,6 +15,7 @@
 import (
 	"strings"
 
+	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 )
 
@@ -50,7 +51,7 @@
 	}
 	tokens := request.MaxTokens
 	if tokens <= 0 {
-		tokens = minTokens + int(mix(seed)%spreadTokens)
+		tokens = minTokens + int(protocol.Mix(seed)%spreadTokens)
 	}
 	return Answer{seed: seed, tokens: tokens}
 }
@@ -60,7 +61,7 @@
 
 // Token returns token i, counted from 0, with its trailing space.
 func (a Answer) Token(i int) string {
-	bits := mix(a.seed + uint64(i+1)*0x9e3779b97f4a7c15)
+	bits := protocol.Mix(a.seed + uint64(i+1)*0x9e3779b97f4a7c15)
 	word := make([]byte, 0, 2*syllables+1)
 	for range syllables {
 		word = append(word, consonants[bits%16], vowels[bits/16%4])
@@ -83,12 +84,3 @@
 	}
 	return text.String()
 }
-
-// mix is the finalizer of splitmix64: every input bit affects every output bit.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
