A list of thousands of upstreams is packed a tenth of the time at most

Cause: a disk VM packed its whole list anew whenever the roster had changed since the last request, and encoded it for the disk every two seconds. Routers kept a list as long already, by a constant of half a second.

Ruled out: lists by smaller parts (of 64 parts nearly all differ within a second of such a start), no lists while many start (routers would know no upstream).

Change: a whole list is sent for a tenth of a millisecond an upstream after it was packed: 9 ms with 94, one second with 10,000, two with 20,000. Its digest says which state it has, and followers ask for what differs. An unchanged roster is encoded for the disk every six seconds and written every two, as before. Follower: what an unchanged other list names is noted every five seconds, not with each Status; names that entries share are kept once.

Before: no bound. After: at most ten times in ten seconds with 10,000 upstreams and five with 20,000 (TestAListThatChangesAllTheTimeIsPackedNowAndThen).

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -138,7 +138,7 @@
 // NewFollower returns a follower that knows only the seeds. It shares the roster with
 // the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
-	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, peerRequests: map[protocol.RouterID]peerRequest{}, lists: packedLists{wholeLifetime: wholeListLifetime}}
+	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, peerRequests: map[protocol.RouterID]peerRequest{}, lists: packedLists{minLifetime: minWholeListLifetime}}
 	f.SetSeeds(0, seeds)
 	return f
 }
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -68,6 +68,11 @@
 	return float64(f.roster.Usable()) >= minKnownShare*float64(most)
 }
 
+// listedRefreshInterval is how often a router notes that a disk VM whose list differs from
+// its own still lists the upstreams that it did. It is a fraction of the time after which
+// unlisted ones are removed.
+const listedRefreshInterval = 5 * time.Second
+
 // compareRoster compares a disk VM's roster with this follower's. For a router, every
 // upstream that a disk VM lists is alive.
 //
@@ -86,7 +91,8 @@
 	}
 	if same {
 		f.roster.RefreshAll(now)
-	} else if s.roster == s.merged {
+	} else if s.roster == s.merged && now-s.refreshedAt >= listedRefreshInterval {
+		s.refreshedAt = now
 		f.roster.RefreshListed(now, s.listed)
 	}
 }
@@ -154,10 +160,12 @@
 	}
 	s := f.heardFrom(now, from)
 	s.roster, s.merged = l.Digest, l.Digest
+	s.refreshedAt = now
 	s.listed = f.namesOutside(l.Buckets)
 	for _, e := range entries {
-		if e.State != roster.Gone {
-			s.listed = append(s.listed, e.ID)
+		if known, any := f.roster.Entry(e.ID); any && e.State != roster.Gone {
+			// The roster's copy of the ID, so that the list's can be freed.
+			s.listed = append(s.listed, known.ID)
 		}
 	}
 	f.compareRoster(now, s)
--- a/coordination/control/lists_test.go
+++ b/coordination/control/lists_test.go
@@ -166,7 +166,7 @@
 // Guards against packing a growing list again for each router that asks.
 func TestAWholeListIsPackedSeldomWhileItGrows(t *testing.T) {
 	r := roster.New(roster.DefaultSettings())
-	lists := &packedLists{wholeLifetime: wholeListLifetime}
+	lists := &packedLists{minLifetime: minWholeListLifetime}
 	packed := map[uint64]bool{}
 	for i := range 200 {
 		at := time.Duration(i) * 10 * time.Millisecond
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -92,26 +92,52 @@
 	}
 	var entries []roster.Entry
 	err = codec.Unmarshal(data, &entries)
+	shareNames(entries)
 	return entries, err
 }
 
-// wholeListLifetime is how long after packing the whole list a router goes on sending it
-// although its roster has changed. Packing thousands of upstreams takes long on a busy
-// processor. The list's digest says which state it contains, and the receiver finds later changes like
-// any other difference. Disk VMs always send the newest list, or followers would ask
-// them again.
-const wholeListLifetime = 500 * time.Millisecond
+// shareNames makes entries share one copy of each name that most of them have in common.
+func shareNames(entries []roster.Entry) {
+	services := map[protocol.Service]protocol.Service{}
+	dataCentres := map[protocol.DataCentre]protocol.DataCentre{}
+	builds := map[string]string{}
+	for i := range entries {
+		e := &entries[i]
+		e.Service = shared(services, e.Service)
+		e.DataCentre = shared(dataCentres, e.DataCentre)
+		e.Build = shared(builds, e.Build)
+	}
+}
+
+// shared returns the first copy of a name.
+func shared[T comparable](known map[T]T, name T) T {
+	first, found := known[name]
+	if !found {
+		known[name] = name
+		return name
+	}
+	return first
+}
+
+const (
+	// minWholeListLifetime is how long after packing the whole list a router goes on
+	// sending it although its roster has changed. The list's digest says which state it
+	// contains, and the receiver finds later changes like any other difference.
+	minWholeListLifetime = 500 * time.Millisecond
+	// packCost is the same for each entry, on any process. Packing thousands of upstreams
+	// takes long on a busy processor, so it may take at most a tenth of the time.
+	packCost = 100 * time.Microsecond
+)
 
 // packedLists holds the packed lists of one state of a roster, each packed once, because
 // a whole fleet asks for the same parts at about the same time. The whole list is kept
 // for a while longer.
 //
-// When three thousand upstreams and three hundred routers start together, each router
-// asks another one seven times a second. The list changes between any two requests, and
-// routers would pack it over and over.
+// When ten thousand upstreams and a thousand routers start together, the list changes
+// between any two requests, and processes would pack it over and over.
 type packedLists struct {
-	// wholeLifetime is how long after its packing an outdated whole list is sent.
-	wholeLifetime time.Duration
+	// minLifetime is how long after its packing an outdated whole list is sent at least.
+	minLifetime time.Duration
 	// digest is the digest of the roster that byPart was made from.
 	digest  uint64
 	byPart  map[roster.Buckets]List
@@ -119,6 +145,11 @@
 	wholeAt time.Duration
 }
 
+// wholeLifetime returns how long after its packing an outdated whole list is sent.
+func (p *packedLists) wholeLifetime(r *roster.Roster) time.Duration {
+	return max(p.minLifetime, time.Duration(r.Usable())*packCost)
+}
+
 // packed returns the list with some parts of a roster.
 func (p *packedLists) packed(now time.Duration, r *roster.Roster, buckets roster.Buckets) List {
 	if buckets == roster.AllBuckets {
@@ -139,7 +170,7 @@
 // packedWhole returns the list with the whole roster as it is, or as it was up to
 // wholeLifetime ago.
 func (p *packedLists) packedWhole(now time.Duration, r *roster.Roster) List {
-	if p.whole.Packed == nil || p.whole.Digest != r.Digest() && now-p.wholeAt >= p.wholeLifetime {
+	if p.whole.Packed == nil || p.whole.Digest != r.Digest() && now-p.wholeAt >= p.wholeLifetime(r) {
 		p.whole = packList(now, r, roster.AllBuckets)
 		p.wholeAt = now
 	}
--- a/coordination/control/size_test.go
+++ b/coordination/control/size_test.go
@@ -80,3 +80,24 @@
 	listed, _ = f.Routers(at)
 	assert.Equal(t, len(listed), 51, "only the list of the live disk VM counts")
 }
+
+// Guards against a disk VM that packs its list of ten thousand upstreams for each request
+// while they start, and does nothing else.
+func TestAListThatChangesAllTheTimeIsPackedNowAndThen(t *testing.T) {
+	for _, upstreams := range []int{1_000, 10_000, 20_000} {
+		list := roster.New(roster.DefaultSettings())
+		for i := range upstreams {
+			list.RecordAnnouncement(0, startOf(i, 1))
+		}
+		lists := packedLists{}
+		packed := map[uint64]bool{}
+		const played = 10 * time.Second
+		for i := range int(played / (10 * time.Millisecond)) {
+			now := time.Duration(i) * 10 * time.Millisecond
+			list.RecordAnnouncement(now, startOf(i, 2))
+			packed[lists.packed(now, list, roster.AllBuckets).Digest] = true
+		}
+		most := int(played/(time.Duration(upstreams)*packCost)) + 1
+		assert.Assert(t, len(packed) <= most, "packed %d times with %d upstreams", len(packed), upstreams)
+	}
+}
--- a/daemon/diskvm/savedstate.go
+++ b/daemon/diskvm/savedstate.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// saveInterval is how often the roster and the cache holders are saved. After a loss
-	// of power they are as old as the outage, plus at most this interval.
+	// saveInterval is how often a changed roster and the cache holders are saved. After a
+	// loss of power they are as old as the outage, plus at most this interval.
 	saveInterval = 2 * time.Second
+	// encodeInterval is how often a roster that hasn't changed is encoded again, because
+	// the upstreams in it get less cold. Encoding ten thousand takes long.
+	encodeInterval = 6 * time.Second
 	// rosterMaxAge is how old a saved roster may be. Requests to upstreams that have gone
 	// since then fail and cost some milliseconds each. A roster of a minute ago is worth
 	// less than waiting a second for the upstreams' announcements.
@@ -53,6 +56,10 @@
 	roster, table, cacheHolders *savedFile
 	// queuedAt is when the roster and the cache holders were last queued for writing.
 	queuedAt time.Duration
+	// encoded is the roster with encodedDigest, as it was encoded at encodedAt.
+	encoded       []byte
+	encodedDigest uint64
+	encodedAt     time.Duration
 }
 
 // savedFile is one file and the content to write to it next.
@@ -189,10 +196,20 @@
 		return
 	}
 	vm.saved.queuedAt = now
-	vm.saved.roster.queue(codec.Marshal(vm.roster.Aged(now, vm.roster.Entries())))
+	vm.saved.roster.queue(vm.encodedRoster(now))
 	vm.saved.cacheHolders.queue(codec.MarshalArrays(vm.publisher.CacheHolders().Entries(now)))
 }
 
+// encodedRoster returns the content of the roster's file.
+func (vm *VM) encodedRoster(now time.Duration) []byte {
+	digest := vm.roster.Digest()
+	if digest != vm.saved.encodedDigest || now-vm.saved.encodedAt >= encodeInterval {
+		vm.saved.encoded = codec.Marshal(vm.roster.Aged(now, vm.roster.Entries()))
+		vm.saved.encodedDigest, vm.saved.encodedAt = digest, now
+	}
+	return vm.saved.encoded
+}
+
 // saveTable queues the table in force, nil if there is none, for writing with the
 // evacuations.
 func (vm *VM) saveTable(d *document.Document) {
