A release costs a disk VM as many messages in a fleet of any size

Cause: a disk VM sent each change to every router within 50 ms while its link had room, and links of 300 Mbit/s always have. Ten disk VMs before a release of 89 upstreams a second get nine each: 7,000 messages a second and as many acknowledgements for 984 routers, and each router takes 89. Each Watch also went through all followers, and five times a second a VM sorted, packed and compressed the names of all processes although they hadn't changed.

Ruled out: a smaller share of the link (bytes aren't what is scarce), relays alone (a change would wait for them in small fleets too).

Change: messages to everyone have a budget of 2,000 a second beside the link's; what is beyond goes to the relays, which pass changes on every 150 ms at most. Upstreams that leave are gathered for 0.1 ms a follower, others for 0.5 ms; fleets too small for relays gather nothing. Names are packed after a change of the followers only, the sorted followers are kept, announcements rank listeners by hashes made before.

--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -24,6 +24,8 @@
 // listeners are the addresses of the routers of a data centre that take heartbeats.
 type listeners struct {
 	addresses []string
+	// hashes are the hashes of the addresses.
+	hashes []uint64
 	// at is when they were collected.
 	at time.Duration
 }
@@ -45,9 +47,11 @@
 	if e.State != roster.Ready || p.roster.Usable() < announceToRoutersFrom {
 		return ""
 	}
+	listeners := p.listenersIn(now, e.DataCentre)
+	hash := xxhash.Sum64String(string(e.ID))
 	best, at := uint64(0), ""
-	for _, address := range p.listenersIn(now, e.DataCentre) {
-		if weight := xxhash.Sum64String(address + string(e.ID)); at == "" || weight > best {
+	for i, address := range listeners.addresses {
+		if weight := protocol.Mix(listeners.hashes[i] ^ hash); at == "" || weight > best {
 			best, at = weight, address
 		}
 	}
@@ -56,18 +60,19 @@
 
 // listenersIn returns the routers of a data centre that take heartbeats. The result is
 // reused for packedLifetime, because hundreds of upstreams ask each second.
-func (p *Publisher) listenersIn(now time.Duration, in protocol.DataCentre) []string {
+func (p *Publisher) listenersIn(now time.Duration, in protocol.DataCentre) *listeners {
 	if known := p.listeners[in]; known != nil && now-known.at < packedLifetime {
-		return known.addresses
+		return known
 	}
 	found := &listeners{at: now}
 	for _, r := range p.Routers(now) {
 		if address := p.followers[r.ID].watch.AnnounceAddress; r.DataCentre == in && address != "" {
 			found.addresses = append(found.addresses, address)
+			found.hashes = append(found.hashes, xxhash.Sum64String(address))
 		}
 	}
 	p.listeners[in] = found
-	return found.addresses
+	return found
 }
 
 // SetAnnounceAddress sets the address where this router takes heartbeats of the
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -125,7 +125,8 @@
 	f.heardFrom(now, from)
 	messages := []Message{{To: from, Body: ChangesAck{Number: c.Number}}}
 	if f.relay != nil && c.PassOn {
-		messages = append(messages, f.relay.PassOnChanges(c)...)
+		f.relay.PassOnChanges(entries)
+		messages = append(messages, f.relay.dueChanges(now)...)
 	}
 	return messages
 }
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -75,11 +76,18 @@
 type Publisher struct {
 	roster    *roster.Roster
 	followers map[protocol.RouterID]*follower
-	diskVMs   []protocol.RouterID
-	// fleet is the list of processes as it was at fleetAt.
-	fleet   Fleet
-	fleetAt time.Duration
-	lists   packedLists
+	// sorted are the IDs of the followers, sorted, nil if they have to be sorted again.
+	// The followers were last looked through for those that are gone at expiredAt.
+	sorted    []protocol.RouterID
+	expiredAt time.Duration
+	// routersRevision counts the changes of the list of routers that follow.
+	routersRevision uint64
+	diskVMs         []protocol.RouterID
+	// fleet is the list of processes that was packed at fleetAt, as of fleetRevision.
+	fleet         Fleet
+	fleetAt       time.Duration
+	fleetRevision uint64
+	lists         packedLists
 	// listeners are the routers that take heartbeats of upstreams, by data centre.
 	listeners map[protocol.DataCentre]*listeners
 	inForce   *document.Document
@@ -95,15 +103,17 @@
 	// previous are the tables that were in force before, newest first.
 	previous []*document.Document
 	// changed are the upstreams whose change has to be sent to the followers.
-	changed []protocol.UpstreamID
+	changed changedUpstreams
 	// link counts everything that this VM sends. bulk limits the part of it that tables
 	// and lists use, and waiting holds the requests that wait for capacity.
 	link      tokenBucket
 	bulk      tokenBucket
 	waiting   []request
 	referrals referrals
-	// pushes limits the part of the link that changes of upstreams use.
-	pushes tokenBucket
+	// pushes limits the part of the link that changes of upstreams use, and pushMessages
+	// the messages that carry them to everyone.
+	pushes       tokenBucket
+	pushMessages tokenBucket
 	// holders records the engines that hold prompt prefixes in their caches, for routers
 	// that start.
 	holders  *balance.CacheHolderRecord
@@ -123,6 +133,7 @@
 		link:         newTokenBucket(linkShare*rate, linkBurst.Seconds()*rate),
 		bulk:         newTokenBucket(bulkShare*rate, bulkBurst),
 		pushes:       newTokenBucket(pushShare*rate, pushShare*rate),
+		pushMessages: newTokenBucket(maxPushMessages, maxPushMessages),
 		holders:      balance.NewCacheHolderRecord(),
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
@@ -201,18 +212,30 @@
 	return p.inForce.Version
 }
 
+// expireInterval is how often followers are looked through for those that are gone.
+const expireInterval = 50 * time.Millisecond
+
 // alive returns the followers that are alive, sorted by ID, and drops the others.
 func (p *Publisher) alive(now time.Duration) []protocol.RouterID {
-	var ids []protocol.RouterID
+	if now-p.expiredAt >= expireInterval {
+		p.expiredAt = now
+		p.dropSilent(now)
+	}
+	if p.sorted == nil {
+		p.sorted = slices.Sorted(maps.Keys(p.followers))
+	}
+	return p.sorted
+}
+
+// dropSilent drops the followers that are no longer alive.
+func (p *Publisher) dropSilent(now time.Duration) {
 	for id, f := range p.followers {
 		if now-f.at > followerLifetime {
 			delete(p.followers, id)
-			continue
+			p.sorted = nil
+			p.routersRevision++
 		}
-		ids = append(ids, id)
 	}
-	slices.Sort(ids)
-	return ids
 }
 
 // Routers returns the routers that follow, sorted by ID.
@@ -232,6 +255,11 @@
 	if known == nil {
 		known = &follower{since: now}
 		p.followers[from] = known
+		p.sorted = nil
+		p.routersRevision++
+	}
+	if known.watch.Router != w.Router || known.watch.DataCentre != w.DataCentre {
+		p.routersRevision++
 	}
 	known.watch = w
 	known.at = now
@@ -292,9 +320,10 @@
 	if f.everListed && now-f.listed < interval {
 		return status
 	}
-	if p.fleet.Packed == nil || now-p.fleetAt >= packedLifetime {
+	p.alive(now)
+	if p.fleet.Packed == nil || p.fleetRevision != p.routersRevision && now-p.fleetAt >= packedLifetime {
 		p.fleet = packFleet(p.diskVMs, p.Routers(now))
-		p.fleetAt = now
+		p.fleetAt, p.fleetRevision = now, p.routersRevision
 	}
 	if p.fleet.Digest != f.watch.Fleet && p.admit(now, requestList, len(p.fleet.Packed)) {
 		status.Fleet = &p.fleet
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -83,14 +83,31 @@
 	}
 }
 
-// NoteChange records that this VM itself received a change of an upstream. PushChanges
-// sends it to the followers.
-func (p *Publisher) NoteChange(id protocol.UpstreamID) {
-	if !slices.Contains(p.changed, id) {
-		p.changed = append(p.changed, id)
+// changedUpstreams are the upstreams whose changes have to be sent to the followers.
+type changedUpstreams struct {
+	// ids are in the order of their first change, and known holds the same.
+	ids   []protocol.UpstreamID
+	known map[protocol.UpstreamID]bool
+	// leftAt is when leaving upstreams were last sent, and startedAt when others were.
+	leftAt, startedAt time.Duration
+}
+
+// add adds an upstream.
+func (c *changedUpstreams) add(id protocol.UpstreamID) {
+	if c.known[id] {
+		return
+	}
+	if c.known == nil {
+		c.known = map[protocol.UpstreamID]bool{}
 	}
+	c.known[id] = true
+	c.ids = append(c.ids, id)
 }
 
+// NoteChange records that this VM itself received a change of an upstream. PushChanges
+// sends it to the followers.
+func (p *Publisher) NoteChange(id protocol.UpstreamID) { p.changed.add(id) }
+
 // PushChanges sends the followers the changes that this VM received from upstreams,
 // those of leaving upstreams first, and sends unacknowledged ones again.
 //
@@ -108,26 +125,62 @@
 // the router would send to an upstream that has said it leaves until a comparison of
 // rosters shows the difference, a second or more later.
 func (p *Publisher) PushChanges(now time.Duration) []Message {
-	leaving, others := p.takeChanged()
+	leaving, others := p.takeChanged(now)
 	messages := p.push(now, leaving)
 	messages = append(messages, p.push(now, others)...)
 	return append(messages, p.resend(now)...)
 }
 
-// takeChanged returns the changed upstreams, in two lists: those that leave, and the
-// others.
-func (p *Publisher) takeChanged() (leaving, others []protocol.UpstreamID) {
-	for _, id := range p.changed {
+const (
+	// leavingPace and startingPace are the minimum times between two messages with
+	// changes to all followers, for each follower: upstreams that leave, and others.
+	// Changes are gathered meanwhile, so that a release of thousands of upstreams costs a
+	// disk VM and a router as many messages a second in a fleet of any size. A new
+	// upstream can wait; one that leaves must be known within two seconds.
+	leavingPace  = 100 * time.Microsecond
+	startingPace = 500 * time.Microsecond
+	// maxPushMessages is the number of messages a second with which changes go to
+	// everyone. A message costs more processor time than its bytes cost of a link.
+	maxPushMessages = 2000
+)
+
+// takeChanged returns the changed upstreams that are due, in two lists: those that leave,
+// and the others.
+func (p *Publisher) takeChanged(now time.Duration) (leaving, others []protocol.UpstreamID) {
+	if len(p.changed.ids) == 0 {
+		return nil, nil
+	}
+	for _, id := range p.changed.ids {
 		if e, known := p.roster.Entry(id); known && e.State != roster.Ready {
 			leaving = append(leaving, id)
 		} else {
 			others = append(others, id)
 		}
 	}
-	p.changed = nil
+	before := p.changed
+	p.changed = changedUpstreams{leftAt: before.leftAt, startedAt: before.startedAt}
+	leaving = p.due(now, leaving, &p.changed.leftAt, leavingPace)
+	others = p.due(now, others, &p.changed.startedAt, startingPace)
 	return leaving, others
 }
 
+// due returns changes if the last ones of their kind were sent long enough ago, and keeps
+// them otherwise. In a fleet too small for relays none wait.
+func (p *Publisher) due(now time.Duration, ids []protocol.UpstreamID, sentAt *time.Duration, pace time.Duration) []protocol.UpstreamID {
+	if len(ids) == 0 {
+		return nil
+	}
+	followers := len(p.followers)
+	if followers >= relayMinRouters && now-*sentAt < time.Duration(followers)*pace {
+		for _, id := range ids {
+			p.changed.add(id)
+		}
+		return nil
+	}
+	*sentAt = now
+	return ids
+}
+
 // push sends changes to as many followers as the link has capacity for.
 func (p *Publisher) push(now time.Duration, ids []protocol.UpstreamID) []Message {
 	if len(ids) == 0 {
@@ -139,7 +192,7 @@
 	audience := p.audience(now, alive)
 	lowest := everyone
 	switch {
-	case p.admitPush(now, size*audience[everyone]):
+	case p.pushMessages.takeWithoutDebt(now, audience[everyone]) && p.admitPush(now, size*audience[everyone]):
 	case p.admitPush(now, size*audience[relaysAndDiskVMs]):
 		lowest = relaysAndDiskVMs
 		changes.PassOn = true
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -10,6 +10,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/document"
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
 
@@ -57,6 +58,10 @@
 	parent    protocol.RouterID
 	// relays are all routers that relay to others, of all data centres.
 	relays []Router
+	// changes are those of upstreams that wait to be passed on, and changesSentAt is when
+	// others last were.
+	changes       []roster.Entry
+	changesSentAt time.Duration
 	// bulk limits the bytes of relayed messages.
 	bulk tokenBucket
 	// queue holds messages that wait for capacity on the link, and lowPriority those
@@ -157,11 +162,29 @@
 	return routers
 }
 
-// PassOnChanges returns a disk VM's changes of upstreams as messages to the receivers.
-func (r *Relay) PassOnChanges(c Changes) []Message {
+// passOnInterval is the minimum time between two messages with changes of upstreams to a
+// receiver. Ten disk VMs may each send a relay changes many times a second.
+const passOnInterval = 150 * time.Millisecond
+
+// PassOnChanges takes a disk VM's changes of upstreams for the receivers. Due sends them.
+func (r *Relay) PassOnChanges(entries []roster.Entry) {
+	if len(r.receivers) > 0 {
+		r.changes = append(r.changes, entries...)
+	}
+}
+
+// dueChanges returns the changes of upstreams as messages to the receivers, if the last
+// ones were sent passOnInterval ago.
+func (r *Relay) dueChanges(now time.Duration) []Message {
+	if len(r.changes) == 0 || now-r.changesSentAt < passOnInterval {
+		return nil
+	}
+	r.changesSentAt = now
+	body := newChanges(r.changes)
+	r.changes = nil
 	var messages []Message
 	for _, id := range r.receivers {
-		messages = append(messages, Message{To: id, Body: Changes{Entries: c.Entries, Packed: c.Packed}})
+		messages = append(messages, Message{To: id, Body: body})
 	}
 	return messages
 }
@@ -196,7 +219,7 @@
 
 // Due returns the messages that the link has capacity for now.
 func (r *Relay) Due(now time.Duration) []Message {
-	messages := r.dequeue(now, &r.queue)
+	messages := append(r.dueChanges(now), r.dequeue(now, &r.queue)...)
 	if len(r.queue) > 0 {
 		return messages
 	}
--- a/coordination/control/startup_test.go
+++ b/coordination/control/startup_test.go
@@ -20,6 +20,7 @@
 // startSim is a fleet that starts for the first time, with all its upstreams, and is
 // given its first table. All bytes take their time on the links of both ends.
 type startSim struct {
+	startConfig
 	now       time.Duration
 	random    *rand.Rand
 	vms       []*process
@@ -47,8 +48,10 @@
 	// out and in are when the link is free again in each direction.
 	out, in time.Duration
 	// sent and taken count the bytes that it sent and received.
-	sent     int
-	taken    int
+	sent  int
+	taken int
+	// busy is the processor time that it has used on this machine.
+	busy     time.Duration
 	startAt  time.Duration
 	vm       *vm
 	follower *testRouter
@@ -99,8 +102,10 @@
 
 // startConfig is the size of a fleet that starts.
 type startConfig struct {
-	routers, upstreams     int
-	diskVMRate, routerRate float64
+	routers, upstreams, diskVMs int
+	diskVMRate, routerRate      float64
+	// interval is the time between two announcements of an upstream.
+	interval time.Duration
 }
 
 // Bytes of an announcement on the wire, with packet headers.
@@ -109,8 +114,7 @@
 	requestBytes = 560
 	answerBytes  = 300
 	// callTimeout is how long an upstream waits for an answer.
-	callTimeout      = time.Second
-	announceInterval = 1200 * time.Millisecond
+	callTimeout = time.Second
 	// tableBytes is the size of the operator's request with a table.
 	tableBytes = 60_000
 	// heartbeatBytes and heartbeatInterval describe the heartbeats of consensus.
@@ -145,9 +149,9 @@
 
 // start builds the fleet.
 func (s startConfig) start() *startSim {
-	w := &startSim{random: rand.New(rand.NewPCG(5, 6)), byID: map[protocol.RouterID]*process{}, byAddress: map[string]*process{}}
+	w := &startSim{startConfig: s, random: rand.New(rand.NewPCG(5, 6)), byID: map[protocol.RouterID]*process{}, byAddress: map[string]*process{}}
 	var ids []protocol.RouterID
-	for i := range 5 {
+	for i := range s.diskVMs {
 		ids = append(ids, protocol.RouterID(fmt.Sprintf("10.%d.0.81:7400", i+1)))
 	}
 	for _, id := range ids {
@@ -239,7 +243,7 @@
 	if to := w.byAddress[next]; to != nil && to != u.at {
 		u.at, u.connected = to, false
 	}
-	w.after(max(0, c.began+announceInterval-w.now), func() { w.announce(u) })
+	w.after(max(0, c.began+w.interval-w.now), func() { w.announce(u) })
 }
 
 // answer sends the answer to a call.
@@ -249,6 +253,7 @@
 
 // handleAnnouncement processes an announcement at a disk VM or a router.
 func (w *startSim) handleAnnouncement(v *process, c *call) {
+	defer v.work()()
 	e := c.from.entry
 	if v.vm != nil {
 		if v.vm.roster.RecordAnnouncement(w.now, e) {
@@ -273,8 +278,16 @@
 	}
 }
 
+// work begins to count the processor time of a process, and returns the function that ends
+// that.
+func (p *process) work() func() {
+	began := time.Now()
+	return func() { p.busy += time.Since(began) }
+}
+
 // tick does what is due on a process.
 func (w *startSim) tick(v *process) {
+	defer v.work()()
 	defer w.after(tick, func() { w.tick(v) })
 	w.send(v, v.follower.Tick(w.now))
 	if v.vm != nil {
@@ -295,6 +308,7 @@
 
 // take delivers a message.
 func (w *startSim) take(v, from *process, body any) {
+	defer v.work()()
 	f := v.follower
 	switch m := body.(type) {
 	case Watch:
@@ -392,7 +406,10 @@
 		scale = 1
 	}
 	link := func(mbps float64) float64 { return mbps * 1e6 / bitsPerByte / scale }
-	return startConfig{routers: int(300 / scale), upstreams: int(3003 / scale), diskVMRate: link(mbps), routerRate: link(10)}
+	return startConfig{
+		routers: int(300 / scale), upstreams: int(3003 / scale), diskVMs: 5,
+		diskVMRate: link(mbps), routerRate: link(10), interval: 1200 * time.Millisecond,
+	}
 }
 
 const (
@@ -418,3 +435,46 @@
 		assert.Assert(t, w.failed <= w.calls/100, "%d of %d announcements weren't answered in time", w.failed, w.calls)
 	}
 }
+
+// wholeFleet simulates a fleet of a thousand routers, for looking at its costs.
+var wholeFleet = flag.Bool("starting.whole", false, "simulate 984 routers, 10 disk VMs and 10,000 upstreams, and print their costs")
+
+func TestStartOfAWholeFleet(t *testing.T) {
+	if !*wholeFleet {
+		t.Skip("looks at costs; -starting.whole")
+	}
+	const bitsPerByte = 8
+	w := startConfig{
+		routers: 984, upstreams: 10_000, diskVMs: 10,
+		diskVMRate: 300e6 / bitsPerByte, routerRate: 10e6 / bitsPerByte, interval: 3 * time.Second,
+	}.start()
+	for w.now < 16*time.Second {
+		before := w.now
+		w.run(w.now + 2*time.Second)
+		fmt.Printf("%s: %d calls, %d failed, accepted %s\n", w.now, w.calls, w.failed, w.acceptedAt)
+		printCosts("disk VMs", w.vms, w.now-before)
+		printCosts("routers", w.routers, w.now-before)
+	}
+}
+
+// printCosts prints what processes used since it was last called, per second.
+func printCosts(name string, processes []*process, span time.Duration) {
+	var busy, most time.Duration
+	sent, mostSent, tables, lists := 0, 0, 0, 0
+	for _, p := range processes {
+		busy += p.busy
+		most = max(most, p.busy)
+		sent += p.sent
+		mostSent = max(mostSent, p.sent)
+		if p.tableAt > 0 {
+			tables++
+		}
+		if p.upstreamsAt > 0 {
+			lists++
+		}
+		p.busy, p.sent = 0, 0
+	}
+	seconds := span.Seconds() * float64(len(processes))
+	fmt.Printf("  %s: %.4f cores, busiest %.4f; %.1f KB/s, most %.1f; %d tables, %d lists\n", name, busy.Seconds()/seconds, most.Seconds()/span.Seconds(),
+		float64(sent)/1000/seconds, float64(mostSent)/1000/span.Seconds(), tables, lists)
+}
