--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -179,8 +179,8 @@
 	return router.New(router.Options{
 		Settings: settings, Tracer: tracer, Dialect: platform.Dialect{}, Log: logs.log, RequestLog: logs.requests, Random: random,
 		ParseTable: func(_ uint64, body []byte) (*routing.Table, error) { return platform.ReadTable(body) },
-		AnnouncementHandler: func(confirm func(context.Context, roster.Entry) bool) http.Handler {
-			return platform.NewAnnouncementHandler(confirm, logs.log)
+		AnnouncementHandler: func(confirm func(context.Context, roster.Entry) bool, countRefused func()) http.Handler {
+			return platform.NewAnnouncementHandler(confirm, countRefused, logs.log)
 		},
 	})
 }
--- a/daemon/diskvm/metrics.go
+++ b/daemon/diskvm/metrics.go
@@ -11,7 +11,12 @@
 )
 
 // metricLabels maps a metric's name to the label whose value follows the dot.
-var metricLabels = map[string]string{"table_puts_total": "outcome", "evacuation_orders_total": "outcome"}
+var metricLabels = map[string]string{
+	"table_puts_total":         "outcome",
+	"evacuation_orders_total":  "outcome",
+	"peer_bytes_sent_total":    "kind",
+	"peer_messages_sent_total": "kind",
+}
 
 // countPut counts an operator's put by its outcome.
 func (vm *VM) countPut(outcome string) {
@@ -23,6 +28,11 @@
 	metrics.GetOrRegisterCounter("evacuation_orders_total."+outcome, vm.registry).Inc(1)
 }
 
+// CountRefusedAnnouncement counts a body that can't be an upstream's announcement.
+func (vm *VM) CountRefusedAnnouncement() {
+	metrics.GetOrRegisterCounter("announcements_refused_total", vm.registry).Inc(1)
+}
+
 // ServeMetrics writes all metrics as text.
 func (vm *VM) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
 	vm.updateGauges()
@@ -50,7 +60,7 @@
 		set("table_version", int64(inForce.Version))
 		set("table_bytes", int64(len(inForce.Body)))
 	}
-	set("peer_connections_stalled_total", int64(vm.fabric.Counts().Stalled))
+	vm.fabric.SetGauges(set)
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	now := vm.now()
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -94,6 +94,17 @@
 // Counts returns the totals of the connections.
 func (f *Fabric) Counts() peer.Counts { return f.mesh.Counts() }
 
+// SetGauges sets the gauges of the connections, with those of each kind of message that was
+// sent. Answers to callers aren't among them.
+func (f *Fabric) SetGauges(set func(name string, value int64)) {
+	counts := f.Counts()
+	set("peer_connections_stalled_total", int64(counts.Stalled))
+	for kind, sent := range counts.BytesSent {
+		set("peer_bytes_sent_total."+kind.String(), int64(sent))
+		set("peer_messages_sent_total."+kind.String(), int64(counts.FramesSent[kind]))
+	}
+}
+
 // Send queues a message. It never blocks, and the message may be lost.
 func (f *Fabric) Send(to protocol.RouterID, body any) { f.SendEach([]protocol.RouterID{to}, body) }
 
--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -23,6 +23,9 @@
 	"refused_total":  "reason",
 	"attempts_total": "result",
 	"answers_total":  "status",
+
+	"peer_bytes_sent_total":    "kind",
+	"peer_messages_sent_total": "kind",
 }
 
 // instruments are the metrics of callers' requests. docs/METRICS.md lists their names.
@@ -89,10 +92,12 @@
 	}
 }
 
+// countRefusedAnnouncement counts a body that can't be an upstream's announcement.
+func (r *Router) countRefusedAnnouncement() { r.metrics.count("announcements_refused_total") }
+
 // updateGauges sets the gauges to their current values.
 func (r *Router) updateGauges() {
 	dialed, reused := r.pool.Counts()
-	counts := r.fabric.Counts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.metrics.set("ready", gaugeValue(r.ready()))
@@ -103,7 +108,7 @@
 	r.metrics.set("requests_in_flight", int64(r.handler.Active()))
 	r.metrics.set("upstream_connections_made_total", int64(dialed))
 	r.metrics.set("upstream_connections_reused_total", int64(reused))
-	r.metrics.set("peer_connections_stalled_total", int64(counts.Stalled))
+	r.fabric.SetGauges(r.metrics.set)
 	r.metrics.set("uptime_seconds", int64(r.now()/time.Second))
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -48,8 +48,9 @@
 	// ParseTable decodes a table from the document that the disk VMs keep.
 	ParseTable func(version uint64, body []byte) (*routing.Table, error)
 	// AnnouncementHandler returns the handler of upstreams' announcements. handle reports
-	// whether the fleet knows what an announcement says.
-	AnnouncementHandler func(handle func(context.Context, roster.Entry) bool) http.Handler
+	// whether the fleet knows what an announcement says, and countRefused counts one that
+	// can't be read.
+	AnnouncementHandler func(handle func(context.Context, roster.Entry) bool, countRefused func()) http.Handler
 	Log                 zerolog.Logger
 	// RequestLog receives one line for each request.
 	RequestLog zerolog.Logger
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	if listen.Announcements != "" {
-		handler := r.options.AnnouncementHandler(r.handleAnnouncement)
+		handler := r.options.AnnouncementHandler(r.handleAnnouncement, r.countRefusedAnnouncement)
 		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdleTimeout}
 		if err := r.startServer(r.servers.announcements, listen.Announcements); err != nil {
 			return err
