An engine that restarts under its ID is no cache holder for routers that start

Cause: disk VMs record cache holders by the engine's ID alone and for up to 15 s. An engine that restarts under its ID holds nothing, but a router that started just then was told that it holds the prompts of before, and sent them there. Routers that run compare incarnations already.

Ruled out: incarnations in each entry of the record (12 bytes an entry today; a third more for what one time an engine says).

Change: a disk VM notes when an engine's incarnation or cold count changes, and entries of before no longer count. A router also forgets when it last got an answer of the old incarnation, and the average of its load.

Red first: with noteRestarts left out, 2 of 2 entries were still offered after the restart. After: none, and a late announcement of the old incarnation changes nothing (TestAnEngineThatRestartsUnderItsIDHoldsNothingOfBefore).

--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -504,3 +504,22 @@
 	pickAnswered(b, now+announceInterval+1, seeded(), sharing(100))
 	assert.Equal(t, len(b.cacheHolders.unannounced)-announced, 23, "and again after announceInterval")
 }
+
+func TestNothingLearntOfAnOldIncarnationCounts(t *testing.T) {
+	// Guards: an engine restarts under its ID and is avoided for what the one before it
+	// failed, or gets the prompts that the one before it held.
+	b, at := newBalancer(3), now
+	choice := pickAnswered(b, at, seeded(), prompt(7))
+	for range 10 {
+		b.Started(choice.ID)
+		b.Ended(at, choice.ID, Unreachable)
+	}
+	assert.Assert(t, b.LastServed(choice.ID) == 0 || b.IsOutlier(at, choice.ID))
+	e, _ := b.Entry(choice.ID)
+	e.StartedAt, e.Sequence = 200, 1
+	assert.Equal(t, len(b.ApplyEntries([]roster.Entry{e})), 1)
+	assert.Equal(t, len(usableAt(b, at)), 3)
+	assert.Equal(t, len(holders(b, at, 7)), 0)
+	assert.Assert(t, !b.IsOutlier(at, choice.ID))
+	assert.Equal(t, b.LastServed(choice.ID), time.Duration(0))
+}
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -236,7 +236,7 @@
 	}
 	before := u.entry
 	if before.StartedAt != e.StartedAt {
-		u.health = health{}
+		u.health, u.lastServed, u.elsewhereAverage = health{}, 0, movingAverage{}
 	}
 	if u.pool != nil && !rebuild {
 		u.pool.remove(u)
--- a/coordination/balance/record.go
+++ b/coordination/balance/record.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
+
+	"endiveplank/protocol"
 )
 
 // CacheHolderList says which engines have which prefixes cached. Routers send new ones to
@@ -58,6 +61,8 @@
 // prompts of the first two seconds took ten times as long as usual.
 type CacheHolderRecord struct {
 	prefixes map[uint64]recordedHolder
+	// restarted holds when engines lost their caches.
+	restarted map[ShortID]time.Duration
 }
 
 type recordedHolder struct {
@@ -73,7 +78,23 @@
 
 // NewCacheHolderRecord returns an empty record.
 func NewCacheHolderRecord() *CacheHolderRecord {
-	return &CacheHolderRecord{prefixes: map[uint64]recordedHolder{}}
+	return &CacheHolderRecord{prefixes: map[uint64]recordedHolder{}, restarted: map[ShortID]time.Duration{}}
+}
+
+// NoteRestart records that an engine has lost its cache: it has restarted or become cold.
+//
+// An engine that restarts under its ID holds nothing of before. A router that started a
+// moment later would be told that it does, and send it prompts to process anew that other
+// engines have cached.
+func (r *CacheHolderRecord) NoteRestart(now time.Duration, id protocol.UpstreamID) {
+	maps.DeleteFunc(r.restarted, func(_ ShortID, at time.Duration) bool { return now-at > holderTTL })
+	r.restarted[shortIDOf(id)] = now
+}
+
+// holds reports whether a holder still counts.
+func (r *CacheHolderRecord) holds(now time.Duration, holder recordedHolder) bool {
+	restartedAt, restarted := r.restarted[holder.id]
+	return now-holder.at <= holderTTL && (!restarted || holder.at > restartedAt)
 }
 
 // Add records the cache holders that a router announces.
@@ -97,8 +118,8 @@
 func (r *CacheHolderRecord) Entries(now time.Duration) []AgedPrefix {
 	var all []AgedPrefix
 	for prefix, holder := range r.prefixes {
-		if age := now - holder.at; age <= holderTTL {
-			all = append(all, AgedPrefix{CachedPrefix: CachedPrefix{Prefix: prefix, ID: holder.id}, Age: age})
+		if r.holds(now, holder) {
+			all = append(all, AgedPrefix{CachedPrefix: CachedPrefix{Prefix: prefix, ID: holder.id}, Age: now - holder.at})
 		}
 	}
 	slices.SortFunc(all, func(x, y AgedPrefix) int {
@@ -122,7 +143,7 @@
 // evict drops the prefixes that have expired, and arbitrary ones if that isn't enough.
 func (r *CacheHolderRecord) evict(now time.Duration) {
 	for prefix, holder := range r.prefixes {
-		if now-holder.at > holderTTL {
+		if !r.holds(now, holder) {
 			delete(r.prefixes, prefix)
 		}
 	}
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -118,6 +118,7 @@
 	// that start.
 	holders  *balance.CacheHolderRecord
 	unshared unsharedHolders
+	restarts restarts
 	// packedHolders is the list as of packedHoldersAt, for all routers that ask at about
 	// that time.
 	packedHolders   balance.CacheHolderList
@@ -138,6 +139,7 @@
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
 		listeners:    map[protocol.DataCentre]*listeners{},
+		restarts:     restarts{known: map[protocol.UpstreamID]incarnation{}},
 		tableChanges: map[document.Digest]document.Change{},
 	}
 }
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -125,6 +125,7 @@
 // the router would send to an upstream that has said it leaves until a comparison of
 // rosters shows the difference, a second or more later.
 func (p *Publisher) PushChanges(now time.Duration) []Message {
+	p.noteRestarts(now)
 	leaving, others := p.takeChanged(now)
 	messages := p.push(now, leaving)
 	messages = append(messages, p.push(now, others)...)
--- a/coordination/control/restored_test.go
+++ b/coordination/control/restored_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/balance"
@@ -160,3 +161,26 @@
 	}
 	assert.Assert(t, received > 83*600, "%d", received)
 }
+
+// Guards against a router that starts and is told that an engine which has restarted under
+// its ID still holds what it held before.
+func TestAnEngineThatRestartsUnderItsIDHoldsNothingOfBefore(t *testing.T) {
+	list := roster.New(roster.DefaultSettings())
+	p := NewPublisher(list, 375_000)
+	announce := func(now time.Duration, startedAt int64, sequence uint64) {
+		list.Merge(now, roster.Entry{ID: "u1", Service: "chat", Address: "a:1", State: roster.Ready, StartedAt: startedAt, Sequence: sequence})
+		p.PushChanges(now)
+	}
+	held := func(now time.Duration) int { return len(p.CacheHolders().Newest(now)) }
+	id := balance.ShortID(xxhash.Sum64String("u1"))
+	announce(0, 100, 7)
+	p.CacheHolders().Add(time.Second, []balance.CachedPrefix{{Prefix: 1, ID: id}, {Prefix: 2, ID: id}})
+	announce(2*time.Second, 100, 8)
+	assert.Equal(t, held(2*time.Second), 2)
+	announce(3*time.Second, 200, 1)
+	assert.Equal(t, held(3*time.Second), 0)
+	p.CacheHolders().Add(4*time.Second, []balance.CachedPrefix{{Prefix: 1, ID: id}})
+	assert.Equal(t, held(4*time.Second), 1)
+	announce(5*time.Second, 100, 9)
+	assert.Equal(t, held(5*time.Second), 1, "a late announcement of the old incarnation")
+}
