A caller that stops reading loses its request three seconds after the deadline

Cause: writes to callers had no deadline. A caller that stops reading in the middle of an answer held the handler, its buffers and a place in the upstream's load for as long as its connection lasted; the route's timeout ended only the connection to the upstream, since a blocked write doesn't look at it.

Ruled out: the server's WriteTimeout (one time for all routes, from the header on), a deadline at the route's timeout itself (answers that are ready are delivered, also late).

Change: each request's writes fail three seconds after its deadline.

--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -170,6 +170,7 @@
 	}
 	defer h.bufferedBytes.Add(-f.bodyBytes)
 	deadline := f.arrived.Add(f.timeout)
+	f.limitWriting(deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	f.context = ctx
@@ -177,6 +178,18 @@
 	f.run()
 }
 
+// writeGrace is how long after a request's deadline its caller may take to read the answer.
+// An answer that is ready is delivered, also late.
+const writeGrace = 3 * time.Second
+
+// limitWriting makes writes to the caller fail some time after the deadline. A caller that
+// reads nothing would otherwise hold the request's memory, and its place in the upstream's
+// load, for as long as its connection lasts.
+func (f *forwarding) limitWriting(deadline time.Time) {
+	// It fails only if the connection has ended, or for a writer without deadlines.
+	_ = f.controller.SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // forwarding is the state of one request while the Handler serves it.
 type forwarding struct {
 	handler    *Handler
--- a/transport/forward/plain_test.go
+++ b/transport/forward/plain_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -185,3 +187,34 @@
 	assert.DeepEqual(t, alone.deferred, []balance.Result{balance.Failed})
 	assert.Equal(t, alone.inFlight, 0)
 }
+
+func TestACallerThatReadsNothingHoldsNothingForLong(t *testing.T) {
+	// Guards: callers stop reading in the middle of long answers, and each keeps memory,
+	// a place in the upstream's load and a connection for as long as it stays.
+	r := newTestRouter(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Signed", "1")
+		chunk := make([]byte, 1<<20)
+		for range 64 {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	})
+	connection, err := net.Dial("tcp", strings.TrimPrefix(r.server.URL, "http://"))
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, connection.Close()) }()
+	_, err = io.WriteString(connection, "POST /quick/x HTTP/1.1\r\nHost: h\r\nT-Id: 7\r\nT-Key: k\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	inFlight := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.inFlight
+	}
+	for inFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for end := time.Now().Add(10 * time.Second); inFlight() > 0; {
+		assert.Assert(t, time.Now().Before(end), "still in flight")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
