Model: an evacuation reaches 300 routers in time though messages are lost

The promise is that nothing new is sent to a data centre five seconds after its order was acknowledged. So far no test had more than a few routers. Pattern: 300 routers, a third of all messages lost, two of five disk VMs cut off. All routers have it within four seconds; the seconds of a request on its way are left out.

--- a/coordination/control/evacuations_test.go
+++ b/coordination/control/evacuations_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -50,6 +52,31 @@
 	assert.Assert(t, r.evacuated())
 }
 
+func TestEvacuationReachesThreeHundredRoutersInTime(t *testing.T) {
+	// Guards: an order is acknowledged, and some of hundreds of routers go on sending
+	// requests to the data centre for longer than operators were promised. Pattern: a
+	// third of all messages is lost, and two of five disk VMs are cut off.
+	const promised = 5 * time.Second
+	for name, cutOff := range map[string][]protocol.RouterID{"connected": nil, "two disk VMs cut off": {"vm1", "vm2"}} {
+		w := newWorld(5)
+		random := rand.New(rand.NewPCG(1, 2))
+		w.putTable(1)
+		for i := range 300 {
+			w.startRouter(protocol.RouterID(fmt.Sprint("r", i)), "vm1", "vm2", "vm3")
+		}
+		w.run(3 * time.Second)
+		for _, id := range cutOff {
+			w.cutOff[id] = true
+		}
+		w.loses = func() bool { return random.IntN(3) == 0 }
+		w.evacuate(6, true)
+		w.run(promised - time.Second)
+		for id, r := range w.routers {
+			assert.Assert(t, r.evacuated(), "%s, %s", id, name)
+		}
+	}
+}
+
 func TestRouterWhoseTableComesFromARouterKnowsTheEvacuations(t *testing.T) {
 	// Guards: a router that starts gets its table from another router, before any disk VM
 	// answers, and serves an evacuated data centre by it.
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -18,6 +18,8 @@
 	vms     map[protocol.RouterID]*vm
 	routers map[protocol.RouterID]*testRouter
 	cutOff  map[protocol.RouterID]bool
+	// loses reports whether the next message is lost; nil for none.
+	loses func() bool
 	// documents and lists count the tables and lists that disk VMs sent, and listBytes
 	// the bytes of these lists.
 	documents int
@@ -72,7 +74,7 @@
 // deliver delivers messages, and the answers to them, until none is left.
 func (w *world) deliver(from protocol.RouterID, messages []Message) {
 	for _, message := range messages {
-		if w.cutOff[message.To] || w.cutOff[from] {
+		if w.cutOff[message.To] || w.cutOff[from] || w.loses != nil && w.loses() {
 			continue
 		}
 		switch body := message.Body.(type) {
