A fleet that starts passes its upstreams on within each data centre

While upstreams start for seven seconds, the lists of any two processes differ at any moment, so each router asked for the whole list every 0.7 s, and other routers of any data centre seven times a second, ten lists each; every disk VM pushed every upstream to every router; and routers asked each other for a table that nobody had.

Ruled out: smaller shares of links (they aren't full), comparing 1,024 parts in place of 64 (each router's differences are its own, so each answer would be packed anew: reckoned at more than a core for 984 routers a second).

Change: changes of upstreams that start go to the relays when everyone's messages would be more than 64 KB, leaving ones above 1 MB; a router that has merged a list waits 0.2 ms an upstream for what is on its way, at most half of the time within which it must know that one leaves (upstreams.leave_ms, which nothing read so far); routers ask in their own data centre three times of four; they ask for a table only if a disk VM has announced one or none answers.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -129,10 +129,15 @@
 	announceAddress  string
 	heartbeatsSentAt time.Duration
 	forwardBatch     forwardBatch
+	// leaveTime is the time within which this follower must know that an upstream leaves.
+	leaveTime time.Duration
 	// listAsked is when the follower last asked for a list, if everAsked.
 	listAsked time.Duration
 	everAsked bool
-	events    []Event
+	// mergedAt is when it last merged a list, if everMerged.
+	mergedAt   time.Duration
+	everMerged bool
+	events     []Event
 }
 
 // NewFollower returns a follower that knows only the seeds. It shares the roster with
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -17,7 +17,7 @@
 // asked for again: a VM that was cut off or has just started lists less than the others
 // for a while.
 func (f *Follower) askList(now time.Duration) []Message {
-	if f.everAsked && now-f.listAsked < listTimeout {
+	if f.everAsked && now-f.listAsked < listTimeout || f.expectsChanges(now) {
 		return nil
 	}
 	if f.lacksUpstreams(now) && now-f.knewMostAt < peerListsOnlyPeriod {
@@ -32,6 +32,30 @@
 	return []Message{f.watch(now, id, Watch{WantList: true, Have: f.roster.Summary()})}
 }
 
+// listCost is the minimum time between two requests for a list, for each upstream listed.
+const listCost = 200 * time.Microsecond
+
+// listPace returns the minimum time between two requests for a list.
+//
+// While upstreams of a large service are replaced one after the other, the lists of two
+// processes differ at any moment by changes that are on their way. A router that asked for
+// ten thousand upstreams as soon as it has merged the last list would do nothing else. Half
+// of the time within which leaving upstreams must be known is left for a change that was
+// lost.
+func (f *Follower) listPace() time.Duration {
+	pace := time.Duration(f.roster.Usable()) * listCost
+	return max(listTimeout, min(pace, f.leaveTime/2))
+}
+
+// expectsChanges reports whether this follower has merged a list a moment ago. What it still
+// lacks has been announced since then, and is on its way.
+func (f *Follower) expectsChanges(now time.Duration) bool {
+	return f.everMerged && now-f.mergedAt < f.listPace()
+}
+
+// SetLeaveTime sets the time within which this follower must know that an upstream leaves.
+func (f *Follower) SetLeaveTime(d time.Duration) { f.leaveTime = d }
+
 // largestList returns the disk VM that lists the most upstreams among those whose list
 // has differed for listDelay and wasn't merged here, "" if there is none. Of two with
 // as many, the preferred one is chosen. If immediately is set, the list needn't have
@@ -154,6 +178,7 @@
 	for _, e := range entries {
 		f.roster.Merge(now, e)
 	}
+	f.mergedAt, f.everMerged = now, true
 	defer f.answerPeerRequests(now)
 	if f.sources[from] == nil {
 		f.compareRosters(now)
--- a/coordination/control/peers.go
+++ b/coordination/control/peers.go
@@ -16,6 +16,9 @@
 	// peerStride spreads one router's requests over the list of routers, so that routers
 	// next to each other in the list don't all ask the same ones.
 	peerStride = 7
+	// peersPerDistant is how many requests to other routers there are for each one to a
+	// router that may be in another data centre.
+	peersPerDistant = 4
 	// peerListsOnlyPeriod is how long a router that has a relay asks only routers for
 	// the upstreams. In that time it can ask about seven of them, and the first ones
 	// have time to get the upstreams from disk VMs.
@@ -36,19 +39,36 @@
 // refuse its callers until its turn comes. There are many more routers than disk VMs,
 // and each router that has the table and the list can send them on.
 func (f *Follower) askPeer(now time.Duration) []Message {
-	wantList := f.lacksUpstreams(now)
-	if f.relay == nil || len(f.relay.others) == 0 || f.inForce != nil && !wantList || now-f.peerAskedAt < peerInterval {
+	wantList := f.lacksUpstreams(now) && !f.expectsChanges(now)
+	wantTable := f.lacksTable(now)
+	if f.relay == nil || len(f.relay.others) == 0 || !wantTable && !wantList || now-f.peerAskedAt < peerInterval {
 		return nil
 	}
 	f.peerAskedAt = now
 	f.peersAsked++
-	others := f.relay.others
-	at := (f.relay.position + f.peersAsked*peerStride) % len(others)
-	ask := Watch{Router: true, WantDocument: f.inForce == nil, WantList: wantList}
+	ask := Watch{Router: true, WantDocument: wantTable, WantList: wantList}
 	if wantList {
 		ask.Have = f.roster.Summary()
 	}
-	return []Message{{To: others[at].ID, Body: ask}}
+	return []Message{{To: f.nextPeer(), Body: ask}}
+}
+
+// nextPeer returns the router to ask next: one in the same data centre, as few bytes as
+// possible should cross between data centres, and now and then one elsewhere, as all in
+// this one may lack the same.
+func (f *Follower) nextPeer() protocol.RouterID {
+	candidates := f.relay.nearby
+	if len(candidates) == 0 || f.peersAsked%peersPerDistant == 0 {
+		candidates = f.relay.others
+	}
+	at := (f.relay.position + f.peersAsked*peerStride) % len(candidates)
+	return candidates[at].ID
+}
+
+// lacksTable reports whether this router has no table though there may be one: a disk VM
+// has announced it, or none answers.
+func (f *Follower) lacksTable(now time.Duration) bool {
+	return f.inForce == nil && (f.newest > 0 || f.AliveDiskVMs(now) == 0)
 }
 
 // lacksUpstreams reports whether this router gets changes from a relay and lacks most of
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -127,8 +127,8 @@
 func (p *Publisher) PushChanges(now time.Duration) []Message {
 	p.noteRestarts(now)
 	leaving, others := p.takeChanged(now)
-	messages := p.push(now, leaving)
-	messages = append(messages, p.push(now, others)...)
+	messages := p.push(now, leaving, maxLeavingBytes)
+	messages = append(messages, p.push(now, others, maxStartingBytes)...)
 	return append(messages, p.resend(now)...)
 }
 
@@ -140,6 +140,11 @@
 	// upstream can wait; one that leaves must be known within two seconds.
 	leavingPace  = 100 * time.Microsecond
 	startingPace = 500 * time.Microsecond
+	// maxLeavingBytes and maxStartingBytes are the bytes up to which changes go to
+	// everyone. Beyond, relays pass them on within each data centre, which costs a
+	// fraction of the bytes between data centres.
+	maxLeavingBytes  = 1 << 20
+	maxStartingBytes = 64 << 10
 	// maxPushMessages is the number of messages a second with which changes go to
 	// everyone. A message costs more processor time than its bytes cost of a link.
 	maxPushMessages = 2000
@@ -182,8 +187,9 @@
 	return ids
 }
 
-// push sends changes to as many followers as the link has capacity for.
-func (p *Publisher) push(now time.Duration, ids []protocol.UpstreamID) []Message {
+// push sends changes to as many followers as the link has capacity for, and to no more than
+// the relays and the other disk VMs if everyone's messages would have more than maxBytes.
+func (p *Publisher) push(now time.Duration, ids []protocol.UpstreamID, maxBytes int) []Message {
 	if len(ids) == 0 {
 		return nil
 	}
@@ -193,7 +199,7 @@
 	audience := p.audience(now, alive)
 	lowest := everyone
 	switch {
-	case p.pushMessages.takeWithoutDebt(now, audience[everyone]) && p.admitPush(now, size*audience[everyone]):
+	case size*audience[everyone] <= maxBytes && p.pushMessages.takeWithoutDebt(now, audience[everyone]) && p.admitPush(now, size*audience[everyone]):
 	case p.admitPush(now, size*audience[relaysAndDiskVMs]):
 		lowest = relaysAndDiskVMs
 		changes.PassOn = true
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -50,6 +50,8 @@
 	// receivers are the routers that this one relays to.
 	receivers []protocol.RouterID
 	others    []Router
+	// nearby are the others in this router's data centre.
+	nearby []Router
 	// position is this router's place among all routers, in an order that all compute
 	// alike.
 	position int
@@ -86,6 +88,7 @@
 		return
 	}
 	r.others = slices.Clone(others)
+	r.nearby = slices.DeleteFunc(slices.Clone(others), func(other Router) bool { return other.DataCentre != r.self.DataCentre })
 	all := ranked(append(slices.Clone(others), r.self))
 	r.position = slices.Index(all, r.self)
 	r.receivers, r.relays = nil, nil
--- a/coordination/control/startup_test.go
+++ b/coordination/control/startup_test.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -39,12 +41,15 @@
 	// that a router didn't take.
 	calls  int
 	failed int
+	// sentBytes and sentMessages are the totals by kind of message.
+	sentBytes, sentMessages map[sentKind]int
 }
 
 // process is a process with its link.
 type process struct {
-	id   protocol.RouterID
-	rate float64
+	id         protocol.RouterID
+	dataCentre protocol.DataCentre
+	rate       float64
 	// out and in are when the link is free again in each direction.
 	out, in time.Duration
 	// sent and taken count the bytes that it sent and received.
@@ -106,6 +111,8 @@
 	diskVMRate, routerRate      float64
 	// interval is the time between two announcements of an upstream.
 	interval time.Duration
+	// spread is the time within which the upstreams start.
+	spread time.Duration
 }
 
 // Bytes of an announcement on the wire, with packet headers.
@@ -156,7 +163,7 @@
 	}
 	for _, id := range ids {
 		r := roster.New(roster.DefaultSettings())
-		v := &process{id: id, rate: s.diskVMRate, vm: &vm{roster: r, publisher: NewPublisher(r, int(s.diskVMRate))}, startAt: w.randomDelay(300 * time.Millisecond)}
+		v := &process{id: id, dataCentre: dataCentreOf(len(w.vms)), rate: s.diskVMRate, vm: &vm{roster: r, publisher: NewPublisher(r, int(s.diskVMRate))}, startAt: w.randomDelay(300 * time.Millisecond)}
 		v.vm.publisher.SetDiskVMs(ids)
 		v.follower = &testRouter{Follower: NewFollower(id, false, ids, r), roster: r}
 		w.vms = append(w.vms, v)
@@ -167,9 +174,10 @@
 		id := protocol.RouterID(fmt.Sprintf("10.%d.%d.%d:7400", dc, i/5/200, 100+i/5%200))
 		r := roster.New(roster.DefaultSettings())
 		f := &testRouter{Follower: NewFollower(id, true, ids[:3], r), roster: r}
-		f.SetRelay(NewRelay(Router{ID: id, DataCentre: protocol.DataCentre(fmt.Sprint("hall-", dc))}, int(s.routerRate)))
+		f.SetRelay(NewRelay(Router{ID: id, DataCentre: dataCentreOf(i)}, int(s.routerRate)))
 		f.SetAnnounceAddress(string(id))
-		v := &process{id: id, rate: s.routerRate, follower: f, waiting: map[uint64][]*call{}, startAt: w.randomDelay(300 * time.Millisecond)}
+		f.SetLeaveTime(4 * time.Second)
+		v := &process{id: id, dataCentre: dataCentreOf(i), rate: s.routerRate, follower: f, waiting: map[uint64][]*call{}, startAt: w.randomDelay(300 * time.Millisecond)}
 		w.routers = append(w.routers, v)
 		w.byID[id] = v
 		w.byAddress[string(id)] = v
@@ -177,10 +185,10 @@
 	for i := range s.upstreams {
 		u := &simUpstream{entry: roster.Entry{
 			ID: protocol.UpstreamID("i-" + randomName(w.random, 10)), Service: "xahu85a", Address: fmt.Sprintf("10.%d.%d.%d:8084", i%5+1, 64+i/1000, i/5%200),
-			DataCentre: protocol.DataCentre(fmt.Sprint("hall-", i%5+1)), Build: "v1", Slots: 16, State: roster.Ready,
+			DataCentre: dataCentreOf(i), Build: "v1", Slots: 16, State: roster.Ready,
 		}}
 		w.upstreams = append(w.upstreams, u)
-		w.after(w.randomDelay(300*time.Millisecond), func() { w.announce(u) })
+		w.after(w.randomDelay(max(s.spread, 300*time.Millisecond)), func() { w.announce(u) })
 	}
 	for _, v := range slices.Concat(w.vms, w.routers) {
 		w.after(v.startAt, func() { w.tick(v) })
@@ -191,6 +199,9 @@
 	return w
 }
 
+// dataCentreOf returns the data centre of the process or upstream with a number.
+func dataCentreOf(i int) protocol.DataCentre { return protocol.DataCentre(fmt.Sprint("hall-", i%5+1)) }
+
 func (w *startSim) randomDelay(d time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(d)))
 }
@@ -270,11 +281,32 @@
 	w.answer(v, c, known, "")
 }
 
+// sentKind is a kind of message, and whether it crosses between data centres.
+type sentKind struct {
+	body    string
+	crosses bool
+}
+
+// count adds a message to the totals by kind.
+func (w *startSim) count(from, to *process, body any, bytes int) {
+	kind := sentKind{body: fmt.Sprintf("%T", body), crosses: from.dataCentre != to.dataCentre}
+	if status, is := body.(Status); is && status.Fleet != nil {
+		kind.body += " with a list of processes"
+	}
+	if w.sentBytes == nil {
+		w.sentBytes, w.sentMessages = map[sentKind]int{}, map[sentKind]int{}
+	}
+	w.sentBytes[kind] += bytes
+	w.sentMessages[kind]++
+}
+
 // send puts messages on a process's link.
 func (w *startSim) send(from *process, messages []Message) {
 	for _, s := range messages {
 		to := w.byID[s.To]
-		w.deliver(from, to, len(codec.Marshal(s.Body))+frameBytes, func() { w.take(to, from, s.Body) })
+		bytes := len(codec.Marshal(s.Body)) + frameBytes
+		w.count(from, to, s.Body, bytes)
+		w.deliver(from, to, bytes, func() { w.take(to, from, s.Body) })
 	}
 }
 
@@ -446,15 +478,19 @@
 	const bitsPerByte = 8
 	w := startConfig{
 		routers: 984, upstreams: 10_000, diskVMs: 10,
-		diskVMRate: 300e6 / bitsPerByte, routerRate: 10e6 / bitsPerByte, interval: 3 * time.Second,
+		diskVMRate: 300e6 / bitsPerByte, routerRate: 10e6 / bitsPerByte, interval: 3 * time.Second, spread: 7 * time.Second,
 	}.start()
-	for w.now < 16*time.Second {
+	for w.now < 18*time.Second {
 		before := w.now
 		w.run(w.now + 2*time.Second)
 		fmt.Printf("%s: %d calls, %d failed, accepted %s\n", w.now, w.calls, w.failed, w.acceptedAt)
 		printCosts("disk VMs", w.vms, w.now-before)
 		printCosts("routers", w.routers, w.now-before)
 	}
+	kinds := slices.SortedFunc(maps.Keys(w.sentBytes), func(a, b sentKind) int { return cmp.Compare(w.sentBytes[b], w.sentBytes[a]) })
+	for _, kind := range kinds {
+		fmt.Printf("  %-55s crosses %-5v %8.1f MB %9d messages\n", kind.body, kind.crosses, float64(w.sentBytes[kind])/1e6, w.sentMessages[kind])
+	}
 }
 
 // printCosts prints what processes used since it was last called, per second.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -130,6 +130,7 @@
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
 	r.relay = control.NewRelay(control.Router{ID: self, DataCentre: options.Settings.DataCentre}, options.Settings.LinkRate())
 	r.follower.SetRelay(r.relay)
+	r.follower.SetLeaveTime(options.Settings.Upstreams.LeaveTime())
 	r.follower.SetAnnounceAddress(options.Settings.Listen.Announcements)
 	r.balancer = balance.NewBalancer(balance.Settings{
 		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -89,6 +89,9 @@
 	LeaveMS float64 `json:"leave_ms"`
 }
 
+// LeaveTime returns LeaveMS as a duration.
+func (u Upstream) LeaveTime() time.Duration { return milliseconds(u.LeaveMS) }
+
 // Retries limits the retries of all routers together.
 type Retries struct {
 	// Ratio is the maximum ratio of retries to requests of a service.
