--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -44,7 +44,7 @@
 
 // holders returns the upstreams that hold a prefix, available or not.
 func holders(b *Balancer, at time.Duration, prefix uint64) []*upstream {
-	found := candidates{pool: b.poolOf("s"), balancer: b, now: at, request: plain(), resort: untried}
+	found := candidates{pool: b.poolOf("s"), balancer: b, now: at, request: plain(), class: untried}
 	return b.holdersOf(&found, prefix)
 }
 
--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -10,12 +10,12 @@
 // must have capacity for a request.
 const capacityDivisor = 2
 
-// resort says which upstreams a request may go to.
-type resort uint8
+// class says which upstreams a request may go to.
+type class uint8
 
 const (
 	// available upstreams are untried and don't fail often.
-	available resort = iota
+	available class = iota
 	// untried upstreams may be unavailable.
 	untried
 	// tried upstreams got the request before.
@@ -23,14 +23,14 @@
 )
 
 // candidates are the upstreams that may take a request: those of a pool that are ready,
-// not evacuated, admitted, and as good as resort says. No list of them is made, because
+// not evacuated, admitted, and of a class. No list of them is made, because
 // almost all upstreams of a large pool are candidates.
 type candidates struct {
 	pool     *pool
 	balancer *Balancer
 	now      time.Duration
 	request  Request
-	resort   resort
+	class    class
 	// evacuated and cold count the upstreams that were passed over, as in Choice.
 	evacuated, cold int
 	// limit is the load from which on an upstream is no candidate, 0 for none.
@@ -59,10 +59,10 @@
 	if c.any() {
 		return c
 	}
-	if c.resort = untried; c.any() || !r.AllowTried {
+	if c.class = untried; c.any() || !r.AllowTried {
 		return c
 	}
-	c.resort = tried
+	c.class = tried
 	return c
 }
 
@@ -88,13 +88,13 @@
 	if c.limit > 0 && u.load() >= c.limit {
 		return false
 	}
-	if wasTried := slices.Contains(c.request.Tried, u.entry.ID); wasTried != (c.resort == tried) {
+	if wasTried := slices.Contains(c.request.Tried, u.entry.ID); wasTried != (c.class == tried) {
 		return false
 	}
 	if !u.suspect {
 		return true
 	}
-	return (c.resort != available || !u.health.isUnavailable(c.now)) && c.isReliable(u)
+	return (c.class != available || !u.health.isUnavailable(c.now)) && c.isReliable(u)
 }
 
 // isReliable reports whether an upstream fails as rarely as candidates must.
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -112,7 +112,7 @@
 	switch {
 	case found.request.HasPrompt:
 		choice = b.pickForPrompt(random, found, mean, bound)
-	case found.resort != available:
+	case found.class != available:
 		choice = newChoice(b.leastLoaded(random, found), ReasonLastResort, mean)
 	default:
 		choice = newChoice(b.leastLoaded(random, found), ReasonLeastLoaded, mean)
