Relays forget loads that nobody uses, and send fewer reports

Ruled out: exchanging loads among relays through a home for each upstream (30 messages a second for a relay in place of 190, one more hop; the next step if relays bind).

Change: in fleets with relays, loads without a request in flight that haven't changed for 30 s are dropped, from what others reported and from what was sent; a relay reports to the others in every second round above 32 and so on, full ones in their place; 32 loads a report.

Test: TestARelayForgetsUpstreamsThatNobodyUses plays 300 s of neighbours that use another upstream each second: 61 loads of each at most.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -43,6 +43,8 @@
 	busy, unreported map[*upstream]struct{}
 	// omittedLoad is the load that other routers report by service alone.
 	omittedLoad map[ServiceID]int
+	// idleDroppedAt is when idle loads were last dropped.
+	idleDroppedAt time.Duration
 	// suspects holds the upstreams that failed or refused requests lately.
 	suspects     map[*upstream]struct{}
 	baselines    map[protocol.Service]baseline
--- a/coordination/balance/relay.go
+++ b/coordination/balance/relay.go
@@ -16,11 +16,14 @@
 	// maxLoadsPerReport bounds the upstreams in one report of a relay, so that a report's
 	// size doesn't grow with the fleet. Those whose known load is furthest from the
 	// actual one go first.
-	maxLoadsPerReport = 64
+	maxLoadsPerReport = 32
 	// relaysPerRound is the number of other relays up to which a relay reports to them
 	// in every round. Of more it reports in every second round, third round and so on,
 	// so that it sends as many messages a second in a fleet of any size.
-	relaysPerRound = 48
+	relaysPerRound = 32
+	// roundsPerFullReport is the least number of rounds between two full reports to the
+	// other relays.
+	roundsPerFullReport = int(FullReportInterval / groupReportInterval)
 )
 
 // relaySums is what a relay adds up and has sent.
@@ -30,8 +33,10 @@
 	// relays is what the other relays were sent, and members what each member was.
 	relays  *reported
 	members map[protocol.RouterID]*reported
-	// rounds counts the rounds of reports.
-	rounds int
+	// rounds counts the rounds of reports, and fullRound is that of the last full report
+	// to the other relays.
+	rounds    int
+	fullRound int
 }
 
 // reported is what a neighbour was sent. pending holds the upstreams whose load may have
@@ -45,6 +50,13 @@
 	return &reported{sums: newLoadSums(), pending: map[ShortID]struct{}{}}
 }
 
+// dropIdle forgets what was reported of upstreams that haven't been used lately.
+func (r *reported) dropIdle() {
+	for _, load := range r.sums.idle() {
+		delete(r.sums.loads, load.ID)
+	}
+}
+
 // isRelay reports whether this router aggregates for others.
 func (b *Balancer) isRelay() bool { return b.neighbours.grouped() && b.neighbours.Relay == "" }
 
@@ -110,11 +122,8 @@
 	b.queueOwnPrefixes()
 	b.relay.rounds++
 	var reports []OutgoingReport
-	if every := 1 + len(b.neighbours.Relays)/relaysPerRound; full || b.relay.rounds%every == 0 {
-		report := b.reportFor(b.relay.relays, b.relay.group, nil, full)
-		report.Omitted = b.omitted(b.relay.relays, b.loadByService(b.relay.group), nil)
-		report.Cached = takePrefixes(&b.prefixesForRelays)
-		reports = append(reports, OutgoingReport{To: b.neighbours.Relays, Report: report})
+	if every := 1 + (len(b.neighbours.Relays)-1)/relaysPerRound; b.relay.rounds%every == 0 {
+		reports = append(reports, OutgoingReport{To: b.neighbours.Relays, Report: b.reportForRelays()})
 	}
 	cached := takePrefixes(&b.prefixesForMembers)
 	inFlight := b.loadByService(b.relay.total)
@@ -125,10 +134,23 @@
 		reports = append(reports, OutgoingReport{To: []protocol.RouterID{id}, Report: report})
 	}
 	return slices.DeleteFunc(reports, func(t OutgoingReport) bool {
-		return len(t.To) == 0 || !full && t.Report.empty()
+		return len(t.To) == 0 || !t.Report.Full && t.Report.empty()
 	})
 }
 
+// reportForRelays returns the report to the other relays, a full one if the last is some time
+// ago.
+func (b *Balancer) reportForRelays() LoadReport {
+	full := b.relay.fullRound == 0 || b.relay.rounds-b.relay.fullRound >= roundsPerFullReport
+	if full {
+		b.relay.fullRound = b.relay.rounds
+	}
+	report := b.reportFor(b.relay.relays, b.relay.group, nil, full)
+	report.Omitted = b.omitted(b.relay.relays, b.loadByService(b.relay.group), nil)
+	report.Cached = takePrefixes(&b.prefixesForRelays)
+	return report
+}
+
 // addOwnToSums adds the changes of this router's own load to the sums.
 func (b *Balancer) addOwnToSums() {
 	for u := range b.unreported {
--- a/coordination/balance/remote.go
+++ b/coordination/balance/remote.go
@@ -126,6 +126,7 @@
 // also drops restored cache holders that have waited for the roster too long.
 func (b *Balancer) Expire(now time.Duration) []protocol.RouterID {
 	b.expireRestored(now)
+	b.dropIdleLoads(now)
 	var silent []protocol.RouterID
 	for id, remote := range b.routers {
 		if now-remote.receivedAt > reportTTL {
@@ -137,6 +138,32 @@
 	return silent
 }
 
+// idleLoadTTL is how long a load without requests in flight is kept at least.
+const idleLoadTTL = 30 * time.Second
+
+// dropIdleLoads drops what other routers reported, and what was reported to them, about
+// upstreams that they haven't used lately. A relay that exchanges loads with a hundred
+// routers would in the course of hours remember each of ten thousand upstreams for each of
+// them. Outcomes of such an upstream count from its second report on.
+func (b *Balancer) dropIdleLoads(now time.Duration) {
+	if !b.neighbours.grouped() || now-b.idleDroppedAt < idleLoadTTL {
+		return
+	}
+	b.idleDroppedAt = now
+	for id, remote := range b.routers {
+		for _, load := range remote.idle() {
+			delete(remote.loads, load.ID)
+			b.addToSums(id, load, UpstreamLoad{ID: load.ID})
+		}
+	}
+	if b.isRelay() {
+		b.relay.relays.dropIdle()
+		for _, member := range b.relay.members {
+			member.dropIdle()
+		}
+	}
+}
+
 // forgetRouter drops all that another router has reported.
 func (b *Balancer) forgetRouter(id protocol.RouterID) {
 	remote := b.routers[id]
--- a/coordination/balance/size_test.go
+++ b/coordination/balance/size_test.go
@@ -231,6 +231,34 @@
 	}
 }
 
+func TestARelayForgetsUpstreamsThatNobodyUses(t *testing.T) {
+	// Guards: a relay of a large fleet remembers every upstream that any of its neighbours
+	// ever used, and its memory grows for hours until the platform kills it. Pattern: each
+	// neighbour uses an upstream a second, another one each time.
+	const upstreams = 5_000
+	relay, n := relayIn(330, upstreams)
+	at := now
+	for second := range 300 {
+		at += time.Second
+		for i, from := range append(append([]protocol.RouterID{}, n.Members...), n.Relays...) {
+			id := shortIDOf(protocol.UpstreamID(fmt.Sprintf("u%05d", (second+97*i)%upstreams)))
+			relay.ApplyLoadReport(at, from, LoadReport{Upstreams: []UpstreamLoad{{ID: id, InFlight: 1, Served: uint64(second)}}})
+			relay.ApplyLoadReport(at, from, LoadReport{Upstreams: []UpstreamLoad{{ID: id, Served: uint64(second) + 1, Failed: 1}}})
+		}
+		relay.PendingReports(second%2 == 0)
+		relay.Expire(at)
+	}
+	most := 2*int(idleLoadTTL/time.Second) + 1
+	remembered := 0
+	for _, remote := range relay.routers {
+		assert.Assert(t, len(remote.loads) <= most, "%d loads of a router", len(remote.loads))
+		remembered += len(remote.loads)
+	}
+	for _, sums := range []loadSums{relay.relay.group, relay.relay.total} {
+		assert.Assert(t, len(sums.loads) <= remembered+200, "%d loads in a sum", len(sums.loads))
+	}
+}
+
 func TestRoutersKnowTheMeanOfLoadsThatAreNotReported(t *testing.T) {
 	// Guards: a relay reports a few of thousands of loads, and its members take the mean,
 	// by which the load bound is, for a fraction of what it is.
