Routers that restart still get a table that only routers have

Cause: since routers ask each other for a table only if a disk VM has announced one or none answers, a router that restarts while all disk VMs run without the table (their disks lost, say) would never ask the routers that still serve by it.

Change: in that case it asks once a second.

Red with that interval at an hour, green with a second (TestARouterGetsATableThatOnlyRoutersHave).

The first form of the test passed without the change, since a router that hasn't heard of any disk VM asks at once; it now hears one first.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -106,9 +106,11 @@
 	// other routers and made when one first asks for it.
 	fullChange document.Change
 	// peerAskedAt is when this router last asked another one, or when the time of its
-	// referral to answer ends. peersAsked counts the requests to others than referrals.
-	peerAskedAt time.Duration
-	peersAsked  int
+	// referral to answer ends, and tableAskedAt when it asked one for the table.
+	// peersAsked counts the requests to others than referrals.
+	peerAskedAt  time.Duration
+	tableAskedAt time.Duration
+	peersAsked   int
 	// peerRequests holds the requests of other routers for what this one lacks too.
 	peerRequests map[protocol.RouterID]peerRequest
 	holders      knownHolders
--- a/coordination/control/pack.go
+++ b/coordination/control/pack.go
@@ -124,8 +124,8 @@
 	// sending it although its roster has changed. The list's digest says which state it
 	// contains, and the receiver finds later changes like any other difference.
 	minWholeListLifetime = 500 * time.Millisecond
-	// packCost is the same for each entry, on any process. Packing thousands of upstreams
-	// takes long on a busy processor, so it may take at most a tenth of the time.
+	// packCost is that time for each upstream, on disk VMs too, if it is longer. Packing
+	// thousands of upstreams takes long on a busy processor.
 	packCost = 100 * time.Microsecond
 )
 
--- a/coordination/control/peers.go
+++ b/coordination/control/peers.go
@@ -16,6 +16,8 @@
 	// peerStride spreads one router's requests over the list of routers, so that routers
 	// next to each other in the list don't all ask the same ones.
 	peerStride = 7
+	// unannouncedTableInterval is how often it asks for a table that no disk VM has.
+	unannouncedTableInterval = time.Second
 	// peersPerDistant is how many requests to other routers there are for each one to a
 	// router that may be in another data centre.
 	peersPerDistant = 4
@@ -40,12 +42,15 @@
 // and each router that has the table and the list can send them on.
 func (f *Follower) askPeer(now time.Duration) []Message {
 	wantList := f.lacksUpstreams(now) && !f.expectsChanges(now)
-	wantTable := f.lacksTable(now)
+	wantTable := f.mayGetTable(now)
 	if f.relay == nil || len(f.relay.others) == 0 || !wantTable && !wantList || now-f.peerAskedAt < peerInterval {
 		return nil
 	}
 	f.peerAskedAt = now
 	f.peersAsked++
+	if wantTable {
+		f.tableAskedAt = now
+	}
 	ask := Watch{Router: true, WantDocument: wantTable, WantList: wantList}
 	if wantList {
 		ask.Have = f.roster.Summary()
@@ -65,10 +70,14 @@
 	return candidates[at].ID
 }
 
-// lacksTable reports whether this router has no table though there may be one: a disk VM
-// has announced it, or none answers.
-func (f *Follower) lacksTable(now time.Duration) bool {
-	return f.inForce == nil && (f.newest > 0 || f.AliveDiskVMs(now) == 0)
+// mayGetTable reports whether this router has no table and should ask another one for it:
+// often if a disk VM has announced one or none answers, else now and then, as routers may
+// have a table that all disk VMs have lost.
+func (f *Follower) mayGetTable(now time.Duration) bool {
+	if f.inForce != nil {
+		return false
+	}
+	return f.newest > 0 || f.AliveDiskVMs(now) == 0 || now-f.tableAskedAt >= unannouncedTableInterval
 }
 
 // lacksUpstreams reports whether this router gets changes from a relay and lacks most of
--- a/coordination/control/restored_test.go
+++ b/coordination/control/restored_test.go
@@ -184,3 +184,25 @@
 	announce(5*time.Second, 100, 9)
 	assert.Equal(t, held(5*time.Second), 1, "a late announcement of the old incarnation")
 }
+
+// Guards against routers that restart and refuse their callers, because all disk VMs have
+// lost the table that the other routers still serve by.
+func TestARouterGetsATableThatOnlyRoutersHave(t *testing.T) {
+	w := newWorld(1)
+	routers := manyRouters(relayMinRouters)
+	old := w.startRouter(routers[0].ID, "vm1")
+	old.SetRelay(NewRelay(routers[0], 1_250_000))
+	w.putTable(7)
+	w.run(3 * time.Second)
+	assert.Equal(t, old.version(), uint64(7))
+	w.startVM("vm1")
+	fresh := w.startRouter(routers[1].ID, "vm1")
+	fresh.SetRelay(NewRelay(routers[1], 1_250_000))
+	w.run(300 * time.Millisecond)
+	fresh.relay.SetRouters([]Router{routers[0]})
+	for range 20 {
+		w.run(100 * time.Millisecond)
+		w.deliver(old.self, old.relay.Due(w.now))
+	}
+	assert.Equal(t, fresh.version(), uint64(7))
+}
