--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -36,8 +36,13 @@
 
 // ReadAnswer implements dialect.Dialect.
 func (Plain) ReadAnswer(_ int, header http.Header) dialect.Answer {
+	rest, err := strconv.Atoi(header.Get("T-Rest"))
+	if err != nil {
+		rest = 0
+	}
 	return dialect.Answer{
-		ID: protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
+		RestFor: time.Duration(rest) * time.Millisecond,
+		ID:      protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
 		Signed: header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
 	}
 }
