--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -76,8 +76,8 @@
 	for _, a := range o.Attempts {
 		m.count("attempts_total." + a.Result.String())
 		m.attemptTime.Update(a.Took.Milliseconds())
-		if a.RestFor > 0 {
-			m.count("rests_asked_total")
+		if a.RetryAfter > 0 {
+			m.count("upstream_retry_after_total")
 		}
 	}
 }
--- a/daemon/router/rest_test.go
+++ b/daemon/router/retryafter_test.go
@@ -12,11 +12,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// busyUpstream refuses all requests and asks for rest.
+// busyUpstream refuses all requests with a Retry-After.
 type busyUpstream struct {
-	rest     time.Duration
-	mu       sync.Mutex
-	arrivals []time.Time
+	retryAfter time.Duration
+	mu         sync.Mutex
+	arrivals   []time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -26,7 +26,7 @@
 	b.arrivals = append(b.arrivals, time.Now())
 	w.Header().Set("T-Id", "7")
 	w.Header().Set("T-Not-Run", "yes")
-	w.Header().Set("T-Rest", strconv.FormatInt(b.rest.Milliseconds(), 10))
+	w.Header().Set("T-Retry-After", strconv.FormatInt(b.retryAfter.Milliseconds(), 10))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -37,32 +37,32 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// inFirstRest returns how many requests arrived between half a second after the first one and the
-// end of the rest that its refusal asked for.
-func (b *busyUpstream) inFirstRest() int {
+// early returns how many requests arrived between half a second after the first refusal and the
+// end of its Retry-After.
+func (b *busyUpstream) early() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	count := 0
 	for _, at := range b.arrivals {
-		if after := at.Sub(b.arrivals[0]); after > 500*time.Millisecond && after < b.rest {
+		if after := at.Sub(b.arrivals[0]); after > 500*time.Millisecond && after < b.retryAfter {
 			count++
 		}
 	}
 	return count
 }
 
-func TestUpstreamThatAsksForRestGetsIt(t *testing.T) {
-	// Guards: an upstream that refuses a request and asks for rest gets the next ones all the
+func TestUpstreamGetsNoRequestBeforeItsRetryAfterHasPassed(t *testing.T) {
+	// Guards: an upstream that refuses a request with a Retry-After gets the next ones all the
 	// same, each of which is refused.
 	r, diskAddress := newRig(t, 0)
-	upstream := &busyUpstream{rest: 2 * time.Second}
+	upstream := &busyUpstream{retryAfter: 2 * time.Second}
 	startDiskVM(t, diskAddress, upstream.start(t))
 	r.eventually("the router is ready", r.ready)
-	for began := time.Now(); time.Since(began) < upstream.rest; time.Sleep(20 * time.Millisecond) {
+	for began := time.Now(); time.Since(began) < upstream.retryAfter; time.Sleep(20 * time.Millisecond) {
 		status, _ := r.call()
 		assert.Equal(t, status, http.StatusServiceUnavailable)
 	}
-	inRest := upstream.inFirstRest()
-	assert.Assert(t, inRest <= 2, "%d requests reached the upstream in its rest", inRest)
+	early := upstream.early()
+	assert.Assert(t, early <= 2, "%d requests reached the upstream before its Retry-After had passed", early)
 	assert.Assert(t, r.router.Stop())
 }
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -74,9 +74,9 @@
 	// Signed means that the answer has the upstream's signature. A success
 	// without a signature is not accepted.
 	Signed bool
-	// RestFor is how long the upstream asks this router for no further requests, 0 if it
-	// doesn't. Only an upstream that is too busy for the request asks for it.
-	RestFor time.Duration
+	// RetryAfter is for how long the upstream wants no further requests from this router, as
+	// it is too busy; 0 if it doesn't say.
+	RetryAfter time.Duration
 	// Misdirected means that the request reached another upstream than the
 	// intended one, because the address now belongs to it.
 	Misdirected bool
--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -36,13 +36,13 @@
 
 // ReadAnswer implements dialect.Dialect.
 func (Plain) ReadAnswer(_ int, header http.Header) dialect.Answer {
-	rest, err := strconv.Atoi(header.Get("T-Rest"))
+	after, err := strconv.Atoi(header.Get("T-Retry-After"))
 	if err != nil {
-		rest = 0
+		after = 0
 	}
 	return dialect.Answer{
-		RestFor: time.Duration(rest) * time.Millisecond,
-		ID:      protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
+		RetryAfter: time.Duration(after) * time.Millisecond,
+		ID:         protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
 		Signed: header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
 	}
 }
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -48,8 +48,8 @@
 	Reused bool
 	Sent   bool
 	Cause  string
-	// RestFor is how long the upstream asked for no further requests, 0 if it didn't.
-	RestFor time.Duration
+	// RetryAfter is the time for which the upstream wants no further requests, 0 for none.
+	RetryAfter time.Duration
 	// ServerError means that the upstream answered with a 5xx status other than 503.
 	ServerError bool
 	// Late means that the answer was overdue: the fleet was told so while the
@@ -90,8 +90,8 @@
 	if a.Choice.CopyFrom != "" {
 		e.Str("copy_from", a.Choice.CopyFrom)
 	}
-	if a.RestFor > 0 {
-		e.Int64("rest_ms", a.RestFor.Milliseconds())
+	if a.RetryAfter > 0 {
+		e.Int64("retry_after_ms", a.RetryAfter.Milliseconds())
 	}
 	if a.Cause != "" {
 		e.Str("cause", a.Cause)
--- a/transport/forward/rest_test.go
+++ b/transport/forward/retryafter_test.go
@@ -12,22 +12,22 @@
 	"endiveplank/protocol/dialect/dialecttest"
 )
 
-// asksForRest refuses a request and asks for a time, in milliseconds, without others.
-func asksForRest(milliseconds string) http.HandlerFunc {
+// refusesWithRetryAfter refuses a request with a Retry-After in milliseconds.
+func refusesWithRetryAfter(milliseconds string) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
-		w.Header().Set("T-Rest", milliseconds)
+		w.Header().Set("T-Retry-After", milliseconds)
 		refuses(http.StatusServiceUnavailable, true)(w, request)
 	}
 }
 
-func TestLogTellsForHowLongAnUpstreamAskedForRest(t *testing.T) {
-	// Guards: the log can't tell a router that ignores the rest an upstream asks for from an
-	// upstream that asks for none.
-	r := newTestRouter(t, asksForRest("3000"), serves("done"))
+func TestLogHasAnUpstreamsRetryAfter(t *testing.T) {
+	// Guards: the log can't tell a router that ignores an upstream's Retry-After from an
+	// upstream that sends none.
+	r := newTestRouter(t, refusesWithRetryAfter("3000"), serves("done"))
 	var log bytes.Buffer
 	handler := New(Options{Fleet: r, Dialect: dialecttest.Plain{}, Pool: r.pool, Log: zerolog.New(&log)})
 	r.server.Config.Handler = handler
 	assert.Equal(t, r.call("/idem/x").status, http.StatusOK)
 	r.server.Close()
-	assert.Equal(t, strings.Count(log.String(), `"rest_ms":3000`), 1, log.String())
+	assert.Equal(t, strings.Count(log.String(), `"retry_after_ms":3000`), 1, log.String())
 }
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -273,7 +273,7 @@
 // the caller if so.
 func (f *forwarding) handleAnswer(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
 	head := f.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
-	outcome.RestFor = head.RestFor
+	outcome.RetryAfter = head.RetryAfter
 	switch {
 	case head.NotRun || head.Misdirected:
 		drain(answer)
