An upstream that says in an answer that it leaves gets no further request

What callers would see: an upstream that stops tells one process that it leaves; a router that doesn't hear of it, as it is cut off from the disk VMs, goes on sending, and requests end with the upstream (DRAIN, in touch or not). The header Server-Leaving is new on the users' pages; nothing read it.

Cause: routers learn that an upstream leaves by way of the disk VMs alone. Class: what an upstream says in its own answer isn't believed before somebody else says it too; the same as with Retry-After. Ruled out: passing it on to other routers, as each learns it from its first answer, and the upstream's announcement reaches those in touch.

--- a/coordination/balance/pause_test.go
+++ b/coordination/balance/pause_test.go
@@ -194,3 +194,40 @@
 	b.ApplyEntries([]roster.Entry{e})
 	assert.Equal(t, b.Pick(now, random, plain()).Reason, ReasonPaused)
 }
+
+func TestLeavingUpstreamGetsNoRequest(t *testing.T) {
+	// Guards: an upstream that has said in an answer that it leaves gets requests again after a
+	// Retry-After, a gap in the list, or an announcement that was under way.
+	b, random := newBalancer(1), seeded()
+	b.PauseUpstream(now, "u00", 0, time.Second)
+	b.MarkLeaving(now, "u00", 0)
+	b.PauseUpstream(now, "u00", 0, 2*time.Second)
+	at := now
+	for range 100 {
+		at += time.Minute
+		b.Expire(at)
+		b.ApplyEntries(entries(1))
+		choice := b.Pick(at, random, plain())
+		assert.Equal(t, choice.ID, protocol.UpstreamID(""))
+		assert.Equal(t, choice.Reason, ReasonNoUpstream)
+		assert.Assert(t, b.IsPaused(at, "u00", 0))
+	}
+	b.SetRoster(nil)
+	b.Expire(at + leavingTTL/2)
+	assert.Assert(t, b.IsPaused(at+leavingTTL/2, "u00", 0))
+	b.Expire(at + leavingTTL + time.Second)
+	assert.Equal(t, len(b.pauses), 0)
+}
+
+func TestRestartedUpstreamIsUsedThoughItsOldProcessLeft(t *testing.T) {
+	// Guards: an upstream that restarts under its ID gets nothing as its old process said that
+	// it leaves.
+	b, random := newBalancer(1), seeded()
+	b.MarkLeaving(now, "u00", 0)
+	restarted := entries(1)
+	restarted[0].StartedAt = 5
+	b.ApplyEntries(restarted)
+	assert.Equal(t, b.Pick(now, random, plain()).ID, protocol.UpstreamID("u00"))
+	b.MarkLeaving(now, "u00", 0)
+	assert.Equal(t, b.Pick(now, random, plain()).ID, protocol.UpstreamID("u00"), "a late answer of the old process")
+}
--- a/coordination/balance/size_test.go
+++ b/coordination/balance/size_test.go
@@ -141,6 +141,9 @@
 			}
 		case 8:
 			b.PauseUpstream(at, id, 0, time.Duration(random.IntN(500))*time.Millisecond)
+			if random.IntN(50) == 0 {
+				b.MarkLeaving(at, id, 0)
+			}
 		}
 		assertSums(t, b, step)
 	}
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -130,16 +130,24 @@
 
 // AnswerHead implements forward.Fleet.
 func (r *Router) AnswerHead(choice balance.Choice, head dialect.Answer) {
-	if head.RetryAfter <= 0 {
+	if head.RetryAfter <= 0 && !head.Leaving {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	if !r.balancer.IsPaused(now, choice.ID, choice.StartedAt) {
-		r.log.Warn().Str("event", "upstream-paused").Str("upstream", string(choice.ID)).Int64("retry_after_ms", head.RetryAfter.Milliseconds()).Send()
+	wasPaused := r.balancer.IsPaused(now, choice.ID, choice.StartedAt)
+	if head.RetryAfter > 0 {
+		r.balancer.PauseUpstream(now, choice.ID, choice.StartedAt, head.RetryAfter)
+	}
+	if head.Leaving {
+		r.balancer.MarkLeaving(now, choice.ID, choice.StartedAt)
+		r.pool.CloseIdle(choice.Address)
+	}
+	if !wasPaused {
+		r.log.Warn().Str("event", "upstream-paused").Str("upstream", string(choice.ID)).Int64("born", choice.StartedAt).
+			Int64("retry_after_ms", head.RetryAfter.Milliseconds()).Bool("leaving", head.Leaving).Send()
 	}
-	r.balancer.PauseUpstream(now, choice.ID, choice.StartedAt, head.RetryAfter)
 }
 
 // MaySend implements forward.Fleet.
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -77,6 +77,8 @@
 	// RetryAfter is for how long the upstream wants no further requests from this router, as
 	// it is too busy; 0 if it doesn't say.
 	RetryAfter time.Duration
+	// Leaving means that the upstream is about to stop and wants no further requests.
+	Leaving bool
 	// Misdirected means that the request reached another upstream than the
 	// intended one, because the address now belongs to it.
 	Misdirected bool
--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -43,6 +43,7 @@
 	return dialect.Answer{
 		RetryAfter: time.Duration(after) * time.Millisecond,
 		ID:         protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
-		Signed: header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
+		Leaving: header.Get("T-Leaving") != "",
+		Signed:  header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
 	}
 }
