The soak has upstreams that are busy, or leave, and say so in their answers alone

Checked by the stated rules: more than two requests of a router between half a second after a refusal and the end of its Retry-After; a request that a caller sent later than the leave time after its router had passed on that the upstream leaves; a restart or pause of the router since excuses both.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -100,6 +100,7 @@
 	began := time.Now()
 	stopping := c.routerStopping()
 	_ = c.conn.SetDeadline(began.Add(5 * time.Second))
+	c.harness.noteSender(id, c.router)
 	if err := request.Write(c.conn); err != nil {
 		c.disconnect()
 		return
@@ -134,6 +135,9 @@
 func (c *caller) checkAnswer(id string, response *http.Response, body []byte, err error) {
 	c.harness.count(fmt.Sprint(response.StatusCode))
 	signature := platform.Signature(response.Header)
+	answer := platform.Dialect{}.ReadAnswer(response.StatusCode, response.Header)
+	upstream, _, _ := strings.Cut(signature, ".")
+	c.harness.noteAnswer(c.router, answer, protocol.UpstreamID(upstream))
 	switch {
 	case response.StatusCode == http.StatusOK && !strings.HasSuffix(signature, "."+id):
 		c.harness.violation("request %s got an answer signed %q", id, signature)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,6 +62,7 @@
 			u.setFaulty(false)
 		})
 	}},
+	{"make an upstream busy", func(h *harness) { h.withRandomUpstream((*upstream).beBusy) }},
 	{"crash an upstream", func(h *harness) {
 		h.withRandomUpstream(func(u *upstream) {
 			u.stop()
@@ -73,11 +75,28 @@
 			u.drain()
 		})
 	}},
+	{"stop an upstream that only its answers announce", func(h *harness) {
+		h.withRandomUpstream(func(u *upstream) {
+			h.startUpstream(u.service)
+			u.leaveUnannounced()
+		})
+	}},
 }
 
-// injectFaultsUntil injects faults until end is closed, and waits until all are
+// unwantedFaults are the faults of upstreams that want no requests, and of routers that may
+// forget it.
+var unwantedFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "make an upstream busy", "drain an upstream", "stop an upstream that only its answers announce",
+		"kill a router", "stop a router", "pause a router", "reload a router":
+		return false
+	}
+	return true
+})
+
+// injectFaultsUntil injects faults from a list until end is closed, and waits until all are
 // undone. pause is the mean time between two faults.
-func (h *harness) injectFaultsUntil(end <-chan struct{}, pause time.Duration) {
+func (h *harness) injectFaultsUntil(end <-chan struct{}, pause time.Duration, faults []fault) {
 	var active sync.WaitGroup
 	defer active.Wait()
 	for {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -61,8 +61,12 @@
 	upstreams    []*upstream
 	nextUpstream int
 	runs         map[string]*run
-	violations   []string
-	counts       map[string]int
+	// senders holds where each request comes from, and departures when routers first passed
+	// on that upstreams leave.
+	senders    map[string]sender
+	departures map[departure]time.Time
+	violations []string
+	counts     map[string]int
 	// accepted is the highest version of a table that a disk VM has accepted.
 	accepted uint64
 	// emptied is the data centre that may get no new request any more, "" for none.
@@ -82,7 +86,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, seed: seed, folder: t.TempDir(), ports: freePorts(t), random: rand.New(rand.NewPCG(seed, 1)),
-		runs: map[string]*run{}, counts: map[string]int{}, quit: make(chan struct{}), lastFault: time.Now(),
+		runs: map[string]*run{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, quit: make(chan struct{}), lastFault: time.Now(),
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for n := 1; n <= diskVMCount; n++ {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -54,7 +54,10 @@
 	// its last start.
 	signalled bool
 	paused    bool
-	down      bool // the process has ended since its last start
+	// disturbedAt is when the test last sent a signal that ends, pauses or resumes the
+	// process, or started it.
+	disturbedAt time.Time
+	down        bool // the process has ended since its last start
 	// hasLogged is set once the process has written output since its last start.
 	hasLogged bool
 	log       bytes.Buffer
@@ -130,6 +133,7 @@
 	command.Stderr = &lockedLog{p}
 	command.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	assert.NilError(p.harness.t, command.Start())
+	p.disturbedAt = time.Now()
 	p.command, p.done, p.signalled, p.down, p.hasLogged = command, make(chan struct{}), false, false, false
 	go p.watch(command, p.done)
 }
@@ -186,6 +190,9 @@
 	}
 	ends := s == syscall.SIGKILL || s == syscall.SIGTERM
 	p.signalled = p.signalled || ends
+	if s != syscall.SIGHUP {
+		p.disturbedAt = time.Now()
+	}
 	// The error is ignored: the process may just have ended.
 	_ = p.command.Process.Signal(s)
 }
@@ -237,6 +244,14 @@
 	p.paused = false
 }
 
+// disturbedSince reports whether the test has stopped, paused or started the process after a
+// time, so that it may have missed or forgotten what it was told.
+func (p *process) disturbedSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused || p.disturbedAt.After(at)
+}
+
 // isRunning reports whether the process is up, not paused, and not being stopped.
 func (p *process) isRunning() bool {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,9 +26,9 @@
 // ready.
 const readyWithin = 15 * time.Second
 
-// runSeed starts a fleet, injects faults for the given number of seconds, and then
+// runSeed starts a fleet, injects faults from a list for the given number of seconds, and then
 // requires that all routers become ready.
-func runSeed(t *testing.T, seed uint64, seconds int) {
+func runSeed(t *testing.T, seed uint64, seconds int, faults []fault) {
 	h := newHarness(t, seed)
 	defer h.stop()
 	h.done.Go(h.runOperator)
@@ -43,7 +43,7 @@
 		<-stop
 		close(ended)
 	})
-	h.injectFaultsUntil(ended, 600*time.Millisecond)
+	h.injectFaultsUntil(ended, 600*time.Millisecond, faults)
 	h.awaitRouters(readyWithin)
 	h.checkLastEvacuation()
 }
@@ -52,7 +52,18 @@
 // order runs twice, no refused request has run, and no accepted table or evacuation is lost.
 func TestSeeds(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
-		runSeed(t, seed, *secondsPerSeed)
+		runSeed(t, seed, *secondsPerSeed, faults)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// Upstreams that want no requests must get none, while routers are killed, stopped, paused and
+// reloaded.
+func TestUpstreamsThatWantNoRequests(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		runSeed(t, seed, *secondsPerSeed, unwantedFaults)
 		if t.Failed() {
 			return
 		}
@@ -62,6 +73,6 @@
 // Seeds that failed before must not fail again.
 func TestRegressionSeeds(t *testing.T) {
 	for _, seed := range regressionSeeds {
-		runSeed(t, seed, *secondsPerSeed)
+		runSeed(t, seed, *secondsPerSeed, faults)
 	}
 }
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -44,6 +44,9 @@
 	draining time.Time // when the upstream started to leave, or zero
 	ended    bool
 	faulty   bool // about a third of the requests fail
+	busy     bool // all requests are refused with a Retry-After
+	leaving  bool // answers say that the upstream leaves, its announcements don't
+	refusals []*refusal
 	random   *rand.Rand
 	quit     chan struct{}
 }
@@ -138,6 +141,7 @@
 	// The failures are a refusal (0), a closed connection (1), status 500 (2) and, in
 	// a stream only, an answer that breaks off (3).
 	failure := u.random.IntN(4)
+	busy, leaving := u.busy, u.leaving || !u.draining.IsZero()
 	u.mu.Unlock()
 	request, attempt := platform.ReadAttempt(r.Header)
 	id := string(request)
@@ -148,10 +152,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	u.checkUnwanted(id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	if busy {
+		platform.WriteAnswer(w.Header(), u.refuseBusy(id), "")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if fail && failure == 0 {
 		platform.WriteAnswer(w.Header(), dialect.Answer{ID: request, NotRun: true}, "")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -162,7 +172,7 @@
 	if u.failOnRequest(r, id) {
 		return
 	}
-	platform.WriteAnswer(w.Header(), dialect.Answer{ID: request}, string(u.id)+"."+id)
+	platform.WriteAnswer(w.Header(), dialect.Answer{ID: request, Leaving: leaving}, string(u.id)+"."+id)
 	if fail && failure == 1 {
 		panic(http.ErrAbortHandler)
 	}
