Relay fleet: owners keep an upstream's Retry-After too

The same cause as in the direct fleet, found by looking for it: an owner read the status of a refusal alone and started the next request on the engine at once. The owner keeps the time that the upstream asks for; what waits for it goes elsewhere; a restart of the upstream ends it. Ruled out: other places of this fleet that pick, as only owners send. Dates in Retry-After aren't read; upstreams send seconds. A leaving upstream says so in its announcements here, which go to the owner.

--- a/coordination/node/crash.go
+++ b/coordination/node/crash.go
@@ -121,7 +121,7 @@
 		Detail: fmt.Sprintf("%d requests were in flight, %d quarantined", report.Suspects, len(report.Quarantined)),
 	})
 	n.closeBrokenCalls(now, target)
-	n.returnWaiting(now, target)
+	n.returnWaiting(now, target, reason.UpstreamLeaving)
 }
 
 // dismissCrash treats the broken calls as broken connections.
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -133,6 +133,9 @@
 	Sent bool
 	// Status is the upstream's HTTP status, or 0 without an answer.
 	Status int
+	// RetryAfter is for how long the upstream wants no further requests from this router, 0 if
+	// it doesn't say.
+	RetryAfter time.Duration
 	// CachedTokens is the number of prompt tokens that the engine reported as
 	// taken from its cache.
 	CachedTokens int
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -50,6 +50,7 @@
 	"endiveplank/coordination/ownership"
 	"endiveplank/coordination/placement"
 	"endiveplank/coordination/quarantine"
+	"endiveplank/coordination/reason"
 	"endiveplank/coordination/retry"
 	"endiveplank/protocol"
 	"endiveplank/protocol/fleet"
@@ -275,7 +276,7 @@
 	}
 	n.draining = true
 	for _, target := range n.ownedInOrder() {
-		n.returnWaiting(now, target)
+		n.returnWaiting(now, target, reason.UpstreamLeaving)
 	}
 }
 
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -242,6 +242,34 @@
 	}
 }
 
+// Guards: an engine refuses requests with a Retry-After, and gets those that follow, or those
+// that wait for it, before that time has passed.
+func TestEngineGetsNothingBeforeItsRetryAfterHasPassed(t *testing.T) {
+	f := newFleet(3)
+	for i := range 40 {
+		f.Submit("r3", protocol.RequestID(fmt.Sprintf("before-%d", i)), "key", fmt.Sprint("b", i), 100)
+	}
+	f.Run(100 * time.Millisecond)
+	const retryAfter = 3 * time.Second
+	f.Engines["e1"].RetryAfter = retryAfter
+	refusedAt := time.Duration(0)
+	f.OnCall = func(_ protocol.RouterID, call node.CallUpstream) {
+		if call.Place.Upstream != "e1" {
+			return
+		}
+		if refusedAt == 0 {
+			refusedAt = f.Now
+		}
+		after := f.Now - refusedAt
+		assert.Assert(t, after < 500*time.Millisecond || after >= retryAfter, "sent %s after the first refusal", after)
+	}
+	for i := range 60 {
+		f.Submit("r1", protocol.RequestID(fmt.Sprintf("after-%d", i)), "key", fmt.Sprint("p", i), 10)
+		f.Run(50 * time.Millisecond)
+	}
+	assert.Assert(t, refusedAt > 0)
+}
+
 // An engine's announcements stop because its network or its process fails. It
 // must get no requests after three missed announcements, and must be removed from
 // the replicated state after ten seconds.
--- a/coordination/node/nodetest/engine.go
+++ b/coordination/node/nodetest/engine.go
@@ -32,7 +32,9 @@
 	NoAnnouncements bool
 	// NoConnect refuses connections while announcements continue.
 	NoConnect bool
-	Crashes   int
+	// RetryAfter, if set, is sent with the refusal of every request.
+	RetryAfter time.Duration
+	Crashes    int
 	// State is the engine's state, which orders change. The engine refuses older
 	// fencing numbers only with ChecksFence. OrderDelay is the additional time
 	// that an order takes to reach it.
@@ -129,6 +131,11 @@
 		f.after(latency, func() { e.end(&engineCall{owner: r, call: call}, node.UpstreamEnd{}) })
 		return
 	}
+	if e.RetryAfter > 0 {
+		refused := node.UpstreamEnd{Sent: true, Status: 503, RetryAfter: e.RetryAfter}
+		f.after(latency, func() { e.end(&engineCall{owner: r, call: call}, refused) })
+		return
+	}
 	e.Runs[string(call.Place.Body)]++
 	c := &engineCall{owner: r, call: call, nextToken: call.Place.ResumeAt}
 	e.calls[call.Attempt] = c
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -48,7 +48,10 @@
 	// request, or for a trial of their own.
 	heldForTrial []*relay
 	// leaving means that the upstream has announced that it leaves.
-	leaving       bool
+	leaving bool
+	// pausedUntil is until when the upstream wants no requests, by the Retry-After of its
+	// refusals.
+	pausedUntil   time.Duration
 	incarnation   uint64
 	sequence      uint64
 	announcedAt   time.Duration
@@ -160,6 +163,8 @@
 		return reason.UpstreamLeaving, false
 	case !target.hasReport || now-target.announcedAt > silentAfter || target.crash.down:
 		return reason.UpstreamSilent, false
+	case now < target.pausedUntil:
+		return reason.UpstreamRefused, false
 	}
 	return "", true
 }
@@ -478,8 +483,8 @@
 }
 
 // returnWaiting returns all requests that wait for an upstream to their entry
-// routers, which try other upstreams.
-func (n *Node) returnWaiting(now time.Duration, target *ownedUpstream) {
+// routers, which try other upstreams. why is the reason for them.
+func (n *Node) returnWaiting(now time.Duration, target *ownedUpstream, why reason.Code) {
 	for _, request := range target.queue.Requests() {
 		target.queue.Cancel(now, request.ID)
 	}
@@ -491,7 +496,7 @@
 	clear(target.waiting)
 	slices.SortFunc(back, func(a, b *relay) int { return compareAttempts(a.place.Attempt, b.place.Attempt) })
 	for _, r := range back {
-		n.replyPlace(r.entryRouter, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.UpstreamLeaving)})
+		n.replyPlace(r.entryRouter, r.place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(why)})
 	}
 }
 
--- a/coordination/node/relay.go
+++ b/coordination/node/relay.go
@@ -107,6 +107,9 @@
 		return
 	}
 	r := target.running[in.Attempt]
+	if in.RetryAfter > 0 {
+		n.pauseUpstream(now, target, in.RetryAfter)
+	}
 	if r.dispatch != nil {
 		n.dispatchEnded(now, target, r, in)
 		return
@@ -118,6 +121,13 @@
 	n.closeRelay(now, target, r, in)
 }
 
+// pauseUpstream records that an upstream wants no requests for some time. Those that wait for
+// it go elsewhere.
+func (n *Node) pauseUpstream(now time.Duration, target *ownedUpstream, length time.Duration) {
+	target.pausedUntil = max(target.pausedUntil, now+length)
+	n.returnWaiting(now, target, reason.UpstreamRefused)
+}
+
 // closeRelay removes an ended call and tells the entry router how it ended.
 func (n *Node) closeRelay(now time.Duration, target *ownedUpstream, r *relay, in UpstreamEnd) {
 	ending := quarantine.Interrupted
--- a/coordination/node/upstreams.go
+++ b/coordination/node/upstreams.go
@@ -74,7 +74,7 @@
 	}
 	target.hasReport = true
 	if target.leaving {
-		n.returnWaiting(now, target)
+		n.returnWaiting(now, target, reason.UpstreamLeaving)
 	}
 	n.startQueued(now, target)
 }
@@ -87,6 +87,7 @@
 	}
 	target.incarnation = incarnation
 	target.leaving = false
+	target.pausedUntil = 0
 }
 
 // updateEngine passes an engine's announcement to the load bound and placement.
@@ -152,7 +153,7 @@
 		return
 	}
 	target.leaving = true
-	n.returnWaiting(now, target)
+	n.returnWaiting(now, target, reason.UpstreamLeaving)
 	n.emit(RemoveUpstream{Upstream: target.id, Incarnation: in.Leave.Incarnation, Reason: reason.UpstreamLeaving})
 	n.emit(Event{Upstream: target.id, Kind: "removed", Reason: reason.UpstreamLeaving})
 }
@@ -163,7 +164,7 @@
 	if !target.isOwner || !n.leaseValid(now) || now-target.announcedAt < removeAfter {
 		return
 	}
-	n.returnWaiting(now, target)
+	n.returnWaiting(now, target, reason.UpstreamLeaving)
 	n.emit(RemoveUpstream{Upstream: target.id, Incarnation: target.incarnation, Reason: reason.UpstreamSilent})
 	n.emit(Event{Upstream: target.id, Kind: "removed", Reason: reason.UpstreamSilent})
 	// If the proposal is lost, it is repeated after removeAfter - silentAfter.
@@ -245,7 +246,7 @@
 		return
 	}
 	n.ledger.Release(target.id)
-	n.returnWaiting(now, target)
+	n.returnWaiting(now, target, reason.UpstreamLeaving)
 	if len(target.running) == 0 {
 		n.placer.RemoveUpstream(target.id)
 		delete(n.owned, target.id)
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -159,6 +159,7 @@
 	}
 	defer response.Body.Close()
 	end.Status = response.StatusCode
+	end.RetryAfter = retryAfter(response)
 	if call.Place.Model != "" && response.StatusCode >= statusServerError {
 		return end
 	}
@@ -168,6 +169,19 @@
 	return end
 }
 
+// retryAfter returns the Retry-After of an upstream that is too busy, 0 if it sends none. The
+// other form of the header, a date, isn't used by upstreams.
+func retryAfter(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // buildRequest builds the HTTP request of a call.
 func buildRequest(ctx context.Context, call node.CallUpstream) (*http.Request, error) {
 	place := call.Place
--- a/transport/upstream/client_test.go
+++ b/transport/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -211,3 +212,16 @@
 	assert.Assert(t, !(<-sink.ended).Complete)
 	<-gone
 }
+
+func TestRetryAfterOfABusyUpstreamIsReported(t *testing.T) {
+	// Guards: the owner doesn't learn for how long an upstream that refuses wants no requests.
+	for status, want := range map[int]time.Duration{503: 3 * time.Second, 500: 0} {
+		address, _ := serveRaw(t, func(connection net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d x\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", status)
+		})
+		sink := &recordingSink{ended: make(chan node.UpstreamEnd, 1)}
+		client := New(sink, nil)
+		client.Call(node.CallUpstream{Address: address, Place: fleet.Place{Method: "POST", Path: "/x", Model: "m"}})
+		assert.Equal(t, (<-sink.ended).RetryAfter, want)
+	}
+}
