Each router gets a share of an engine's limit while most engines are evacuated

Callers saw nothing.

Cause: with a third of the engines left, their load grows with all of it and the bound, by the mean of all, with two thirds: above 9 requests each no way of spreading keeps it. So some callers have to be refused, and how many was decided by what routers know of each other's requests, 0.3 s old: for requests over the bound the router knew of 12.0 where 17.1 were in flight. Class: a limit over the whole fleet that is kept by news. Cold engines had the same fault and got the same answer (package slowstart).

Change: if fewer than one in Multiple of a service's engines take prompts and their load makes it necessary, the limit of each engine is the bound itself, from the requests outside of the evacuated data centres, and divided among routers: both are laid out on a ring, evenly spaced. Shares add up to the limit without messages. Cold engines keep their own limit, retries and plain requests have none.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -25,6 +25,8 @@
 	lastServed time.Duration
 	// suspect says that it is in Balancer.suspects.
 	suspect bool
+	// place is its number among the ready upstreams of its pool that aren't evacuated.
+	place int
 	// pause is nil if the upstream hasn't asked this router to pause.
 	pause *pause
 	// reportedEjected is health.isEjected as last returned by HealthChanges.
@@ -58,6 +60,7 @@
 	// neighbours are the routers that this one exchanges load reports with, and roles
 	// what each of them is to this one.
 	neighbours Neighbours
+	position   Position
 	roles      map[protocol.RouterID]role
 	// relay and the queues of cached prefixes are in use if this router is a relay.
 	relay              relaySums
@@ -110,6 +113,9 @@
 	for _, dataCentre := range dataCentres {
 		b.evacuated[dataCentre] = true
 	}
+	for _, p := range b.pools {
+		p.placesSet = false
+	}
 }
 
 // AnyReady reports whether any upstream accepts requests.
--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -33,6 +33,9 @@
 	class    class
 	// evacuated and cold count the upstreams that were passed over, as in Choice.
 	evacuated, cold int
+	// sharedLimit is how many requests all routers together may have on each candidate that
+	// isn't cold, 0 for no such limit.
+	sharedLimit int
 	// limit is the load from which on an upstream is no candidate, 0 for none.
 	limit int
 	// maxExcess is the highest failure rate beyond bestRate that a candidate may have, if
@@ -88,6 +91,9 @@
 	if c.balancer.evacuated[u.entry.DataCentre] || c.request.Admits != nil && !c.request.Admits(u.entry.ID) {
 		return false
 	}
+	if c.sharedLimit > 0 && !c.isCold(u) && !c.balancer.hasShareLeft(u, c.sharedLimit) {
+		return false
+	}
 	if c.limit > 0 && u.load() >= c.limit {
 		return false
 	}
@@ -100,6 +106,21 @@
 	return (c.class != available || !u.health.isUnavailable(c.now)) && c.isReliable(u)
 }
 
+// isCold reports whether an upstream is cold, so that another limit holds for it.
+func (c *candidates) isCold(u *upstream) bool {
+	return c.request.IsCold != nil && c.request.IsCold(u.entry.ID)
+}
+
+// limitToShare leaves out upstreams of which this router has used up its share of a limit. It
+// reports whether any is left.
+func (c *candidates) limitToShare(limit int) bool {
+	if limit > 0 {
+		c.balancer.setPlaces(c.pool)
+		c.sharedLimit = limit
+	}
+	return c.any()
+}
+
 // isReliable reports whether an upstream fails as rarely as candidates must.
 func (c *candidates) isReliable(u *upstream) bool {
 	return !c.reliableOnly || u.excessFailureRate(c.now, c.bestRate) <= c.maxExcess
--- a/coordination/balance/doc.go
+++ b/coordination/balance/doc.go
@@ -22,7 +22,8 @@
 //     connection with it ends, and its LoadReports expire.
 //   - A data centre is evacuated, or its engines are cold, and each router fills the other
 //     engines up to a bound that is by the mean of all. The bound is lower then, and what
-//     is beyond it is refused.
+//     is beyond it is refused. Where so few engines are left that refusing by old news can't keep
+//     the bound, each router gets a share of what each engine may have.
 //   - An upstream that refuses a request says for how long it wants no others, and gets them
 //     all the same, because its refusals look like an idle upstream's quick answers. It gets
 //     none from this router for so long, not even as the last resort; a caller for whom no
--- a/coordination/balance/evacuated_test.go
+++ b/coordination/balance/evacuated_test.go
@@ -85,6 +85,7 @@
 			}
 		}
 		b.SetNeighbours(n)
+		b.SetPosition(Position{Index: i, Routers: run.routers})
 		m.balancers = append(m.balancers, b)
 		heap.Push(&m.events, evacuationEvent{at: time.Duration(m.random.Int64N(int64(b.ReportInterval()))), kind: routerReports, router: i})
 	}
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -27,6 +27,8 @@
 	Tried []protocol.UpstreamID
 	// Admits reports whether an upstream takes the request; nil means that all do.
 	Admits func(protocol.UpstreamID) bool
+	// IsCold reports whether an upstream is cold; nil means that none is.
+	IsCold func(protocol.UpstreamID) bool
 	// AllowTried says that, where no other is left, the request may go again to an
 	// upstream that it was sent to, as the last one answered with an error.
 	AllowTried bool
@@ -115,6 +117,9 @@
 	if limit := found.request.LoadLimit; !found.limitLoad(limit) {
 		return Choice{Reason: ReasonNoCapacity, Limit: limit, Mean: mean}
 	}
+	if limit := b.sharedLimit(found); len(found.request.Tried) == 0 && !found.limitToShare(limit) {
+		return Choice{Reason: ReasonNoCapacity, Limit: limit, Mean: mean}
+	}
 	if b.exceedsBound(mean, found) {
 		return Choice{Reason: ReasonNoCapacity, Limit: int(b.loadBound(mean)), Mean: mean}
 	}
--- a/coordination/balance/pool.go
+++ b/coordination/balance/pool.go
@@ -18,15 +18,21 @@
 	keys  []uint64
 	// load is the number of requests in flight on the ready ones.
 	load int
-	// readyIn counts the ready ones by data centre.
-	readyIn map[protocol.DataCentre]int
+	// readyIn counts the ready ones by data centre, and loadIn their requests in flight.
+	readyIn, loadIn map[protocol.DataCentre]int
+	// places is the number of ready upstreams that aren't evacuated, if placesSet says that
+	// they are numbered.
+	places    int
+	placesSet bool
 	// suspects is how many of all are in Balancer.suspects.
 	suspects int
 	// paused is how many of the ready ones have a pause that isn't known to be over.
 	paused int
 }
 
-func newPool() *pool { return &pool{readyIn: map[protocol.DataCentre]int{}} }
+func newPool() *pool {
+	return &pool{readyIn: map[protocol.DataCentre]int{}, loadIn: map[protocol.DataCentre]int{}}
+}
 
 // byID compares an upstream with an ID.
 func byID(u *upstream, id protocol.UpstreamID) int { return cmp.Compare(u.entry.ID, id) }
@@ -65,10 +71,13 @@
 		return
 	}
 	p.countPaused(u, sign)
+	p.placesSet = false
 	p.load += sign * u.load()
+	p.loadIn[u.entry.DataCentre] += sign * u.load()
 	p.readyIn[u.entry.DataCentre] += sign
 	if p.readyIn[u.entry.DataCentre] == 0 {
 		delete(p.readyIn, u.entry.DataCentre)
+		delete(p.loadIn, u.entry.DataCentre)
 	}
 }
 
@@ -141,5 +150,6 @@
 	u.elsewhere += elsewhere
 	if u.pool != nil && u.entry.State == roster.Ready {
 		u.pool.load += own + elsewhere
+		u.pool.loadIn[u.entry.DataCentre] += own + elsewhere
 	}
 }
--- a/coordination/balance/size_test.go
+++ b/coordination/balance/size_test.go
@@ -153,6 +153,7 @@
 func assertSums(t *testing.T, b *Balancer, step int) {
 	t.Helper()
 	load, ready, suspects, paused := 0, 0, 0, 0
+	loadIn := map[protocol.DataCentre]int{}
 	for _, u := range b.upstreams {
 		elsewhere := 0
 		for _, remote := range b.routers {
@@ -164,6 +165,7 @@
 		}
 		if u.entry.State == roster.Ready {
 			load += u.load()
+			loadIn[u.entry.DataCentre] += u.load()
 			ready++
 			if u.pause != nil {
 				paused++
@@ -177,6 +179,7 @@
 	assert.Equal(t, p.load, load, "at step %d", step)
 	assert.Equal(t, p.suspects, suspects, "at step %d", step)
 	assert.Equal(t, p.paused, paused, "at step %d", step)
+	assert.DeepEqual(t, p.loadIn, loadIn)
 	assert.Equal(t, len(b.suspects), suspects, "at step %d", step)
 }
 
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -136,6 +136,11 @@
 	return slices.MaxFunc(relays, func(a, b Router) int { return cmp.Compare(weight(a), weight(b)) })
 }
 
+// Position returns this router's place among all routers.
+func (r *Relay) Position() balance.Position {
+	return balance.Position{Index: r.position, Routers: len(r.others) + 1}
+}
+
 // Neighbours returns the routers with which this one exchanges load reports.
 func (r *Relay) Neighbours() balance.Neighbours {
 	if len(r.others)+1 < balance.GroupingThreshold {
--- a/daemon/router/cold.go
+++ b/daemon/router/cold.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// isCold returns whether an upstream is cold, nil if none is. The lock is held.
+func (r *Router) isCold(now time.Duration) func(protocol.UpstreamID) bool {
+	if r.slowStart.Idle() {
+		return nil
+	}
+	return func(id protocol.UpstreamID) bool {
+		return r.slowStart.IsCold(now, id, r.balancer.LastServed(id))
+	}
+}
+
 // touch returns which disk VMs this router is in touch with. The lock is held.
 func (r *Router) touch(now time.Duration) slowstart.Touch {
 	switch {
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -48,7 +48,7 @@
 	request := balance.Request{Service: job.Service, Tried: job.Tried, NoRetry: job.LastAttempt(), AllowTried: job.ErrorFrom != ""}
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
-	request.Admits = r.admits(now)
+	request.Admits, request.IsCold = r.admits(now), r.isCold(now)
 	// An attempt that follows failed connections is limited like the first one, but the
 	// request has been counted.
 	limiter, first := r.limiter(job.Service), job.Attempts == 0 && len(job.Tried) == 0
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -246,6 +246,7 @@
 	r.others = control.IDsOf(routers)
 	r.relay.SetRouters(routers)
 	r.balancer.SetNeighbours(r.relay.Neighbours())
+	r.balancer.SetPosition(r.relay.Position())
 }
 
 // sendLoadReports sends load reports to this router's neighbours, which may relay them: all of
