An answer of another upstream says nothing about the chosen one

Cause: an upstream that has taken over an address answers 421 to requests for the one that was there before. If it says that it leaves, the router took the chosen upstream for leaving, for good in this incarnation. Found by reading the new code. Change: what a misdirected request's answer says isn't passed on. Evidence: the test has two heads passed on before, one after.

--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -46,7 +46,7 @@
 	// AnswerTimed records whether an attempt's answer began in time. It is called
 	// with false as soon as the answer is known to be late.
 	AnswerTimed(job Job, choice balance.Choice, inTime bool)
-	// AnswerHead records what the head of an answer says about its upstream.
+	// AnswerHead records what the head of an answer says about the upstream that was chosen.
 	AnswerHead(choice balance.Choice, head dialect.Answer)
 	// MaySend reports whether an attempt may still be sent to its upstream.
 	MaySend(choice balance.Choice) bool
--- a/transport/forward/retryafter_test.go
+++ b/transport/forward/retryafter_test.go
@@ -67,3 +67,17 @@
 	assert.Equal(t, len(r.heads), 2)
 	assert.Equal(t, r.heads[0].RetryAfter, 3*time.Second)
 }
+
+func TestAnotherUpstreamAtTheAddressSaysNothingAboutTheChosenOne(t *testing.T) {
+	// Guards: an upstream that has taken over the address of the chosen one refuses the request
+	// and says that it leaves, and the chosen one gets nothing any more at its new address.
+	leaves := func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("T-Other", "1")
+		w.Header().Set("T-Leaving", "1")
+		refuses(http.StatusMisdirectedRequest, false)(w, request)
+	}
+	r := newTestRouter(t, leaves, serves("done"))
+	assert.Equal(t, r.call("/idem/x").status, http.StatusOK)
+	assert.Equal(t, len(r.heads), 1)
+	assert.Assert(t, !r.heads[0].Leaving)
+}
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -279,7 +279,9 @@
 func (f *forwarding) handleAnswer(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
 	head := f.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
 	outcome.RetryAfter = head.RetryAfter
-	f.handler.options.Fleet.AnswerHead(choice, head)
+	if !head.Misdirected {
+		f.handler.options.Fleet.AnswerHead(choice, head)
+	}
 	switch {
 	case head.NotRun || head.Misdirected:
 		drain(answer)
