One event queue for the models of balance and control

They use internal/timequeue now, which orders events of the same time as they did: the models' tests give the same results.

--- a/coordination/balance/desk_test.go
+++ b/coordination/balance/desk_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/roster"
+	"endiveplank/internal/timequeue"
 	"endiveplank/protocol"
 )
 
@@ -50,19 +50,6 @@
 	routerReports
 )
 
-// deskEvents is a heap of events, the next one first.
-type deskEvents []deskEvent
-
-func (e deskEvents) Len() int           { return len(e) }
-func (e deskEvents) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e deskEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *deskEvents) Push(x any)        { *e = append(*e, x.(deskEvent)) }
-func (e *deskEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // deskServer runs requests in its slots and queues the others.
 type deskServer struct {
 	busy    int
@@ -76,7 +63,7 @@
 	list      []roster.Entry
 	balancers []*Balancer
 	servers   []deskServer
-	events    deskEvents
+	events    timequeue.Queue[deskEvent]
 	took      []time.Duration
 }
 
@@ -91,10 +78,11 @@
 	for i := range run.routers {
 		m.startRouter(i)
 	}
-	heap.Push(&m.events, deskEvent{kind: requestArrives})
+	m.push(deskEvent{kind: requestArrives})
 	end := time.Duration(run.seconds) * time.Second
-	for len(m.events) > 0 && m.events[0].at < end {
-		m.step(heap.Pop(&m.events).(deskEvent))
+	for next, any := m.events.Next(); any && next < end; next, any = m.events.Next() {
+		_, e := m.events.Pop()
+		m.step(e)
 	}
 	slices.Sort(m.took)
 	return m.took
@@ -118,9 +106,12 @@
 	b.SetNeighbours(n)
 	m.balancers = append(m.balancers, b)
 	first := time.Duration(m.random.Float64() * float64(b.ReportInterval()))
-	heap.Push(&m.events, deskEvent{at: first, kind: routerReports, router: i})
+	m.push(deskEvent{at: first, kind: routerReports, router: i})
 }
 
+// push adds an event.
+func (m *deskModel) push(e deskEvent) { m.events.Push(e.at, e) }
+
 func (m *deskModel) step(e deskEvent) {
 	switch e.kind {
 	case routerReports:
@@ -141,7 +132,7 @@
 			other.ApplyLoadReport(now+e.at, deskRouter(e.router), loads)
 		}
 	}
-	heap.Push(&m.events, deskEvent{at: e.at + b.ReportInterval(), kind: routerReports, router: e.router})
+	m.push(deskEvent{at: e.at + b.ReportInterval(), kind: routerReports, router: e.router})
 }
 
 // arrive sends a request to its server, and draws when the next one arrives.
@@ -155,7 +146,7 @@
 	server := slices.IndexFunc(m.list, func(e roster.Entry) bool { return e.ID == choice.ID })
 	m.serve(e.at, deskEvent{router: router, server: server, began: e.at})
 	pause := time.Duration(m.random.ExpFloat64() / m.perSecond * float64(time.Second))
-	heap.Push(&m.events, deskEvent{at: e.at + pause, kind: requestArrives})
+	m.push(deskEvent{at: e.at + pause, kind: requestArrives})
 }
 
 // serve has a server run a request, once it has a free slot.
@@ -169,7 +160,7 @@
 	work := float64(m.work) * math.Exp(0.5*m.random.NormFloat64()) * m.speeds[request.server]
 	request.kind = requestEnds
 	request.at = at + time.Duration(work)
-	heap.Push(&m.events, request)
+	m.push(request)
 }
 
 func (m *deskModel) end(e deskEvent) {
--- a/coordination/balance/evacuated_test.go
+++ b/coordination/balance/evacuated_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/roster"
+	"endiveplank/internal/timequeue"
 	"endiveplank/protocol"
 )
 
@@ -41,24 +41,12 @@
 	engine protocol.UpstreamID
 }
 
-type evacuationEvents []evacuationEvent
-
-func (e evacuationEvents) Len() int           { return len(e) }
-func (e evacuationEvents) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e evacuationEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *evacuationEvents) Push(x any)        { *e = append(*e, x.(evacuationEvent)) }
-func (e *evacuationEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // evacuationModel is the state of a simulation.
 type evacuationModel struct {
 	evacuationRun
 	random    *rand.Rand
 	balancers []*Balancer
-	events    evacuationEvents
+	events    timequeue.Queue[evacuationEvent]
 	loads     map[protocol.UpstreamID]int
 	inFlight  int
 	// sent, over and refused count, by half second, the requests that reached an engine, those
@@ -87,17 +75,17 @@
 		b.SetNeighbours(n)
 		b.SetPosition(Position{Index: i, Routers: run.routers})
 		m.balancers = append(m.balancers, b)
-		heap.Push(&m.events, evacuationEvent{at: time.Duration(m.random.Int64N(int64(b.ReportInterval()))), kind: routerReports, router: i})
+		m.push(evacuationEvent{at: time.Duration(m.random.Int64N(int64(b.ReportInterval()))), kind: routerReports, router: i})
 	}
-	heap.Push(&m.events, evacuationEvent{kind: requestArrives})
+	m.push(evacuationEvent{kind: requestArrives})
 	return m
 }
 
 // play runs the simulation to its end.
 func (m *evacuationModel) play() *evacuationModel {
 	evacuated := 0
-	for len(m.events) > 0 && m.events[0].at < evacuationEnd {
-		e := heap.Pop(&m.events).(evacuationEvent)
+	for next, any := m.events.Next(); any && next < evacuationEnd; next, any = m.events.Next() {
+		_, e := m.events.Pop()
 		if evacuated == 0 && e.at >= firstEvacuated || evacuated == 1 && e.at >= secondEvacuated {
 			evacuated++
 			for _, b := range m.balancers {
@@ -118,6 +106,9 @@
 	return m
 }
 
+// push adds an event.
+func (m *evacuationModel) push(e evacuationEvent) { m.events.Push(e.at, e) }
+
 // report sends a router's report to all others.
 func (m *evacuationModel) report(e evacuationEvent) {
 	b := m.balancers[e.router]
@@ -128,13 +119,13 @@
 			}
 		}
 	}
-	heap.Push(&m.events, evacuationEvent{at: e.at + b.ReportInterval(), kind: routerReports, router: e.router})
+	m.push(evacuationEvent{at: e.at + b.ReportInterval(), kind: routerReports, router: e.router})
 }
 
 // arrive sends a request or refuses it.
 func (m *evacuationModel) arrive(at time.Duration) {
 	wait := time.Duration(m.random.ExpFloat64() * float64(time.Second) / float64(m.perSecond))
-	heap.Push(&m.events, evacuationEvent{at: at + wait, kind: requestArrives})
+	m.push(evacuationEvent{at: at + wait, kind: requestArrives})
 	router, key := m.random.IntN(m.routers), uint64(1+m.random.IntN(300))
 	if m.random.Float64() < m.hot {
 		key = 0
@@ -154,7 +145,7 @@
 	took := m.lasts + time.Duration(m.loads[choice.ID])*m.perRequest
 	m.loads[choice.ID]++
 	m.inFlight++
-	heap.Push(&m.events, evacuationEvent{at: at + time.Duration((0.5+m.random.Float64())*float64(took)), kind: requestEnds, router: router, engine: choice.ID})
+	m.push(evacuationEvent{at: at + time.Duration((0.5+m.random.Float64())*float64(took)), kind: requestEnds, router: router, engine: choice.ID})
 }
 
 // worst returns the span of five seconds between two times in which the largest share of the
--- a/coordination/control/powerloss_test.go
+++ b/coordination/control/powerloss_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -13,6 +12,7 @@
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
+	"endiveplank/internal/timequeue"
 	"endiveplank/protocol"
 	"endiveplank/protocol/codec"
 )
@@ -23,7 +23,7 @@
 	now     time.Duration
 	members map[protocol.RouterID]*member
 	routers []protocol.RouterID
-	arrive  arrivals
+	arrive  timequeue.Queue[arrival]
 }
 
 // member is a process of the fleet.
@@ -48,23 +48,10 @@
 
 // arrival is a message in transit.
 type arrival struct {
-	at       time.Duration
 	from, to protocol.RouterID
 	body     any
 }
 
-type arrivals []arrival
-
-func (a arrivals) Len() int           { return len(a) }
-func (a arrivals) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
-func (a *arrivals) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // powerLossConfig is the size of such a fleet. Its disk VMs list upstreams that are
 // ready, and as many more as gone says that have left. prompts is the number of prompt
 // prefixes that engines hold in their caches.
@@ -176,15 +163,16 @@
 		from.sent += size
 		from.busy = max(from.busy, w.now) + time.Duration(float64(size)/from.rate*float64(time.Second))
 		at := max(from.busy, to.startAt) + messageDelay
-		heap.Push(&w.arrive, arrival{at: at, from: from.id, to: s.To, body: s.Body})
+		w.arrive.Push(at, arrival{from: from.id, to: s.To, body: s.Body})
 	}
 }
 
 // run simulates until a time.
 func (w *powerLossSim) run(until time.Duration) {
 	for ; w.now < until; w.now += time.Millisecond {
-		for len(w.arrive) > 0 && w.arrive[0].at <= w.now {
-			w.take(heap.Pop(&w.arrive).(arrival))
+		for next, any := w.arrive.Next(); any && next <= w.now; next, any = w.arrive.Next() {
+			_, arrived := w.arrive.Pop()
+			w.take(arrived)
 		}
 		for _, id := range inOrder(w.members) {
 			n := w.members[id]
--- a/coordination/control/startup_test.go
+++ b/coordination/control/startup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"flag"
 	"fmt"
 	"maps"
@@ -15,6 +14,7 @@
 
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
+	"endiveplank/internal/timequeue"
 	"endiveplank/protocol"
 	"endiveplank/protocol/codec"
 )
@@ -30,7 +30,7 @@
 	byID      map[protocol.RouterID]*process
 	byAddress map[string]*process
 	upstreams []*simUpstream
-	events    eventQueue
+	events    timequeue.Queue[func()]
 	table     *document.Document
 	// acceptedAt is when a quorum of disk VMs had the table and the operator had the
 	// answer.
@@ -87,24 +87,6 @@
 	began   time.Duration
 }
 
-// event is a function to call at a time.
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type eventQueue []event
-
-func (h eventQueue) Len() int           { return len(h) }
-func (h eventQueue) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h eventQueue) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *eventQueue) Push(x any)        { *h = append(*h, x.(event)) }
-func (h *eventQueue) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // startConfig is the size of a fleet that starts.
 type startConfig struct {
 	routers, upstreams, diskVMs int
@@ -131,7 +113,7 @@
 
 // after schedules an event.
 func (w *startSim) after(d time.Duration, do func()) {
-	heap.Push(&w.events, event{at: w.now + d, do: do})
+	w.events.Push(w.now+d, do)
 }
 
 // deliver sends bytes from one end to the other. nil is an end whose link has no limit.
@@ -143,15 +125,15 @@
 		at = from.out
 	}
 	at += messageDelay
-	heap.Push(&w.events, event{at: at, do: func() {
+	w.events.Push(at, func() {
 		if to == nil {
 			do()
 			return
 		}
 		to.in = max(to.in, w.now) + time.Duration(float64(bytes)/to.rate*float64(time.Second))
 		to.taken += bytes
-		heap.Push(&w.events, event{at: max(to.in, to.startAt), do: do})
-	}})
+		w.events.Push(max(to.in, to.startAt), do)
+	})
 }
 
 // start builds the fleet.
@@ -208,10 +190,10 @@
 
 // run simulates until a time.
 func (w *startSim) run(until time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= until {
-		next := heap.Pop(&w.events).(event)
-		w.now = max(w.now, next.at)
-		next.do()
+	for next, any := w.events.Next(); any && next <= until; next, any = w.events.Next() {
+		at, do := w.events.Pop()
+		w.now = max(w.now, at)
+		do()
 	}
 	w.now = until
 }
