--- a/transport/forward/doc.go
+++ b/transport/forward/doc.go
@@ -20,6 +20,8 @@
 //   - A stream breaks off and is resumed at another upstream. Because only
 //     complete events are relayed, the other upstream resumes after an event that
 //     the caller has.
+//   - An upstream says that it wants no more requests while others that were chosen for it
+//     still connect. Each is checked again once its connection is open, and goes elsewhere.
 //   - The caller has disconnected. Its context ends, which closes the connection
 //     to the upstream, and no other attempt follows.
 package forward
