--- a/coordination/balance/share.go
+++ b/coordination/balance/share.go
@@ -16,7 +16,7 @@
 // The operators' bound is by the mean load of all upstreams. If those that aren't evacuated or
 // cold are fewer than one in Multiple, their load grows faster than the bound, and no way of
 // spreading the requests keeps them within it: some have to be refused. By what routers know of
-// each other's requests, which is a third of a second old, too few are refused and then too
+// each other's requests, old by up to a report interval, too few are refused and then too
 // many. So each router gets a share of each upstream's limit, and needs no news to keep it.
 //
 // Plain requests end before such a share helps. A share smaller than one upstream for each
