Lines of requests say which stream a caller takes up and each upstream's build

Ruled out: nothing yet. Change: the lines sent and request have the version of the upstream (build), and for a stream that its caller takes up again the last event (after) and the attempt that began it (began). No decision changes. The header that names that attempt is read for it.

--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -69,7 +69,9 @@
 	Address string
 	// StartedAt is the upstream's incarnation, as in its roster entry.
 	StartedAt int64
-	Reason    Reason
+	// Build is the version of the upstream's software, as in its roster entry.
+	Build  string
+	Reason Reason
 	// NeedsProxy says that this router has no path to it, so that another router has to send
 	// the request: Proxy at ProxyAddress, "" if there is none.
 	NeedsProxy   bool
@@ -150,5 +152,5 @@
 }
 
 func newChoice(u *upstream, reason Reason, mean float64) Choice {
-	return Choice{ID: u.entry.ID, Address: u.entry.Address, StartedAt: u.entry.StartedAt, Reason: reason, Load: u.load(), Mean: mean}
+	return Choice{ID: u.entry.ID, Address: u.entry.Address, StartedAt: u.entry.StartedAt, Build: u.entry.Build, Reason: reason, Load: u.load(), Mean: mean}
 }
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -23,6 +23,9 @@
 	// LastEventID is the ID of the last event of a stream that the caller has
 	// received, "" for none.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt whose answer had the first event of the
+	// stream that this one goes on with, "" if the caller did not send it.
+	Resumes protocol.RequestID
 	// Prompt is nil for requests without one.
 	Prompt *Prompt
 }
--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -15,7 +15,10 @@
 
 // ReadCall implements dialect.Dialect.
 func (Plain) ReadCall(header http.Header) (dialect.Call, error) {
-	call := dialect.Call{ID: protocol.RequestID(header.Get("T-Id")), Key: header.Get("T-Key"), LastEventID: header.Get("T-Last")}
+	call := dialect.Call{
+		ID: protocol.RequestID(header.Get("T-Id")), Key: header.Get("T-Key"),
+		LastEventID: header.Get("T-Last"), Resumes: protocol.RequestID(header.Get("T-Resumes")),
+	}
 	remaining, err := strconv.Atoi(header.Get("T-Left"))
 	if err == nil {
 		call.Remaining = time.Duration(remaining) * time.Millisecond
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -71,7 +71,7 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a AttemptOutcome) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("upstream", string(a.Choice.ID)).Str("why", string(a.Choice.Reason)).
+	e.Str("upstream", string(a.Choice.ID)).Str("build", a.Choice.Build).Str("why", string(a.Choice.Reason)).
 		Int("load", a.Choice.Load).Float64("mean", a.Choice.Mean).
 		Stringer("result", a.Result).Int("status", a.Status).Bool("sent", a.Sent).Bool("reused", a.Reused).
 		Float64("ms", a.Took.Seconds()*1000)
@@ -123,10 +123,19 @@
 // logSent logs an attempt before it is sent. If the router dies, this line is the
 // only record of which upstream had the request.
 func (f *forwarding) logSent(choice balance.Choice, remaining time.Duration) {
-	f.handler.options.Log.Info().Str("event", "sent").Str("request", string(f.call.ID)).
+	line := f.handler.options.Log.Info().Str("event", "sent").Str("request", string(f.call.ID)).
 		Str("route", f.outcome.Route).Uint64("table", f.outcome.TableVersion).Int("attempt", len(f.outcome.Attempts)+1).
-		Str("upstream", string(choice.ID)).Str("why", string(choice.Reason)).Int("load", choice.Load).Float64("mean", choice.Mean).
-		Str("proxy", string(choice.Proxy)).Int64("left_ms", remaining.Milliseconds()).Send()
+		Str("upstream", string(choice.ID)).Str("build", choice.Build).Str("why", string(choice.Reason)).Int("load", choice.Load).Float64("mean", choice.Mean).
+		Str("proxy", string(choice.Proxy)).Int64("left_ms", remaining.Milliseconds())
+	f.logResumed(line)
+	line.Send()
+}
+
+// logResumed adds to a line where the stream began that the caller takes up again, if it does.
+func (f *forwarding) logResumed(line *zerolog.Event) {
+	if f.call.LastEventID != "" {
+		line.Str("after", f.call.LastEventID).Str("began", string(f.call.Resumes))
+	}
 }
 
 // report logs the request and reports its outcome to the metrics and the trace. It
@@ -149,6 +158,7 @@
 	if o.Reason != "" {
 		line.Str("reason", o.Reason)
 	}
+	f.logResumed(line)
 	if o.Limit > 0 {
 		line.Int("limit", o.Limit).Float64("mean", o.Mean)
 	}
