--- a/daemon/router/isolated_test.go
+++ b/daemon/router/isolated_test.go
@@ -137,6 +137,12 @@
 
 // startFleet starts three routers, the disk VM and some upstreams.
 func startFleet(t *testing.T, upstreams ...string) *testFleet {
+	t.Helper()
+	return startFleetListing(t, func(diskAddress string) *diskVM { return startDiskVM(t, diskAddress, upstreams...) })
+}
+
+// startFleetListing starts three routers and a disk VM.
+func startFleetListing(t *testing.T, startDiskVM func(address string) *diskVM) *testFleet {
 	t.Helper()
 	peers, proxies, announcements := freePort(t), freePort(t), freePort(t)
 	f := &testFleet{}
@@ -145,6 +151,7 @@
 		f.paths, f.lines = append(f.paths, p), append(f.lines, lines)
 		f.routers = append(f.routers, startRig(t, ip, peers, func(options *Options) {
 			options.Dial = p.dial
+			options.Settings.Retries.Slack = 1000
 			options.Settings.Stop.UnreadyMS = 2 * float64(proxyIdle.Milliseconds())
 			options.Settings.Listen.Routers = fmt.Sprintf("%s:%d", ip, proxies)
 			options.Settings.Listen.Announcements = fmt.Sprintf("%s:%d", ip, announcements)
@@ -152,7 +159,7 @@
 			options.Log, options.RequestLog = zerolog.New(lines), zerolog.New(lines)
 		}))
 	}
-	f.diskVM = startDiskVM(t, fmt.Sprintf("127.0.0.2:%d", peers), upstreams...)
+	f.diskVM = startDiskVM(fmt.Sprintf("127.0.0.2:%d", peers))
 	for _, r := range f.routers {
 		r.eventually("the router is ready", r.ready)
 		r.eventually("the router knows the others", func() bool { return r.router.knownRouters() == len(f.routers)-1 })
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -59,10 +59,20 @@
 // startDiskVM starts a disk VM that lists upstreams, u1 and so on, and has a table of version 7.
 func startDiskVM(t *testing.T, address string, upstreams ...string) *diskVM {
 	t.Helper()
-	known := roster.New(roster.DefaultSettings())
+	var entries []roster.Entry
 	for i, upstream := range upstreams {
 		id := protocol.UpstreamID(fmt.Sprint("u", i+1))
-		known.Merge(0, roster.Entry{ID: id, Service: "s", Address: upstream, State: roster.Ready, Sequence: 1})
+		entries = append(entries, roster.Entry{ID: id, Service: "s", Address: upstream, State: roster.Ready, Sequence: 1})
+	}
+	return startDiskVMListing(t, address, entries)
+}
+
+// startDiskVMListing starts a disk VM that lists the given upstreams and has a table of version 7.
+func startDiskVMListing(t *testing.T, address string, entries []roster.Entry) *diskVM {
+	t.Helper()
+	known := roster.New(roster.DefaultSettings())
+	for _, e := range entries {
+		known.Merge(0, e)
 	}
 	vm := &diskVM{announceAddresses: map[protocol.RouterID]string{}, started: time.Now(), publisher: control.NewPublisher(known, linkRate)}
 	table := document.New(7, []byte("a table"))
@@ -94,7 +104,8 @@
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
 }
 
-// parseTable returns a table with one route, whatever the body is.
+// parseTable returns a table with a route of plain requests and one of streams that may be
+// resumed, whatever the body is.
 func parseTable(version uint64, _ []byte) (*routing.Table, error) {
 	return &routing.Table{
 		Version:  version,
@@ -103,6 +114,9 @@
 		Routes: []routing.Route{{
 			Name: "r", Host: "h", PathPrefix: "/", Public: true, Timeout: 5 * time.Second, Objective: time.Second,
 			MaxAttempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}},
+		}, {
+			Name: "stream", Host: "h", PathPrefix: "/stream/", Public: true, Timeout: 5 * time.Second, Objective: time.Second,
+			Stream: true, Resumable: true, MaxAttempts: 3, Split: []routing.Share{{Service: "s", Weight: 1}},
 		}},
 	}, nil
 }
