A stream that breaks off goes on at the build that began it

Cause: a router chose the upstream of the rest of a stream as for a new request. It knows each upstream's version by its announcement and never compared it. Ruled out: old news; in the test no upstream restarts and all are listed before. Change: a stream that has begun has its build (forward.Job.Began), and a request with a build goes to upstreams of that build alone; there is no last resort of another one. Where none is left the answer is cut, or refused with the reason other-build. Conclusion: within an answer the fault is gone by design, as every attempt after the first event passes through the same choice.

--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -86,7 +86,7 @@
 	}
 	cold := 0
 	for _, u := range c.pool.ready {
-		if !c.balancer.evacuated[u.entry.DataCentre] && !c.request.Admits(u.entry.ID) {
+		if !c.balancer.evacuated[u.entry.DataCentre] && !c.isOtherBuild(u) && !c.request.Admits(u.entry.ID) {
 			cold++
 		}
 	}
@@ -95,7 +95,7 @@
 
 // has reports whether an upstream of the pool that is ready is a candidate.
 func (c *candidates) has(u *upstream) bool {
-	if u.isPaused(c.now) || c.reachableOnly && u.unreachable {
+	if u.isPaused(c.now) || c.reachableOnly && u.unreachable || c.isOtherBuild(u) {
 		return false
 	}
 	if c.balancer.evacuated[u.entry.DataCentre] || c.request.Admits != nil && !c.request.Admits(u.entry.ID) {
@@ -120,6 +120,16 @@
 	return (c.class != available || !u.health.isUnavailable(c.now)) && c.isReliable(u)
 }
 
+// isOtherBuild reports whether an upstream has a build that the request isn't sent to.
+func (c *candidates) isOtherBuild(u *upstream) bool {
+	return c.request.OnlyBuild && u.entry.Build != c.request.Build
+}
+
+// anyOfBuild reports whether an upstream that accepts requests has the request's build.
+func (c *candidates) anyOfBuild() bool {
+	return slices.ContainsFunc(c.pool.ready, func(u *upstream) bool { return !c.isOtherBuild(u) })
+}
+
 // isCold reports whether an upstream is cold, so that another limit holds for it.
 func (c *candidates) isCold(u *upstream) bool {
 	return c.request.IsCold != nil && c.request.IsCold(u.entry.ID)
@@ -201,6 +211,8 @@
 	switch {
 	case c.throttled:
 		return ReasonNoCapacity
+	case len(c.pool.ready) > 0 && !c.anyOfBuild():
+		return ReasonOtherBuild
 	case c.cold > 0:
 		return ReasonCold
 	case c.balancer.nextPauseEnd(c.now, c.pool) > 0:
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -23,6 +23,10 @@
 	// limit. Requests that were sent before have no limit: the work already done for them
 	// would be lost.
 	LoadLimit int
+	// OnlyBuild restricts the request to upstreams of the software version Build, which began
+	// its stream.
+	OnlyBuild bool
+	Build     string
 	// Tried are upstreams that this request was already sent to.
 	Tried []protocol.UpstreamID
 	// Admits reports whether an upstream takes the request; nil means that all do.
@@ -59,6 +63,8 @@
 	ReasonCold Reason = "cold"
 	// ReasonPaused: the upstreams that are left want no requests from this router yet.
 	ReasonPaused Reason = "paused"
+	// ReasonOtherBuild: no upstream has the version of the software that began the stream.
+	ReasonOtherBuild Reason = "other-build"
 	// ReasonNoUpstream: there is no upstream.
 	ReasonNoUpstream Reason = "no-upstream"
 )
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -50,6 +50,9 @@
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
 	request.Admits, request.IsCold, request.Throttled = r.admits(now), r.isCold(now), r.throttled(now)
+	if job.Began != nil {
+		request.OnlyBuild, request.Build = true, job.Began.Build
+	}
 	// An attempt that follows failed connections is limited like the first one, but the
 	// request has been counted.
 	limiter, first := r.limiter(job.Service), job.Attempts == 0 && len(job.Tried) == 0
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -89,6 +90,9 @@
 	// ErrorFrom is the last of them if it answered with an error and it isn't known
 	// yet whether the request or the upstream causes the error; else "".
 	ErrorFrom protocol.UpstreamID
+	// Began is the build at which the request's stream began, nil if it hasn't begun. The
+	// stream goes on there alone.
+	Began *builds.Pair
 	// Digest is the same for requests of the same content.
 	Digest uint64
 }
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -88,7 +88,7 @@
 		return
 	}
 	reason := balance.ReasonNoUpstream
-	if choice.Reason == balance.ReasonEvacuated {
+	if choice.Reason == balance.ReasonEvacuated || choice.Reason == balance.ReasonOtherBuild {
 		reason = choice.Reason
 	}
 	f.giveUp(string(reason), retryAfterNoUpstream)
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -187,6 +188,13 @@
 	return drawService(f.job.Route.Split, string(f.job.ID))
 }
 
+// noteBegan records that the stream begins at an upstream, unless it has begun.
+func (f *forwarding) noteBegan(choice balance.Choice) {
+	if f.job.Began == nil {
+		f.job.Began = &builds.Pair{Service: f.job.Service, Build: choice.Build}
+	}
+}
+
 // attempt sends the request to one upstream and relays its answer to the caller.
 func (f *forwarding) attempt(choice balance.Choice, outcome *AttemptOutcome) verdict {
 	header := f.request.Header.Clone()
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -63,6 +63,7 @@
 			if err := f.checkOrder(next); err != nil {
 				return f.streamBroken(err, choice, outcome)
 			}
+			f.noteBegan(choice)
 			f.relayEvent(answer, next)
 			if reader.Buffered() == 0 {
 				f.flush()
