Any router goes on with a caller's stream at the build that began it

Cause: where a stream began was known to nobody but the answer that began it, and the header that names the first attempt was read by nobody. Ruled out: a record at the disk VMs (10,000 streams a second are beyond their links); one at every router (grows with the square of the fleet); a version computed from the attempt's ID (the versions change while the stream lasts); what the routers list as permission (a disk VM that they don't reach may list another version). Change: - coordination/origin: a router remembers where its streams began, and while a service has several builds tells three replicas, drawn by rendezvous hashing; any router asks them. From 100 routers on relays alone are replicas. - coordination/builds: where the origin isn't known a stream goes on only if a majority of the disk VMs tells, after the caller came back, that its service has had one build for five minutes. Streams begin only at builds that a majority has on disk, as long as there is one, so that both majorities overlap. Else 503 origin-unknown. - A stream taken up has no load limit: its work would be lost. - A stopped router closes all its listeners, so that it can start again in one process. Nothing is sent while a service has one build.

--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -35,6 +35,8 @@
 	evacuated, cold int
 	// throttled says that some were passed over by Request.Throttled.
 	throttled bool
+	// undoubtedOnly leaves out upstreams of Request.Doubted builds.
+	undoubtedOnly bool
 	// reachableOnly leaves out upstreams that this router can't open connections to.
 	reachableOnly bool
 	// sharedLimit is how many requests all routers together may have on each candidate that
@@ -63,6 +65,9 @@
 		c.evacuated += c.pool.readyIn[dataCentre]
 	}
 	c.cold = c.countCold()
+	if c.undoubtedOnly = len(r.Doubted) > 0; c.undoubtedOnly && !c.any() {
+		c.undoubtedOnly = false
+	}
 	c.reachableOnly = b.prefersReachable(c.pool)
 	if c.any() {
 		return c
@@ -122,7 +127,10 @@
 
 // isOtherBuild reports whether an upstream has a build that the request isn't sent to.
 func (c *candidates) isOtherBuild(u *upstream) bool {
-	return c.request.OnlyBuild && u.entry.Build != c.request.Build
+	if c.request.OnlyBuild && u.entry.Build != c.request.Build {
+		return true
+	}
+	return c.undoubtedOnly && slices.Contains(c.request.Doubted, u.entry.Build)
 }
 
 // anyOfBuild reports whether an upstream that accepts requests has the request's build.
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -27,6 +27,8 @@
 	// its stream.
 	OnlyBuild bool
 	Build     string
+	// Doubted are builds that the request avoids while there are others.
+	Doubted []string
 	// Tried are upstreams that this request was already sent to.
 	Tried []protocol.UpstreamID
 	// Admits reports whether an upstream takes the request; nil means that all do.
--- a/coordination/balance/pool.go
+++ b/coordination/balance/pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
@@ -20,6 +21,8 @@
 	load int
 	// readyIn counts the ready ones by data centre, and loadIn their requests in flight.
 	readyIn, loadIn map[protocol.DataCentre]int
+	// builds counts the upstreams that haven't left by their build.
+	builds map[string]int
 	// places is the number of ready upstreams that aren't evacuated, if placesSet says that
 	// they are numbered.
 	places    int
@@ -32,7 +35,7 @@
 }
 
 func newPool() *pool {
-	return &pool{readyIn: map[protocol.DataCentre]int{}, loadIn: map[protocol.DataCentre]int{}}
+	return &pool{readyIn: map[protocol.DataCentre]int{}, loadIn: map[protocol.DataCentre]int{}, builds: map[string]int{}}
 }
 
 // byID compares an upstream with an ID.
@@ -68,6 +71,7 @@
 	if u.suspect {
 		p.suspects += sign
 	}
+	p.countBuild(u, sign)
 	if u.entry.State != roster.Ready {
 		return
 	}
@@ -83,6 +87,17 @@
 	}
 }
 
+// countBuild adds an upstream to those of its build, or subtracts it if sign is -1.
+func (p *pool) countBuild(u *upstream, sign int) {
+	if u.entry.State == roster.Gone {
+		return
+	}
+	p.builds[u.entry.Build] += sign
+	if p.builds[u.entry.Build] == 0 {
+		delete(p.builds, u.entry.Build)
+	}
+}
+
 // countPaused adds an upstream to the paused ones if it is one, or subtracts it if sign is -1.
 func (p *pool) countPaused(u *upstream, sign int) {
 	if u.pause != nil && u.entry.State == roster.Ready {
@@ -163,3 +178,14 @@
 		u.pool.loadIn[u.entry.DataCentre] += own + elsewhere
 	}
 }
+
+// Builds returns the builds of all upstreams that haven't left, by service.
+func (b *Balancer) Builds() []builds.Pair {
+	var pairs []builds.Pair
+	for service, p := range b.pools {
+		for build := range p.builds {
+			pairs = append(pairs, builds.Pair{Service: service, Build: build})
+		}
+	}
+	return pairs
+}
--- a/coordination/control/relay.go
+++ b/coordination/control/relay.go
@@ -149,8 +149,12 @@
 	if r.hasParent {
 		return balance.Neighbours{Relay: r.parent}
 	}
-	others := slices.DeleteFunc(slices.Clone(r.relays), func(other Router) bool { return other == r.self })
-	return balance.Neighbours{Members: r.receivers, Relays: IDsOf(others)}
+	return balance.Neighbours{Members: r.receivers, Relays: r.OtherRelays()}
+}
+
+// OtherRelays returns all routers but this one that relay to others.
+func (r *Relay) OtherRelays() []protocol.RouterID {
+	return IDsOf(slices.DeleteFunc(slices.Clone(r.relays), func(other Router) bool { return other == r.self }))
 }
 
 // IDsOf returns the IDs of routers.
--- a/coordination/control/routerlist.go
+++ b/coordination/control/routerlist.go
@@ -61,6 +61,19 @@
 	return lists, digests
 }
 
+// NamedDiskVMs returns the disk VMs that live disk VMs name as members, sorted, none if there is no
+// list yet.
+func (f *Follower) NamedDiskVMs(now time.Duration) []protocol.RouterID {
+	var named []protocol.RouterID
+	for _, s := range f.sources {
+		if s.alive(now) {
+			named = append(named, s.diskVMs...)
+		}
+	}
+	slices.Sort(named)
+	return slices.Compact(named)
+}
+
 // mergeRouters merges lists that are sorted by ID.
 func mergeRouters(lists [][]Router) []Router {
 	var merged []Router
--- a/daemon/diskvm/savedstate.go
+++ b/daemon/diskvm/savedstate.go
@@ -37,10 +37,13 @@
 	// cacheHoldersMaxAge is how old the saved cache holders may be. Engines that were idle
 	// since then still have what was in their caches.
 	cacheHoldersMaxAge = 15 * time.Second
+	// buildsMaxAge is how old the saved builds may be: no stream lasts that long.
+	buildsMaxAge = 15 * time.Minute
 	// Each file is in a folder of its own, apart from the log.
 	rosterFolder       = "roster"
 	tableFolder        = "table"
 	cacheHoldersFolder = "keepers"
+	buildsFolder       = "builds"
 )
 
 // savedState is what a disk VM knew before its restart. It offers that to routers until it
@@ -53,7 +56,7 @@
 // consensus has its own log, and operators read the table only from a leader that a quorum
 // has confirmed.
 type savedState struct {
-	roster, table, cacheHolders *savedFile
+	roster, table, cacheHolders, builds *savedFile
 	// queuedAt is when the roster and the cache holders were last queued for writing.
 	queuedAt time.Duration
 	// encoded is the roster with encodedDigest, as it was encoded at encodedAt.
@@ -68,6 +71,8 @@
 	disk    *disk.OS
 	maxAge  time.Duration
 	pending chan []byte
+	// written is called with what was written, if it isn't nil.
+	written func(content []byte)
 }
 
 // openSavedFile opens the folder of one file. It returns the errors of the disk.
@@ -102,12 +107,15 @@
 	if s.cacheHolders, err = openSavedFile(dataFolder, cacheHoldersFolder, cacheHoldersMaxAge); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
+	if s.builds, err = openSavedFile(dataFolder, buildsFolder, buildsMaxAge); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
 	return s, nil
 }
 
 // all returns the files that are open.
 func (s *savedState) all() []*savedFile {
-	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders}, func(f *savedFile) bool { return f == nil })
+	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders, s.builds}, func(f *savedFile) bool { return f == nil })
 }
 
 // close closes the folders.
@@ -127,8 +135,8 @@
 	Evacuations []evacuation.Record `msgpack:"z,omitempty"`
 }
 
-// restore loads what was saved before the start: the roster, the table and the cache
-// holders.
+// restore loads what was saved before the start: the roster, the table, the cache holders
+// and the builds.
 func (vm *VM) restore() {
 	if content, found := vm.readSaved(vm.saved.roster); found {
 		vm.restoreRoster(content)
@@ -139,6 +147,10 @@
 	if content, found := vm.readSaved(vm.saved.cacheHolders); found {
 		vm.restoreCacheHolders(content)
 	}
+	if content, found := vm.readSaved(vm.saved.builds); found {
+		vm.restoreBuilds(content)
+	}
+	vm.saved.builds.written = vm.buildsWritten
 }
 
 // readSaved returns a file's content, if there is any that isn't too old.
@@ -235,6 +247,9 @@
 				vm.log.Warn().Str("event", "not-written").Str("what", f.name).Err(err).Send()
 			}
 			failed = err != nil
+			if err == nil && f.written != nil {
+				f.written(content)
+			}
 		}
 		select {
 		case <-vm.quit:
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/consensus"
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/diskstate"
@@ -70,6 +71,7 @@
 	publisher *control.Publisher
 	// follower merges the rosters of the other disk VMs.
 	follower     *control.Follower
+	builds       listedBuilds
 	expiredAt    time.Duration
 	published    *document.Document
 	loggedLeader protocol.RouterID
@@ -91,8 +93,8 @@
 		options: options, settings: options.Settings, log: options.Log,
 		incarnation: options.Random.Uint64(), started: time.Now(),
 		folder: folder, machine: diskstate.NewMachine(), registry: metrics.NewRegistry(),
-		roster: roster.New(roster.DefaultSettings()),
-		quit:   make(chan struct{}),
+		roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()},
+		quit: make(chan struct{}),
 	}
 	self := options.Settings.Self()
 	vm.publisher = control.NewPublisher(vm.roster, options.Settings.LinkRate())
@@ -158,6 +160,7 @@
 	vm.updateDiskVMs(now)
 	vm.fabric.SendAll(vm.follower.Tick(now))
 	vm.logEvents(vm.follower.Events())
+	vm.noteBuilds(now)
 	vm.saveRosterAndCacheHolders(now)
 	vm.fabric.SendAll(vm.publisher.PushChanges(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
@@ -252,6 +255,8 @@
 		vm.fabric.Send(ack.To, ack.Body)
 	case balance.CacheHolderList:
 		vm.publisher.HandleCacheHolders(now, from, m)
+	case builds.Read:
+		vm.handleBuildsRead(now, from, m)
 	case control.ChangesAck:
 		vm.publisher.HandleChangesAck(from, m)
 	case control.List:
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -13,9 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/consensus"
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/crashes"
+	"endiveplank/coordination/origin"
 	"endiveplank/coordination/reach"
 	"endiveplank/coordination/throttle"
 	"endiveplank/protocol"
@@ -202,6 +204,16 @@
 		return wire.KindRefusal
 	case reach.Unreachable:
 		return wire.KindUnreachable
+	case builds.Read:
+		return wire.KindBuildsRead
+	case builds.Reply:
+		return wire.KindBuildsReply
+	case origin.Origins:
+		return wire.KindOrigins
+	case origin.Query:
+		return wire.KindOriginQuery
+	case origin.Reply:
+		return wire.KindOriginReply
 	}
 	panic(fmt.Sprintf("fabric: message type %T has no wire kind", body))
 }
@@ -251,6 +263,16 @@
 		return decodeAs[throttle.Refusal](frame)
 	case wire.KindUnreachable:
 		return decodeAs[reach.Unreachable](frame)
+	case wire.KindBuildsRead:
+		return decodeAs[builds.Read](frame)
+	case wire.KindBuildsReply:
+		return decodeAs[builds.Reply](frame)
+	case wire.KindOrigins:
+		return decodeAs[origin.Origins](frame)
+	case wire.KindOriginQuery:
+		return decodeAs[origin.Query](frame)
+	case wire.KindOriginReply:
+		return decodeAs[origin.Reply](frame)
 	}
 	return nil, fmt.Errorf("fabric: unknown message kind %d", frame.Kind)
 }
--- a/daemon/router/builds_test.go
+++ b/daemon/router/builds_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 )
@@ -153,24 +154,128 @@
 	f.stop(t)
 }
 
-func TestCallersStreamGoesOnAtItsBuildOnAnyRouter(t *testing.T) {
-	// Guards: a caller takes a stream up at another router, which doesn't know where it began and
-	// goes on at an upstream that runs another version of the software.
-	f := startFleetOf(t, "v1", "v2")
-	mixedStreams, whole := 0, 0
+// begin begins streams at the routers in turn and returns the build of each.
+func (f *testFleet) begin(t *testing.T) []string {
+	var begun []string
 	for i := range streamsTried {
+		got := f.routers[i%len(f.routers)].stream(streamCall{id: fmt.Sprint("a", i), leaveAfter: brokenAfter})
+		assert.Equal(t, len(got.builds), brokenAfter)
+		begun = append(begun, got.builds[0])
+	}
+	return begun
+}
+
+// takeUp takes begun streams up again at one router for each, and checks that they go on at their
+// build, and that half of them or more go on.
+func (f *testFleet) takeUp(t *testing.T, begun []string, at func(i int) *rig) {
+	t.Helper()
+	mixedStreams, whole := 0, 0
+	for i, build := range begun {
 		id := fmt.Sprint("a", i)
-		began := f.routers[i%len(f.routers)].stream(streamCall{id: id, leaveAfter: brokenAfter})
-		assert.Equal(t, len(began.builds), brokenAfter)
-		rest := f.routers[(i+1)%len(f.routers)].stream(streamCall{id: id + "-again", last: brokenAfter, resumes: id})
-		if mixed(append(began.builds, rest.builds...)...) {
+		got := at(i).stream(streamCall{id: id + "-again", last: brokenAfter, resumes: id})
+		if mixed(append(got.builds, build)...) {
 			mixedStreams++
 		}
-		if rest.whole {
+		if got.whole {
 			whole++
 		}
 	}
-	assert.Check(t, mixedStreams == 0, "%d of %d streams hold events of two builds", mixedStreams, streamsTried)
-	assert.Check(t, 2*whole >= streamsTried, "%d of %d streams went on", whole, streamsTried)
+	assert.Check(t, mixedStreams == 0, "%d of %d streams hold events of two builds", mixedStreams, len(begun))
+	assert.Check(t, 2*whole >= len(begun), "%d of %d streams went on", whole, len(begun))
+}
+
+func TestCallersStreamGoesOnAtItsBuildOnAnyRouter(t *testing.T) {
+	// Guards: a caller takes a stream up at another router, which doesn't know where it began and
+	// goes on at an upstream that runs another version of the software.
+	f := startFleetOf(t, "v1", "v2")
+	f.takeUp(t, f.begin(t), func(i int) *rig { return f.routers[(i+1)%len(f.routers)] })
+	f.stop(t)
+}
+
+func TestCallersStreamGoesOnAtItsBuildAfterItsRouterIsGone(t *testing.T) {
+	// Guards: the router that began streams ends, or starts again, and nobody knows where they
+	// began.
+	f := startFleetOf(t, "v1", "v2")
+	begun := f.begin(t)
+	gone := f.routers[0]
+	assert.Assert(t, gone.router.Stop())
+	f.takeUp(t, begun, func(i int) *rig { return f.routers[1+i%2] })
+	f.routers[0] = f.starts[0]()
+	f.await()
+	f.takeUp(t, begun, func(int) *rig { return f.routers[0] })
+	f.stop(t)
+}
+
+func TestStreamGoesOnAtItsBuildThroughAProxy(t *testing.T) {
+	// Guards: a router without a path to the upstreams goes on with a stream through another one,
+	// at an upstream that runs another version of the software.
+	f := startFleetOf(t, "v1", "v2")
+	begun := f.begin(t)
+	f.paths[0].set(pathResets)
+	f.takeUp(t, begun, func(int) *rig { return f.routers[0] })
+	f.paths[0].set(pathOpen)
+	f.stop(t)
+}
+
+// takeUpUnknown takes a stream up of which nobody knows where it began.
+func (r *rig) takeUpUnknown(id string) received {
+	return r.stream(streamCall{id: id, last: brokenAfter, resumes: "never-seen-" + id})
+}
+
+func TestStreamOfUnknownOriginIsRefusedWhileThereAreTwoBuilds(t *testing.T) {
+	// Guards: a router that doesn't know where a stream began goes on with it all the same, at
+	// whichever build.
+	f := startFleetOf(t, "v1", "v2")
+	for _, call := range []streamCall{{id: "a", last: brokenAfter}, {id: "b", last: brokenAfter, resumes: "never-seen"}} {
+		got := f.routers[0].stream(call)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	}
+	f.stop(t)
+}
+
+func TestStreamOfUnknownOriginGoesOnWhileThereIsOneBuild(t *testing.T) {
+	// Guards: callers who don't name the attempt that began their stream, or whose routers are all
+	// gone, are refused although there is nothing to mix.
+	f := startFleetOf(t, "v1")
+	for i, call := range []streamCall{{id: "a", last: brokenAfter}, {id: "b", last: brokenAfter, resumes: "never-seen"}} {
+		got := f.routers[i].stream(call)
+		assert.Assert(t, got.whole, "%v", got)
+	}
+	f.stop(t)
+}
+
+func TestStreamOfUnknownOriginIsRefusedByARouterOutOfTouch(t *testing.T) {
+	// Guards: a router that no disk VM answers takes the only build that it has heard of for the
+	// only one.
+	f := startFleetOf(t, "v1")
+	f.diskVM.fabric.Close()
+	began := time.Now()
+	got := f.routers[0].takeUpUnknown("a")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Check(t, time.Since(began) < 3*time.Second)
+	assert.Equal(t, f.routers[0].stream(streamCall{id: "new"}).status, http.StatusOK, "streams begin all the same")
+	f.stop(t)
+}
+
+func TestStreamsBeginOnlyAtBuildsThatAMajorityOfDiskVMsTellsOf(t *testing.T) {
+	// Guards: a router begins streams at a build that one disk VM alone lists, and another one
+	// takes the old build for the only one.
+	f := startFleetOf(t, "v1", "v2")
+	f.diskVM.mu.Lock()
+	f.diskVM.builds = builds.NewSet()
+	f.diskVM.builds.Restore(0, []builds.Pair{{Service: "s", Build: "v1"}})
+	f.diskVM.mu.Unlock()
+	router := f.routers[0].router
+	f.routers[0].eventually("the router doubts the other build", func() bool {
+		router.mu.Lock()
+		defer router.mu.Unlock()
+		router.builds.quorum.Ask(0)
+		router.tickBuilds(router.now())
+		return len(router.builds.doubted["s"]) == 1
+	})
+	for i := range streamsTried {
+		got := f.routers[0].stream(streamCall{id: fmt.Sprint("a", i)})
+		assert.Equal(t, got.builds[0], "v1")
+	}
 	f.stop(t)
 }
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -50,9 +50,7 @@
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
 	request.Admits, request.IsCold, request.Throttled = r.admits(now), r.isCold(now), r.throttled(now)
-	if job.Began != nil {
-		request.OnlyBuild, request.Build = true, job.Began.Build
-	}
+	r.restrictBuild(&request, job)
 	// An attempt that follows failed connections is limited like the first one, but the
 	// request has been counted.
 	limiter, first := r.limiter(job.Service), job.Attempts == 0 && len(job.Tried) == 0
@@ -62,6 +60,10 @@
 	case len(job.Tried) == 0:
 		request.LoadLimit = limiter.LimitFor(now, job.Customer)
 	}
+	if job.TakenUp {
+		// The work that was done for the stream would be lost.
+		request.LoadLimit = 0
+	}
 	choice := r.balancer.Pick(now, r.random, request)
 	r.setProxy(now, &choice, job.TriedProxies)
 	if choice.ID != "" {
--- a/daemon/router/isolated_test.go
+++ b/daemon/router/isolated_test.go
@@ -112,7 +112,9 @@
 	routers []*rig
 	paths   []*path
 	lines   []*lockedBuffer
-	diskVM  *diskVM
+	// starts start each of the routers anew.
+	starts []func() *rig
+	diskVM *diskVM
 }
 
 // lockedBuffer holds the log of a router.
@@ -149,22 +151,30 @@
 	for _, ip := range []string{"127.0.0.1", "127.0.0.3", "127.0.0.4"} {
 		p, lines := newPath(t), &lockedBuffer{}
 		f.paths, f.lines = append(f.paths, p), append(f.lines, lines)
-		f.routers = append(f.routers, startRig(t, ip, peers, func(options *Options) {
-			options.Dial = p.dial
-			options.Settings.Retries.Slack = 1000
-			options.Settings.Stop.UnreadyMS = 2 * float64(proxyIdle.Milliseconds())
-			options.Settings.Listen.Routers = fmt.Sprintf("%s:%d", ip, proxies)
-			options.Settings.Listen.Announcements = fmt.Sprintf("%s:%d", ip, announcements)
-			options.AnnouncementHandler = func(func(context.Context, roster.Entry) bool, func()) http.Handler { return http.NotFoundHandler() }
-			options.Log, options.RequestLog = zerolog.New(lines), zerolog.New(lines)
-		}))
+		f.starts = append(f.starts, func() *rig {
+			return startRig(t, ip, peers, func(options *Options) {
+				options.Dial = p.dial
+				options.Settings.Retries.Slack = 1000
+				options.Settings.Stop.UnreadyMS = 2 * float64(proxyIdle.Milliseconds())
+				options.Settings.Listen.Routers = fmt.Sprintf("%s:%d", ip, proxies)
+				options.Settings.Listen.Announcements = fmt.Sprintf("%s:%d", ip, announcements)
+				options.AnnouncementHandler = func(func(context.Context, roster.Entry) bool, func()) http.Handler { return http.NotFoundHandler() }
+				options.Log, options.RequestLog = zerolog.New(lines), zerolog.New(lines)
+			})
+		})
+		f.routers = append(f.routers, f.starts[len(f.starts)-1]())
 	}
 	f.diskVM = startDiskVM(fmt.Sprintf("127.0.0.2:%d", peers))
+	f.await()
+	return f
+}
+
+// await waits until all routers serve and know each other.
+func (f *testFleet) await() {
 	for _, r := range f.routers {
 		r.eventually("the router is ready", r.ready)
 		r.eventually("the router knows the others", func() bool { return r.router.knownRouters() == len(f.routers)-1 })
 	}
-	return f
 }
 
 // knownRouters returns the number of other routers that a router knows.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -15,10 +15,12 @@
 
 	"endiveplank/coordination/answertime"
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/loadlimit"
+	"endiveplank/coordination/origin"
 	"endiveplank/coordination/reach"
 	"endiveplank/coordination/retry"
 	"endiveplank/coordination/roster"
@@ -94,6 +96,7 @@
 	relay    *control.Relay
 	balancer *balance.Balancer
 	crashes  *crashes.Record
+	builds   streamBuilds
 	// paths and proxies decide by which way requests go, and isolated is whether the paths to all
 	// upstreams were lost when that was last passed on.
 	paths    *reach.Paths
@@ -138,6 +141,7 @@
 		pool: exchange.NewPool(exchange.Options{Dial: options.Dial}), random: options.Random, metrics: newInstruments(),
 		roster:       roster.New(roster.DefaultSettings()),
 		crashes:      crashes.New(crashes.DefaultSettings()),
+		builds:       newStreamBuilds(),
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
 		proxies:      reach.NewProxies(),
@@ -223,11 +227,14 @@
 	r.applyConfirmed(now)
 	r.tellUnreachable(now)
 	r.probe(now)
+	r.updateBuildSources(now)
+	r.tickBuilds(now)
 	r.logEjections(now)
 	r.logLimits(now)
 	if now-r.sweptAt >= sweepInterval {
 		r.sweptAt = now
 		r.forgetUnlisted(now)
+		r.noteBuilds(now)
 		r.expireLimits(now)
 		r.slowStart.Retain(func(id protocol.UpstreamID) bool {
 			_, known := r.balancer.Entry(id)
@@ -281,6 +288,7 @@
 	r.proxies.SetRouters(r.others)
 	r.relay.SetRouters(routers)
 	r.balancer.SetNeighbours(r.relay.Neighbours())
+	r.setOriginRouters()
 	r.balancer.SetPosition(r.relay.Position())
 }
 
@@ -334,6 +342,7 @@
 	} else {
 		changed = r.balancer.SetRoster(r.roster.Entries())
 	}
+	r.noteBuilds(now)
 	r.forgetPaths(changed)
 	for _, e := range changed {
 		if e.State != roster.Ready {
@@ -393,6 +402,14 @@
 		r.applyRefusal(now, m)
 	case reach.Unreachable:
 		r.applyUnreachable(now, from, m)
+	case builds.Reply:
+		r.applyBuilds(from, m)
+	case origin.Origins:
+		r.builds.origins.HandleOrigins(now, m)
+	case origin.Query:
+		r.sendOrigins(r.builds.origins.HandleQuery(now, from, m))
+	case origin.Reply:
+		r.applyOriginReply(now, m)
 	default:
 		r.log.Warn().Str("event", "message-refused").Str("from", string(from)).Type("type", body).Send()
 	}
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/roster"
@@ -37,6 +38,7 @@
 	started   time.Time
 	mu        sync.Mutex
 	publisher *control.Publisher
+	builds    *builds.Set
 	// dropAnnouncements makes it ignore announcements, without an acknowledgement.
 	dropAnnouncements bool
 	// announceAddresses are where routers take announcements, by their last watches.
@@ -74,7 +76,12 @@
 	for _, e := range entries {
 		known.Merge(0, e)
 	}
-	vm := &diskVM{announceAddresses: map[protocol.RouterID]string{}, started: time.Now(), publisher: control.NewPublisher(known, linkRate)}
+	vm := &diskVM{
+		announceAddresses: map[protocol.RouterID]string{}, started: time.Now(), publisher: control.NewPublisher(known, linkRate), builds: builds.NewSet(),
+	}
+	for _, e := range entries {
+		vm.builds.Restore(0, []builds.Pair{{Service: e.Service, Build: e.Build}})
+	}
 	table := document.New(7, []byte("a table"))
 	vm.publisher.SetDocument(0, table, document.MakeChange(nil, table))
 	vm.publisher.SetDiskVMs([]protocol.RouterID{protocol.RouterID(address)})
@@ -92,6 +99,12 @@
 		vm.handleAnnouncements(from, announced)
 		return
 	}
+	if read, ok := body.(builds.Read); ok {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		vm.fabric.Send(from, vm.builds.Reply(time.Since(vm.started), read))
+		return
+	}
 	watch, ok := body.(control.Watch)
 	if !ok {
 		return
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -154,7 +154,20 @@
 	r.fabric.Close()
 	r.pool.Close()
 	r.proxyPool.Close()
+	r.closeServers()
 	r.closeTracer(began.Add(stop.Grace()))
 	r.log.Info().Str("event", "stopped").Dur("took_ms", time.Since(began)).Send()
 	return err == nil
 }
+
+// closeServers closes what still listens after the last answer.
+func (r *Router) closeServers() {
+	for _, server := range []*http.Server{r.servers.readiness, r.servers.announcements, r.servers.metrics} {
+		if server == nil {
+			continue
+		}
+		if err := server.Close(); err != nil {
+			r.log.Warn().Str("event", "server-not-closed").Err(err).Send()
+		}
+	}
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -138,6 +138,14 @@
 	KindRefusal Kind = 70
 	// KindUnreachable tells them that an upstream takes no connection from the sender.
 	KindUnreachable Kind = 71
+	// KindBuildsRead asks a disk VM which builds it has listed, and KindBuildsReply answers.
+	KindBuildsRead  Kind = 72
+	KindBuildsReply Kind = 73
+	// KindOrigins tells other routers at which builds streams began. KindOriginQuery asks
+	// them, and KindOriginReply answers.
+	KindOrigins     Kind = 74
+	KindOriginQuery Kind = 75
+	KindOriginReply Kind = 76
 )
 
 // kindNames are the names of the kinds in metrics and logs. They stay the same when
@@ -157,6 +165,7 @@
 	KindWatch: "watch", KindStatus: "news", KindChanges: "roster", KindChangesAck: "roster-ack", KindList: "list", KindDocument: "document",
 	KindHeartbeats: "heard", KindAnnouncements: "announced", KindAnnouncementsAck: "announced-ack", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoadReport: "loads", KindHome: "home", KindHomeReply: "home-reply", KindCrash: "blame", KindCacheHolders: "keepers", KindRefusal: "refusal", KindUnreachable: "unreachable",
+	KindBuildsRead: "builds-read", KindBuildsReply: "builds-reply", KindOrigins: "origins", KindOriginQuery: "origin-query", KindOriginReply: "origin-reply",
 	KindEvacuate: "evacuate", KindEvacuateReply: "evacuate-reply",
 }
 
--- a/transport/forward/doc.go
+++ b/transport/forward/doc.go
@@ -20,8 +20,9 @@
 //   - A stream breaks off and is resumed at another upstream. Because only
 //     complete events are relayed, the other upstream resumes after an event that
 //     the caller has.
-//   - A stream breaks off and goes on at another version of the upstreams' software than began it.
-//     Each stream that has begun goes to the build that began it alone.
+//   - A stream goes on at another version of the upstreams' software than began it, after it broke
+//     off or after its caller took it up again. Each stream has the build that began it; where
+//     that isn't known, the caller is refused.
 //   - An upstream says that it wants no more requests while others that were chosen for it
 //     still connect. Each is checked again once its connection is open, and goes elsewhere.
 //   - This router has no path to the chosen upstream. The attempt goes through another router
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -31,6 +31,12 @@
 	// Choose picks the upstream for an attempt. If there is one, the attempt
 	// counts as in flight until AttemptEnded.
 	Choose(ctx context.Context, job Job) balance.Choice
+	// StreamOrigin returns at which build of which service a stream began that its caller
+	// takes up again: the one that began with the caller's attempt resumes, "" if the caller
+	// didn't name it. False means that this can't be known now.
+	StreamOrigin(ctx context.Context, job Job, resumes protocol.RequestID) (builds.Pair, bool)
+	// StreamBegan records that a stream begins with an answer of the chosen upstream.
+	StreamBegan(job Job, choice balance.Choice)
 	// AttemptEnded records the result of an attempt that is no longer in flight.
 	AttemptEnded(job Job, choice balance.Choice, result balance.Result)
 	// UpstreamReached records that an upstream answered over this router's own connection,
@@ -91,8 +97,10 @@
 	// yet whether the request or the upstream causes the error; else "".
 	ErrorFrom protocol.UpstreamID
 	// Began is the build at which the request's stream began, nil if it hasn't begun. The
-	// stream goes on there alone.
-	Began *builds.Pair
+	// stream goes on there alone. TakenUp says that it began with an earlier request of the
+	// caller.
+	Began   *builds.Pair
+	TakenUp bool
 	// Digest is the same for requests of the same content.
 	Digest uint64
 }
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/builds"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -54,6 +55,11 @@
 	proxied      bool
 	proxyResults []bool
 	triedProxies []protocol.RouterID
+	// origin is where the streams began that callers take up again, if originKnown, and began
+	// where streams begin.
+	origin      builds.Pair
+	originKnown bool
+	began       []builds.Pair
 	// timed says of each attempt with known timing whether its answer began in time.
 	timed []bool
 }
@@ -83,6 +89,16 @@
 	return balance.Choice{ID: protocol.UpstreamID(fmt.Sprint("u", f.chosen)), Address: f.addresses[f.chosen-1]}
 }
 
+func (f *fakeFleet) StreamOrigin(context.Context, Job, protocol.RequestID) (builds.Pair, bool) {
+	return f.origin, f.originKnown
+}
+
+func (f *fakeFleet) StreamBegan(job Job, _ balance.Choice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.began = append(f.began, *job.Began)
+}
+
 func (f *fakeFleet) UpstreamReached(balance.Choice, bool) {}
 
 func (f *fakeFleet) ProxyEnded(_ protocol.RouterID, carried bool) {
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"endiveplank/coordination/balance"
@@ -36,6 +37,9 @@
 	f.job.Service = f.chooseService()
 	defer f.reportOpenError()
 	fleet.RequestArrived(f.job.Service)
+	if !f.findOrigin() {
+		return
+	}
 	if left := fleet.QuarantinedFor(f.job.Digest); left > 0 {
 		f.refuse(http.StatusServiceUnavailable, "crashes-upstreams", left)
 		return
@@ -188,11 +192,34 @@
 	return drawService(f.job.Route.Split, string(f.job.ID))
 }
 
+// findOrigin finds where the stream began that the caller takes up again, if it does. If that
+// can't be known, it refuses the request.
+//
+// Two versions of an upstream's software may serve side by side, what they write doesn't fit
+// together, and upstreams don't check it. So not knowing where a stream began permits nothing.
+func (f *forwarding) findOrigin() bool {
+	if !f.job.Route.Stream || f.call.LastEventID == "" {
+		return true
+	}
+	began, known := f.handler.options.Fleet.StreamOrigin(f.context, f.job, f.call.Resumes)
+	if !known {
+		f.giveUp("origin-unknown", retryAfterNoUpstream)
+		return false
+	}
+	f.job.Began, f.job.TakenUp = &began, true
+	if slices.ContainsFunc(f.job.Route.Split, func(s routing.Share) bool { return s.Service == began.Service }) {
+		f.job.Service = began.Service
+	}
+	return true
+}
+
 // noteBegan records that the stream begins at an upstream, unless it has begun.
 func (f *forwarding) noteBegan(choice balance.Choice) {
-	if f.job.Began == nil {
-		f.job.Began = &builds.Pair{Service: f.job.Service, Build: choice.Build}
+	if f.job.Began != nil {
+		return
 	}
+	f.job.Began = &builds.Pair{Service: f.job.Service, Build: choice.Build}
+	f.handler.options.Fleet.StreamBegan(f.job, choice)
 }
 
 // attempt sends the request to one upstream and relays its answer to the caller.
