The soak plays versions side by side and callers who take streams up

Ruled out: nothing. Change: chat engines have a build, which each event holds, and check nothing; versions are rolled out and stay side by side; one stream in four is left by its caller, all that break off are taken up at another router, one in six without naming the attempt that began it. Any stream with two builds is a violation, and so is a share of streams taken up at routers in touch that is under half of the share of new ones. A test of its own, and the faults are part of all other mixes.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -16,6 +16,9 @@
 	"endiveplank/protocol/dialect"
 )
 
+// chatPath is the path of requests for streams.
+const chatPath = "/chat/"
+
 // callerPause is the mean time between two requests of one caller.
 const callerPause = 15 * time.Millisecond
 
@@ -57,7 +60,12 @@
 		case <-time.After(time.Duration(c.harness.intN(2 * int(callerPause)))):
 		}
 		c.number++
-		c.send(fmt.Sprintf("%s-%d", c.name, c.number))
+		id := fmt.Sprintf("%s-%d", c.name, c.number)
+		if c.path == chatPath {
+			c.sendStream(id)
+			continue
+		}
+		c.send(id)
 	}
 }
 
@@ -143,6 +151,8 @@
 	switch {
 	case response.StatusCode == http.StatusOK && !strings.HasSuffix(signature, "."+id):
 		c.harness.violation("request %s got an answer signed %q", id, signature)
+	case response.StatusCode == http.StatusOK && c.path == chatPath:
+		// The events were checked as they came.
 	case response.StatusCode == http.StatusOK:
 		c.checkBody(id, body, err)
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
@@ -158,12 +168,6 @@
 // of it with an error that the caller sees.
 func (c *caller) checkBody(id string, body []byte, err error) {
 	want := bytes.Repeat([]byte(id+"\n"), 20)
-	if strings.HasPrefix(c.path, "/chat/") {
-		want = nil
-		for n := 1; n <= eventsPerStream; n++ {
-			want = fmt.Appendf(want, "id: %d\ndata: %s %d\n\n", n, id, n)
-		}
-	}
 	broken := err != nil && errors.Is(err, io.ErrUnexpectedEOF) || err != nil
 	switch {
 	case broken && !bytes.HasPrefix(want, body):
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -78,6 +78,8 @@
 			u.drain()
 		})
 	}},
+	{"roll the chat engines", (*harness).rollChat},
+	{"kill two routers", (*harness).killRouters},
 	{"stop an upstream that only its answers announce", func(h *harness) {
 		h.withRandomUpstream(func(u *upstream) {
 			h.startUpstream(u.service)
@@ -108,6 +110,17 @@
 	return true
 })
 
+// buildFaults are the faults by which versions of the engines' software come and go, and streams
+// and those who know of them are lost.
+var buildFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "roll the chat engines", "kill two routers", "kill a router", "stop a router", "pause a router", "kill a disk VM", "kill all disk VMs",
+		"crash an upstream", "reset an upstream's connections", "cut a process's connections", "silence one direction", "lose paths":
+		return false
+	}
+	return true
+})
+
 // injectFaultsUntil injects faults from a list until end is closed, and waits until all are
 // undone. pause is the mean time between two faults.
 func (h *harness) injectFaultsUntil(end <-chan struct{}, pause time.Duration, faults []fault) {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -75,6 +75,8 @@
 	lastFault time.Time
 	quit      chan struct{}
 	done      sync.WaitGroup
+	// builds is guarded by mu.
+	builds builds
 	// withoutPath holds the routers that have lost their paths to all upstreams, and servedBy the
 	// requests of each router's callers.
 	withoutPath map[*process]bool
@@ -96,7 +98,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, seed: seed, folder: t.TempDir(), ports: freePorts(t), random: rand.New(rand.NewPCG(seed, 1)),
-		runs: map[string]*run{}, servedBy: map[callersOf]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, quit: make(chan struct{}), lastFault: time.Now(),
+		runs: map[string]*run{}, builds: builds{newest: firstBuild}, servedBy: map[callersOf]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, quit: make(chan struct{}), lastFault: time.Now(),
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for n := 1; n <= diskVMCount; n++ {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,7 +42,7 @@
 	h.awaitRouters(readyWithin)
 	h.startCallers(3, "/once/")
 	h.startCallers(3, "/again/")
-	h.startCallers(3, "/chat/")
+	h.startCallers(3, chatPath)
 	stop := time.After(time.Duration(seconds) * time.Second)
 	ended := make(chan struct{})
 	h.done.Go(func() {
@@ -52,6 +52,7 @@
 	h.injectFaultsUntil(ended, 600*time.Millisecond, faults)
 	h.awaitRouters(readyWithin)
 	h.checkLastEvacuation()
+	h.checkTakenUp()
 }
 
 // Random faults must not break a guarantee: no answer goes to the wrong request, no
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -35,6 +35,7 @@
 	id         protocol.UpstreamID
 	service    protocol.Service
 	dataCentre protocol.DataCentre
+	build      string
 	server     *http.Server
 	proxy      *relay.Relay
 	startedAt  int64
@@ -58,10 +59,11 @@
 	assert.NilError(h.t, err)
 	proxy, err := relay.StartIdentified("127.0.0.1:0", listener.Addr().String(), h.nameOf)
 	assert.NilError(h.t, err)
+	build := h.buildFor(service)
 	h.mu.Lock()
 	h.nextUpstream++
 	u := &upstream{
-		harness: h, id: protocol.UpstreamID(fmt.Sprintf("u%d", h.nextUpstream)), service: service, dataCentre: dataCentreOf(h.nextUpstream), proxy: proxy, startedAt: time.Now().UnixMilli(),
+		harness: h, build: build, id: protocol.UpstreamID(fmt.Sprintf("u%d", h.nextUpstream)), service: service, dataCentre: dataCentreOf(h.nextUpstream), proxy: proxy, startedAt: time.Now().UnixMilli(),
 		random: rand.New(rand.NewPCG(h.seed, uint64(h.nextUpstream))), quit: make(chan struct{}),
 	}
 	h.upstreams = append(h.upstreams, u)
@@ -91,7 +93,7 @@
 	u.mu.Lock()
 	u.sequence++
 	entry := roster.Entry{
-		ID: u.id, Service: u.service, Address: u.proxy.Address(), DataCentre: u.dataCentre, Build: "v1", Slots: 8,
+		ID: u.id, Service: u.service, Address: u.proxy.Address(), DataCentre: u.dataCentre, Build: u.build, Slots: 8,
 		State: roster.Ready, Sequence: u.sequence, StartedAt: u.startedAt,
 	}
 	if !u.draining.IsZero() {
@@ -224,7 +226,7 @@
 			_, _ = io.WriteString(w, "id: 9")
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", n, id, n, u.build)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-r.Context().Done():
