Relay fleet: an answer that breaks off goes on at the build that began it

What callers would see: an answer whose engine crashed, or whose owner died, goes on at an engine of another software version. Cause: the entry chose the engine of the rest as for a new request, and an engine's software version wasn't part of what it announces. Ruled out: callers' resumption, KV moves (no caller of this fleet takes a stream up, and a moved cache holds a prompt, no events). Change: announcements, registry and view have the build. An answer that has begun goes to upstreams of its build alone; its owner refuses it if the upstream has announced another build since; where no upstream of the build is registered the answer ends at once (other_build).

--- a/cmd/endiveplank-standin/engine.go
+++ b/cmd/endiveplank-standin/engine.go
@@ -39,6 +39,7 @@
 	flags.StringSliceVar(&settings.Announce, "announce", nil, "routers' upstream addresses, host:port")
 	flags.StringSliceVar(&models, "models", []string{"m1"}, "models loaded at the start")
 	flags.StringVar(&settings.Role, "role", settings.Role, "role at the start")
+	flags.StringVar(&settings.Build, "build", settings.Build, "version of the software, as announced")
 	flags.StringVar(&settings.WeightStore, "weight-store", "", "weight store shared with other engines, host:port")
 	flags.Uint64Var(&settings.Seed, "seed", settings.Seed, "seed of random faults")
 	flags.DurationVar(&settings.RestartAfter, "restart-after", 0, "restart this long after a crash; 0 ends the process")
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -64,6 +64,11 @@
 	reportedLoads []reportedLoad
 	candidates    []*Upstream
 	next          int
+	// begun says that the caller has a part of the answer. The answer goes on only at upstreams of
+	// the software version build, which began it: what two versions write doesn't fit together,
+	// and upstreams don't check it.
+	begun bool
+	build string
 	// failures counts the failed attempts. retryOn, if set, is the upstream that
 	// the next attempt must use again.
 	failures int
@@ -192,6 +197,9 @@
 		e.headSent = true
 		n.emit(AnswerHead{Request: e.request.ID, Status: first.Status, Headers: first.Headers, Outcome: protocol.Ran})
 	}
+	if !e.begun {
+		e.begun, e.build = true, e.upstream.Build
+	}
 	e.monitor.Progress(now, e.delivered())
 	for _, chunk := range chunks {
 		n.emit(AnswerChunk{Request: e.request.ID, Index: chunk.Index, Data: chunk.Data})
@@ -385,15 +393,28 @@
 			return
 		}
 	}
-	if same := e.retryOn; same != nil && n.view.Upstreams[same.ID] != nil {
-		e.retryOn = nil
+	if same := n.sameUpstream(e); same != nil {
 		e.walking = false
-		n.sendPlace(now, e, n.view.Upstreams[same.ID], placement.StageFinal, false)
+		n.sendPlace(now, e, same, placement.StageFinal, false)
 		return
 	}
 	n.place(now, e)
 }
 
+// sameUpstream returns the upstream that the next attempt must use again, nil if there is none or
+// it may not go on with the answer.
+func (n *Node) sameUpstream(e *entryRequest) *Upstream {
+	if e.retryOn == nil {
+		return nil
+	}
+	same := n.view.Upstreams[e.retryOn.ID]
+	e.retryOn = nil
+	if same == nil || !e.fits(same) {
+		return nil
+	}
+	return same
+}
+
 // outcome is NotRun only if no attempt can have reached an upstream: no earlier
 // attempt did, and none is in flight. An owner that refuses, spills or fails an
 // attempt without sending a byte says so, and the request is then in a phase
--- a/coordination/node/nodetest/engine.go
+++ b/coordination/node/nodetest/engine.go
@@ -79,6 +79,17 @@
 	return engine
 }
 
+// SetBuild sets the version of an upstream's software.
+func (f *Fleet) SetBuild(id protocol.UpstreamID, build string) {
+	changed := *f.upstreams[id]
+	changed.Build = build
+	f.upstreams[id] = &changed
+	f.pushViews()
+}
+
+// BuildOf returns the version of an upstream's software.
+func (f *Fleet) BuildOf(id protocol.UpstreamID) string { return f.upstreams[id].Build }
+
 func (f *Fleet) addUpstream(id protocol.UpstreamID, owner protocol.RouterID) *Engine {
 	engine := &Engine{
 		ID: id, TokenTime: 20 * time.Millisecond, CrashAfter: 100 * time.Millisecond,
@@ -111,7 +122,7 @@
 	row := e.fleet.upstreams[e.ID]
 	return upstreamapi.Announcement{
 		ID: e.ID, Incarnation: e.incarnation, Sequence: e.sequence, Kind: row.Kind, Address: row.Address,
-		DataCentre: row.DataCentre, Models: row.Models, Service: row.Service, Capacity: row.AnnouncedCapacity,
+		DataCentre: row.DataCentre, Models: row.Models, Service: row.Service, Build: row.Build, Capacity: row.AnnouncedCapacity,
 		MaxConcurrent: row.AnnouncedMaxConcurrent, Load: upstreamapi.Load{Running: len(e.calls), OutstandingTokens: e.outstanding()},
 	}
 }
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -38,6 +38,8 @@
 	// ownership began. Before that the load that a former owner left there is
 	// unknown, and nothing is admitted.
 	hasReport bool
+	// build is the version of its software, as it last announced it.
+	build string
 	// unconnected means that the last connection attempt failed. connectProbeAt is when the next
 	// probe is due.
 	unconnected    bool
@@ -130,6 +132,10 @@
 		n.replyPlace(in.From, in.Place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.NotOwner)})
 		return
 	}
+	if in.Place.OnlyBuild && target.build != in.Place.Build {
+		n.replyPlace(in.From, in.Place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(reason.OtherBuild)})
+		return
+	}
 	if why, usable := n.usable(now, target); !usable {
 		n.replyPlace(in.From, in.Place, fleet.PlaceReply{Outcome: fleet.PlaceNotOwner, Reason: string(why)})
 		return
--- a/coordination/node/place.go
+++ b/coordination/node/place.go
@@ -35,6 +35,10 @@
 		n.askNextServer(now, e)
 		return
 	}
+	if e.begun && !n.anyOfBuild(e) {
+		n.giveUp(now, e, 502, reason.OtherBuild, "no upstream has the version of the software that began the answer", 0)
+		return
+	}
 	e.walking = false
 	if e.template.Suspect && n.placeSuspect(now, e) {
 		return
@@ -49,24 +53,43 @@
 	n.stepWalk(now, e)
 }
 
-// setFor returns the upstreams that serve a request's model, without those on
-// which it has failed. If no other upstream is left, it returns them all.
+// setFor returns the upstreams that serve a request's model, without those on which it has
+// failed and, for an answer that has begun, those of another build. If no other upstream is left,
+// it returns also those on which it has failed.
 func (n *Node) setFor(e *entryRequest) *placement.Set {
-	set := n.placementSets[e.template.Model]
-	if len(e.failedUpstreams) == 0 {
-		return set
+	if len(e.failedUpstreams) == 0 && !e.begun {
+		return n.placementSets[e.template.Model]
+	}
+	if members := n.membersFor(e); len(members) > 0 {
+		return newSet(n.view.Revision, members)
 	}
+	e.failedUpstreams = nil
+	if !e.begun {
+		return n.placementSets[e.template.Model]
+	}
+	return newSet(n.view.Revision, n.membersFor(e))
+}
+
+// membersFor returns the upstreams of a request's model that may get it and on which it hasn't
+// failed.
+func (n *Node) membersFor(e *entryRequest) []placement.Member {
 	var members []placement.Member
 	for _, upstream := range n.view.Models[e.template.Model] {
-		if upstream.placeable() && !slices.Contains(e.failedUpstreams, upstream.ID) {
+		if upstream.placeable() && e.fits(upstream) && !slices.Contains(e.failedUpstreams, upstream.ID) {
 			members = append(members, placement.Member{ID: upstream.ID, Weight: upstream.Capacity})
 		}
 	}
-	if len(members) == 0 {
-		e.failedUpstreams = nil
-		return set
-	}
-	return newSet(n.view.Revision, members)
+	return members
+}
+
+// fits reports whether an upstream may go on with the answer: it hasn't begun, or at the
+// upstream's build.
+func (e *entryRequest) fits(upstream *Upstream) bool { return !e.begun || upstream.Build == e.build }
+
+// anyOfBuild reports whether any upstream of the request's model has the build that began the
+// answer, whether or not it may get requests now.
+func (n *Node) anyOfBuild(e *entryRequest) bool {
+	return slices.ContainsFunc(n.view.Models[e.template.Model], e.fits)
 }
 
 // newSet builds a placement set. The caller guarantees that the weights are
@@ -89,7 +112,7 @@
 func (n *Node) placeSuspect(now time.Duration, e *entryRequest) bool {
 	var candidates []protocol.UpstreamID
 	for _, upstream := range n.view.Models[e.template.Model] {
-		if upstream.placeable() {
+		if upstream.placeable() && e.fits(upstream) {
 			candidates = append(candidates, upstream.ID)
 		}
 	}
@@ -109,7 +132,7 @@
 		return
 	}
 	upstream := n.view.Upstreams[step.Query.Upstream]
-	if upstream == nil || !upstream.placeable() {
+	if upstream == nil || !upstream.placeable() || !e.fits(upstream) {
 		e.walk.HandleAnswer(placement.NoAnswer)
 		n.stepWalk(now, e)
 		return
@@ -208,6 +231,7 @@
 	message.Upstream = upstream.ID
 	message.Fence = upstream.Fence
 	message.ResumeAt = e.delivered()
+	message.OnlyBuild, message.Build = e.begun, e.build
 	message.Stage = uint8(stage)
 	message.FirstChoice = firstChoice
 	message.OthersLoad = e.othersLoad(upstream.ID)
--- a/coordination/node/upstreams.go
+++ b/coordination/node/upstreams.go
@@ -47,7 +47,7 @@
 // differs reports whether an announcement differs from the replicated state.
 func (u *Upstream) differs(a upstreamapi.Announcement) bool {
 	return u.Address != a.Address || u.Kind != a.Kind || u.DataCentre != a.DataCentre ||
-		u.Service != a.Service || u.AnnouncedCapacity != a.Capacity || u.AnnouncedMaxConcurrent != a.MaxConcurrent ||
+		u.Service != a.Service || u.Build != a.Build || u.AnnouncedCapacity != a.Capacity || u.AnnouncedMaxConcurrent != a.MaxConcurrent ||
 		u.ChecksFence != a.ChecksFence || !slices.Equal(u.Models, a.Models)
 }
 
@@ -64,6 +64,11 @@
 	if a.Incarnation > target.incarnation {
 		n.handleRestart(now, target, a.Incarnation)
 	}
+	if target.build != a.Build && target.hasReport {
+		// Answers that began at the former build wait for it.
+		n.returnWaiting(now, target, reason.OtherBuild)
+	}
+	target.build = a.Build
 	target.sequence = a.Sequence
 	target.announcedAt = now
 	target.reportedLoad = a.Load
--- a/coordination/node/view.go
+++ b/coordination/node/view.go
@@ -56,6 +56,8 @@
 	DataCentre protocol.DataCentre
 	Models     []protocol.Model
 	Service    protocol.Service
+	// Build is the version of its software.
+	Build string
 	// AnnouncedCapacity and AnnouncedMaxConcurrent are the values that the
 	// upstream announced. Capacity and MaxConcurrent are the values in force
 	// after the operators' settings.
--- a/coordination/reason/reason.go
+++ b/coordination/reason/reason.go
@@ -82,6 +82,8 @@
 	Saturated Code = "saturated"
 	// NotOwner: the router that received the request doesn't own the upstream now.
 	NotOwner Code = "not_owner"
+	// OtherBuild: no upstream runs the version of the software that began the answer.
+	OtherBuild Code = "other_build"
 	// UpstreamLeaving: the upstream accepts no more requests.
 	UpstreamLeaving Code = "upstream_leaving"
 	// UpstreamFailed: the connection to the upstream broke or was refused.
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -37,6 +37,8 @@
 	DataCentre  protocol.DataCentre `msgpack:"d" json:"data_centre"`
 	Models      []protocol.Model    `msgpack:"m,omitempty" json:"models,omitempty"`
 	Service     protocol.Service    `msgpack:"s,omitempty" json:"service,omitempty"`
+	// Build is the version of the upstream's software.
+	Build string `msgpack:"b,omitempty" json:"build,omitempty"`
 	// Capacity is in tokens a second if the upstream is an engine.
 	Capacity      float64 `msgpack:"c" json:"capacity"`
 	MaxConcurrent int     `msgpack:"x" json:"max_concurrent"`
@@ -55,6 +57,7 @@
 		DataCentre:    a.DataCentre,
 		Models:        a.Models,
 		Service:       a.Service,
+		Build:         a.Build,
 		Capacity:      a.Capacity,
 		MaxConcurrent: a.MaxConcurrent,
 		ChecksFence:   a.ChecksFence,
@@ -65,7 +68,7 @@
 func (d Descriptor) Same(other Descriptor) bool {
 	return d.ID == other.ID && d.Incarnation == other.Incarnation && d.Kind == other.Kind &&
 		d.Address == other.Address && d.DataCentre == other.DataCentre && slices.Equal(d.Models, other.Models) &&
-		d.Service == other.Service && d.Capacity == other.Capacity &&
+		d.Service == other.Service && d.Build == other.Build && d.Capacity == other.Capacity &&
 		d.MaxConcurrent == other.MaxConcurrent && d.ChecksFence == other.ChecksFence
 }
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -71,6 +71,7 @@
 		DataCentre:             descriptor.DataCentre,
 		Models:                 descriptor.Models,
 		Service:                descriptor.Service,
+		Build:                  descriptor.Build,
 		AnnouncedCapacity:      descriptor.Capacity,
 		Capacity:               descriptor.Capacity,
 		MaxConcurrent:          descriptor.MaxConcurrent,
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -55,6 +55,10 @@
 	Streamed bool           `msgpack:"s,omitempty"`
 	// ResumeAt is the number of chunks that the caller has already received.
 	ResumeAt int `msgpack:"ra,omitempty"`
+	// OnlyBuild says that the answer has begun, so that it may go on only at an upstream of the
+	// software version Build, which began it.
+	OnlyBuild bool   `msgpack:"ob,omitempty"`
+	Build     string `msgpack:"bu,omitempty"`
 	// Idempotent says that the request may be sent to an upstream again.
 	Idempotent bool `msgpack:"i,omitempty"`
 	// Stage is the stage of the search for an upstream, see placement.Stage. The
--- a/protocol/upstreamapi/upstreamapi.go
+++ b/protocol/upstreamapi/upstreamapi.go
@@ -72,6 +72,9 @@
 	Models     []protocol.Model    `json:"models,omitempty"`
 	Service    protocol.Service    `json:"service,omitempty"`
 	Role       string              `json:"role,omitempty"`
+	// Build is the version of the upstream's software. A stream goes on only at the build
+	// that began it.
+	Build string `json:"build,omitempty"`
 	// Capacity is the upstream's weight relative to others: for an engine, tokens
 	// per second at full batch.
 	Capacity float64 `json:"capacity"`
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -205,6 +205,7 @@
 		DataCentre:    s.settings.DataCentre,
 		Models:        s.core.orderState.readyModels(now),
 		Role:          s.core.orderState.role,
+		Build:         s.settings.Build,
 		Capacity:      s.settings.Model.Capacity(),
 		MaxConcurrent: s.settings.Model.MaxBatch,
 		ChecksFence:   !s.faults.IgnoreFence,
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -41,6 +41,8 @@
 	// Models are the models that the engine has when it starts.
 	Models []protocol.Model
 	Role   string
+	// Build is the version of the engine's software, as it announces it.
+	Build string
 	// Seed seeds the random source of the gaps in cache events.
 	Seed  uint64
 	Model CostModel
