Time lost on the way to an upstream doesn't count as a late answer

Cause: the load limit is learned from whether answers begin in time at a load. Routers learned limits of 2 to 8 where the mean load was 10, and few requests passed to show them otherwise. Change: an attempt is timed only if it was sent to its upstream, and an answer through another router counts only if it began in time.

--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -180,6 +180,17 @@
 	t      *testing.T
 	server *httptest.Server
 	pool   *exchange.Pool
+	// dialDelay is how long a connection that can't be opened takes to fail.
+	dialDelay time.Duration
+}
+
+// dial opens a connection.
+func (r *testRouter) dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		time.Sleep(r.dialDelay)
+	}
+	return connection, err
 }
 
 // newTestRouter starts a router whose nth attempt goes to the nth upstream. A nil
@@ -210,7 +221,8 @@
 		},
 	}
 	assert.Assert(t, routing.Check(table) == nil)
-	r := &testRouter{fakeFleet: &fakeFleet{index: routing.NewIndex(table), retries: 10, noChoiceReason: balance.ReasonNoUpstream}, t: t, pool: exchange.NewPool(exchange.Options{})}
+	r := &testRouter{fakeFleet: &fakeFleet{index: routing.NewIndex(table), retries: 10, noChoiceReason: balance.ReasonNoUpstream}, t: t}
+	r.pool = exchange.NewPool(exchange.Options{Dial: r.dial})
 	for _, script := range upstreams {
 		r.addresses = append(r.addresses, startScript(t, script))
 	}
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -245,7 +245,7 @@
 	f.startWatchdog(choice, cancel)
 	defer f.stopWatchdog(outcome)
 	f.timing = f.startTiming(choice)
-	defer f.timing.ended()
+	defer func() { f.timing.ended(outcome.Sent) }()
 	f.logSent(choice, attempt.Remaining)
 	began := time.Now()
 	answer, err := f.send(ctx, choice, request)
--- a/transport/forward/timing.go
+++ b/transport/forward/timing.go
@@ -17,6 +17,8 @@
 type timing struct {
 	sent        time.Time
 	inTimeLimit time.Duration
+	// proxied says that the answer comes through another router, which may be what takes long.
+	proxied bool
 	// report is nil before an attempt and after it has been called.
 	report func(inTime bool)
 }
@@ -26,21 +28,28 @@
 	return timing{
 		sent:        time.Now(),
 		inTimeLimit: time.Duration(inTimeShare * float64(f.job.Route.Objective)),
+		proxied:     choice.Proxy != "",
 		report:      func(inTime bool) { f.handler.options.Fleet.AnswerTimed(f.job, choice, inTime) },
 	}
 }
 
 // began records that the answer begins.
-func (t *timing) began() { t.reportOnce(time.Since(t.sent) <= t.inTimeLimit) }
+func (t *timing) began() {
+	inTime := time.Since(t.sent) <= t.inTimeLimit
+	if inTime || !t.proxied {
+		t.reportOnce(inTime)
+	}
+}
 
 // refused records that the upstream refused the request for lack of capacity. That counts
 // as late, because requests that wait there are answered late.
 func (t *timing) refused() { t.reportOnce(false) }
 
-// ended records the end of the attempt. An attempt without an answer counts as late if
-// it lasted longer than inTimeLimit.
-func (t *timing) ended() {
-	if time.Since(t.sent) > t.inTimeLimit {
+// ended records the end of an attempt; reached says that it was sent to the upstream. An
+// attempt without an answer counts as late if it lasted longer than inTimeLimit. Time that
+// was lost on the way to the upstream tells nothing about the upstream's load.
+func (t *timing) ended(reached bool) {
+	if reached && !t.proxied && time.Since(t.sent) > t.inTimeLimit {
 		t.reportOnce(false)
 	}
 }
--- a/transport/forward/timing_test.go
+++ b/transport/forward/timing_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/transport/peerproxy"
 )
 
 func TestARequestWithoutCapacityGetsARetryAfter(t *testing.T) {
@@ -59,3 +60,35 @@
 	assert.Equal(t, got.status, http.StatusGatewayTimeout)
 	assert.DeepEqual(t, r.timed, []bool{false})
 }
+
+func TestTimeLostOnTheWayToAnUpstreamIsNoLateAnswer(t *testing.T) {
+	// Guards: a router's paths or its proxies fail slowly, it takes that for answers that begin
+	// late, and refuses requests that upstreams could begin in time.
+	late := 700 * time.Millisecond
+	for name, c := range map[string]struct {
+		upstreams []http.HandlerFunc
+		timed     []bool
+	}{
+		"a proxy that sends nothing":   {[]http.HandlerFunc{after(late, proxyRefuses(peerproxy.RefusalIsolated)), serves("done")}, []bool{true}},
+		"an upstream it can't reach":   {[]http.HandlerFunc{after(late, proxyRefuses(peerproxy.RefusalUnreachable)), serves("done")}, []bool{true}},
+		"an answer that a proxy holds": {[]http.HandlerFunc{after(late, serves("done"))}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newProxiedRouter(t, c.upstreams...)
+			got := r.call("/idem/x")
+			assert.Equal(t, got.body, "done")
+			r.server.Close()
+			assert.DeepEqual(t, r.timed, c.timed)
+		})
+	}
+}
+
+func TestConnectionThatTakesLongToFailIsNoLateAnswer(t *testing.T) {
+	// Guards: upstreams behind a lost path take no connection for a second, and the router takes
+	// their load for too high.
+	r := newTestRouter(t, nil, serves("done"))
+	r.dialDelay = 700 * time.Millisecond
+	assert.Equal(t, r.call("/idem/x").body, "done")
+	r.server.Close()
+	assert.DeepEqual(t, r.timed, []bool{true})
+}
