Upstreams in doubt don't make a router take its path for lost

Cause: three failed connections in a row, with no answer in between, count as the loss of the path. They included probes of upstreams that others had told of, that had just broken streams, or were known to be unreachable: a choice of the dead ones. Ruled out: requests' own connections as the main source; answers come between them. Change: probes of upstreams in doubt don't count. Up to three upstreams drawn from all are probed beside them while failures are held, and these count, so that a router whose path is lost still learns it from broken streams alone. Figures: model of 90 engines, 22 of them crashed, five streams broken: 300 of 300 routers isolated before, under one in twenty after; told of 30 unreachable ones: isolated before, not after. Tests of routers without a path pass (reset, hung, closed, kept connections).

--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -13,7 +13,7 @@
 const (
 	// isolatedAfter is how many different upstreams must be unreachable, with no connection
 	// opened and no answer received in between, for the router to count as isolated. Two crash at
-	// once now and then.
+	// once now and then. Upstreams that were in doubt already don't count.
 	isolatedAfter = 3
 	// reachableAfter is how many connections in a row an isolated router must open to count as
 	// isolated no longer. A path that comes and goes would otherwise cost requests each time.
@@ -38,6 +38,14 @@
 	backoff, retryAt time.Duration
 }
 
+// probe is a connection that is being opened to learn whether that is possible.
+type probe struct {
+	began time.Duration
+	// sampled says that its upstream was drawn from all. Others are probed because they failed
+	// or others said so.
+	sampled bool
+}
+
 // Paths keeps which upstreams a router can open connections to. It is not safe for
 // concurrent use.
 type Paths struct {
@@ -51,8 +59,8 @@
 	// connectedInRow counts the connections of an isolated router that were opened since one failed.
 	connectedInRow int
 	sampledAt      time.Duration
-	// probing holds the probes under way and when they began.
-	probing map[protocol.UpstreamID]time.Duration
+	// probing holds the probes under way.
+	probing map[protocol.UpstreamID]probe
 	held    []heldFailure
 	found   []foundUpstream
 }
@@ -62,12 +70,13 @@
 	return &Paths{
 		unreachable: map[protocol.UpstreamID]*unreachable{},
 		failedInRow: map[protocol.UpstreamID]struct{}{},
-		probing:     map[protocol.UpstreamID]time.Duration{},
+		probing:     map[protocol.UpstreamID]probe{},
 	}
 }
 
 // ConnectFailed records that no connection to an upstream could be opened.
 func (p *Paths) ConnectFailed(now time.Duration, id protocol.UpstreamID) {
+	ended, wasProbe := p.probing[id]
 	delete(p.probing, id)
 	u := p.unreachable[id]
 	if u == nil {
@@ -78,8 +87,12 @@
 	u.backoff = min(max(2*u.backoff, minBackoff), maxBackoff)
 	u.retryAt = now + u.backoff
 	p.retries.Push(u.retryAt, id)
-	p.failedInRow[id] = struct{}{}
 	p.connectedInRow = 0
+	if wasProbe && !ended.sampled {
+		// That upstream was in doubt already, which tells nothing of the others.
+		return
+	}
+	p.failedInRow[id] = struct{}{}
 	if len(p.failedInRow) >= isolatedAfter && !p.isolated {
 		p.isolated = true
 		p.held = nil
@@ -123,32 +136,49 @@
 // that is possible. Its outcome must be recorded. sample returns a random upstream, "" if there
 // is none.
 func (p *Paths) Probes(now time.Duration, random *rand.Rand, sample func(*rand.Rand) protocol.UpstreamID) []protocol.UpstreamID {
-	maps.DeleteFunc(p.probing, func(_ protocol.UpstreamID, began time.Duration) bool { return now-began > probeTTL })
+	maps.DeleteFunc(p.probing, func(_ protocol.UpstreamID, known probe) bool { return now-known.began > probeTTL })
 	var due []protocol.UpstreamID
-	add := func(id protocol.UpstreamID) {
+	add := func(id protocol.UpstreamID, sampled bool) {
 		_, underWay := p.probing[id]
 		if id == "" || underWay || len(p.probing) >= maxProbes {
 			return
 		}
-		p.probing[id] = now
+		p.probing[id] = probe{began: now, sampled: sampled}
 		due = append(due, id)
 	}
-	if p.isolated && now-p.sampledAt >= isolatedProbeInterval {
-		p.sampledAt = now
-		for range isolatedProbes {
-			add(sample(random))
-		}
+	held := p.heldWithoutContact(now)
+	for range p.dueSamples(now, len(held)) {
+		add(sample(random), true)
 	}
-	for _, id := range p.heldWithoutContact(now) {
-		add(id)
-		add(sample(random))
+	for _, id := range held {
+		add(id, false)
 	}
 	for id := range p.dueRetries(now) {
-		add(id)
+		add(id, false)
 	}
 	return due
 }
 
+// dueSamples returns how many upstreams are to be drawn from all and probed: a few while the
+// router is isolated, and as many as show that it is while failures are held. Samples that are
+// under way count.
+func (p *Paths) dueSamples(now time.Duration, held int) int {
+	if p.isolated {
+		if now-p.sampledAt < isolatedProbeInterval {
+			return 0
+		}
+		p.sampledAt = now
+		return isolatedProbes
+	}
+	due := min(held, isolatedAfter)
+	for _, known := range p.probing {
+		if known.sampled {
+			due--
+		}
+	}
+	return max(due, 0)
+}
+
 // dueRetries removes and returns the unreachable upstreams whose backoff has passed, as far as
 // more probes may be under way.
 func (p *Paths) dueRetries(now time.Duration) iter.Seq[protocol.UpstreamID] {
--- a/coordination/reach/paths_test.go
+++ b/coordination/reach/paths_test.go
@@ -177,3 +177,69 @@
 	assert.Equal(t, len(p.TakeFound(at+tellAfter)), 0)
 	assert.Assert(t, !p.Told(at, "u"))
 }
+
+func TestUpstreamsInDoubtDoNotIsolateARouter(t *testing.T) {
+	// Guards: other routers tell of thirty upstreams that only some routers reach, the probes of
+	// them fail one after the other, and a router that reaches twice as many counts as isolated.
+	p := NewPaths()
+	for n := range 30 {
+		p.Told(time.Second, upstreamID(n))
+	}
+	for at := time.Second; at < 3*time.Second; at += 50 * time.Millisecond {
+		for _, id := range p.Probes(at, seeded(), sampleOf(90)) {
+			p.ConnectFailed(at, id)
+		}
+		assert.Assert(t, !p.IsIsolated())
+	}
+	assert.Equal(t, p.Unreachable(), 30)
+}
+
+func TestCrashOfAQuarterOfTheUpstreamsIsNoLossOfThePath(t *testing.T) {
+	// Guards: streams break with the quarter of the upstreams that crashes, the router probes
+	// these, takes their failures for the loss of its path, and closes its other connections.
+	const upstreams, crashed, fleets = 90, 22, 300
+	isolated := 0
+	for seed := range uint64(fleets) {
+		p, random := NewPaths(), rand.New(rand.NewPCG(seed, 1))
+		for _, n := range random.Perm(crashed)[:5] {
+			p.Hold(time.Second, Failure{Upstream: upstreamID(n), Crash: true})
+		}
+		if isIsolatedBy(p, random, upstreams, crashed) {
+			isolated++
+		}
+	}
+	assert.Check(t, isolated <= fleets/20, "%d of %d routers", isolated, fleets)
+}
+
+func TestRouterWithoutAPathLearnsItFromBrokenStreams(t *testing.T) {
+	// Guards: a router loses its paths, its streams break, nobody sends it requests that would
+	// show it, and it doesn't know.
+	p := NewPaths()
+	for n := range 5 {
+		p.Hold(time.Second, Failure{Upstream: upstreamID(n), Crash: true})
+	}
+	assert.Assert(t, isIsolatedBy(p, seeded(), 90, 90))
+}
+
+// isIsolatedBy lets a router probe for a while of which the first dead upstreams refuse connections
+// at once and the others take them, and returns whether it is isolated in that time.
+func isIsolatedBy(p *Paths, random *rand.Rand, upstreams, dead int) bool {
+	for at := time.Second; at < 2*time.Second; at += 50 * time.Millisecond {
+		due := p.Probes(at, random, sampleOf(upstreams))
+		for _, id := range due {
+			if id < upstreamID(dead) {
+				p.ConnectFailed(at+time.Millisecond, id)
+			}
+		}
+		if p.IsIsolated() {
+			return true
+		}
+		for _, id := range due {
+			if id >= upstreamID(dead) {
+				p.Connected(at+30*time.Millisecond, id)
+			}
+		}
+		p.TakeConfirmed(at + 30*time.Millisecond)
+	}
+	return false
+}
