--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -134,14 +134,20 @@
 	}, nil
 }
 
-// freePort returns a port that is free on the loopback addresses of a test's processes, of those
-// that the system doesn't use for outgoing connections: one of these could take it before a process
-// listens at it.
+// portsGiven holds the ports that freePort has returned.
+var portsGiven sync.Map
+
+// freePort returns a port that is free on the loopback addresses of a test's processes, another one
+// each time, of those that the system doesn't use for outgoing connections: one of these could take
+// it before a process listens at it. Other packages' tests use other ports.
 func freePort(t *testing.T) int {
 	t.Helper()
-	const first, count = 20_000, 10_000
+	const first, count = 20_000, 5_000
 	for range 100 {
 		port := first + rand.IntN(count)
+		if _, given := portsGiven.LoadOrStore(port, true); given {
+			continue
+		}
 		if isFree("127.0.0.1", port) && isFree("127.0.0.2", port) && isFree("127.0.0.3", port) && isFree("127.0.0.4", port) {
 			return port
 		}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -74,11 +74,12 @@
 // ports are the ports that every process of a run uses, each on its own address.
 type ports struct{ peers, control, callers, readiness, routers int }
 
-// freePorts selects ports that are free on 127.0.0.1, of those that the system doesn't use for
-// outgoing connections: one of these could take the port before a process listens at it.
+// freePorts selects ports that are free on 127.0.0.1 and that no other package's tests use, of
+// those that the system doesn't use for outgoing connections: one of these could take the port
+// before a process listens at it.
 func freePorts(t *testing.T) ports {
 	t.Helper()
-	const first, count = 20_000, 10_000
+	const first, count = 25_000, 5_000
 	var free [5]int
 	for i := range free {
 		for free[i] == 0 {
