Routers log by which counts a retry is granted

The line 'retry' has the counts of the window, the number of routers that divide the slack and for how long the process has counted; retries_total and retries_refused_total count. No decision changes.

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -71,17 +71,32 @@
 	w.advance(now).requests++
 }
 
-// Allowance returns how many more retries this router may send now, if the given
-// number of routers divide the slack.
-func (w *Window) Allowance(now time.Duration, routers int) int {
+// Usage describes a window at one time.
+type Usage struct {
+	// Requests and Retries are what this router has counted in the window.
+	Requests, Retries int
+	// Allowed is how many retries it may send in the window, those that it has sent included.
+	Allowed int
+}
+
+// Usage returns the counts of the window, if the given number of routers divide the slack.
+func (w *Window) Usage(now time.Duration, routers int) Usage {
 	w.advance(now)
-	requests, retries := 0, 0
+	var u Usage
 	for _, s := range w.steps {
-		requests += s.requests
-		retries += s.retries
+		u.Requests += s.requests
+		u.Retries += s.retries
 	}
-	allowed := w.settings.Ratio*float64(requests) + w.settings.Slack/float64(max(routers, 1))
-	return int(windowMargin*allowed) - retries
+	allowed := w.settings.Ratio*float64(u.Requests) + w.settings.Slack/float64(max(routers, 1))
+	u.Allowed = int(windowMargin * allowed)
+	return u
+}
+
+// Allowance returns how many more retries this router may send now, if the given
+// number of routers divide the slack.
+func (w *Window) Allowance(now time.Duration, routers int) int {
+	u := w.Usage(now, routers)
+	return u.Allowed - u.Retries
 }
 
 // TryRetry reports whether this router may send a retry now, and counts it if so.
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -211,11 +211,18 @@
 	r.window(service).RecordRequest(r.now())
 }
 
-// TakeRetry implements forward.Fleet.
-func (r *Router) TakeRetry(service protocol.Service) bool {
+// TakeRetry implements forward.Fleet. It logs by which counts the retry is granted or not.
+func (r *Router) TakeRetry(job forward.Job) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.window(service).TryRetry(r.now(), r.fleetSize)
+	now, window := r.now(), r.window(job.Service)
+	before := window.Usage(now, r.fleetSize)
+	granted := window.TryRetry(now, r.fleetSize)
+	r.metrics.countRetry(granted)
+	r.options.RequestLog.Info().Str("event", "retry").Str("request", string(job.ID)).Str("service", string(job.Service)).
+		Bool("granted", granted).Int("requests", before.Requests).Int("retries", before.Retries).Int("allowed", before.Allowed).
+		Int("routers", r.fleetSize).Int64("counted_ms", now.Milliseconds()).Send()
+	return granted
 }
 
 // QuarantinedFor implements forward.Fleet.
--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -55,6 +55,15 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// countRetry counts a decision about a retry.
+func (m *instruments) countRetry(granted bool) {
+	if granted {
+		m.count("retries_total")
+		return
+	}
+	m.count("retries_refused_total")
+}
+
 func (m *instruments) set(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -65,9 +65,9 @@
 	// RequestArrived counts a request for a service, which adds to the service's
 	// retry budget.
 	RequestArrived(service protocol.Service)
-	// TakeRetry takes a retry from a service's retry budget. False means that the
-	// budget is spent.
-	TakeRetry(service protocol.Service) bool
+	// TakeRetry takes a retry of a request from the retry budget of its service. False means
+	// that the budget is spent.
+	TakeRetry(job Job) bool
 	// QuarantinedFor returns for how much longer a request must not be sent to any
 	// upstream because it has crashed several, 0 if it may be sent.
 	QuarantinedFor(digest uint64) time.Duration
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -159,7 +159,7 @@
 
 func (f *fakeFleet) RequestArrived(protocol.Service) {}
 
-func (f *fakeFleet) TakeRetry(protocol.Service) bool {
+func (f *fakeFleet) TakeRetry(Job) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retries--
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -62,7 +62,7 @@
 	}
 	outcome.ServerError = true
 	// The error goes to the caller unless another attempt may follow.
-	if !f.job.LastAttempt() && f.handler.options.Fleet.TakeRetry(f.job.Service) {
+	if !f.job.LastAttempt() && f.handler.options.Fleet.TakeRetry(f.job) {
 		f.retryTaken = true
 		return unknown, false
 	}
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -166,7 +166,7 @@
 func (f *forwarding) takeRetry() bool {
 	taken := f.retryTaken
 	f.retryTaken = false
-	return taken || f.handler.options.Fleet.TakeRetry(f.job.Service)
+	return taken || f.handler.options.Fleet.TakeRetry(f.job)
 }
 
 // maxUnreachable is how many attempts of a request may fail to connect before the
--- a/transport/forward/watchdog.go
+++ b/transport/forward/watchdog.go
@@ -139,7 +139,7 @@
 	after := fleet.OverdueAfter(f.job, choice, limit)
 	w := &watchdog{maxSilence: limit, cancel: cancel, onOverdue: func() { fleet.AnswerOverdue(f.job, choice, after) }}
 	if !f.job.LastAttempt() {
-		w.takeRetry = func() bool { return fleet.TakeRetry(f.job.Service) }
+		w.takeRetry = func() bool { return fleet.TakeRetry(f.job) }
 	}
 	f.watchdog = w.start(after)
 }
