Retries stay in the retry window until it has passed

A window is counted in twenty steps whose counts expire together. The margin of 15% hid it as long as requests fail evenly.

Retries are kept for one step more, requests aren't, so both err on the safe side.

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -15,10 +15,12 @@
 }
 
 const (
-	// windowSteps is the number of steps that a window is divided into. The counts
-	// of a step expire together, so the window may be up to one step too long, which
-	// errs on the safe side.
+	// windowSteps is the number of steps that a window is divided into. The counts of a
+	// step expire together. Requests expire up to one step before Length has passed and
+	// retries up to one step after it, which both err on the safe side.
 	windowSteps = 20
+	// keptSteps is how many steps are kept: the window's and the one that it leaves.
+	keptSteps = windowSteps + 1
 	// windowMargin is the part of the allowed retries that is used. The rest covers
 	// requests that are counted but never reached the service, and routers that
 	// divide the slack before they know of each other.
@@ -42,7 +44,7 @@
 // of a minute ago would allow a retry storm now.
 type Window struct {
 	settings WindowSettings
-	steps    [windowSteps]step
+	steps    [keptSteps]step
 	// current is the number of the newest step.
 	current int64
 }
@@ -55,15 +57,15 @@
 // advance drops the steps that have left the window and returns the current step.
 func (w *Window) advance(now time.Duration) *step {
 	number := int64(now / (w.settings.Length / windowSteps))
-	if number-w.current >= windowSteps {
-		w.steps = [windowSteps]step{}
+	if number-w.current >= keptSteps {
+		w.steps = [keptSteps]step{}
 		w.current = number
 	}
 	for w.current < number {
 		w.current++
-		w.steps[w.current%windowSteps] = step{}
+		w.steps[w.current%keptSteps] = step{}
 	}
-	return &w.steps[w.current%windowSteps]
+	return &w.steps[w.current%keptSteps]
 }
 
 // RecordRequest counts a request of a caller.
@@ -83,9 +85,12 @@
 func (w *Window) Usage(now time.Duration, routers int) Usage {
 	w.advance(now)
 	var u Usage
-	for _, s := range w.steps {
-		u.Requests += s.requests
+	for age := range int64(keptSteps) {
+		s := w.steps[(w.current+keptSteps-age)%keptSteps]
 		u.Retries += s.retries
+		if age < windowSteps {
+			u.Requests += s.requests
+		}
 	}
 	allowed := w.settings.Ratio*float64(u.Requests) + w.settings.Slack/float64(max(routers, 1))
 	u.Allowed = int(windowMargin * allowed)
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -63,3 +63,28 @@
 	assert.Assert(t, w.Allowance(9*time.Second, 1) > 100)
 	assert.Equal(t, w.Allowance(11*time.Second, 1), 0)
 }
+
+// Guards: retries leave the window up to one step too early, so that two bursts less than a window
+// apart get a budget each.
+func TestTwoBurstsWithinAWindowShareOneBudget(t *testing.T) {
+	settings := WindowSettings{Ratio: 0.2, Slack: 58, Length: 10 * time.Second}
+	step := settings.Length / windowSteps
+	for _, offset := range []time.Duration{0, step / 2, step - time.Millisecond} {
+		w := NewWindow(settings)
+		requests, retries := 0, 0
+		burst := func(at time.Duration) {
+			for range 100 {
+				w.RecordRequest(at)
+				requests++
+			}
+			for w.TryRetry(at, 1) {
+				retries++
+			}
+		}
+		first := 2*settings.Length + offset
+		burst(first)
+		burst(first + settings.Length - time.Millisecond)
+		allowed := settings.Ratio*float64(requests) + settings.Slack
+		assert.Assert(t, float64(retries) <= allowed, "%d retries where %.0f are allowed, at %s into a step", retries, allowed, offset)
+	}
+}
