A router that starts again sends no retries before it has counted for a window

What callers saw: fewer than it seems, as their own retries are served by others; upstreams that fail got up to a fifth more repeats than operators allow, just when they were failing most.

Cause: a router counts requests and retries of the last ten seconds in memory. One that is killed forgets them, and its successor gets its part of the slack once more, and retries for its own requests on top of what its predecessor sent for those of the window before.

Change: nothing is allowed before the process has counted for a window. It holds with any number of kills and routers, without messages, also if all are killed at once. Weighed against it: counts kept by other routers or disk VMs. They know less than the router by the time of a report, which is when most is spent, and nothing after a kill of all; not knowing would have to forbid retries anyway.

TestOldRequestsEarnNoRetries counts from a minute after the start, with the same bounds. The routers of other tests count windows of 100 ms.

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -42,6 +42,13 @@
 // the limit holds for all routers together without any messages between them.
 // Requests are counted in the same window as retries, because otherwise the requests
 // of a minute ago would allow a retry storm now.
+//
+// The counts are in memory alone. A router that starts again knows nothing of what it
+// sent before, and if routers are killed one after the other, each start would grant
+// the same retries once more. So a router sends no retries until it has counted for
+// Length.
+//
+// Times are since the start of the process.
 type Window struct {
 	settings WindowSettings
 	steps    [keptSteps]step
@@ -82,6 +89,7 @@
 }
 
 // Usage returns the counts of the window, if the given number of routers divide the slack.
+// Nothing is allowed before the router has counted for a whole window.
 func (w *Window) Usage(now time.Duration, routers int) Usage {
 	w.advance(now)
 	var u Usage
@@ -92,6 +100,9 @@
 			u.Requests += s.requests
 		}
 	}
+	if now < w.settings.Length {
+		return u
+	}
 	allowed := w.settings.Ratio*float64(u.Requests) + w.settings.Slack/float64(max(routers, 1))
 	u.Allowed = int(windowMargin * allowed)
 	return u
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -57,11 +57,12 @@
 	// If requests of a busy minute still counted after it, they would allow a retry
 	// storm.
 	w := NewWindow(WindowSettings{Ratio: 0.2, Slack: 0, Length: 10 * time.Second})
+	const busy = time.Minute
 	for range 1000 {
-		w.RecordRequest(0)
+		w.RecordRequest(busy)
 	}
-	assert.Assert(t, w.Allowance(9*time.Second, 1) > 100)
-	assert.Equal(t, w.Allowance(11*time.Second, 1), 0)
+	assert.Assert(t, w.Allowance(busy+9*time.Second, 1) > 100)
+	assert.Equal(t, w.Allowance(busy+11*time.Second, 1), 0)
 }
 
 // Guards: retries leave the window up to one step too early, so that two bursts less than a window
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -192,6 +192,8 @@
 	s.Listen.Readiness = fmt.Sprintf("%s:%d", ip, freePort(t))
 	s.Seeds = []string{fmt.Sprintf("127.0.0.2:%d", freePort(t))}
 	s.Stop.UnreadyMS, s.Stop.GraceMS = 0, 30_000
+	// Routers send no retries before they have counted for a window.
+	s.Retries.WindowMS = 100
 	options := Options{
 		Settings: s, Dialect: dialecttest.Plain{}, ParseTable: parseTable, Log: zerolog.Nop(), RequestLog: zerolog.Nop(),
 		Random: rand.New(rand.NewPCG(1, 1)),
