A router's share of the retry slack doesn't grow while it is partitioned

The slack is divided by the routers that disk VMs list. A router that had heard from none for 30 s divided it by one, and so did one that had never heard a list; each then sent the whole fleet's slack, and so would every router of a cut that lasts.

The number never shrinks while the process lives; of a fleet that got smaller the slack is used in part until its routers start anew. No slack before a list has come.

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -88,8 +88,9 @@
 	Allowed int
 }
 
-// Usage returns the counts of the window, if the given number of routers divide the slack.
-// Nothing is allowed before the router has counted for a whole window.
+// Usage returns the counts of the window, if the given number of routers divide the slack,
+// 0 if it isn't known how many do. Nothing is allowed before the router has counted for a
+// whole window.
 func (w *Window) Usage(now time.Duration, routers int) Usage {
 	w.advance(now)
 	var u Usage
@@ -103,7 +104,10 @@
 	if now < w.settings.Length {
 		return u
 	}
-	allowed := w.settings.Ratio*float64(u.Requests) + w.settings.Slack/float64(max(routers, 1))
+	allowed := w.settings.Ratio * float64(u.Requests)
+	if routers > 0 {
+		allowed += w.settings.Slack / float64(routers)
+	}
 	u.Allowed = int(windowMargin * allowed)
 	return u
 }
--- a/daemon/router/restart_test.go
+++ b/daemon/router/restart_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"endiveplank/settings/direct"
+	"endiveplank/transport/forward"
 )
 
 // failingUpstream answers every request with an error, and counts the requests.
@@ -75,3 +76,50 @@
 	assert.Equal(t, upstream.arrivals.Load(), int64(3))
 	assert.Assert(t, r.router.Stop())
 }
+
+// retriesGranted returns how many retries the router grants at once.
+func (r *rig) retriesGranted() int {
+	granted := 0
+	for r.router.TakeRetry(forward.Job{Service: "s"}) {
+		granted++
+	}
+	return granted
+}
+
+// fleetRetries divides 30 retries a window among all routers.
+var fleetRetries = direct.Retries{Slack: 30, WindowMS: 300}
+
+// Guards: a router that hears from no disk VM any more takes the other routers' shares of the retry
+// budget as well, which these still use.
+func TestRetryShareDoesNotGrowWithoutDiskVMs(t *testing.T) {
+	peers := freePort(t)
+	release, received := make(chan struct{}), make(chan struct{}, 10)
+	close(release)
+	vm := startDiskVM(t, fmt.Sprintf("127.0.0.2:%d", peers), startUpstream(t, release, received))
+	var rigs []*rig
+	for _, ip := range []string{"127.0.0.1", "127.0.0.3", "127.0.0.4"} {
+		rigs = append(rigs, startRig(t, ip, peers, func(options *Options) { options.Settings.Retries = fleetRetries }))
+	}
+	r := rigs[0]
+	const share = 10
+	r.eventually("the routers know each other", func() bool {
+		granted := r.retriesGranted()
+		return granted > 0 && granted <= share
+	})
+	vm.fabric.Close()
+	for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(fleetRetries.Window() / 2) {
+		granted := r.retriesGranted()
+		assert.Assert(t, granted <= share, "%d retries at once, its share are %d", granted, share)
+	}
+	for _, r := range rigs {
+		assert.Assert(t, r.router.Stop())
+	}
+}
+
+// Guards: a router that has never heard how many routers there are takes the whole retry budget.
+func TestRouterThatKnowsNoOthersHasNoShareOfTheRetryBudget(t *testing.T) {
+	r := startRig(t, "127.0.0.1", freePort(t), func(options *Options) { options.Settings.Retries = fleetRetries })
+	time.Sleep(2 * fleetRetries.Window())
+	assert.Equal(t, r.retriesGranted(), 0)
+	assert.Assert(t, r.router.Stop())
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -117,9 +117,9 @@
 	// others are the other routers as of routersRevision of the follower's list.
 	others          []protocol.RouterID
 	routersRevision uint64
-	// fleetSize is the largest number of routers known lately, including this one.
+	// fleetSize is the largest number of routers known since the start, including this one,
+	// 0 before any disk VM has named them.
 	fleetSize        int
-	fleetSizeSetAt   time.Duration
 	rosterRevision   uint64
 	reportSentAt     time.Duration
 	fullReportSentAt time.Duration
@@ -265,18 +265,16 @@
 }
 
 // updateRouters takes the list of routers from the disk VMs. The fleet size, by which
-// retry budgets are shared, shrinks only after three retry windows: a router that this one
-// doesn't see may still spend its share.
+// retry budgets are shared, never shrinks: a router that this one doesn't see may still
+// spend its share, for as long as they are partitioned.
 func (r *Router) updateRouters(now time.Duration) {
 	if listed, revision := r.follower.Routers(now); revision != r.routersRevision {
 		r.routersRevision = revision
 		r.setRouters(listed)
 	}
 	r.slowStart.SetRouters(now, r.others, r.touch(now))
-	size := len(r.others) + 1
-	if size >= r.fleetSize || now-r.fleetSizeSetAt > 3*r.settings.Retries.Window() {
-		r.fleetSize = size
-		r.fleetSizeSetAt = now
+	if r.routersRevision > 0 {
+		r.fleetSize = max(r.fleetSize, len(r.others)+1)
 	}
 }
 
