Relay fleet: a router that starts has no retry credit

Fifty starts of a router whose requests all fail: 150,000 tokens of retries for 300,000 of first attempts, where a tenth and one allowance are allowed, 33,000 (the new test, before). Green now: credit begins at 0, and quiet routers get the allowance over 100 s as before. What a caller waits for in a fleet with little traffic is kept by the one attempt a second beyond the budget.

TestDecide earns its credit first.

--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -13,8 +13,8 @@
 	// Share is the work that retries may add, as a share of the work of first
 	// attempts.
 	Share float64
-	// Allowance is the budget, in tokens of work, of a router that has just
-	// started or had no first attempts recently.
+	// Allowance is the budget, in tokens of work, of a router that had no first
+	// attempts recently. It gets it little by little.
 	Allowance float64
 	// TimeConstant is the time constant of the exponential decay of the budget
 	// that first attempts have earned.
@@ -108,9 +108,11 @@
 	firstAttemptAt time.Duration // time of the latest first attempt
 }
 
-// New returns a budget whose credit is the allowance.
+// New returns a budget without credit: a router that starts again doesn't know what it
+// spent before, and routers that are killed one after the other would get an allowance for
+// each start.
 func New(config Config) *Budget {
-	return &Budget{config: config, credit: config.Allowance, loan: config.Allowance}
+	return &Budget{config: config}
 }
 
 // RecordFirstAttempt records the first attempt of a request, which earns credit for
--- a/coordination/retry/budget_test.go
+++ b/coordination/retry/budget_test.go
@@ -39,7 +39,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := failure()
 			c.change(&f)
-			decision := New(DefaultConfig()).Decide(0, source(), f)
+			b := New(DefaultConfig())
+			b.RecordFirstAttempt(0, 30_000) // earns 3,000 tokens
+			decision := b.Decide(0, source(), f)
 			assert.Equal(t, decision.Reason, c.want)
 			assert.Equal(t, decision.Retry, c.want == ReasonNone)
 		})
--- a/coordination/retry/doc.go
+++ b/coordination/retry/doc.go
@@ -5,7 +5,8 @@
 // much. Budget limits retries to a share of the work of recent first attempts, 0.1
 // by default. So even when everything fails, the upstreams receive at most 1.1 times
 // the work of the first attempts. A small constant (Config.Allowance) lets a router
-// with little traffic retry at all; first attempts pay it back.
+// with little traffic retry at all; first attempts pay it back. Neither is there at a
+// start: a router that starts again would get it once more each time.
 //
 // The limit holds along the whole path of a request because exactly one hop may
 // retry: the entry router, which received the request from its caller. The router
@@ -18,7 +19,8 @@
 // and work that may have run and must not be repeated.
 //
 // Window is a separate limit on one router's retries for one service, by number
-// instead of work and over a fixed time.
+// instead of work and over a fixed time. It grants nothing before the router has counted
+// for that time.
 //
 // Use, with one Budget per router:
 //
--- a/coordination/retry/restart_test.go
+++ b/coordination/retry/restart_test.go
@@ -88,3 +88,28 @@
 		})
 	}
 }
+
+// Guards: a router that starts again gets its allowance once more, so that routers which are killed
+// in series retry without bound.
+func TestBudgetsOfRoutersKilledInSeriesStayWithinTheShare(t *testing.T) {
+	config := DefaultConfig()
+	rng := source()
+	budget := New(config)
+	const starts, perStart, tokens = 50, 20, 300
+	firstAttempts, retries := 0, 0
+	for range starts {
+		budget = New(config)
+		for i := range perStart {
+			now := time.Duration(i) * 50 * time.Millisecond
+			budget.RecordFirstAttempt(now, tokens)
+			firstAttempts += tokens
+			f := failure()
+			f.Tokens = tokens
+			if budget.Decide(now, rng, f).Retry {
+				retries += tokens
+			}
+		}
+	}
+	allowed := config.Share*float64(firstAttempts) + config.Allowance
+	assert.Assert(t, float64(retries) <= allowed, "%d tokens of retries for %d, allowed are %.0f", retries, firstAttempts, allowed)
+}
