--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -246,6 +246,7 @@
 // recordCrash counts a crash and logs if the request is quarantined for it. The lock is
 // held.
 func (r *Router) recordCrash(now time.Duration, crash crashes.Crash) {
+	r.log.Info().Str("event", "crash-counted").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
 	if r.crashes.Note(now, crash) {
 		r.log.Warn().Str("event", "request-condemned").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
 	}
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -130,6 +130,20 @@
 	return keys
 }
 
+// SharedParts returns the keys of the prompt's parts that other requests may have too: all but
+// the last.
+func (j *Job) SharedParts() []uint64 {
+	if j.Prompt == nil || len(j.Prompt.Parts) == 0 {
+		return nil
+	}
+	parts := j.Prompt.Parts[:len(j.Prompt.Parts)-1]
+	keys := make([]uint64, len(parts))
+	for i, part := range parts {
+		keys[i] = part.Key
+	}
+	return keys
+}
+
 // SharedPrefixKey returns the key of the longest prefix that the prompt can share
 // with other prompts: all parts but the last, which is unique to the request or its
 // session. False means that no upstream's prefix cache can help: the route isn't
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,6 +121,11 @@
 	return o.LocalReply || o.Aborted || o.Status >= 500 || len(o.Attempts) > 1
 }
 
+// broke reports whether an upstream broke an attempt off.
+func (o *Outcome) broke() bool {
+	return slices.ContainsFunc(o.Attempts, func(a AttemptOutcome) bool { return a.Result == balance.Broken })
+}
+
 // logSent logs an attempt before it is sent. If the router dies, this line is the
 // only record of which upstream had the request.
 func (f *forwarding) logSent(choice balance.Choice, remaining time.Duration) {
@@ -171,6 +177,9 @@
 	if key, any := f.job.SharedPrefixKey(); any {
 		line.Uint64("prompt", key)
 	}
+	if parts := f.job.SharedParts(); o.broke() && len(parts) > 0 {
+		line.Uints64("parts", parts)
+	}
 	if f.job.Route != nil && f.job.Route.Stream {
 		line.Int("events", o.Events).Float64("first_ms", o.FirstAfter.Seconds()*1000)
 	}
