Red tests: a part of prompts crashes engine after engine

Three routers, a disk VM and eight engines that crash before their first event if a prompt has one part. No two requests are alike.

--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -130,6 +130,9 @@
 		}, {
 			Name: "stream", Host: "h", PathPrefix: "/stream/", Public: true, Timeout: 5 * time.Second, Objective: time.Second,
 			Stream: true, Resumable: true, MaxAttempts: 3, Split: []routing.Share{{Service: "s", Weight: 1}},
+		}, {
+			Name: "once", Host: "h", PathPrefix: "/once/", Public: true, Timeout: 5 * time.Second, Objective: time.Second,
+			Stream: true, MaxAttempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}},
 		}},
 	}, nil
 }
--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -4,8 +4,11 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 )
@@ -23,9 +26,18 @@
 	if err == nil {
 		call.Remaining = time.Duration(remaining) * time.Millisecond
 	}
+	if parts := header.Get("T-Parts"); parts != "" {
+		call.Prompt = &dialect.Prompt{}
+		for id := range strings.SplitSeq(parts, ",") {
+			call.Prompt.Parts = append(call.Prompt.Parts, dialect.Part{Key: PartKey(id), Tokens: 100})
+		}
+	}
 	return call, nil
 }
 
+// PartKey returns the key of a prompt's part.
+func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+
 // WriteAttempt implements dialect.Dialect.
 func (Plain) WriteAttempt(header http.Header, attempt dialect.Attempt) {
 	header.Del("T-Key")
