A part of prompts that crashes upstreams is found and refused everywhere

What callers saw: engine after engine ended, 32 in half a minute, with all streams that it had; a fifth of the requests of one kind were lost at times.

Cause: only contents were known to crash upstreams, and no two of these requests are alike. What a router knew of crashes was lost with its restart, too.

Evidence: each of 15 engines whose end the kept lines show had one to three requests without an event as it ended, and one at least with the same key of a part; no request with it was ever answered.

Change: routers report an upstream that broke requests off before it answered them, and that takes no connection any more, with the shared parts of these requests. Disk VMs look for the part that such crashes have in common at three different times; crashes within 0.2 s count once. What routers have seen answered since the first of them is sound: they are asked. Parts that can't be told apart wait for a fourth crash, one that was answered before the first for a fifth. A quarantined part explains its crashes, which then count for no other. Contents are counted by disk VMs as well.

A crash was confirmed only by an answer or by the crashed upstream's return if no other request came; another upstream is probed for it now.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/evacuation"
 	"endiveplank/coordination/roster"
@@ -53,6 +54,8 @@
 	Version uint64
 	// Age is how long the disk VM was silent.
 	Age time.Duration
+	// Quarantine is what is quarantined, of EventQuarantined.
+	Quarantine crashes.Quarantine
 	// DataCentre is the data centre that an evacuation order is for. Version is the
 	// order's revision then.
 	DataCentre protocol.DataCentre
@@ -73,7 +76,9 @@
 	EventListUnreadable = "list-unreadable"
 	// EventEvacuated says that a data centre is evacuated, and EventEvacuationWithdrawn
 	// that it is taken back.
-	EventEvacuated           = "evacuated"
+	EventEvacuated = "evacuated"
+	// EventQuarantined says that another process has quarantined something.
+	EventQuarantined         = "quarantined"
 	EventEvacuationWithdrawn = "evacuation-withdrawn"
 )
 
@@ -102,6 +107,7 @@
 	newestBytes int
 	relay       *Relay
 	evacuations evacuation.Set
+	quarantines *crashes.List
 	// fullChange is the change that makes the table in force from nothing. It is sent to
 	// other routers and made when one first asks for it.
 	fullChange document.Change
@@ -145,7 +151,7 @@
 // NewFollower returns a follower that knows only the seeds. It shares the roster with
 // the caller.
 func NewFollower(self protocol.RouterID, router bool, seeds []protocol.RouterID, r *roster.Roster) *Follower {
-	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, peerRequests: map[protocol.RouterID]peerRequest{}, lists: packedLists{minLifetime: minWholeListLifetime}}
+	f := &Follower{self: self, router: router, roster: r, sources: map[protocol.RouterID]*source{}, peerRequests: map[protocol.RouterID]peerRequest{}, lists: packedLists{minLifetime: minWholeListLifetime}, quarantines: crashes.NewList()}
 	f.SetSeeds(0, seeds)
 	return f
 }
@@ -197,6 +203,10 @@
 	w.WantCacheHolders = f.router && s.alive(now) && f.holders.ask(now)
 	w.AnnounceAddress = f.announceAddress
 	w.Evacuations = f.evacuations.Digest()
+	w.Quarantines = f.quarantines.Digest()
+	if s.everHeard && s.sentQuarantines.due(now, f.quarantines, s.quarantines) {
+		w.Lacking = f.quarantines.Quarantines(now)
+	}
 	if f.relay != nil {
 		w.DataCentre = f.relay.self.DataCentre
 		w.Relays = len(f.relay.receivers) > 0
@@ -213,6 +223,7 @@
 func (f *Follower) HandleStatus(now time.Duration, from protocol.RouterID, status Status) []Message {
 	s := f.heardFrom(now, from)
 	f.mergeEvacuations(from, status.Evacuations)
+	f.mergeQuarantines(now, from, s, status)
 	s.version, s.restored = status.Version, status.Restored
 	f.confirmTable(from, s)
 	if status.Version > f.newest {
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/evacuation"
 	"endiveplank/coordination/roster"
@@ -41,6 +42,10 @@
 	Fleet uint64 `msgpack:"f,omitempty"`
 	// Evacuations is the digest of the evacuations that the sender has in force.
 	Evacuations uint64 `msgpack:"z,omitempty"`
+	// Quarantines is the digest of what the sender has quarantined. Lacking is its list, if
+	// the receiver's was another one.
+	Quarantines uint64               `msgpack:"q,omitempty"`
+	Lacking     []crashes.Quarantine `msgpack:"x,omitempty"`
 }
 
 // Status tells a follower which table, roster and fleet the sending disk VM has.
@@ -65,6 +70,10 @@
 	// Evacuations are the last orders of all data centres that the sender knows, nil if the
 	// follower has them.
 	Evacuations []evacuation.Record `msgpack:"z,omitempty"`
+	// Quarantines is the digest of what the sender has quarantined. Quarantined is its list,
+	// nil if the follower has it.
+	Quarantines uint64               `msgpack:"q,omitempty"`
+	Quarantined []crashes.Quarantine `msgpack:"x,omitempty"`
 }
 
 // Fleet lists the disk VMs and routers that a disk VM knows.
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/evacuation"
 	"endiveplank/coordination/roster"
@@ -63,6 +64,8 @@
 	listed     time.Duration
 	everListed bool
 	unacked    unacked
+	// quarantines is which list of quarantines it was last sent.
+	quarantines sentQuarantines
 	// tier was computed for the last changes.
 	tier tier
 	// has is the Summary of its roster when it last asked for a list.
@@ -95,6 +98,8 @@
 	restored bool
 	// evacuations are the last orders that this VM knows to be accepted.
 	evacuations evacuation.Set
+	// quarantines is what is quarantined as far as this VM knows.
+	quarantines *crashes.List
 	// tableChanges holds the change to the table in force from each base that a follower
 	// asked for. Many followers have the same base.
 	tableChanges map[document.Digest]document.Change
@@ -136,6 +141,7 @@
 		pushes:       newTokenBucket(pushShare*rate, pushShare*rate),
 		pushMessages: newTokenBucket(maxPushMessages, maxPushMessages),
 		holders:      balance.NewCacheHolderRecord(),
+		quarantines:  crashes.NewList(),
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
 		listeners:    map[protocol.DataCentre]*listeners{},
@@ -265,6 +271,7 @@
 	}
 	known.watch = w
 	known.at = now
+	p.quarantines.Merge(now, w.Lacking)
 	p.link.charge(now, statusBytes)
 	if w.WantDocument && p.version() > w.Version {
 		p.enqueue(request{from: from, kind: requestTable, at: now})
@@ -306,7 +313,7 @@
 
 // statusWithoutFleet returns a Status without the list of processes.
 func (p *Publisher) statusWithoutFleet() Status {
-	return Status{Version: p.version(), Restored: p.restored, Bytes: p.changeBytes, Roster: p.roster.Digest(), Upstreams: p.roster.Usable()}
+	return Status{Version: p.version(), Restored: p.restored, Bytes: p.changeBytes, Roster: p.roster.Digest(), Upstreams: p.roster.Usable(), Quarantines: p.quarantines.Digest()}
 }
 
 // status returns the answer to a Watch.
@@ -315,6 +322,9 @@
 	if f.watch.Evacuations != p.evacuations.Digest() {
 		status.Evacuations = p.Evacuations()
 	}
+	if f.quarantines.due(now, p.quarantines, f.watch.Quarantines) {
+		status.Quarantined = p.quarantines.Quarantines(now)
+	}
 	interval := fleetInterval
 	if f.watch.Router && f.watch.Version == 0 {
 		interval = fastFleetInterval
--- /dev/null
+++ b/coordination/control/quarantines.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"time"
+
+	"endiveplank/coordination/crashes"
+	"endiveplank/protocol"
+)
+
+// quarantinesInterval is how often a process sends its list of quarantines to one that has
+// another list, if its own hasn't changed meanwhile.
+const quarantinesInterval = 5 * time.Second
+
+// sentQuarantines is which list of quarantines a process was last sent, and when.
+type sentQuarantines struct {
+	digest uint64
+	at     time.Duration
+	any    bool
+}
+
+// due reports whether a process gets the list, whose own list has the digest has.
+func (s *sentQuarantines) due(now time.Duration, list *crashes.List, has uint64) bool {
+	digest := list.Digest()
+	if digest == has || list.Len() == 0 {
+		return false
+	}
+	if s.any && s.digest == digest && now-s.at < quarantinesInterval {
+		return false
+	}
+	*s = sentQuarantines{digest: digest, at: now, any: true}
+	return true
+}
+
+// SetQuarantines makes the publisher share a list of quarantines with its caller.
+func (p *Publisher) SetQuarantines(list *crashes.List) { p.quarantines = list }
+
+// AnnounceQuarantines returns a Status with the list for every router.
+func (p *Publisher) AnnounceQuarantines(now time.Duration) []Message {
+	messages := p.announceStatus(now)
+	list := p.quarantines.Quarantines(now)
+	for i := range messages {
+		status := messages[i].Body.(Status)
+		status.Quarantined = list
+		messages[i].Body = status
+		p.followers[messages[i].To].quarantines = sentQuarantines{digest: p.quarantines.Digest(), at: now, any: true}
+	}
+	return messages
+}
+
+// SetQuarantines makes the follower share a list of quarantines with its caller.
+func (f *Follower) SetQuarantines(list *crashes.List) { f.quarantines = list }
+
+// mergeQuarantines takes over what a disk VM has quarantined.
+func (f *Follower) mergeQuarantines(now time.Duration, from protocol.RouterID, s *source, status Status) {
+	for _, q := range f.quarantines.Merge(now, status.Quarantined) {
+		f.events = append(f.events, Event{Kind: EventQuarantined, Peer: from, Quarantine: q})
+	}
+	s.quarantines = status.Quarantines
+}
+
+// AliveDiskVMIDs returns the disk VMs that answered lately, sorted.
+func (f *Follower) AliveDiskVMIDs(now time.Duration) []protocol.RouterID {
+	var alive []protocol.RouterID
+	for _, id := range f.DiskVMs() {
+		if f.sources[id].alive(now) {
+			alive = append(alive, id)
+		}
+	}
+	return alive
+}
--- a/coordination/control/sources.go
+++ b/coordination/control/sources.go
@@ -28,6 +28,10 @@
 	restored bool
 	routers  []Router
 	diskVMs  []protocol.RouterID
+	// quarantines is the digest of what the VM has quarantined, and sentQuarantines which list
+	// it was sent.
+	quarantines     uint64
+	sentQuarantines sentQuarantines
 	// askedAt is when the VM was last sent a Watch, heardAt when it last answered, if
 	// everHeard, and namedAt when it was last named.
 	askedAt time.Duration
--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -1,19 +1,3 @@
-// Package crashes detects requests that crash the upstreams which run them, on routers
-// that send requests to upstreams themselves.
-//
-// Every router records which requests were in flight when an upstream's connection broke,
-// and sends that to the others. A Record counts these crashes; a request whose content
-// was in flight at several of them is quarantined, that is refused for a while. Package
-// quarantine does more, as it retries suspects in isolation, but needs an owner that
-// handles all requests of an upstream; here there is none.
-//
-// The package guards against these failures:
-//
-//   - A request crashes the fleet's upstreams one by one, while its caller sends it again
-//     with other IDs or keys and through other routers. It is recognised by its content.
-//   - A request is refused although another one caused the crash at which it was in
-//     flight. A quarantine therefore takes several crashes, and the innocent requests that
-//     are in flight at each of them have different contents.
 package crashes
 
 import (
@@ -43,7 +27,20 @@
 	return Settings{QuarantineAfter: 3, Window: 60 * time.Second, MaxRequests: 4096}
 }
 
-// Crash says that an upstream's connection broke while it had a request.
+// Broken is a request whose connection an upstream broke.
+type Broken struct {
+	// Digest is the same for requests of the same content.
+	Digest   uint64
+	Upstream protocol.UpstreamID
+	// StartedAt identifies the upstream's incarnation, 0 if it doesn't say.
+	StartedAt int64
+	// Parts are the keys of the prompt's parts that other requests may have too, if the
+	// upstream had not answered yet or had only just begun to.
+	Parts []uint64
+}
+
+// Crash tells other routers and disk VMs that an upstream's connection broke while it had a
+// request, and that the path to it works.
 type Crash struct {
 	// Digest is the same for requests of the same content.
 	Digest   uint64              `msgpack:"d"`
@@ -51,6 +48,10 @@
 	// Attempt is a random number that distinguishes two crashes, and identifies one that
 	// is reported twice.
 	Attempt uint64 `msgpack:"a"`
+	// StartedAt is that of Broken.
+	StartedAt int64 `msgpack:"s,omitempty"`
+	// Parts are those of Broken, if the upstream takes no connections any more.
+	Parts []uint64 `msgpack:"p,omitempty"`
 }
 
 // suspect is a request that was in flight at crashes.
--- /dev/null
+++ b/coordination/crashes/detector.go
@@ -0,0 +1,310 @@
+package crashes
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"endiveplank/protocol"
+)
+
+const (
+	// crashesAtOnce is the time within which crashes count once: upstreams that lose power
+	// together have the same parts in flight.
+	crashesAtOnce = 200 * time.Millisecond
+	// partQuarantineAfter is how many crashes quarantine a part that was never answered,
+	// tieQuarantineAfter several that have all their crashes in common, and
+	// answeredQuarantineAfter one that was answered before the first of them, and not since.
+	partQuarantineAfter     = 3
+	tieQuarantineAfter      = 4
+	answeredQuarantineAfter = 5
+	// askAfter is how many crashes make a part a suspect, of which routers are asked.
+	askAfter = 2
+	// askInterval is the least time between two questions, and replyTime how long routers may
+	// take to answer one.
+	askInterval = 100 * time.Millisecond
+	replyTime   = 250 * time.Millisecond
+	// crashWindow is how long a crash counts, and lateReport how much later than others a
+	// router may report it.
+	crashWindow = time.Hour
+	lateReport  = 3 * time.Second
+	// maxCrashes bounds the crashes that are remembered, and maxCrashParts the parts of one.
+	maxCrashes    = 64
+	maxCrashParts = 128
+	// maxAsked bounds the parts in a question.
+	maxAsked = 64
+)
+
+// incarnation is one start of an upstream.
+type incarnation struct {
+	upstream  protocol.UpstreamID
+	startedAt int64
+}
+
+// crash is the end of one or several upstreams at nearly the same time, with the parts of the
+// requests that they hadn't answered yet.
+type crash struct {
+	at        time.Duration
+	upstreams map[incarnation]struct{}
+	parts     map[uint64]struct{}
+}
+
+// Detector finds the parts of prompts that crash upstreams, from what all routers report. It is
+// not safe for concurrent use.
+type Detector struct {
+	list *List
+	// crashes are those that no quarantined part explains, oldest first.
+	crashes []crash
+	// sound is when prompts with a suspect part were last answered.
+	sound map[uint64]time.Duration
+	// asked is when routers were asked about a part, and askedAt when about any.
+	asked   map[uint64]askedPart
+	askedAt time.Duration
+	// changed says that there is something new to go by, and replyBy is when routers have had
+	// time to answer, 0 if none were asked.
+	changed bool
+	replyBy time.Duration
+}
+
+// askedPart is when routers were asked about a part: for the first time since it has enough
+// crashes, and for the last time.
+type askedPart struct {
+	first, last time.Duration
+}
+
+// NewDetector returns a detector that adds what it finds to the list.
+func NewDetector(list *List) *Detector {
+	return &Detector{list: list, sound: map[uint64]time.Duration{}, asked: map[uint64]askedPart{}}
+}
+
+// Report takes a router's report. It returns the parts that are quarantined at once, as they
+// were before.
+func (d *Detector) Report(now time.Duration, c Crash) []Quarantine {
+	if len(c.Parts) == 0 || d.explained(now, c.Parts) {
+		return nil
+	}
+	var again []Quarantine
+	for _, part := range c.Parts {
+		if d.list.Lapsed(now, Part, part) {
+			again = append(again, d.list.Add(now, Part, part))
+		}
+	}
+	if len(again) > 0 {
+		return again
+	}
+	at := d.crashOf(now, incarnation{c.Upstream, c.StartedAt})
+	for _, part := range c.Parts {
+		if len(at.parts) < maxCrashParts {
+			at.parts[part] = struct{}{}
+		}
+	}
+	d.changed = true
+	return nil
+}
+
+// explained reports whether one of the parts is quarantined: it was sent before that.
+func (d *Detector) explained(now time.Duration, parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool { return d.list.Left(now, Part, part) > 0 })
+}
+
+// crashOf returns the crash that an upstream's end belongs to.
+func (d *Detector) crashOf(now time.Duration, ended incarnation) *crash {
+	for i := range d.crashes {
+		if _, known := d.crashes[i].upstreams[ended]; known && now-d.crashes[i].at < lateReport {
+			return &d.crashes[i]
+		}
+	}
+	if last := len(d.crashes) - 1; last < 0 || now-d.crashes[last].at >= crashesAtOnce {
+		if len(d.crashes) >= maxCrashes {
+			d.crashes = slices.Delete(d.crashes, 0, 1)
+		}
+		d.crashes = append(d.crashes, crash{at: now, upstreams: map[incarnation]struct{}{}, parts: map[uint64]struct{}{}})
+	}
+	last := &d.crashes[len(d.crashes)-1]
+	last.upstreams[ended] = struct{}{}
+	return last
+}
+
+// HandleSound takes a router's answer.
+func (d *Detector) HandleSound(now time.Duration, s Sound) {
+	for _, part := range s.Parts {
+		if _, asked := d.asked[part.Key]; !asked {
+			continue
+		}
+		answered := now - time.Duration(max(part.AgoMS, 0))*time.Millisecond
+		if known, any := d.sound[part.Key]; !any || answered > known {
+			d.sound[part.Key] = answered
+			d.changed = true
+		}
+	}
+}
+
+// suspectPart is a part that several crashes have in common.
+type suspectPart struct {
+	part  uint64
+	count int
+	// first and last are the times of the first and the last of these crashes, and reached of the
+	// one from which on the part may be quarantined, if enough.
+	first, last, reached time.Duration
+	enough               bool
+	answered             bool
+}
+
+// Tick returns the question to send to routers, if there is one, and the parts that are
+// quarantined now.
+func (d *Detector) Tick(now time.Duration) (ask *Suspects, found []Quarantine) {
+	replied := d.replyBy > 0 && now >= d.replyBy
+	if !d.changed && !replied {
+		return nil, nil
+	}
+	d.changed = false
+	if replied {
+		d.replyBy = 0
+	}
+	d.expire(now)
+	suspects := d.suspects()
+	for {
+		worst, any := d.culprit(now, suspects)
+		if !any {
+			break
+		}
+		for _, s := range worst {
+			found = append(found, d.list.Add(now, Part, s.part))
+			d.explain(s.part)
+		}
+		suspects = d.suspects()
+	}
+	return d.question(now, suspects), found
+}
+
+// suspects returns the parts that have at least askAfter crashes in common, those with most
+// crashes first. Crashes before the last answer of a part don't count for it.
+func (d *Detector) suspects() []suspectPart {
+	byPart := map[uint64]*suspectPart{}
+	for _, c := range d.crashes {
+		for part := range c.parts {
+			d.count(byPart, part, c.at)
+		}
+	}
+	var all []suspectPart
+	for _, s := range byPart {
+		if s.count >= askAfter && d.coversHalf(s) {
+			all = append(all, *s)
+		}
+	}
+	slices.SortFunc(all, func(a, b suspectPart) int { return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.part, b.part)) })
+	return all
+}
+
+// count counts a crash for one of its parts.
+func (d *Detector) count(byPart map[uint64]*suspectPart, part uint64, at time.Duration) {
+	answered, any := d.sound[part]
+	if any && answered > at {
+		return
+	}
+	s := byPart[part]
+	if s == nil {
+		s = &suspectPart{part: part, first: at, answered: any}
+		byPart[part] = s
+	}
+	s.count++
+	s.last = at
+	needed := partQuarantineAfter
+	if s.answered {
+		needed = answeredQuarantineAfter
+	}
+	if s.count >= needed && !s.enough {
+		s.enough, s.reached = true, at
+	}
+}
+
+// coversHalf reports whether at least half of the crashes since the part's first one have it.
+func (d *Detector) coversHalf(s *suspectPart) bool {
+	since := 0
+	for _, c := range d.crashes {
+		if c.at >= s.first {
+			since++
+		}
+	}
+	return 2*s.count >= since
+}
+
+// culprit returns the suspects that are to be quarantined: with most crashes in common, and of
+// these preferably some that were never answered. Routers have been asked and had time to answer.
+func (d *Detector) culprit(now time.Duration, suspects []suspectPart) ([]suspectPart, bool) {
+	var worst []suspectPart
+	for _, s := range suspects {
+		asked, any := d.asked[s.part]
+		if !s.enough || !any || asked.first < s.reached || now-asked.first < replyTime {
+			continue
+		}
+		if len(worst) > 0 && (s.count < worst[0].count || s.answered && !worst[0].answered) {
+			continue
+		}
+		if len(worst) > 0 && worst[0].answered && !s.answered {
+			worst = nil
+		}
+		worst = append(worst, s)
+	}
+	if len(worst) > 1 && worst[0].count < tieQuarantineAfter {
+		return nil, false
+	}
+	return worst, len(worst) > 0
+}
+
+// explain removes the crashes that a quarantined part has caused.
+func (d *Detector) explain(part uint64) {
+	d.crashes = slices.DeleteFunc(d.crashes, func(c crash) bool {
+		_, has := c.parts[part]
+		return has
+	})
+}
+
+// question returns the suspects that routers haven't been asked about since their last crash.
+func (d *Detector) question(now time.Duration, suspects []suspectPart) *Suspects {
+	d.forgetOthers(suspects)
+	if d.askedAt > 0 && now-d.askedAt < askInterval {
+		d.changed = true
+		return nil
+	}
+	var ask Suspects
+	for _, s := range suspects {
+		asked, any := d.asked[s.part]
+		if any && asked.last >= s.last {
+			continue
+		}
+		if len(ask.Parts) == maxAsked {
+			break
+		}
+		ask.Parts = append(ask.Parts, s.part)
+		if !any || s.enough && asked.first < s.reached {
+			asked.first = now
+		}
+		asked.last = now
+		d.asked[s.part] = asked
+	}
+	if len(ask.Parts) == 0 {
+		return nil
+	}
+	d.askedAt, d.replyBy = now, now+replyTime
+	return &ask
+}
+
+// forgetOthers drops what is known of parts that aren't in any crash.
+func (d *Detector) forgetOthers(suspects []suspectPart) {
+	maps.DeleteFunc(d.asked, func(part uint64, _ askedPart) bool {
+		return !slices.ContainsFunc(suspects, func(s suspectPart) bool { return s.part == part })
+	})
+	maps.DeleteFunc(d.sound, func(part uint64, _ time.Duration) bool {
+		return !slices.ContainsFunc(d.crashes, func(c crash) bool {
+			_, has := c.parts[part]
+			return has
+		})
+	})
+}
+
+// expire drops old crashes.
+func (d *Detector) expire(now time.Duration) {
+	d.crashes = slices.DeleteFunc(d.crashes, func(c crash) bool { return now-c.at > crashWindow })
+}
--- a/coordination/reach/held.go
+++ b/coordination/reach/held.go
@@ -27,6 +27,10 @@
 	// that Digest stands for. Else the upstream lost an answer, or didn't begin it in time.
 	Crash  bool
 	Digest uint64
+	// StartedAt is the upstream's incarnation and Parts the parts of the request's prompt that
+	// may have crashed it, of a Crash.
+	StartedAt int64
+	Parts     []uint64
 }
 
 // heldFailure is a Failure of which it isn't known yet whether the path caused it.
@@ -82,13 +86,22 @@
 }
 
 // heldWithoutContact returns the upstreams that should be probed, as nothing has shown yet
-// whether the path caused their failures.
-func (p *Paths) heldWithoutContact(now time.Duration) []protocol.UpstreamID {
-	var ids []protocol.UpstreamID
+// whether the path caused their failures, and of how many upstreams that isn't known. One that has
+// crashed takes no connections any more; only another one can show that the path works.
+func (p *Paths) heldWithoutContact(now time.Duration) (probe []protocol.UpstreamID, unknown int) {
+	var seen []protocol.UpstreamID
 	for _, held := range p.held {
-		if !held.confirmed && now-held.at >= probeAfter && p.IsReachable(held.Upstream) && !slices.Contains(ids, held.Upstream) {
-			ids = append(ids, held.Upstream)
+		if held.confirmed || now-held.at < probeAfter || slices.Contains(seen, held.Upstream) {
+			continue
+		}
+		reachable := p.IsReachable(held.Upstream)
+		if !reachable && !held.Crash {
+			continue
+		}
+		seen = append(seen, held.Upstream)
+		if reachable {
+			probe = append(probe, held.Upstream)
 		}
 	}
-	return ids
+	return probe, len(seen)
 }
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -146,8 +146,8 @@
 		p.probing[id] = probe{began: now, sampled: sampled}
 		due = append(due, id)
 	}
-	held := p.heldWithoutContact(now)
-	for range p.dueSamples(now, len(held)) {
+	held, unknown := p.heldWithoutContact(now)
+	for range p.dueSamples(now, unknown) {
 		add(sample(random), true)
 	}
 	for _, id := range held {
--- /dev/null
+++ b/daemon/diskvm/crashes.go
@@ -0,0 +1,94 @@
+package diskvm
+
+import (
+	"time"
+
+	"endiveplank/coordination/control"
+	"endiveplank/coordination/crashes"
+	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
+)
+
+// maxAskedRouters is how many routers are asked at once which parts of prompts they have seen
+// answered. What is in many prompts is known to some of them.
+const maxAskedRouters = 128
+
+// quarantines finds requests that crash upstreams, by what routers report.
+type quarantines struct {
+	list     *crashes.List
+	contents *crashes.Record
+	parts    *crashes.Detector
+	// savedDigest is that of the list that was last queued to be written.
+	savedDigest uint64
+}
+
+func newQuarantines() quarantines {
+	list := crashes.NewList()
+	return quarantines{list: list, contents: crashes.New(crashes.DefaultSettings()), parts: crashes.NewDetector(list)}
+}
+
+// handleCrash takes a router's report. The lock is held.
+func (vm *VM) handleCrash(now time.Duration, crash crashes.Crash) {
+	q := &vm.quarantines
+	found := q.parts.Report(now, crash)
+	if q.contents.Note(now, crash) {
+		found = append(found, q.list.Add(now, crashes.Content, crash.Digest))
+	}
+	vm.publishQuarantines(now, found)
+	vm.tickQuarantines(now)
+}
+
+// tickQuarantines asks routers, quarantines what is due, and saves a changed list. The lock is held.
+func (vm *VM) tickQuarantines(now time.Duration) {
+	ask, found := vm.quarantines.parts.Tick(now)
+	vm.publishQuarantines(now, found)
+	if ask != nil {
+		vm.fabric.SendEach(vm.someRouters(now), *ask)
+	}
+	vm.saveQuarantines(now)
+}
+
+// publishQuarantines tells all routers what this VM has quarantined. The lock is held.
+func (vm *VM) publishQuarantines(now time.Duration, found []crashes.Quarantine) {
+	if len(found) == 0 {
+		return
+	}
+	for _, q := range found {
+		vm.logQuarantined(control.Event{Kind: control.EventQuarantined, Quarantine: q})
+	}
+	vm.fabric.SendAll(vm.publisher.AnnounceQuarantines(now))
+}
+
+// someRouters returns the routers that follow, at most maxAskedRouters of them. The lock is held.
+func (vm *VM) someRouters(now time.Duration) []protocol.RouterID {
+	routers := control.IDsOf(vm.publisher.Routers(now))
+	vm.options.Random.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
+	return routers[:min(len(routers), maxAskedRouters)]
+}
+
+// saveQuarantines queues a changed list to be written. The lock is held.
+func (vm *VM) saveQuarantines(now time.Duration) {
+	q := &vm.quarantines
+	if digest := q.list.Digest(); digest != q.savedDigest {
+		q.savedDigest = digest
+		vm.saved.quarantines.queue(codec.Marshal(q.list.Quarantines(now)))
+	}
+}
+
+// restoreQuarantines takes the quarantines that this VM had before its restart.
+func (vm *VM) restoreQuarantines(content []byte) {
+	var list []crashes.Quarantine
+	if err := codec.Unmarshal(content, &list); err != nil {
+		vm.logNotRestored(vm.saved.quarantines, err)
+		return
+	}
+	vm.quarantines.list.Merge(vm.now(), list)
+	vm.quarantines.savedDigest = vm.quarantines.list.Digest()
+	vm.log.Info().Str("event", "quarantines-restored").Int("quarantines", len(list)).Send()
+}
+
+// logQuarantined writes a line for what this VM or another process has quarantined.
+func (vm *VM) logQuarantined(e control.Event) {
+	vm.log.Warn().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Stringer("kind", e.Quarantine.Kind).Uint64("digest", e.Quarantine.Key).
+		Int("times", e.Quarantine.Times).Int64("left_ms", e.Quarantine.Left.Milliseconds()).Send()
+}
--- a/daemon/diskvm/savedstate.go
+++ b/daemon/diskvm/savedstate.go
@@ -39,11 +39,15 @@
 	cacheHoldersMaxAge = 15 * time.Second
 	// buildsMaxAge is how old the saved builds may be: no stream lasts that long.
 	buildsMaxAge = 15 * time.Minute
+	// quarantinesMaxAge is how old the saved quarantines may be. They are refused for as long
+	// as they had left when they were saved, so for too long if the VM was down for long.
+	quarantinesMaxAge = time.Hour
 	// Each file is in a folder of its own, apart from the log.
 	rosterFolder       = "roster"
 	tableFolder        = "table"
 	cacheHoldersFolder = "keepers"
 	buildsFolder       = "builds"
+	quarantinesFolder  = "quarantines"
 )
 
 // savedState is what a disk VM knew before its restart. It offers that to routers until it
@@ -56,7 +60,7 @@
 // consensus has its own log, and operators read the table only from a leader that a quorum
 // has confirmed.
 type savedState struct {
-	roster, table, cacheHolders, builds *savedFile
+	roster, table, cacheHolders, builds, quarantines *savedFile
 	// queuedAt is when the roster and the cache holders were last queued for writing.
 	queuedAt time.Duration
 	// encoded is the roster with encodedDigest, as it was encoded at encodedAt.
@@ -110,12 +114,15 @@
 	if s.builds, err = openSavedFile(dataFolder, buildsFolder, buildsMaxAge); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
+	if s.quarantines, err = openSavedFile(dataFolder, quarantinesFolder, quarantinesMaxAge); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
 	return s, nil
 }
 
 // all returns the files that are open.
 func (s *savedState) all() []*savedFile {
-	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders, s.builds}, func(f *savedFile) bool { return f == nil })
+	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders, s.builds, s.quarantines}, func(f *savedFile) bool { return f == nil })
 }
 
 // close closes the folders.
@@ -135,8 +142,8 @@
 	Evacuations []evacuation.Record `msgpack:"z,omitempty"`
 }
 
-// restore loads what was saved before the start: the roster, the table, the cache holders
-// and the builds.
+// restore loads what was saved before the start: the roster, the table, the cache holders,
+// the builds and the quarantines.
 func (vm *VM) restore() {
 	if content, found := vm.readSaved(vm.saved.roster); found {
 		vm.restoreRoster(content)
@@ -150,6 +157,9 @@
 	if content, found := vm.readSaved(vm.saved.builds); found {
 		vm.restoreBuilds(content)
 	}
+	if content, found := vm.readSaved(vm.saved.quarantines); found {
+		vm.restoreQuarantines(content)
+	}
 	vm.saved.builds.written = vm.buildsWritten
 }
 
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -15,6 +15,7 @@
 	"endiveplank/coordination/builds"
 	"endiveplank/coordination/consensus"
 	"endiveplank/coordination/control"
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/diskstate"
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/evacuation"
@@ -72,6 +73,7 @@
 	// follower merges the rosters of the other disk VMs.
 	follower     *control.Follower
 	builds       listedBuilds
+	quarantines  quarantines
 	expiredAt    time.Duration
 	published    *document.Document
 	loggedLeader protocol.RouterID
@@ -93,11 +95,12 @@
 		options: options, settings: options.Settings, log: options.Log,
 		incarnation: options.Random.Uint64(), started: time.Now(),
 		folder: folder, machine: diskstate.NewMachine(), registry: metrics.NewRegistry(),
-		roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()},
+		roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()}, quarantines: newQuarantines(),
 		quit: make(chan struct{}),
 	}
 	self := options.Settings.Self()
 	vm.publisher = control.NewPublisher(vm.roster, options.Settings.LinkRate())
+	vm.publisher.SetQuarantines(vm.quarantines.list)
 	vm.saved, err = openSavedState(options.Settings.DataFolder)
 	if err != nil {
 		_ = folder.Close()
@@ -105,6 +108,7 @@
 	}
 	vm.restore()
 	vm.follower = control.NewFollower(self, false, options.Settings.SeedPeers(), vm.roster)
+	vm.follower.SetQuarantines(vm.quarantines.list)
 	vm.fabric = fabric.New(fabric.Options{
 		Self: self, Listen: options.Settings.PeersListen(), DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
 		Receiver: vm, Log: options.Log,
@@ -161,12 +165,14 @@
 	vm.fabric.SendAll(vm.follower.Tick(now))
 	vm.logEvents(vm.follower.Events())
 	vm.noteBuilds(now)
+	vm.tickQuarantines(now)
 	vm.saveRosterAndCacheHolders(now)
 	vm.fabric.SendAll(vm.publisher.PushChanges(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
 	vm.fabric.SendAll(vm.publisher.ShareCacheHolders(now, vm.options.Settings.Self()))
 	if now-vm.expiredAt >= expireInterval {
 		vm.expiredAt = now
+		vm.quarantines.list.Expire(now)
 		for _, id := range vm.roster.Expire(now) {
 			vm.log.Warn().Str("event", "upstream-silent").Str("upstream", string(id)).Msg("no announcement for a long time, removed from the list")
 		}
@@ -257,6 +263,10 @@
 		vm.publisher.HandleCacheHolders(now, from, m)
 	case builds.Read:
 		vm.handleBuildsRead(now, from, m)
+	case crashes.Crash:
+		vm.handleCrash(now, m)
+	case crashes.Sound:
+		vm.quarantines.parts.HandleSound(now, m)
 	case control.ChangesAck:
 		vm.publisher.HandleChangesAck(from, m)
 	case control.List:
@@ -275,6 +285,10 @@
 // logEvents writes a line for each event of the follower.
 func (vm *VM) logEvents(events []control.Event) {
 	for _, e := range events {
+		if e.Kind == control.EventQuarantined {
+			vm.logQuarantined(e)
+			continue
+		}
 		line := vm.log.Info().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Dur("age_ms", e.Age)
 		if e.DataCentre != "" {
 			line.Str("data_centre", string(e.DataCentre)).Uint64("revision", e.Version)
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -200,6 +200,10 @@
 		return wire.KindCacheHolders
 	case crashes.Crash:
 		return wire.KindCrash
+	case crashes.Suspects:
+		return wire.KindSuspects
+	case crashes.Sound:
+		return wire.KindSound
 	case throttle.Refusal:
 		return wire.KindRefusal
 	case reach.Unreachable:
@@ -259,6 +263,10 @@
 		return decodeAs[balance.CacheHolderList](frame)
 	case wire.KindCrash:
 		return decodeAs[crashes.Crash](frame)
+	case wire.KindSuspects:
+		return decodeAs[crashes.Suspects](frame)
+	case wire.KindSound:
+		return decodeAs[crashes.Sound](frame)
 	case wire.KindRefusal:
 		return decodeAs[throttle.Refusal](frame)
 	case wire.KindUnreachable:
--- a/daemon/router/crashing_test.go
+++ b/daemon/router/crashing_test.go
@@ -172,11 +172,14 @@
 }
 
 // crashEngines sends requests with the crashing part until it isn't sent on, or n engines have
-// crashed.
+// crashed. Sound requests with the same first part come in between.
 func (f *crashingFleet) crashEngines(n int64) {
-	for i := 0; f.crashes.Load() < n && i < 5*int(n); i++ {
+	for i := 0; f.crashes.Load() < n && i < 2*int(n); i++ {
 		f.send(i%len(f.routers), "/once/x", fmt.Sprintf("system,%s,subject%d", crashingPart, i))
-		time.Sleep(300 * time.Millisecond)
+		for sound := range 5 {
+			f.send((i+sound)%len(f.routers), "/once/x", fmt.Sprintf("system,sound%d", sound))
+			time.Sleep(60 * time.Millisecond)
+		}
 	}
 }
 
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -6,7 +6,6 @@
 
 	"endiveplank/coordination/answertime"
 	"endiveplank/coordination/balance"
-	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/loadlimit"
 	"endiveplank/coordination/reach"
 	"endiveplank/coordination/retry"
@@ -224,30 +223,3 @@
 		Int("routers", r.fleetSize).Int64("counted_ms", now.Milliseconds()).Send()
 	return granted
 }
-
-// QuarantinedFor implements forward.Fleet.
-func (r *Router) QuarantinedFor(digest uint64) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.crashes.QuarantinedFor(r.now(), digest)
-}
-
-// UpstreamCrashed implements forward.Fleet.
-func (r *Router) UpstreamCrashed(digest uint64, upstream protocol.UpstreamID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	if e, known := r.balancer.Entry(upstream); known && !r.paths.IsIsolated() {
-		r.slowStart.NoteUnreachable(now, upstream, e.Service)
-	}
-	r.paths.Hold(now, reach.Failure{Upstream: upstream, Crash: true, Digest: digest})
-}
-
-// recordCrash counts a crash and logs if the request is quarantined for it. The lock is
-// held.
-func (r *Router) recordCrash(now time.Duration, crash crashes.Crash) {
-	r.log.Info().Str("event", "crash-counted").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
-	if r.crashes.Note(now, crash) {
-		r.log.Warn().Str("event", "request-condemned").Uint64("digest", crash.Digest).Str("upstream", string(crash.Upstream)).Send()
-	}
-}
--- a/daemon/router/paths.go
+++ b/daemon/router/paths.go
@@ -134,20 +134,6 @@
 	r.probe(r.now())
 }
 
-// applyConfirmed records the failures that upstreams have caused, and not the path to them. The
-// lock is held.
-func (r *Router) applyConfirmed(now time.Duration) {
-	for _, failure := range r.paths.TakeConfirmed(now) {
-		if !failure.Crash {
-			r.balancer.RecordResult(now, failure.Upstream, balance.Failed)
-			continue
-		}
-		crash := crashes.Crash{Digest: failure.Digest, Upstream: failure.Upstream, Attempt: r.random.Uint64()}
-		r.recordCrash(now, crash)
-		r.fabric.SendEach(r.others, crash)
-	}
-}
-
 // tellUnreachable tells other routers of upstreams that take no connection from this one, which
 // reaches others. The lock is held.
 func (r *Router) tellUnreachable(now time.Duration) {
@@ -297,8 +283,8 @@
 }
 
 // ProxyBroke implements peerproxy.Fleet.
-func (r *Router) ProxyBroke(target peerproxy.Target) {
-	r.UpstreamCrashed(target.Digest, target.Upstream)
+func (r *Router) ProxyBroke(target peerproxy.Target, parts []uint64) {
+	r.UpstreamCrashed(crashes.Broken{Digest: target.Digest, Upstream: target.Upstream, StartedAt: target.StartedAt, Parts: parts})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.paths.Hold(r.now(), reach.Failure{Upstream: target.Upstream})
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -95,7 +95,7 @@
 	follower *control.Follower
 	relay    *control.Relay
 	balancer *balance.Balancer
-	crashes  *crashes.Record
+	crashes  crashState
 	builds   streamBuilds
 	// paths and proxies decide by which way requests go, and isolated is whether the paths to all
 	// upstreams were lost when that was last passed on.
@@ -140,7 +140,7 @@
 		options: options, settings: options.Settings, log: options.Log, started: time.Now(),
 		pool: exchange.NewPool(exchange.Options{Dial: options.Dial}), random: options.Random, metrics: newInstruments(),
 		roster:       roster.New(roster.DefaultSettings()),
-		crashes:      crashes.New(crashes.DefaultSettings()),
+		crashes:      newCrashState(),
 		builds:       newStreamBuilds(),
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
@@ -159,6 +159,7 @@
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
 	r.relay = control.NewRelay(control.Router{ID: self, DataCentre: options.Settings.DataCentre}, options.Settings.LinkRate())
 	r.follower.SetRelay(r.relay)
+	r.follower.SetQuarantines(r.crashes.list)
 	r.follower.SetLeaveTime(options.Settings.Upstreams.LeaveTime())
 	r.follower.SetAnnounceAddress(options.Settings.Listen.Announcements)
 	r.balancer = balance.NewBalancer(balance.Settings{
@@ -236,6 +237,7 @@
 		r.forgetUnlisted(now)
 		r.noteBuilds(now)
 		r.expireLimits(now)
+		r.crashes.list.Expire(now)
 		r.slowStart.Retain(func(id protocol.UpstreamID) bool {
 			_, known := r.balancer.Entry(id)
 			return known
@@ -396,6 +398,8 @@
 		r.fabric.SendAll(r.relay.Due(now))
 	case crashes.Crash:
 		r.recordCrash(now, m)
+	case crashes.Suspects:
+		r.handleSuspects(now, from, m)
 	case throttle.Refusal:
 		r.applyRefusal(now, m)
 	case reach.Unreachable:
@@ -455,6 +459,10 @@
 // logEvents writes a line for each event of the follower.
 func (r *Router) logEvents() {
 	for _, e := range r.follower.Events() {
+		if e.Kind == control.EventQuarantined {
+			r.logQuarantined(e)
+			continue
+		}
 		line := r.log.Info().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Uint64("version", e.Version).
 			Int64("age_ms", e.Age.Milliseconds())
 		if e.DataCentre != "" {
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -43,6 +43,19 @@
 	Parts []Part
 }
 
+// SharedParts returns the keys of the parts that other prompts may have too: all but the
+// last.
+func (p *Prompt) SharedParts() []uint64 {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	keys := make([]uint64, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		keys = append(keys, part.Key)
+	}
+	return keys
+}
+
 // Part is one part of a prompt. Key is a hash of the part's identifier.
 type Part struct {
 	Key    uint64
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -146,6 +146,10 @@
 	KindOrigins     Kind = 74
 	KindOriginQuery Kind = 75
 	KindOriginReply Kind = 76
+	// KindSuspects asks routers which parts of prompts they have seen answered, and KindSound
+	// answers.
+	KindSuspects Kind = 77
+	KindSound    Kind = 78
 )
 
 // kindNames are the names of the kinds in metrics and logs. They stay the same when
@@ -166,6 +170,7 @@
 	KindHeartbeats: "heard", KindAnnouncements: "announced", KindAnnouncementsAck: "announced-ack", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoadReport: "loads", KindHome: "home", KindHomeReply: "home-reply", KindCrash: "blame", KindCacheHolders: "keepers", KindRefusal: "refusal", KindUnreachable: "unreachable",
 	KindBuildsRead: "builds-read", KindBuildsReply: "builds-reply", KindOrigins: "origins", KindOriginQuery: "origin-query", KindOriginReply: "origin-reply",
+	KindSuspects: "suspects", KindSound: "sound",
 	KindEvacuate: "evacuate", KindEvacuateReply: "evacuate-reply",
 }
 
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/builds"
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -69,11 +70,14 @@
 	// that the budget is spent.
 	TakeRetry(job Job) bool
 	// QuarantinedFor returns for how much longer a request must not be sent to any
-	// upstream because it has crashed several, 0 if it may be sent.
-	QuarantinedFor(digest uint64) time.Duration
+	// upstream because its content, or a part of its prompt, has crashed several, 0 if it
+	// may be sent.
+	QuarantinedFor(job Job) time.Duration
 	// UpstreamCrashed records that an upstream broke the connection off while it
-	// had the request.
-	UpstreamCrashed(digest uint64, upstream protocol.UpstreamID)
+	// had a request.
+	UpstreamCrashed(broken crashes.Broken)
+	// AnswerCompleted records that an upstream has answered a request completely.
+	AnswerCompleted(job Job)
 }
 
 // Job describes a request to the Fleet.
@@ -130,20 +134,6 @@
 	return keys
 }
 
-// SharedParts returns the keys of the prompt's parts that other requests may have too: all but
-// the last.
-func (j *Job) SharedParts() []uint64 {
-	if j.Prompt == nil || len(j.Prompt.Parts) == 0 {
-		return nil
-	}
-	parts := j.Prompt.Parts[:len(j.Prompt.Parts)-1]
-	keys := make([]uint64, len(parts))
-	for i, part := range parts {
-		keys[i] = part.Key
-	}
-	return keys
-}
-
 // SharedPrefixKey returns the key of the longest prefix that the prompt can share
 // with other prompts: all parts but the last, which is unique to the request or its
 // session. False means that no upstream's prefix cache can help: the route isn't
@@ -255,9 +245,11 @@
 	retryTaken bool
 	watchdog   *watchdog
 	timing     timing
-	stream     streamState
-	span       tracing.Span
-	outcome    Outcome
+	// answeringSince is when the first event of the attempt came, zero if none has.
+	answeringSince time.Time
+	stream         streamState
+	span           tracing.Span
+	outcome        Outcome
 }
 
 // admit reads the request and finds its route and customer. If the request can't be
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -17,6 +17,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/builds"
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -166,9 +167,11 @@
 	return f.retries >= 0
 }
 
-func (f *fakeFleet) QuarantinedFor(uint64) time.Duration { return f.quarantined }
+func (f *fakeFleet) QuarantinedFor(Job) time.Duration { return f.quarantined }
 
-func (f *fakeFleet) UpstreamCrashed(uint64, protocol.UpstreamID) {
+func (f *fakeFleet) AnswerCompleted(Job) {}
+
+func (f *fakeFleet) UpstreamCrashed(crashes.Broken) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashed++
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -177,7 +177,7 @@
 	if key, any := f.job.SharedPrefixKey(); any {
 		line.Uint64("prompt", key)
 	}
-	if parts := f.job.SharedParts(); o.broke() && len(parts) > 0 {
+	if parts := f.job.Prompt.SharedParts(); o.broke() && len(parts) > 0 {
 		line.Uints64("parts", parts)
 	}
 	if f.job.Route != nil && f.job.Route.Stream {
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -45,6 +45,9 @@
 	if !complete {
 		f.relayRest(answer, outcome)
 	}
+	if answer.Status < http.StatusMultipleChoices {
+		f.handler.options.Fleet.AnswerCompleted(f.job)
+	}
 	return answered
 }
 
@@ -97,7 +100,7 @@
 	}
 	outcome.Result = brokenResult(choice)
 	if choice.Proxy == "" && !f.watchdog.hasCancelled() {
-		f.handler.options.Fleet.UpstreamCrashed(f.job.Digest, choice.ID)
+		f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
 	}
 	return unknown
 }
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -10,6 +10,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/builds"
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
@@ -40,7 +41,7 @@
 	if !f.findOrigin() {
 		return
 	}
-	if left := fleet.QuarantinedFor(f.job.Digest); left > 0 {
+	if left := fleet.QuarantinedFor(f.job); left > 0 {
 		f.refuse(http.StatusServiceUnavailable, "crashes-upstreams", left)
 		return
 	}
@@ -145,7 +146,7 @@
 		return f.mayRetryUnsent(outcome)
 	}
 	f.job.Tried = append(f.job.Tried, outcome.Choice.ID)
-	quarantined := f.handler.options.Fleet.QuarantinedFor(f.job.Digest)
+	quarantined := f.handler.options.Fleet.QuarantinedFor(f.job)
 	switch {
 	case last == unknown && !f.job.Route.MayRepeat():
 		f.giveUp("outcome-unknown", 0)
@@ -247,6 +248,7 @@
 	f.timing = f.startTiming(choice)
 	defer func() { f.timing.ended(outcome.Sent) }()
 	f.logSent(choice, attempt.Remaining)
+	f.answeringSince = time.Time{}
 	began := time.Now()
 	answer, err := f.send(ctx, choice, request)
 	if err != nil {
@@ -322,11 +324,24 @@
 	outcome.Result = balance.Broken
 	if !f.watchdog.isLate() {
 		// An upstream whose answer was only overdue hasn't crashed.
-		f.handler.options.Fleet.UpstreamCrashed(f.job.Digest, choice.ID)
+		f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
 	}
 	return unknown
 }
 
+// justBegun is how long after the first event of its answer a request may still be what crashes
+// its upstream.
+const justBegun = 100 * time.Millisecond
+
+// brokenBy describes the request to the fleet, after an upstream has broken it off.
+func (f *forwarding) brokenBy(choice balance.Choice) crashes.Broken {
+	broken := crashes.Broken{Digest: f.job.Digest, Upstream: choice.ID, StartedAt: choice.StartedAt}
+	if f.answeringSince.IsZero() || time.Since(f.answeringSince) < justBegun {
+		broken.Parts = f.job.Prompt.SharedParts()
+	}
+	return broken
+}
+
 // handleAnswer decides by the head of an answer whether it counts, and relays it to
 // the caller if so.
 func (f *forwarding) handleAnswer(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"endiveplank/coordination/balance"
 	"endiveplank/transport/exchange"
@@ -72,6 +73,7 @@
 			f.startStream(answer)
 			f.flush()
 			outcome.Result = balance.Served
+			f.handler.options.Fleet.AnswerCompleted(f.job)
 			return answered
 		default:
 			return f.streamBroken(err, choice, outcome)
@@ -116,6 +118,9 @@
 // relayEvent sends one event.
 func (f *forwarding) relayEvent(answer *exchange.Answer, e event) {
 	f.startStream(answer)
+	if f.answeringSince.IsZero() {
+		f.answeringSince = time.Now()
+	}
 	f.write(e.raw)
 	f.outcome.Events++
 	if e.id != "" {
--- a/transport/peerproxy/handler.go
+++ b/transport/peerproxy/handler.go
@@ -41,8 +41,10 @@
 	ProxyConnected(target Target, opened bool)
 	// ProxyAnswered records what the head of an answer says about an upstream.
 	ProxyAnswered(target Target, head dialect.Answer)
-	// ProxyBroke records that an upstream's connection broke while it had a request.
-	ProxyBroke(target Target)
+	// ProxyBroke records that an upstream's connection broke while it had a request. The
+	// parts are those of the prompt that other requests may have too, if nothing of the
+	// answer had come.
+	ProxyBroke(target Target, parts []uint64)
 }
 
 // Options configures a Handler.
@@ -113,6 +115,7 @@
 	began   time.Time
 	target  Target
 	id      protocol.RequestID
+	prompt  *dialect.Prompt
 	status  int
 	refusal Refusal
 	cause   string
@@ -130,7 +133,7 @@
 	p.target = target
 	// The error only says that headers couldn't be read that help to serve a request well.
 	call, _ := p.handler.options.Dialect.ReadCall(p.request.Header)
-	p.id = call.ID
+	p.id, p.prompt = call.ID, call.Prompt
 	p.limitTime()
 	body, ok := p.readBody()
 	if !ok {
@@ -221,7 +224,7 @@
 		p.refuse(RefusalUnreachable)
 	default:
 		if !gone {
-			p.handler.options.Fleet.ProxyBroke(p.target)
+			p.handler.options.Fleet.ProxyBroke(p.target, p.prompt.SharedParts())
 		}
 		p.refuse(RefusalLost)
 	}
@@ -254,8 +257,10 @@
 	p.writer.WriteHeader(answer.Status)
 	controller := http.NewResponseController(p.writer)
 	buffer := make([]byte, chunkBytes)
+	passed := 0
 	for {
 		n, err := answer.Read(buffer)
+		passed += n
 		if n > 0 && !p.passOn(controller, buffer[:n]) {
 			return
 		}
@@ -265,13 +270,21 @@
 		if err != nil {
 			p.cause = err.Error()
 			if p.request.Context().Err() == nil {
-				p.handler.options.Fleet.ProxyBroke(p.target)
+				p.handler.options.Fleet.ProxyBroke(p.target, p.unansweredParts(passed))
 			}
 			p.abort()
 		}
 	}
 }
 
+// unansweredParts returns the prompt's shared parts if no byte of the answer's body was passed on.
+func (p *proxied) unansweredParts(passed int) []uint64 {
+	if passed > 0 {
+		return nil
+	}
+	return p.prompt.SharedParts()
+}
+
 // passOn writes a part of the answer at once, because it may be an event that the caller waits
 // for. False means that the other router has gone.
 func (p *proxied) passOn(controller *http.ResponseController, data []byte) bool {
--- a/transport/peerproxy/handler_test.go
+++ b/transport/peerproxy/handler_test.go
@@ -62,7 +62,7 @@
 	f.heads = append(f.heads, head)
 }
 
-func (f *fakeFleet) ProxyBroke(Target) {
+func (f *fakeFleet) ProxyBroke(Target, []uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lost++
