--- a/coordination/retry/restart_test.go
+++ b/coordination/retry/restart_test.go
@@ -94,11 +94,10 @@
 func TestBudgetsOfRoutersKilledInSeriesStayWithinTheShare(t *testing.T) {
 	config := DefaultConfig()
 	rng := source()
-	budget := New(config)
 	const starts, perStart, tokens = 50, 20, 300
 	firstAttempts, retries := 0, 0
 	for range starts {
-		budget = New(config)
+		budget := New(config)
 		for i := range perStart {
 			now := time.Duration(i) * 50 * time.Millisecond
 			budget.RecordFirstAttempt(now, tokens)
