A stream with neither a length nor chunks that ends without an event is broken off

What didn't: an upstream that ends its connection before the first event, as one that crashes as it begins to write, gave the caller an empty stream with status 200. Red before; now it is broken off, sent again where the route allows it, else 502. With a length or chunks an empty stream is complete as before: that is how the rest of a stream looks of which the caller has all events. A proxy ends the connection too, as its own chunks would make such a stream look complete.

--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -75,7 +75,10 @@
 	Header http.Header
 	// Length is the body's length in bytes, -1 if unknown.
 	Length int64
-	Body   io.Reader
+	// Unframed means that the body has neither a length nor chunks, and ends with its
+	// connection.
+	Unframed bool
+	Body     io.Reader
 	// Reused means that the connection had carried other requests before.
 	Reused bool
 
@@ -126,7 +129,8 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
-		Reused: c.reused, pool: p, address: address, conn: c, response: response, written: written,
+		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Reused:   c.reused, pool: p, address: address, conn: c, response: response, written: written,
 	}, nil
 }
 
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -24,6 +24,10 @@
 // errPartialEvent means that a stream ended in the middle of an event.
 var errPartialEvent = errors.New("forward: the stream ended in the middle of an event")
 
+// errNoEvent means that a stream with neither a length nor chunks ended without an event, which is
+// how a crash of the upstream looks.
+var errNoEvent = errors.New("forward: the stream ended without an event")
+
 // errEventTooLong means that an event is longer than maxEventBytes.
 var errEventTooLong = fmt.Errorf("forward: an event of the stream is longer than %d bytes", maxEventBytes)
 
@@ -69,6 +73,8 @@
 			if reader.Buffered() == 0 {
 				f.flush()
 			}
+		case errors.Is(err, io.EOF) && answer.Unframed && f.answeringSince.IsZero():
+			return f.streamBroken(errNoEvent, choice, outcome)
 		case errors.Is(err, io.EOF):
 			f.startStream(answer)
 			f.flush()
--- a/transport/peerproxy/handler.go
+++ b/transport/peerproxy/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -265,6 +266,7 @@
 			return
 		}
 		if errors.Is(err, io.EOF) {
+			p.checkEnd(answer, passed)
 			return
 		}
 		if err != nil {
@@ -277,6 +279,17 @@
 	}
 }
 
+// checkEnd ends the connection if a stream with neither a length nor chunks has ended without an
+// event. This router passes it on in chunks, by which the other one would take it for complete.
+func (p *proxied) checkEnd(answer *exchange.Answer, passed int) {
+	if !answer.Unframed || passed > 0 || !strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return
+	}
+	p.cause = "the stream ended without an event"
+	p.handler.options.Fleet.ProxyBroke(p.target, p.prompt.SharedParts())
+	p.abort()
+}
+
 // unansweredParts returns the prompt's shared parts if no byte of the answer's body was passed on.
 func (p *proxied) unansweredParts(passed int) []uint64 {
 	if passed > 0 {
--- a/transport/peerproxy/handler_test.go
+++ b/transport/peerproxy/handler_test.go
@@ -203,6 +203,22 @@
 	assert.Equal(t, s.brokeCount(), 1)
 }
 
+func TestStreamWithoutLengthChunksOrEventsBreaksAtTheOtherRouterToo(t *testing.T) {
+	// Guards: an engine crashes before its first event on a stream that ends with its connection,
+	// and the other router gets a complete stream in chunks.
+	s := newProxyServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		connection, buffer, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		_ = buffer.Flush()
+		_ = connection.Close()
+	})
+	assert.Assert(t, s.send(t.Context()) == nil, "no head was passed on yet")
+	assert.Equal(t, s.brokeCount(), 1)
+}
+
 func TestEventsArePassedOnAsTheyCome(t *testing.T) {
 	// Guards: a proxy gathers the events of a stream, and the caller takes it for silent.
 	next := make(chan struct{})
