A router whose processor is busy resets new connections unread

The users' new rule: most new connections of a data centre, or of a region, may come to one router for some seconds. It reads them all, and what it has read must be served. Callers whose connection is reset with the request unread come back at another router at once.

Measured: how long a goroutine that is ready waits for the processor, twenty times a second; three waits in a row above 20 ms, or 100, multiply the share of new connections that are taken by 0.9, or 0.5, and waits below by 1.05. Callers' connections may have half of the file descriptors, as each request needs another one.

Ways weighed: readiness would hand the next router the same callers. Tick lateness and the runtime's histogram of waits don't show the queue: timers' goroutines run next, whatever waits. Refusals (503) cost nearly what serving costs, and count as read.

--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -132,6 +132,8 @@
 	r.metrics.set("disk_vms_in_touch", int64(r.follower.AliveDiskVMs(r.now())))
 	r.metrics.set("routers_in_touch", int64(r.balancer.Routers()))
 	r.metrics.set("requests_in_flight", int64(r.handler.Active()))
+	r.metrics.set("caller_connections", r.callers.open.Load())
+	r.metrics.set("caller_connections_turned_away_total", r.callers.turnedAway.Load())
 	r.metrics.set("proxied_in_flight", int64(r.proxied.Active()))
 	r.metrics.set("isolated", gaugeValue(r.paths.IsIsolated()))
 	r.metrics.set("upstreams_unreachable", int64(r.paths.Unreachable()))
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -82,6 +82,7 @@
 	routersListen string
 	table         atomic.Pointer[routing.Index]
 	servers       servers
+	callers       callerConnections
 	// announcements are those that wait for a disk VM's acknowledgement.
 	announcements pendingAnnouncements
 	metrics       *instruments
@@ -141,6 +142,7 @@
 		pool: exchange.NewPool(exchange.Options{Dial: options.Dial}), random: options.Random, metrics: newInstruments(),
 		roster:       roster.New(roster.DefaultSettings()),
 		crashes:      newCrashState(),
+		callers:      newCallerConnections(),
 		builds:       newStreamBuilds(),
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
@@ -216,6 +218,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.observeLoad()
 	r.fabric.SendAll(r.follower.Tick(now))
 	r.logEvents()
 	r.updateRouters(now)
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -45,9 +45,10 @@
 	listen := r.options.Settings.Listen
 	r.servers.callers = &http.Server{
 		Handler: http.HandlerFunc(r.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: r.countCaller,
 	}
 	r.servers.readiness = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout}
-	if err := r.startServer(r.servers.callers, listen.Callers); err != nil {
+	if err := r.startServerOn(r.servers.callers, listen.Callers, r.listenForCallers); err != nil {
 		return err
 	}
 	if err := r.startServer(r.servers.readiness, listen.Readiness); err != nil {
@@ -75,10 +76,16 @@
 
 // startServer listens at an address and serves it in the background.
 func (r *Router) startServer(server *http.Server, address string) error {
+	return r.startServerOn(server, address, func(listener net.Listener) net.Listener { return listener })
+}
+
+// startServerOn is startServer with a listener that is wrapped.
+func (r *Router) startServerOn(server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen at %s", address)
 	}
+	listener = wrap(listener)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Send()
