Soak: prompts that crash engines, streams without length or chunks, one router with most connections

Parts: after the fifth crash and three seconds at most three requests reach engines, of routers that weren't disturbed. Repeats are counted against the budget over the whole run. The routers' retry window is a second, as none is sent in the first.

With many engines that have ended still listed, routers take themselves for isolated and drop what they know of crashes. Looked into next.

--- a/soak/builds_test.go
+++ b/soak/builds_test.go
@@ -84,10 +84,11 @@
 		panic("soak: cannot build a request: " + err.Error())
 	}
 	platform.WriteCall(request.Header, call)
+	c.writeSoundParts(request.Header, id)
 	began, stopping, before := time.Now(), c.routerStopping(), s.last
 	judged := c.harness.judges(c.router, s)
 	_ = c.conn.SetDeadline(began.Add(5 * time.Second))
-	c.harness.noteSender(id, c.router)
+	c.harness.noteSender(id, c.path, c.router)
 	if err := request.Write(c.conn); err != nil {
 		return before == 0
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -19,6 +19,14 @@
 // chatPath is the path of requests for streams.
 const chatPath = "/chat/"
 
+// serviceOf returns the service that requests to a path go to.
+func serviceOf(path string) protocol.Service {
+	if path == chatPath {
+		return chatService
+	}
+	return deskService
+}
+
 // callerPause is the mean time between two requests of one caller.
 const callerPause = 15 * time.Millisecond
 
@@ -63,9 +71,12 @@
 		id := fmt.Sprintf("%s-%d", c.name, c.number)
 		if c.path == chatPath {
 			c.sendStream(id)
-			continue
+		} else {
+			c.send(id)
+		}
+		if c.harness.favoured() != nil {
+			c.disconnect()
 		}
-		c.send(id)
 	}
 }
 
@@ -83,6 +94,9 @@
 		return true
 	}
 	c.router = c.harness.routers[c.harness.intN(routerCount)]
+	if favoured := c.harness.favoured(); favoured != nil && c.harness.intN(10) > 0 {
+		c.router = favoured
+	}
 	if !c.router.isRunning() {
 		return false
 	}
@@ -108,7 +122,7 @@
 	began := time.Now()
 	stopping := c.routerStopping()
 	_ = c.conn.SetDeadline(began.Add(5 * time.Second))
-	c.harness.noteSender(id, c.router)
+	c.harness.noteSender(id, c.path, c.router)
 	if err := request.Write(c.conn); err != nil {
 		c.disconnect()
 		return
@@ -143,6 +157,7 @@
 // must not have run, and no request may be denied by its key or its path.
 func (c *caller) checkAnswer(id string, response *http.Response, body []byte, err error) {
 	c.harness.count(fmt.Sprint(response.StatusCode))
+	c.harness.noteRead(response.StatusCode == http.StatusOK && err == nil)
 	c.harness.noteServed(c.router, c.path, response.StatusCode == http.StatusOK && err == nil)
 	signature := platform.Signature(response.Header)
 	answer := platform.Dialect{}.ReadAnswer(response.StatusCode, response.Header)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -80,6 +80,8 @@
 	}},
 	{"roll the chat engines", (*harness).rollChat},
 	{"kill two routers", (*harness).killRouters},
+	{"crash engines by a part of prompts", (*harness).crashEnginesByPart},
+	{"hand most connections to one router", (*harness).concentrate},
 	{"stop an upstream that only its answers announce", func(h *harness) {
 		h.withRandomUpstream(func(u *upstream) {
 			h.startUpstream(u.service)
@@ -115,6 +117,22 @@
 	return f.name != "lose paths" && f.name != "make desks fragile"
 })
 
+// partFaults are prompts that crash engines, and routers and disk VMs that may forget which.
+var partFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "crash engines by a part of prompts", "kill a router", "stop a router", "pause a router", "reload a router", "kill a disk VM",
+		"crash an upstream", "hand most connections to one router":
+		return false
+	}
+	return true
+})
+
+// concentrationFaults are those at which most new connections go to one router, and others that make
+// no request fail.
+var concentrationFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	return f.name != "hand most connections to one router" && f.name != "reload a router" && f.name != "drain an upstream"
+})
+
 // buildFaults are the faults by which versions of the engines' software come and go, and streams
 // and those who know of them are lost.
 var buildFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -85,8 +85,15 @@
 	// must serve as often as others also while fragile desks refuse half of all requests.
 	fragileUntil   time.Time
 	judgesOverload bool
-	// pathsMu and fragileMu allow one such fault at a time.
-	pathsMu, fragileMu sync.Mutex
+	budgets        map[protocol.Service]*sentTo
+	// crashing is the part of prompts that crashes engines at the moment, nil for none.
+	crashing *crashingPart
+	// concentration tells of the router that gets most new connections. judgesConcentration says
+	// that no other fault makes requests fail.
+	concentration       *concentration
+	judgesConcentration bool
+	// pathsMu, fragileMu, partMu and concentrateMu allow one such fault at a time.
+	pathsMu, fragileMu, partMu, concentrateMu sync.Mutex
 	// diskVMsMu and upstreamsMu allow one fault of disk VMs and one of upstreams
 	// at a time.
 	diskVMsMu   sync.Mutex
@@ -98,7 +105,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, seed: seed, folder: t.TempDir(), ports: freePorts(t), random: rand.New(rand.NewPCG(seed, 1)),
-		runs: map[string]*run{}, builds: builds{newest: firstBuild}, servedBy: map[callersOf]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, quit: make(chan struct{}), lastFault: time.Now(),
+		runs: map[string]*run{}, builds: builds{newest: firstBuild}, servedBy: map[callersOf]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, budgets: map[protocol.Service]*sentTo{}, concentration: &concentration{}, quit: make(chan struct{}), lastFault: time.Now(),
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for n := 1; n <= diskVMCount; n++ {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -106,7 +106,7 @@
 	s.Listen.Peers = peerAddress(n, h.ports.peers)
 	s.Listen.PeersBind = bindAddress(n, h.ports.peers)
 	s.Seeds = []string{peerAddress(1, h.ports.control), peerAddress(2, h.ports.control), peerAddress(3, h.ports.control)}
-	s.Retries = direct.Retries{Ratio: 0.2, WindowMS: 10_000, Slack: 50}
+	s.Retries = direct.Retries{Ratio: retryRatio, WindowMS: float64(retryWindow.Milliseconds()), Slack: retrySlack}
 	s.Stop = direct.Stop{UnreadyMS: 500, GraceMS: 4000}
 	s.Log.LinesPerSecond = 2000
 	switch role {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,7 @@
 // ready, and stops the fleet.
 func (h *harness) run(seconds int, faults []fault) {
 	defer h.stop()
+	began := time.Now()
 	h.done.Go(h.runOperator)
 	h.done.Go(h.runEvacuations)
 	h.awaitRouters(readyWithin)
@@ -53,6 +54,7 @@
 	h.awaitRouters(readyWithin)
 	h.checkLastEvacuation()
 	h.checkTakenUp()
+	h.checkBudget(time.Since(began))
 }
 
 // Random faults must not break a guarantee: no answer goes to the wrong request, no
@@ -97,6 +99,34 @@
 	h.run(seconds, overloadFaults)
 }
 
+// A part of prompts that crashes engines must be refused everywhere, while routers and disk VMs are
+// killed, stopped, paused and reloaded.
+func TestPartsOfPromptsThatCrashEngines(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		h := newHarness(t, seed)
+		h.done.Go(func() {
+			h.awaitRouters(readyWithin)
+			h.crashEnginesByPart()
+		})
+		h.run(max(*secondsPerSeed, 10), partFaults)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// A router that most new connections go to must serve what it reads.
+func TestMostConnectionsAtOneRouter(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		h := newHarness(t, seed)
+		h.judgesConcentration = true
+		h.run(max(*secondsPerSeed, 12), concentrationFaults)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
 // Seeds that failed before must not fail again.
 func TestRegressionSeeds(t *testing.T) {
 	for _, seed := range regressionSeeds {
--- a/soak/unwanted_test.go
+++ b/soak/unwanted_test.go
@@ -35,7 +35,8 @@
 }
 
 // noteSender records a request that a caller is about to send.
-func (h *harness) noteSender(id string, router *process) {
+func (h *harness) noteSender(id, path string, router *process) {
+	h.noteRequest(serviceOf(path))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.senders[id] = sender{router, time.Now()}
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -157,6 +157,7 @@
 		return
 	}
 	u.checkUnwanted(id)
+	u.harness.noteArrival(u.service, id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -181,7 +182,11 @@
 	if u.failOnRequest(r, id) {
 		return
 	}
+	crashes := u.crashes(r, id)
 	platform.WriteAnswer(w.Header(), dialect.Answer{ID: request, Leaving: leaving, Fragile: u.fragileCount()}, string(u.id)+"."+id)
+	if crashes {
+		u.crash(w)
+	}
 	if fail && failure == 1 {
 		panic(http.ErrAbortHandler)
 	}
@@ -221,13 +226,18 @@
 func (u *upstream) stream(w http.ResponseWriter, r *http.Request, id, lastEvent string, fail bool) {
 	first, _ := strconv.Atoi(lastEvent) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
+	events := u.newEventWriter(w)
+	defer events.close()
 	for n := first + 1; n <= eventsPerStream; n++ {
 		if fail && n == first+3 {
-			_, _ = io.WriteString(w, "id: 9")
-			panic(http.ErrAbortHandler)
+			_, _ = io.WriteString(events, "id: 9")
+			events.breakOff()
+			return
+		}
+		if _, err := fmt.Fprintf(events, "id: %d\ndata: %s %d %s\n\n", n, id, n, u.build); err != nil {
+			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", n, id, n, u.build)
-		_ = http.NewResponseController(w).Flush()
+		events.flush()
 		select {
 		case <-r.Context().Done():
 			return
