A router isn't isolated because many upstreams that are listed have ended

Engines that crashed one after the other are listed until they have been silent for long. A router that tries three of them for one request took itself for isolated: it sent everything through other routers, which did so too, and dropped its reports of crashes, so the part wasn't found.

Cause: three upstreams that take no connection count as the loss of the path, as if they were a sample of all. They are what balancing prefers, and what has ended has no load. Ruled out: lost reports; a wrong quarantine (none but the parts).

Change: it takes twelve that are drawn from all but those known to be unreachable, three at a time, or no word of any upstream for 0.3 s since the third failure. What is held meanwhile stays if a probe succeeds within 0.1 s.

--- a/coordination/balance/reach.go
+++ b/coordination/balance/reach.go
@@ -46,7 +46,20 @@
 	if ready == 0 {
 		return ""
 	}
-	at := random.IntN(ready)
+	for range sampleTries {
+		if id := b.readyAt(random.IntN(ready)); b.upstreams[id] != nil && !b.upstreams[id].unreachable {
+			return id
+		}
+	}
+	return b.readyAt(random.IntN(ready))
+}
+
+// sampleTries is how many upstreams are drawn at most to find one that isn't known to be
+// unreachable.
+const sampleTries = 16
+
+// readyAt returns the ready upstream at a position among all of them.
+func (b *Balancer) readyAt(at int) protocol.UpstreamID {
 	for _, service := range slices.Sorted(maps.Keys(b.pools)) {
 		p := b.pools[service]
 		if at < len(p.ready) {
--- a/coordination/reach/found.go
+++ b/coordination/reach/found.go
@@ -41,6 +41,9 @@
 // TakeFound removes and returns the upstreams that other routers are to be told of: those that
 // this router found unreachable by itself while it reaches others.
 func (p *Paths) TakeFound(now time.Duration) []protocol.UpstreamID {
+	if p.suspected {
+		return nil
+	}
 	var ids []protocol.UpstreamID
 	p.found = slices.DeleteFunc(p.found, func(found foundUpstream) bool {
 		if now-found.at < tellAfter {
--- a/coordination/reach/held.go
+++ b/coordination/reach/held.go
@@ -54,7 +54,8 @@
 // may have been open for long. It shows that there is a path to some upstreams, but an isolated
 // router may get answers over connections that live on while new ones fail.
 func (p *Paths) Answered(now time.Duration, id protocol.UpstreamID) {
-	clear(p.failedInRow)
+	p.dropHeld(now)
+	p.forgetFailures()
 	if len(p.held) > 0 {
 		p.noteContact(now, id)
 	}
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -15,6 +15,12 @@
 	// opened and no answer received in between, for the router to count as isolated. Two crash at
 	// once now and then. Upstreams that were in doubt already don't count.
 	isolatedAfter = 3
+	// isolatingSamples is how many of these must have been drawn from all upstreams, unless nothing
+	// was heard of any upstream for isolatingSilence.
+	isolatingSamples = 12
+	isolatingSilence = 300 * time.Millisecond
+	// wrongSuspicion is within what time a probe shows that the path works after all.
+	wrongSuspicion = 100 * time.Millisecond
 	// reachableAfter is how many connections in a row an isolated router must open to count as
 	// isolated no longer. A path that comes and goes would otherwise cost requests each time.
 	reachableAfter = 3
@@ -55,7 +61,12 @@
 	// failedInRow holds the upstreams to which connections failed since one was opened or an
 	// answer came.
 	failedInRow map[protocol.UpstreamID]struct{}
-	isolated    bool
+	// samplesFailed counts those of them that were drawn from all, and suspectedAt is when there
+	// were enough for the router to be isolated, if suspected.
+	samplesFailed int
+	suspected     bool
+	suspectedAt   time.Duration
+	isolated      bool
 	// connectedInRow counts the connections of an isolated router that were opened since one failed.
 	connectedInRow int
 	sampledAt      time.Duration
@@ -93,17 +104,52 @@
 		return
 	}
 	p.failedInRow[id] = struct{}{}
-	if len(p.failedInRow) >= isolatedAfter && !p.isolated {
-		p.isolated = true
+	if wasProbe {
+		p.samplesFailed++
+	}
+	p.Tick(now)
+}
+
+// Tick decides whether the router is isolated. Upstreams to which requests went may have ended, all
+// of them where many that have ended are still listed, so it takes some that were drawn from all, or
+// that nothing is heard of any upstream for a while.
+func (p *Paths) Tick(now time.Duration) {
+	if p.isolated || len(p.failedInRow) < isolatedAfter {
+		return
+	}
+	if !p.suspected {
+		p.suspected, p.suspectedAt = true, now
+	}
+	if p.samplesFailed < isolatingSamples && now-p.suspectedAt < isolatingSilence {
+		return
+	}
+	p.isolated = true
+	p.held = nil
+	p.found = nil
+}
+
+// Suspects reports whether the router may be isolated, so that it should probe at once.
+func (p *Paths) Suspects() bool { return !p.isolated && len(p.failedInRow) >= isolatedAfter-1 }
+
+// dropHeld drops the failures that are held if the path is back after it was lost for a moment. If
+// the suspicion was wrong, a probe shows that sooner.
+func (p *Paths) dropHeld(now time.Duration) {
+	if p.suspected && now-p.suspectedAt >= wrongSuspicion {
 		p.held = nil
-		p.found = nil
 	}
 }
 
+// forgetFailures records that there is a path.
+func (p *Paths) forgetFailures() {
+	clear(p.failedInRow)
+	p.samplesFailed, p.suspected = 0, false
+}
+
 // Connected records that a connection to an upstream was opened.
 func (p *Paths) Connected(now time.Duration, id protocol.UpstreamID) {
 	delete(p.probing, id)
 	delete(p.unreachable, id)
+	p.dropHeld(now)
 	p.noteContact(now, id)
 	if p.isolated {
 		p.connectedInRow++
@@ -112,7 +158,7 @@
 			return
 		}
 	}
-	clear(p.failedInRow)
+	p.forgetFailures()
 	p.isolated = false
 }
 
@@ -171,6 +217,9 @@
 		return isolatedProbes
 	}
 	due := min(held, isolatedAfter)
+	if p.Suspects() {
+		due = isolatedAfter
+	}
 	for _, known := range p.probing {
 		if known.sampled {
 			due--
--- a/daemon/router/paths.go
+++ b/daemon/router/paths.go
@@ -110,6 +110,9 @@
 	if !r.paths.IsIsolated() {
 		r.slowStart.NoteUnreachable(now, id, service)
 	}
+	if r.paths.Suspects() {
+		r.probe(now)
+	}
 }
 
 // applyIsolation passes on that this router has lost its paths to all upstreams, or has one
@@ -157,6 +160,8 @@
 // probe opens connections to upstreams of which it isn't known whether this router reaches
 // them, and asks other routers whether they can be proxies. The lock is held.
 func (r *Router) probe(now time.Duration) {
+	r.paths.Tick(now)
+	r.applyIsolation()
 	for _, id := range r.paths.Probes(now, r.random, r.sampleUpstream) {
 		entry, known := r.balancer.Entry(id)
 		if !known || entry.State != roster.Ready {
