Quarantines are told in few bytes, and crashes at most 64 at a time

With 984 routers a new quarantine sent every disk VM's whole list, up to 6 KB, to every router, and routers sent theirs to every disk VM that had started again. A disk VM tells what is new alone; who lacks more gets the list with its next watch, at most every 5 s, and a router sends its list to the disk VM that it prefers.

--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -204,7 +204,7 @@
 	w.AnnounceAddress = f.announceAddress
 	w.Evacuations = f.evacuations.Digest()
 	w.Quarantines = f.quarantines.Digest()
-	if s.everHeard && s.sentQuarantines.due(now, f.quarantines, s.quarantines) {
+	if id == f.Preferred(now) && s.sentQuarantines.due(now, f.quarantines, s.quarantines) {
 		w.Lacking = f.quarantines.Quarantines(now)
 	}
 	if f.relay != nil {
--- a/coordination/control/messages.go
+++ b/coordination/control/messages.go
@@ -43,7 +43,7 @@
 	// Evacuations is the digest of the evacuations that the sender has in force.
 	Evacuations uint64 `msgpack:"z,omitempty"`
 	// Quarantines is the digest of what the sender has quarantined. Lacking is its list, if
-	// the receiver's was another one.
+	// the receiver's was another one and is the disk VM that the sender prefers.
 	Quarantines uint64               `msgpack:"q,omitempty"`
 	Lacking     []crashes.Quarantine `msgpack:"x,omitempty"`
 }
--- a/coordination/control/quarantines.go
+++ b/coordination/control/quarantines.go
@@ -34,15 +34,14 @@
 // SetQuarantines makes the publisher share a list of quarantines with its caller.
 func (p *Publisher) SetQuarantines(list *crashes.List) { p.quarantines = list }
 
-// AnnounceQuarantines returns a Status with the list for every router.
-func (p *Publisher) AnnounceQuarantines(now time.Duration) []Message {
+// AnnounceQuarantines returns a Status for every router with what was quarantined just now. A
+// router that lacks something else gets the list with its next Watch.
+func (p *Publisher) AnnounceQuarantines(now time.Duration, found []crashes.Quarantine) []Message {
 	messages := p.announceStatus(now)
-	list := p.quarantines.Quarantines(now)
 	for i := range messages {
 		status := messages[i].Body.(Status)
-		status.Quarantined = list
+		status.Quarantined = found
 		messages[i].Body = status
-		p.followers[messages[i].To].quarantines = sentQuarantines{digest: p.quarantines.Digest(), at: now, any: true}
 	}
 	return messages
 }
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -56,7 +56,7 @@
 	for _, q := range found {
 		vm.logQuarantined(control.Event{Kind: control.EventQuarantined, Quarantine: q})
 	}
-	vm.fabric.SendAll(vm.publisher.AnnounceQuarantines(now))
+	vm.fabric.SendAll(vm.publisher.AnnounceQuarantines(now, found))
 }
 
 // someRouters returns the routers that follow, at most maxAskedRouters of them. The lock is held.
--- a/daemon/router/crashes.go
+++ b/daemon/router/crashes.go
@@ -18,6 +18,9 @@
 	endedTime = time.Second
 	// maxEnding bounds the broken requests that wait for that.
 	maxEnding = 256
+	// maxCrashesTold is how many broken requests others are told of at once. A busy upstream that
+	// ends has as many in flight; a part that crashes it is in one of them, and in the next crash.
+	maxCrashesTold = 64
 )
 
 // crashState is what a router knows of requests that crash upstreams.
@@ -84,6 +87,7 @@
 // applyConfirmed records the failures that upstreams have caused, and not the path to them. The
 // lock is held.
 func (r *Router) applyConfirmed(now time.Duration) {
+	told := 0
 	for _, failure := range r.paths.TakeConfirmed(now) {
 		if !failure.Crash {
 			r.balancer.RecordResult(now, failure.Upstream, balance.Failed)
@@ -91,6 +95,9 @@
 		}
 		crash := crashes.Crash{Digest: failure.Digest, Upstream: failure.Upstream, StartedAt: failure.StartedAt, Attempt: r.random.Uint64()}
 		r.recordCrash(now, crash)
+		if told++; told > maxCrashesTold {
+			continue
+		}
 		r.fabric.SendEach(r.someOthers(), crash)
 		crash.Parts = failure.Parts
 		r.awaitEnd(now, crash)
