--- a/daemon/router/crashes.go
+++ b/daemon/router/crashes.go
@@ -8,6 +8,7 @@
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/reach"
+	"endiveplank/coordination/roster"
 	"endiveplank/protocol"
 	"endiveplank/transport/forward"
 )
@@ -32,6 +33,8 @@
 	// ending are broken requests with parts that may have crashed their upstreams, until it is
 	// known whether these have ended.
 	ending []endingUpstream
+	// probing are the upstreams that are being probed because they broke a request.
+	probing map[protocol.UpstreamID]struct{}
 }
 
 // endingUpstream is a crash of an upstream that may have ended.
@@ -41,7 +44,10 @@
 }
 
 func newCrashState() crashState {
-	return crashState{contents: crashes.New(crashes.DefaultSettings()), list: crashes.NewList(), answered: crashes.NewAnswered()}
+	return crashState{
+		contents: crashes.New(crashes.DefaultSettings()), list: crashes.NewList(), answered: crashes.NewAnswered(),
+		probing: map[protocol.UpstreamID]struct{}{},
+	}
 }
 
 // QuarantinedFor implements forward.Fleet.
@@ -69,8 +75,23 @@
 		Upstream: broken.Upstream, Crash: true, Digest: broken.Digest, StartedAt: broken.StartedAt, Parts: broken.Parts,
 	})
 	if known && len(broken.Parts) > 0 {
-		go r.probeUpstream(e)
+		r.probeBroken(e)
+	}
+}
+
+// probeBroken finds out whether an upstream that broke a request still takes connections. One that
+// ends breaks many requests at once and is probed once. The lock is held.
+func (r *Router) probeBroken(e roster.Entry) {
+	if _, underWay := r.crashes.probing[e.ID]; underWay {
+		return
 	}
+	r.crashes.probing[e.ID] = struct{}{}
+	go func() {
+		r.probeUpstream(e)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.crashes.probing, e.ID)
+	}()
 }
 
 // AnswerCompleted implements forward.Fleet.
