--- a/coordination/control/follower.go
+++ b/coordination/control/follower.go
@@ -204,9 +204,7 @@
 	w.AnnounceAddress = f.announceAddress
 	w.Evacuations = f.evacuations.Digest()
 	w.Quarantines = f.quarantines.Digest()
-	if id == f.Preferred(now) && s.sentQuarantines.due(now, f.quarantines, s.quarantines) {
-		w.Lacking = f.quarantines.Quarantines(now)
-	}
+	w.Lacking = f.lackingQuarantines(now, id, s)
 	if f.relay != nil {
 		w.DataCentre = f.relay.self.DataCentre
 		w.Relays = len(f.relay.receivers) > 0
--- a/coordination/control/quarantines.go
+++ b/coordination/control/quarantines.go
@@ -52,11 +52,25 @@
 // mergeQuarantines takes over what a disk VM has quarantined.
 func (f *Follower) mergeQuarantines(now time.Duration, from protocol.RouterID, s *source, status Status) {
 	for _, q := range f.quarantines.Merge(now, status.Quarantined) {
+		if q.Left <= 0 {
+			continue
+		}
 		f.events = append(f.events, Event{Kind: EventQuarantined, Peer: from, Quarantine: q})
 	}
 	s.quarantines = status.Quarantines
 }
 
+// lackingQuarantines returns the list for a disk VM that has another one, nil if it needn't be sent.
+func (f *Follower) lackingQuarantines(now time.Duration, id protocol.RouterID, s *source) []crashes.Quarantine {
+	if s.quarantines == f.quarantines.Digest() || id != f.Preferred(now) {
+		return nil
+	}
+	if !s.sentQuarantines.due(now, f.quarantines, s.quarantines) {
+		return nil
+	}
+	return f.quarantines.Quarantines(now)
+}
+
 // AliveDiskVMIDs returns the disk VMs that answered lately, sorted.
 func (f *Follower) AliveDiskVMIDs(now time.Duration) []protocol.RouterID {
 	var alive []protocol.RouterID
--- a/coordination/crashes/detector_test.go
+++ b/coordination/crashes/detector_test.go
@@ -285,16 +285,18 @@
 
 // Guards: a list grows without bound, and what has ended long ago comes back from another list.
 func TestListIsBoundedAndForgets(t *testing.T) {
-	l := NewList()
-	for key := range uint64(3 * maxQuarantines) {
-		l.Add(time.Duration(key), Content, key)
+	for kind, keep := range map[Kind]time.Duration{Content: keepContent, Part: keepPart} {
+		l := NewList()
+		for key := range uint64(3 * maxQuarantines) {
+			l.Add(time.Duration(key), kind, key)
+		}
+		assert.Equal(t, l.Len(), maxQuarantines)
+		other := NewList()
+		other.Merge(0, l.Quarantines(0))
+		end := duration(kind, 1) + keep + time.Hour
+		l.Expire(end)
+		assert.Equal(t, l.Len(), 0)
+		assert.Equal(t, l.Digest(), uint64(0))
+		assert.Equal(t, len(l.Merge(end, other.Quarantines(end))), 0)
 	}
-	assert.Equal(t, l.Len(), maxQuarantines)
-	other := NewList()
-	other.Merge(0, l.Quarantines(keepLapsed/2))
-	end := contentDuration + keepLapsed + time.Hour
-	l.Expire(end)
-	assert.Equal(t, l.Len(), 0)
-	assert.Equal(t, l.Digest(), uint64(0))
-	assert.Equal(t, len(l.Merge(end, other.Quarantines(end))), 0)
 }
--- a/coordination/crashes/list.go
+++ b/coordination/crashes/list.go
@@ -38,9 +38,11 @@
 	partDuration       = 10 * time.Minute
 	partDurationFactor = 8
 	maxPartDuration    = 24 * time.Hour
-	// keepLapsed is how long a quarantine that has ended is remembered. A part that crashes
-	// an upstream within that time is quarantined again at once.
-	keepLapsed = 24 * time.Hour
+	// keepPart is how long the quarantine of a part is remembered after it has ended. A part
+	// that crashes an upstream within that time is quarantined again at once.
+	keepPart = 24 * time.Hour
+	// keepContent is the same for a content, which starts anew.
+	keepContent = time.Minute
 	// maxQuarantines bounds a List, some 20 KB in memory and 6 KB in a message.
 	maxQuarantines = 256
 )
@@ -100,11 +102,19 @@
 	return left
 }
 
+// keepFor returns how long a quarantine is remembered after it has ended.
+func keepFor(kind Kind) time.Duration {
+	if kind == Content {
+		return keepContent
+	}
+	return keepPart
+}
+
 // Merge takes over quarantines of another list. It returns those that this one lacked.
 func (l *List) Merge(now time.Duration, other []Quarantine) (added []Quarantine) {
 	for _, q := range other {
 		at := subject{q.Kind, q.Key}
-		if q.Times <= l.quarantines[at].times || q.Left <= -keepLapsed {
+		if q.Times <= l.quarantines[at].times || q.Left <= -keepFor(q.Kind) {
 			continue
 		}
 		l.set(at, held{times: q.Times, until: now + min(q.Left, maxPartDuration)})
@@ -144,7 +154,7 @@
 // Expire drops what ended long ago.
 func (l *List) Expire(now time.Duration) {
 	for at, q := range l.quarantines {
-		if now-q.until >= keepLapsed {
+		if now-q.until >= keepFor(at.kind) {
 			l.remove(at)
 		}
 	}
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -87,6 +87,14 @@
 	vm.log.Info().Str("event", "quarantines-restored").Int("quarantines", len(list)).Send()
 }
 
+// logReceivedQuarantines writes a line if a router's watch has changed the list, whose digest was
+// before. The lock is held.
+func (vm *VM) logReceivedQuarantines(from protocol.RouterID, before uint64) {
+	if list := vm.quarantines.list; list.Digest() != before {
+		vm.log.Warn().Str("event", "quarantines-received").Str("from", string(from)).Int("quarantines", list.Len()).Send()
+	}
+}
+
 // logQuarantined writes a line for what this VM or another process has quarantined.
 func (vm *VM) logQuarantined(e control.Event) {
 	vm.log.Warn().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Stringer("kind", e.Quarantine.Kind).Uint64("digest", e.Quarantine.Key).
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -248,7 +248,9 @@
 	now := vm.now()
 	switch m := body.(type) {
 	case control.Watch:
+		before := vm.quarantines.list.Digest()
 		vm.fabric.SendAll(vm.publisher.HandleWatch(now, from, m))
+		vm.logReceivedQuarantines(from, before)
 	case control.Status:
 		vm.fabric.SendAll(vm.follower.HandleStatus(now, from, m))
 	case control.Changes:
