Only answers with a length or chunks show that a part of a prompt is sound

A stream with neither ends like one whose engine crashed after its first events. If that counted as answered, the part that crashes the engines would be sound. Found by reading; red before.

--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -61,6 +61,7 @@
 	origin      builds.Pair
 	originKnown bool
 	began       []builds.Pair
+	completed   int
 	// timed says of each attempt with known timing whether its answer began in time.
 	timed []bool
 }
@@ -169,7 +170,11 @@
 
 func (f *fakeFleet) QuarantinedFor(Job) time.Duration { return f.quarantined }
 
-func (f *fakeFleet) AnswerCompleted(Job) {}
+func (f *fakeFleet) AnswerCompleted(Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.completed++
+}
 
 func (f *fakeFleet) UpstreamCrashed(crashes.Broken) {
 	f.mu.Lock()
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -46,11 +46,19 @@
 		f.relayRest(answer, outcome)
 	}
 	if answer.Status < http.StatusMultipleChoices {
-		f.handler.options.Fleet.AnswerCompleted(f.job)
+		f.noteCompleted(answer)
 	}
 	return answered
 }
 
+// noteCompleted tells the fleet that an answer has come completely. Of one that ends with its
+// connection that isn't certain: the upstream may have crashed.
+func (f *forwarding) noteCompleted(answer *exchange.Answer) {
+	if !answer.Unframed {
+		f.handler.options.Fleet.AnswerCompleted(f.job)
+	}
+}
+
 // checkStatus decides whether an upstream's answer may be the caller's, by its
 // status. If not, it returns false and the verdict on the attempt.
 func (f *forwarding) checkStatus(answer *exchange.Answer, outcome *AttemptOutcome) (verdict, bool) {
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -79,7 +79,7 @@
 			f.startStream(answer)
 			f.flush()
 			outcome.Result = balance.Served
-			f.handler.options.Fleet.AnswerCompleted(f.job)
+			f.noteCompleted(answer)
 			return answered
 		default:
 			return f.streamBroken(err, choice, outcome)
--- a/transport/forward/unframed_test.go
+++ b/transport/forward/unframed_test.go
@@ -112,3 +112,14 @@
 		assert.Assert(t, !got.broken)
 	}
 }
+
+// Guards: an engine crashes after its first event on a stream with neither a length nor chunks, and
+// the part of the prompt that crashes it counts as answered.
+func TestOnlyAnswersWithALengthOrChunksShowThatAPartIsSound(t *testing.T) {
+	r := newTestRouter(t, unframedStream(5, 0, false), streams(5, 0), serves("done"))
+	assert.Equal(t, r.call("/stream/x").status, http.StatusOK)
+	assert.Equal(t, r.completed, 0)
+	assert.Equal(t, r.call("/stream/x").status, http.StatusOK)
+	assert.Equal(t, r.call("/once/x").status, http.StatusOK)
+	assert.Equal(t, r.completed, 2)
+}
