--- a/daemon/router/overload.go
+++ b/daemon/router/overload.go
@@ -21,15 +21,11 @@
 	shedder    *overload.Shedder
 	waits      runqueue.Meter
 	open       atomic.Int64
-	most       int64
+	most       atomic.Int64
 	turnedAway atomic.Int64
 	overloaded bool
 }
 
-func newCallerConnections() callerConnections {
-	return callerConnections{shedder: overload.NewShedder(), most: maxCallerConnections()}
-}
-
 // maxCallerConnections returns how many connections callers may have open.
 func maxCallerConnections() int64 {
 	var limit unix.Rlimit
@@ -46,7 +42,7 @@
 
 // admitsCaller reports whether a new connection is taken.
 func (r *Router) admitsCaller() bool {
-	if r.callers.open.Load() < r.callers.most && r.drawCaller() {
+	if r.callers.open.Load() < r.callers.most.Load() && r.drawCaller() {
 		return true
 	}
 	r.callers.turnedAway.Add(1)
--- a/daemon/router/overload_test.go
+++ b/daemon/router/overload_test.go
@@ -69,7 +69,7 @@
 	close(release)
 	startDiskVM(t, diskAddress, startUpstream(t, release, received))
 	r.eventually("the router is ready", r.ready)
-	r.router.callers.most = 5
+	r.router.callers.most.Store(5)
 	var open []net.Conn
 	for range 20 {
 		connection, err := net.Dial("tcp", r.settings.Listen.Callers)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -21,6 +21,7 @@
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/loadlimit"
 	"endiveplank/coordination/origin"
+	"endiveplank/coordination/overload"
 	"endiveplank/coordination/reach"
 	"endiveplank/coordination/retry"
 	"endiveplank/coordination/roster"
@@ -142,7 +143,7 @@
 		pool: exchange.NewPool(exchange.Options{Dial: options.Dial}), random: options.Random, metrics: newInstruments(),
 		roster:       roster.New(roster.DefaultSettings()),
 		crashes:      newCrashState(),
-		callers:      newCallerConnections(),
+		callers:      callerConnections{shedder: overload.NewShedder()},
 		builds:       newStreamBuilds(),
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
@@ -154,6 +155,7 @@
 		loggedLimits: map[protocol.Service]bool{},
 		quit:         make(chan struct{}),
 	}
+	r.callers.most.Store(maxCallerConnections())
 	self := options.Settings.Self()
 	r.routersListen = options.Settings.RoutersListen()
 	r.proxyNeededAt = -proxyNeededFor
