Peers' tests: a connection goes silent in mid-traffic once there is traffic

Traced: with twelve copies at once, built with the race detector, ten failed within 100 s, always in mid-traffic and in any direction. The relay was made silent before the two peers had exchanged their Hellos. That shows after dialTimeout, 1 s, and the test's peers count as lost after 0.8 s, by which their frames are dropped as they should be; processes allow 2 s.

The test now waits until the first frame has arrived. What it met by accident has a test of its own, with peers that are lost after three times dialTimeout. After: twelve copies at once for 100 s, none failed.

--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -108,7 +108,10 @@
 	if options.StallTimeout == 0 {
 		options.StallTimeout = testStallTimeout
 	}
-	options.Incarnation, options.LostAfter = 1, 4*options.StallTimeout
+	options.Incarnation = 1
+	if options.LostAfter == 0 {
+		options.LostAfter = 4 * options.StallTimeout
+	}
 	options.Handler, options.Log = n, zerolog.Nop()
 	n.Mesh = New(options)
 	assert.NilError(t, n.Listen("127.0.0.1:0"))
@@ -170,6 +173,7 @@
 				if !traffic {
 					assert.Assert(t, a.Flush(waitTimeout))
 				}
+				await(t, "the connection is in use", func() bool { return len(b.received()) > 0 })
 				between.Forget(direction)
 				a.push("b", 21, 40, true)
 				time.Sleep(testStallTimeout / 4)
@@ -183,6 +187,29 @@
 	}
 }
 
+// Guards against frames that are lost because the first connection to a peer goes silent before the
+// two have exchanged their Hellos, which takes dialTimeout to show.
+func TestSilenceDuringTheHellosLosesNoFrame(t *testing.T) {
+	for _, direction := range []relay.Direction{relay.Forward, relay.Backward, relay.Both} {
+		t.Run(string(direction), func(t *testing.T) {
+			a := startWith(t, Options{Self: "a", LostAfter: 3 * dialTimeout})
+			b := startNode(t, "b", settings.TLS{})
+			between, err := relay.Start("127.0.0.1:0", b.listenAddress())
+			assert.NilError(t, err)
+			t.Cleanup(between.Close)
+			between.Set(relay.Faults{Silent: direction})
+			a.SetAddress("b", between.Address())
+			a.push("b", 1, 20, true)
+			await(t, "a connection is open", func() bool { return between.Open() > 0 })
+			between.Forget(direction)
+			between.Set(relay.Faults{})
+			a.push("b", 21, 40, true)
+			b.expectOnceInOrder(t, 40)
+			assert.Equal(t, a.losses(), 0)
+		})
+	}
+}
+
 // Guards against a voter that never receives a heartbeat of the leader again. The
 // connection has gone silent and carries only frames that are never acknowledged,
 // so no acknowledgement is missing, and because it is in use it is never closed as
