--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -12,11 +12,11 @@
 
 const (
 	// isolatedAfter is how many different upstreams must be unreachable, with no connection
-	// opened and no answer received in between, for the router to count as isolated. Two crash at
-	// once now and then. Upstreams that were in doubt already don't count.
+	// opened and no answer received in between, for the router to be suspected of isolation. Two
+	// crash at once now and then. Upstreams that were in doubt already don't count.
 	isolatedAfter = 3
-	// isolatingSamples is how many of these must have been drawn from all upstreams, unless nothing
-	// was heard of any upstream for isolatingSilence.
+	// isolatingSamples is how many upstreams that were drawn from all must then be unreachable too,
+	// for the router to count as isolated, unless none was heard of for isolatingSilence.
 	isolatingSamples = 12
 	isolatingSilence = 300 * time.Millisecond
 	// wrongSuspicion is within what time a probe shows that the path works after all.
