A part that was answered since its quarantine isn't quarantined after one crash

Found by reading: any engine that ended with such a part in flight renewed its quarantine, for 80 minutes, without asking whether it had been answered since. A part that was quarantined wrongly would have stayed so. It takes one crash still, but routers are asked as for any other suspect.

--- a/coordination/crashes/detector.go
+++ b/coordination/crashes/detector.go
@@ -14,9 +14,11 @@
 	// together have the same parts in flight.
 	crashesAtOnce = 200 * time.Millisecond
 	// partQuarantineAfter is how many crashes quarantine a part that was never answered,
-	// tieQuarantineAfter several that have all their crashes in common, and
-	// answeredQuarantineAfter one that was answered before the first of them, and not since.
+	// againQuarantineAfter one that was quarantined before, tieQuarantineAfter several that have
+	// all their crashes in common, and answeredQuarantineAfter one that was answered before the
+	// first of them, and not since.
 	partQuarantineAfter     = 3
+	againQuarantineAfter    = 1
 	tieQuarantineAfter      = 4
 	answeredQuarantineAfter = 5
 	// askAfter is how many crashes make a part a suspect, of which routers are asked.
@@ -78,20 +80,10 @@
 	return &Detector{list: list, sound: map[uint64]time.Duration{}, asked: map[uint64]askedPart{}}
 }
 
-// Report takes a router's report. It returns the parts that are quarantined at once, as they
-// were before.
-func (d *Detector) Report(now time.Duration, c Crash) []Quarantine {
+// Report takes a router's report.
+func (d *Detector) Report(now time.Duration, c Crash) {
 	if len(c.Parts) == 0 || d.explained(now, c.Parts) {
-		return nil
-	}
-	var again []Quarantine
-	for _, part := range c.Parts {
-		if d.list.Lapsed(now, Part, part) {
-			again = append(again, d.list.Add(now, Part, part))
-		}
-	}
-	if len(again) > 0 {
-		return again
+		return
 	}
 	at := d.crashOf(now, incarnation{c.Upstream, c.StartedAt})
 	for _, part := range c.Parts {
@@ -100,7 +92,6 @@
 		}
 	}
 	d.changed = true
-	return nil
 }
 
 // explained reports whether one of the parts is quarantined: it was sent before that.
@@ -163,7 +154,7 @@
 		d.replyBy = 0
 	}
 	d.expire(now)
-	suspects := d.suspects()
+	suspects := d.suspects(now)
 	for {
 		worst, any := d.culprit(now, suspects)
 		if !any {
@@ -173,23 +164,24 @@
 			found = append(found, d.list.Add(now, Part, s.part))
 			d.explain(s.part)
 		}
-		suspects = d.suspects()
+		suspects = d.suspects(now)
 	}
 	return d.question(now, suspects), found
 }
 
-// suspects returns the parts that have at least askAfter crashes in common, those with most
-// crashes first. Crashes before the last answer of a part don't count for it.
-func (d *Detector) suspects() []suspectPart {
+// suspects returns the parts that have at least askAfter crashes in common, or enough to be
+// quarantined, those with most crashes first. Crashes before the last answer of a part don't count
+// for it.
+func (d *Detector) suspects(now time.Duration) []suspectPart {
 	byPart := map[uint64]*suspectPart{}
 	for _, c := range d.crashes {
 		for part := range c.parts {
-			d.count(byPart, part, c.at)
+			d.count(now, byPart, part, c.at)
 		}
 	}
 	var all []suspectPart
 	for _, s := range byPart {
-		if s.count >= askAfter && d.coversHalf(s) {
+		if (s.count >= askAfter || s.enough) && d.coversHalf(s) {
 			all = append(all, *s)
 		}
 	}
@@ -198,7 +190,7 @@
 }
 
 // count counts a crash for one of its parts.
-func (d *Detector) count(byPart map[uint64]*suspectPart, part uint64, at time.Duration) {
+func (d *Detector) count(now time.Duration, byPart map[uint64]*suspectPart, part uint64, at time.Duration) {
 	answered, any := d.sound[part]
 	if any && answered > at {
 		return
@@ -210,15 +202,22 @@
 	}
 	s.count++
 	s.last = at
-	needed := partQuarantineAfter
-	if s.answered {
-		needed = answeredQuarantineAfter
-	}
-	if s.count >= needed && !s.enough {
+	if s.count >= d.needed(now, s) && !s.enough {
 		s.enough, s.reached = true, at
 	}
 }
 
+// needed returns how many crashes quarantine a part.
+func (d *Detector) needed(now time.Duration, s *suspectPart) int {
+	switch {
+	case s.answered:
+		return answeredQuarantineAfter
+	case d.list.Lapsed(now, Part, s.part):
+		return againQuarantineAfter
+	}
+	return partQuarantineAfter
+}
+
 // coversHalf reports whether at least half of the crashes since the part's first one have it.
 func (d *Detector) coversHalf(s *suspectPart) bool {
 	since := 0
@@ -247,7 +246,7 @@
 		}
 		worst = append(worst, s)
 	}
-	if len(worst) > 1 && worst[0].count < tieQuarantineAfter {
+	if len(worst) > 1 && worst[0].count < tieQuarantineAfter && !d.list.Lapsed(now, Part, worst[0].part) {
 		return nil, false
 	}
 	return worst, len(worst) > 0
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -30,11 +30,10 @@
 // handleCrash takes a router's report. The lock is held.
 func (vm *VM) handleCrash(now time.Duration, crash crashes.Crash) {
 	q := &vm.quarantines
-	found := q.parts.Report(now, crash)
+	q.parts.Report(now, crash)
 	if q.contents.Note(now, crash) {
-		found = append(found, q.list.Add(now, crashes.Content, crash.Digest))
+		vm.publishQuarantines(now, []crashes.Quarantine{q.list.Add(now, crashes.Content, crash.Digest)})
 	}
-	vm.publishQuarantines(now, found)
 	vm.tickQuarantines(now)
 }
 
