Tests: two parts that crash engines, anywhere; crashes without one; sound requests beside a calm time

With real routers and a disk VM: a part that comes first and one in the middle, both at once; engines that crash for other reasons while sound requests run, of whose prompts none may be refused; sound requests with the same first part, counted beside a calm time, with a router that was started again while engines crashed.

--- a/daemon/router/crashing_test.go
+++ b/daemon/router/crashing_test.go
@@ -22,7 +22,7 @@
 	"endiveplank/settings/direct"
 )
 
-// crashingPart is the part of a prompt that crashes engines.
+// crashingPart is the part of a prompt that crashes engines, as do all that begin with it.
 const crashingPart = "crashes"
 
 // downFor is how long a crashed engine takes no connections.
@@ -213,6 +213,98 @@
 	assert.Assert(t, served >= 18, "%d of 20 sound requests with the same first part are served", served)
 }
 
+// Guards: a part is found only where other parts come before it, or two parts that crash engines at
+// the same time hide each other.
+func TestTwoPartsThatCrashEnginesAreFoundWhereverTheyStand(t *testing.T) {
+	f := newCrashingFleet(t, 3, 10)
+	first, middle := crashingPart+"1", crashingPart+"2"
+	prompts := func(i int) string {
+		if i%2 == 0 {
+			return fmt.Sprintf("%s,system,subject%d", first, i)
+		}
+		return fmt.Sprintf("system,%s,subject%d", middle, i)
+	}
+	for i := range 24 {
+		f.send(i%len(f.routers), "/once/x", prompts(i))
+		for sound := range 4 {
+			f.send((i+sound)%len(f.routers), "/once/x", fmt.Sprintf("system,sound%d", sound))
+			time.Sleep(60 * time.Millisecond)
+		}
+	}
+	for _, part := range []string{first, middle} {
+		before := f.reached.Load()
+		for i := range 12 {
+			f.send(i%len(f.routers), "/once/x", fmt.Sprintf("system,other,%s", part))
+			f.send(i%len(f.routers), "/once/x", fmt.Sprintf("%s,other", part))
+		}
+		reached := f.reached.Load() - before
+		assert.Assert(t, reached <= 3, "%d of 24 requests with %s reached engines", reached, part)
+	}
+	assert.Assert(t, f.crashes.Load() <= 12, "%d engines crashed", f.crashes.Load())
+	assert.Assert(t, f.send(0, "/once/x", "system,sound1"))
+}
+
+// Guards: engines crash for reasons of their own, and parts of the sound requests that they had are
+// refused.
+func TestEnginesThatCrashWithoutAPartRefuseNobody(t *testing.T) {
+	f := newCrashingFleet(t, 3, 8)
+	prompt := func(i int) string { return fmt.Sprintf("system%d,subject%d", i%2, i%12) }
+	quit := make(chan struct{})
+	var calling sync.WaitGroup
+	for n := range f.routers {
+		calling.Go(func() {
+			for i := n; ; i += len(f.routers) {
+				select {
+				case <-quit:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				f.send(n, "/once/x", prompt(i))
+			}
+		})
+	}
+	for i := range 12 {
+		time.Sleep(250 * time.Millisecond)
+		f.engines[i%len(f.engines)].crash()
+	}
+	close(quit)
+	calling.Wait()
+	time.Sleep(2 * downFor)
+	for i := range 24 {
+		assert.Assert(t, f.send(i%len(f.routers), "/once/x", prompt(i)), "the prompt %s isn't served", prompt(i))
+	}
+	assert.Assert(t, f.crashes.Load() >= 8)
+}
+
+// Guards: sound requests with the same caller and first part as those that crash engines are lost with
+// them; and a router that has just started sends on what the others refuse.
+func TestSoundRequestsBeginAsOftenAsInACalmTime(t *testing.T) {
+	f := newCrashingFleet(t, 3, 8)
+	served := func(requests int) (count int) {
+		for i := range requests {
+			if f.send(i%len(f.routers), "/once/x", fmt.Sprintf("system,sound%d", i%5)) {
+				count++
+			}
+		}
+		return count
+	}
+	calm := served(60)
+	f.crashEngines(2)
+	assert.Assert(t, f.routers[1].router.Stop())
+	f.routers[1] = f.startRouter(1)
+	f.routers[1].eventually("the router is ready", f.routers[1].ready)
+	f.crashEngines(5)
+	time.Sleep(time.Second)
+	during := 0
+	reached := f.reached.Load()
+	for i := range 20 {
+		f.send(i%len(f.routers), "/once/x", fmt.Sprintf("system,%s,more%d", crashingPart, i))
+		during += served(3)
+	}
+	assert.Assert(t, f.reached.Load()-reached <= 3, "%d of 20 requests with the part reached engines", f.reached.Load()-reached)
+	assert.Assert(t, 10*during >= 9*calm, "%d of 60 sound requests are served while the others come, %d in a calm time", during, calm)
+}
+
 // Guards: a router that has just started doesn't know which parts crash engines.
 func TestRouterThatStartsKnowsWhichPartsCrashEngines(t *testing.T) {
 	f := newCrashingFleet(t, 3, 8)
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -26,6 +26,10 @@
 	// there are, so that most of those that are listed live.
 	engineDownFor = 300 * time.Millisecond
 	spareEngines  = 4
+	// fewestSound is how many sound requests of each time make a comparison meaningful: from
+	// soundAfter on they must begin at least half as often as before.
+	fewestSound = 20
+	soundAfter  = 4 * time.Second
 )
 
 // systemPart is the first part of all prompts, and subjectParts is how many second parts there are.
@@ -63,11 +67,17 @@
 	h.mu.Unlock()
 	c := &caller{harness: h, name: "crashing-" + part.id, path: chatPath}
 	defer c.disconnect()
+	before := h.begunStreams()
+	var known served
 	for began := time.Now(); time.Since(began) < crashingFor; time.Sleep(time.Duration(h.intN(2 * int(crashingPause)))) {
 		c.number++
 		c.disconnect()
 		c.sendWithPart(fmt.Sprintf("%s-%d", c.name, c.number), part.id)
+		if known.sent == 0 && time.Since(began) >= soundAfter {
+			known = h.begunStreams()
+		}
 	}
+	h.checkSound(before, known, h.begunStreams())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.crashing = nil
@@ -80,6 +90,27 @@
 	h.counts["engines crashed by a part"] += part.crashes
 }
 
+// begunStreams returns the counts of sound requests for new streams.
+func (h *harness) begunStreams() served {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.builds.begun
+}
+
+// checkSound checks that sound requests with the same caller and first part begin half as often as
+// before the others came.
+func (h *harness) checkSound(before, known, after served) {
+	sent, ok := after.sent-known.sent, after.served-known.served
+	if before.sent < fewestSound || sent < fewestSound {
+		h.count("sound requests beside crashing ones not judged")
+		return
+	}
+	h.count("sound requests beside crashing ones judged")
+	if 2*ok*before.sent < before.served*sent {
+		h.violation("%d of %d sound requests began while others crashed engines, %d of %d before", ok, sent, before.served, before.sent)
+	}
+}
+
 // sendWithPart sends a request with the part. Its answer doesn't matter.
 func (c *caller) sendWithPart(id, part string) {
 	if !c.connect() {
