One line for what is quarantined, and one test of what is an event stream

Routers and disk VMs wrote the same line by two functions, and forward and peerproxy told event streams apart by the same test. No behaviour changes.

--- a/coordination/crashes/answered.go
+++ b/coordination/crashes/answered.go
@@ -20,7 +20,7 @@
 	AgoMS int64  `msgpack:"a"`
 }
 
-// maxAnswered bounds the parts that an Answered remembers, some 100 KB.
+// maxAnswered bounds the parts that an Answered remembers.
 const maxAnswered = 2048
 
 // Answered remembers when prompts with a part were last answered completely. It is not safe for
--- a/coordination/crashes/list.go
+++ b/coordination/crashes/list.go
@@ -43,7 +43,7 @@
 	keepPart = 24 * time.Hour
 	// keepContent is the same for a content, which starts anew.
 	keepContent = time.Minute
-	// maxQuarantines bounds a List, some 20 KB in memory and 6 KB in a message.
+	// maxQuarantines bounds a List, and the message that carries it.
 	maxQuarantines = 256
 )
 
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -5,6 +5,7 @@
 
 	"endiveplank/coordination/control"
 	"endiveplank/coordination/crashes"
+	"endiveplank/daemon/loglines"
 	"endiveplank/protocol"
 	"endiveplank/protocol/codec"
 )
@@ -53,7 +54,7 @@
 		return
 	}
 	for _, q := range found {
-		vm.logQuarantined(control.Event{Kind: control.EventQuarantined, Quarantine: q})
+		loglines.Quarantined(vm.log, "", q)
 	}
 	vm.fabric.SendAll(vm.publisher.AnnounceQuarantines(now, found))
 }
@@ -93,9 +94,3 @@
 		vm.log.Warn().Str("event", "quarantines-received").Str("from", string(from)).Int("quarantines", list.Len()).Send()
 	}
 }
-
-// logQuarantined writes a line for what this VM or another process has quarantined.
-func (vm *VM) logQuarantined(e control.Event) {
-	vm.log.Warn().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Stringer("kind", e.Quarantine.Kind).Uint64("digest", e.Quarantine.Key).
-		Int("times", e.Quarantine.Times).Int64("left_ms", e.Quarantine.Left.Milliseconds()).Send()
-}
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -22,6 +22,7 @@
 	"endiveplank/coordination/roster"
 	"endiveplank/daemon/fabric"
 	"endiveplank/daemon/lateness"
+	"endiveplank/daemon/loglines"
 	"endiveplank/protocol"
 	"endiveplank/settings/direct"
 	"endiveplank/state/disk"
@@ -288,7 +289,7 @@
 func (vm *VM) logEvents(events []control.Event) {
 	for _, e := range events {
 		if e.Kind == control.EventQuarantined {
-			vm.logQuarantined(e)
+			loglines.Quarantined(vm.log, e.Peer, e.Quarantine)
 			continue
 		}
 		line := vm.log.Info().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Dur("age_ms", e.Age)
--- a/daemon/router/crashes.go
+++ b/daemon/router/crashes.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"endiveplank/coordination/balance"
-	"endiveplank/coordination/control"
 	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/reach"
 	"endiveplank/coordination/roster"
@@ -169,9 +168,3 @@
 		r.fabric.Send(from, sound)
 	}
 }
-
-// logQuarantined writes a line for what another process has quarantined.
-func (r *Router) logQuarantined(e control.Event) {
-	r.log.Warn().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Stringer("kind", e.Quarantine.Kind).Uint64("digest", e.Quarantine.Key).
-		Int("times", e.Quarantine.Times).Int64("left_ms", e.Quarantine.Left.Milliseconds()).Send()
-}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -465,7 +465,7 @@
 func (r *Router) logEvents() {
 	for _, e := range r.follower.Events() {
 		if e.Kind == control.EventQuarantined {
-			r.logQuarantined(e)
+			loglines.Quarantined(r.log, e.Peer, e.Quarantine)
 			continue
 		}
 		line := r.log.Info().Str("event", e.Kind).Str("disk_vm", string(e.Peer)).Uint64("version", e.Version).
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -91,6 +91,11 @@
 	complete          bool
 }
 
+// IsEventStream reports whether the answer is a stream of server-sent events.
+func (a *Answer) IsEventStream() bool {
+	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // Send sends a request to an address and returns the head of the answer. idOf
 // returns the request ID that an answer repeats, "" for none. When the context ends,
 // the connection is closed, which tells the upstream to stop its work. The error is a
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -367,7 +367,7 @@
 		f.handler.options.Fleet.AnswerBegan(f.job, choice, outcome.FirstAfter)
 	}
 	switch {
-	case f.job.Route.Stream && answer.Status < http.StatusMultipleChoices && isEventStream(answer.Header):
+	case f.job.Route.Stream && answer.Status < http.StatusMultipleChoices && answer.IsEventStream():
 		return f.relayStream(answer, choice, outcome)
 	case f.stream.started:
 		outcome.Result = balance.Failed
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"endiveplank/coordination/balance"
@@ -48,11 +46,6 @@
 	id  string
 }
 
-// isEventStream reports whether an answer is a stream of server-sent events.
-func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
-}
-
 // relayStream relays a stream event by event.
 //
 // The head goes to the caller together with the first event. If the upstream fails
--- a/transport/peerproxy/handler.go
+++ b/transport/peerproxy/handler.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -282,7 +281,7 @@
 // checkEnd ends the connection if a stream with neither a length nor chunks has ended without an
 // event. This router passes it on in chunks, by which the other one would take it for complete.
 func (p *proxied) checkEnd(answer *exchange.Answer, passed int) {
-	if !answer.Unframed || passed > 0 || !strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+	if !answer.Unframed || passed > 0 || !answer.IsEventStream() {
 		return
 	}
 	p.cause = "the stream ended without an event"
