Red test: two disk VMs find the same part, and one of them quarantines it a second time

Each disk VM looks for the part by itself, and routers pass quarantines from one to the other. If one learns of a quarantine just before it comes to the same conclusion, it counts it as the second: 80 minutes in place of 10. Seen by reading; the test, with two detectors, has it twice (2 where 1 is asked for).

--- a/coordination/crashes/detector_test.go
+++ b/coordination/crashes/detector_test.go
@@ -318,3 +318,25 @@
 		assert.Equal(t, len(l.Merge(end, other.Quarantines(end))), 0)
 	}
 }
+
+// Guards: a disk VM learns from another one that a part is quarantined just before it finds the same
+// part, and quarantines it a second time, for longer.
+func TestAPartThatTwoDetectorsFindIsQuarantinedOnce(t *testing.T) {
+	w := newWorld(8, 9, 12)
+	other := newWorld(8, 9, 12)
+	for range 6 {
+		w.crash(w.random.IntN(12), 0, 40, firstKey, culprit)
+		other.crash(other.random.IntN(12), 0, 40, firstKey, culprit)
+		for range 10 {
+			w.serve(40)
+			w.routers[0].Note(w.now, []uint64{firstKey})
+			other.routers[0].Note(other.now, []uint64{firstKey})
+			w.tick()
+			other.list.Merge(w.now, w.list.Quarantines(w.now))
+			other.tick()
+		}
+	}
+	assert.Assert(t, w.quarantined(culprit))
+	assert.Equal(t, w.list.Quarantines(w.now)[0].Times, 1)
+	assert.Equal(t, other.list.Quarantines(w.now)[0].Times, 1)
+}
