A part that another disk VM has quarantined explains its crashes here too

Cause: a detector drops the crashes of a part that it finds itself, and refuses later ones of a part on its list, but keeps those it had when the list got the part from another VM, and counts them anew. Ruled out: List.Merge, which keeps the higher count once. Change: before it counts, a detector drops what the parts on its list explain. Test: quarantined 2 times before, once after.

--- a/coordination/crashes/detector.go
+++ b/coordination/crashes/detector.go
@@ -154,6 +154,7 @@
 		d.replyBy = 0
 	}
 	d.expire(now)
+	d.dropExplained(now)
 	suspects := d.suspects(now)
 	for {
 		worst, any := d.culprit(now, suspects)
@@ -162,8 +163,8 @@
 		}
 		for _, s := range worst {
 			found = append(found, d.list.Add(now, Part, s.part))
-			d.explain(s.part)
 		}
+		d.dropExplained(now)
 		suspects = d.suspects(now)
 	}
 	return d.question(now, suspects), found
@@ -252,11 +253,15 @@
 	return worst, len(worst) > 0
 }
 
-// explain removes the crashes that a quarantined part has caused.
-func (d *Detector) explain(part uint64) {
+// dropExplained removes the crashes that a quarantined part has caused, whichever detector found it.
+func (d *Detector) dropExplained(now time.Duration) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c crash) bool {
-		_, has := c.parts[part]
-		return has
+		for part := range c.parts {
+			if d.list.Left(now, Part, part) > 0 {
+				return true
+			}
+		}
+		return false
 	})
 }
 
