--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -57,6 +57,8 @@
 	// OnCall, if set, is called when a router sends a request to an engine, after
 	// the engine has received it.
 	OnCall func(router protocol.RouterID, call node.CallUpstream)
+	// OnSend, if set, is called for each message that a router sends to another one.
+	OnSend func(router protocol.RouterID, message node.Send)
 
 	random       *rand.Rand
 	events       eventHeap
@@ -138,7 +140,14 @@
 	if err != nil || result.Ownership == nil {
 		panic(fmt.Sprintf("nodetest: can't open a session for router %q: %v", id, err))
 	}
-	r := &Router{ID: id, session: result.Ownership.Session, Core: node.New(node.Config{
+	r := &Router{ID: id, session: result.Ownership.Session, Core: f.newCore(id)}
+	f.Routers[id] = r
+	f.renew(r)
+	f.tick(r)
+}
+
+func (f *Fleet) newCore(id protocol.RouterID) *node.Node {
+	return node.New(node.Config{
 		Self:            id,
 		DataCentre:      "dc1",
 		Multiple:        1.25,
@@ -146,10 +155,7 @@
 		StallTimeout:    3 * time.Second,
 		DefaultDeadline: 60 * time.Second,
 		Random:          rand.New(rand.NewPCG(f.random.Uint64(), 1)),
-	})}
-	f.Routers[id] = r
-	f.renew(r)
-	f.tick(r)
+	})
 }
 
 // AddCustomer adds a customer with a bearer key and a priority class.
@@ -398,6 +404,9 @@
 // send delivers a message, or tells the sender after peerLostAfter that the peer
 // is lost.
 func (f *Fleet) send(from *Router, out node.Send) {
+	if f.OnSend != nil {
+		f.OnSend(from.ID, out)
+	}
 	to := f.Routers[out.To]
 	if to == nil || to.Dead || f.partitioned[[2]protocol.RouterID{from.ID, out.To}] {
 		if out.Reliable {
