Relay fleet: messages that crash engines are found, and chats with them refused

Cause: owners and entry routers know a digest of customer and body, so chats that have one message in common are each on trial by themselves, and each crashes engines. Change: a Place carries the keys of a chat's messages but the last. An owner whose engine crashed tells three routers, the first of the view, which messages the chats had that the engine hadn't answered; they use the detector of the disk VMs, ask up to 128 routers what was answered, and tell all by gossip what is quarantined. Entry routers refuse it, owners too, also what waits.

--- a/coordination/crashes/detector.go
+++ b/coordination/crashes/detector.go
@@ -31,13 +31,23 @@
 	// router may report it.
 	crashWindow = time.Hour
 	lateReport  = 3 * time.Second
-	// maxCrashes bounds the crashes that are remembered, and maxCrashParts the parts of one.
-	maxCrashes    = 64
-	maxCrashParts = 128
+	// maxCrashes bounds the crashes that are remembered.
+	maxCrashes = 64
 	// maxAsked bounds the parts in a question.
 	maxAsked = 64
 )
 
+const (
+	// MaxCrashParts bounds the parts of one crash.
+	MaxCrashParts = 128
+	// JustBegun is how long after the first event of its answer a request may still be what crashes
+	// its upstream.
+	JustBegun = 100 * time.Millisecond
+	// MaxAskedRouters is how many routers are asked at once which parts of prompts they have seen
+	// answered. What is in many prompts is known to some of them.
+	MaxAskedRouters = 128
+)
+
 // incarnation is one start of an upstream.
 type incarnation struct {
 	upstream  protocol.UpstreamID
@@ -87,7 +97,7 @@
 	}
 	at := d.crashOf(now, incarnation{c.Upstream, c.StartedAt})
 	for _, part := range c.Parts {
-		if len(at.parts) < maxCrashParts {
+		if len(at.parts) < MaxCrashParts {
 			at.parts[part] = struct{}{}
 		}
 	}
--- a/coordination/crashes/detector_test.go
+++ b/coordination/crashes/detector_test.go
@@ -267,9 +267,9 @@
 	}
 	assert.Assert(t, len(w.detector.crashes) <= maxCrashes)
 	for _, c := range w.detector.crashes {
-		assert.Assert(t, len(c.parts) <= maxCrashParts)
+		assert.Assert(t, len(c.parts) <= MaxCrashParts)
 	}
-	assert.Assert(t, len(w.detector.asked) <= maxCrashes*maxCrashParts && len(w.detector.sound) <= maxCrashes*maxCrashParts)
+	assert.Assert(t, len(w.detector.asked) <= maxCrashes*MaxCrashParts && len(w.detector.sound) <= maxCrashes*MaxCrashParts)
 	a := NewAnswered()
 	for i := range uint64(100_000) {
 		a.Note(time.Duration(i), []uint64{i})
--- a/coordination/crashes/size_test.go
+++ b/coordination/crashes/size_test.go
@@ -41,7 +41,7 @@
 	detector, detectorBytes := heapOf(func() *Detector {
 		w := newWorld(8, 1, 1000)
 		for range 2 * maxCrashes {
-			w.crash(w.random.IntN(1000), 2*maxCrashParts, 1_000_000)
+			w.crash(w.random.IntN(1000), 2*MaxCrashParts, 1_000_000)
 			w.now += crashesAtOnce
 		}
 		return w.detector
--- a/coordination/node/classify.go
+++ b/coordination/node/classify.go
@@ -13,6 +13,9 @@
 	"endiveplank/protocol/upstreamapi"
 )
 
+// quarantinedDetail tells a caller why its chat is refused.
+const quarantinedDetail = "this request, or a message in it, crashed the engines that ran it"
+
 // defaultOutputTokens is the expected length of an answer, in tokens, when the
 // caller sets no limit.
 const defaultOutputTokens = 256
@@ -72,14 +75,15 @@
 		return refusal(in.ID, 404, reason.ModelUnknown, fmt.Sprintf("no upstream serves model %q", in.Chat.Model), 0)
 	}
 	digest := quarantine.DigestOf(e.customer.ID, in.Body)
-	verdict := n.quarantine.Check(now, digest)
-	if verdict.Status == quarantine.Quarantined {
-		return refusal(in.ID, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+	parts := chat.SharedParts(in.Chat.Messages)
+	if left := n.quarantinedFor(now, digest, parts); left > 0 {
+		return refusal(in.ID, 422, reason.Quarantined, quarantinedDetail, left)
 	}
 	e.chain = chat.Chain(in.Chat.Model, in.Chat.Messages)
 	template := &e.template
 	template.Digest = uint64(digest)
-	template.Suspect = verdict.Status == quarantine.Suspect
+	template.Parts = parts
+	template.Suspect = n.quarantine.Check(now, digest).Status == quarantine.Suspect
 	template.Model = model
 	template.Streamed = in.Chat.Stream
 	template.Idempotent = true
--- a/coordination/node/crash.go
+++ b/coordination/node/crash.go
@@ -146,6 +146,9 @@
 	target.crash.down = true
 	report := n.quarantine.Crashed(now, target.id, target.incarnation)
 	n.broadcastNotices(report.Notices)
+	if len(report.Notices) > 0 {
+		n.reportParts(now, target)
+	}
 	n.emit(Event{
 		Upstream: target.id, Kind: "crashed", Reason: reason.UpstreamFailed,
 		Detail: fmt.Sprintf("%d requests were in flight, %d quarantined", report.Suspects, len(report.Quarantined)),
@@ -185,6 +188,9 @@
 
 // holdFor returns whether, and why, a request must wait for a trial.
 func (n *Node) holdFor(now time.Duration, target *ownedUpstream, r *relay) quarantine.Hold {
+	if n.crashParts.left(now, r.place.Parts) > 0 {
+		return quarantine.HoldQuarantined
+	}
 	latestStart := r.deadline - n.runTime(target, r)
 	return n.quarantine.MayStart(now, target.id, quarantine.Digest(r.place.Digest), latestStart).Hold
 }
@@ -192,7 +198,7 @@
 // applyHold holds, spills or refuses a request that may not start now.
 func (n *Node) applyHold(now time.Duration, target *ownedUpstream, r *relay, hold quarantine.Hold, final bool) {
 	if hold == quarantine.HoldQuarantined {
-		n.refusePlace(r, reason.Quarantined, n.quarantine.Check(now, quarantine.Digest(r.place.Digest)).RetryAfter)
+		n.refusePlace(r, reason.Quarantined, n.quarantinedFor(now, quarantine.Digest(r.place.Digest), r.place.Parts))
 		return
 	}
 	if !final {
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -387,9 +387,8 @@
 		return
 	}
 	if e.template.Model != "" && e.order == nil {
-		verdict := n.quarantine.Check(now, quarantine.Digest(e.template.Digest))
-		if verdict.Status == quarantine.Quarantined {
-			n.giveUp(now, e, 422, reason.Quarantined, "this request crashed the engines that ran it", verdict.RetryAfter)
+		if left := n.quarantinedFor(now, quarantine.Digest(e.template.Digest), e.template.Parts); left > 0 {
+			n.giveUp(now, e, 422, reason.Quarantined, quarantinedDetail, left)
 			return
 		}
 	}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
@@ -106,6 +107,20 @@
 // PeerQuarantineNotice carries a notice of a crash or a quarantine.
 type PeerQuarantineNotice struct{ Notice quarantine.Notice }
 
+// PeerCrash reports the crash of an engine, PeerSuspects asks which parts of prompts were answered
+// here, and PeerSound answers that.
+type (
+	PeerCrash    struct{ Crash crashes.Crash }
+	PeerSuspects struct {
+		From     protocol.RouterID
+		Suspects crashes.Suspects
+	}
+	PeerSound struct{ Sound crashes.Sound }
+)
+
+// PeerPartQuarantine says that a part of prompts is quarantined.
+type PeerPartQuarantine struct{ Quarantine crashes.Quarantine }
+
 // LiftQuarantine is an operator's command that lets a quarantined request run
 // again.
 type LiftQuarantine struct{ Digest quarantine.Digest }
@@ -248,4 +263,8 @@
 func (PeerAttemptCheck) input()     {}
 func (PeerAttemptAlive) input()     {}
 
-func (LiftQuarantine) input() {}
+func (LiftQuarantine) input()     {}
+func (PeerCrash) input()          {}
+func (PeerSuspects) input()       {}
+func (PeerSound) input()          {}
+func (PeerPartQuarantine) input() {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -44,6 +44,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
@@ -114,6 +115,7 @@
 	// budget could not pay for.
 	lastOverBudget time.Duration
 	quarantine     *quarantine.Tracker
+	crashParts     crashParts
 	// orderGate and engineCalls control the orders that this router passes to
 	// the engines it owns. engineCalls marks the engines with a call in flight.
 	orderGate   *engineorders.Gate
@@ -151,6 +153,7 @@
 		limitHome:    limits.NewHome(limits.DefaultConfig(), nil),
 		budget:       retry.New(retry.DefaultConfig()),
 		quarantine:   quarantine.New(quarantine.DefaultConfig()),
+		crashParts:   newCrashParts(),
 
 		orderGate:   engineorders.NewGate(),
 		activity:    map[protocol.UpstreamID]*engineActivity{},
@@ -231,6 +234,14 @@
 		n.quarantine.Merge(now, in.Notice)
 	case LiftQuarantine:
 		n.handleLiftQuarantine(in)
+	case PeerCrash:
+		n.crashParts.detector.Report(now, in.Crash)
+	case PeerSuspects:
+		n.handleSuspects(now, in)
+	case PeerSound:
+		n.crashParts.detector.HandleSound(now, in.Sound)
+	case PeerPartQuarantine:
+		n.mergePartQuarantines(now, []crashes.Quarantine{in.Quarantine})
 	case UpstreamProbed:
 		n.handleUpstreamProbed(now, in)
 	case PeerLost:
@@ -288,6 +299,7 @@
 	n.requestCredit(now)
 	n.sendLoadTotals(now)
 	n.tickMoves(now)
+	n.tickCrashParts(now)
 }
 
 // handlePeerLost ends the attempts that depend on an unreachable peer, on the
@@ -339,6 +351,12 @@
 		return PeerCreditRequest{From: from, Request: message}
 	case limits.CreditGrant:
 		return PeerCreditGrant{Grant: message}
+	case crashes.Crash:
+		return PeerCrash{Crash: message}
+	case crashes.Suspects:
+		return PeerSuspects{From: from, Suspects: message}
+	case crashes.Sound:
+		return PeerSound{Sound: message}
 	}
 	panic(fmt.Sprintf("node: %T is not a message of the data path", message))
 }
@@ -367,6 +385,12 @@
 		return wire.KindCreditRequest
 	case limits.CreditGrant:
 		return wire.KindCreditGrant
+	case crashes.Crash:
+		return wire.KindCrash
+	case crashes.Suspects:
+		return wire.KindSuspects
+	case crashes.Sound:
+		return wire.KindSound
 	}
 	panic(fmt.Sprintf("node: %T is not a message of the data path", message))
 }
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -366,6 +366,8 @@
 		f.send(r, out)
 	case node.Broadcast:
 		f.broadcast(r, out)
+	case node.BroadcastPart:
+		f.broadcastPart(r, out)
 	case node.CallUpstream:
 		f.callUpstream(r, out)
 	case node.CancelUpstream:
@@ -428,6 +430,16 @@
 	}
 }
 
+// broadcastPart delivers a quarantined part to every other router that can be reached.
+func (f *Fleet) broadcastPart(from *Router, out node.BroadcastPart) {
+	for _, id := range f.routerIDs() {
+		to := f.Routers[id]
+		if id != from.ID && !f.partitioned[[2]protocol.RouterID{from.ID, id}] {
+			f.after(latency, func() { f.runOn(to, func() { f.step(to, node.PeerPartQuarantine(out)) }) })
+		}
+	}
+}
+
 // journal commits a command of an order.
 func (f *Fleet) journal(r *Router, out node.Journal) {
 	f.after(commitTime, func() {
--- a/coordination/node/outputs.go
+++ b/coordination/node/outputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/engineorders"
 	"endiveplank/coordination/orders"
 	"endiveplank/coordination/quarantine"
@@ -29,6 +30,10 @@
 // router may receive the same notice twice.
 type Broadcast struct{ Notice quarantine.Notice }
 
+// BroadcastPart tells every other router of a part of prompts that is quarantined, as a
+// PeerPartQuarantine. A router may receive it twice.
+type BroadcastPart struct{ Quarantine crashes.Quarantine }
+
 // CallUpstream starts an HTTP call to an upstream. The driver returns the answer
 // as UpstreamChunk inputs and one UpstreamEnd.
 type CallUpstream struct {
@@ -142,6 +147,7 @@
 
 func (Send) output()             {}
 func (Broadcast) output()        {}
+func (BroadcastPart) output()    {}
 func (CallUpstream) output()     {}
 func (CancelUpstream) output()   {}
 func (ProbeUpstream) output()    {}
--- a/coordination/node/owner.go
+++ b/coordination/node/owner.go
@@ -95,7 +95,9 @@
 	// the upstream last sent a chunk.
 	sentAt       time.Duration
 	lastProgress time.Duration
-	chunks       int
+	// begunAt is when the first of the chunks came.
+	begunAt time.Duration
+	chunks  int
 	// dispatch is set for orders only.
 	dispatch *dispatch
 }
--- a/coordination/node/relay.go
+++ b/coordination/node/relay.go
@@ -65,6 +65,7 @@
 	wait := now - r.lastProgress
 	phase := stream.NextToken
 	if r.chunks == 0 {
+		r.begunAt = now
 		phase = stream.FirstToken
 		n.recordDone(target, r, r.cost-float64(r.placeQuery.OutputTokens))
 	} else {
@@ -137,6 +138,7 @@
 	end := fleet.End{Attempt: in.Attempt, Outcome: failedOutcome(in.Sent), Reason: string(failedReason(in))}
 	if in.Complete {
 		ending = quarantine.Completed
+		n.crashParts.answered.Note(now, r.place.Parts)
 		end = fleet.End{Attempt: in.Attempt, Complete: true, Outcome: protocol.Ran, CachedTokens: in.CachedTokens}
 	}
 	n.removeRelay(now, target, r, ending, in.CachedTokens, in.Complete)
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -10,10 +10,6 @@
 	"endiveplank/protocol/codec"
 )
 
-// maxAskedRouters is how many routers are asked at once which parts of prompts they have seen
-// answered. What is in many prompts is known to some of them.
-const maxAskedRouters = 128
-
 // quarantines finds requests that crash upstreams, by what routers report.
 type quarantines struct {
 	list     *crashes.List
@@ -59,11 +55,11 @@
 	vm.fabric.SendAll(vm.publisher.AnnounceQuarantines(now, found))
 }
 
-// someRouters returns the routers that follow, at most maxAskedRouters of them. The lock is held.
+// someRouters returns the routers that follow, at most crashes.MaxAskedRouters of them. The lock is held.
 func (vm *VM) someRouters(now time.Duration) []protocol.RouterID {
 	routers := control.IDsOf(vm.publisher.Routers(now))
 	vm.options.Random.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
-	return routers[:min(len(routers), maxAskedRouters)]
+	return routers[:min(len(routers), crashes.MaxAskedRouters)]
 }
 
 // saveQuarantines queues a changed list to be written. The lock is held.
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/membership"
 	"endiveplank/coordination/node"
 	"endiveplank/coordination/quarantine"
@@ -22,6 +23,8 @@
 	// itemQuarantine quarantines a digest or lifts its quarantine. The digest is its key, so that the
 	// later of the two replaces the earlier.
 	itemQuarantine uint8 = 2
+	// itemPart quarantines a part of prompts. The part is its key.
+	itemPart uint8 = 3
 )
 
 // packetSender sends membership packets, which may be lost. The mesh implements it; a datagram
@@ -92,6 +95,13 @@
 	return g.core.Broadcast(kind, key, codec.MarshalArrays(notice))
 }
 
+// broadcastPart queues a quarantined part of prompts for all members.
+func (g *gossip) broadcastPart(q crashes.Quarantine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Broadcast(itemPart, q.Key, codec.MarshalArrays(q))
+}
+
 // step runs one step of the core and carries out a copy of its output, because another step may
 // begin once the lock is released.
 func (g *gossip) step(run func(*membership.Core) membership.Output) {
@@ -133,15 +143,25 @@
 // handleItem passes a broadcast item to the node core. It ignores an item that doesn't decode, and
 // one of a kind that only later versions of this program know.
 func (g *gossip) handleItem(item membership.Item) {
-	if item.Kind != itemCrash && item.Kind != itemQuarantine {
+	var in node.Input
+	var err error
+	switch item.Kind {
+	case itemCrash, itemQuarantine:
+		var notice quarantine.Notice
+		err = codec.Unmarshal(item.Payload, &notice)
+		in = node.PeerQuarantineNotice{Notice: notice}
+	case itemPart:
+		var part crashes.Quarantine
+		err = codec.Unmarshal(item.Payload, &part)
+		in = node.PeerPartQuarantine{Quarantine: part}
+	default:
 		return
 	}
-	var notice quarantine.Notice
-	if err := codec.Unmarshal(item.Payload, &notice); err != nil {
+	if err != nil {
 		g.log.Warn().Err(err).Str("peer", string(item.Origin)).Msg("membership: item dropped")
 		return
 	}
-	g.input(node.PeerQuarantineNotice{Notice: notice})
+	g.input(in)
 }
 
 // liveMembers returns the routers that this member considers alive, itself included.
@@ -187,6 +207,7 @@
 		core:        membership.New(config, d.now(), newRandom()),
 	}
 	d.runner.broadcast = d.broadcastNotice
+	d.runner.broadcastPart = d.gossip.broadcastPart
 }
 
 // broadcastNotice sends a notice of a crash or a quarantine to all routers. A notice of a crash
--- a/daemon/gossip_test.go
+++ b/daemon/gossip_test.go
@@ -1,17 +1,23 @@
 package daemon
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/explain"
 	"endiveplank/coordination/membership"
+	"endiveplank/coordination/node"
 	"endiveplank/coordination/quarantine"
 	"endiveplank/coordination/reason"
 	"endiveplank/protocol"
+	"endiveplank/protocol/chat"
+	"endiveplank/protocol/wire"
 )
 
 // seesLive reports whether a daemon considers exactly these routers alive.
@@ -62,3 +68,39 @@
 		})
 	}
 }
+
+// One message crashes engines. Routers refuse chats that have it, whichever of them found it.
+func TestQuarantinedMessageReachesEveryRouter(t *testing.T) {
+	const body = `{"model":"m1","messages":[{"role":"system","content":"the message"},{"role":"user","content":"mine"}]}`
+	f := newTestFleet(t)
+	f.await("all routers know each other", func() bool { return seesLive(f.daemons[0], "r1", "r2", "r3") })
+	f.setUp()
+	f.engine("e1", nil)
+	part := chat.SharedParts([]chat.Message{{Role: "system", Content: "the message"}, {}})[0]
+	f.daemons[0].runner.broadcastPart(crashes.Quarantine{Kind: crashes.Part, Key: part, Times: 1, Left: 10 * time.Minute})
+	for i := 1; i < 3; i++ {
+		f.await("another router refuses the chat", func() bool {
+			status, _, answer := f.call(i, "/v1/chat/completions", body)
+			return status == http.StatusUnprocessableEntity && strings.Contains(answer, string(reason.Quarantined))
+		})
+	}
+}
+
+// A message about crashes is lost on the way, or arrives as another one.
+func TestMessagesAboutCrashesArriveAsSent(t *testing.T) {
+	crash := crashes.Crash{Upstream: "e1", StartedAt: 7, Parts: []uint64{1, 2}}
+	suspects := crashes.Suspects{Parts: []uint64{2}}
+	sound := crashes.Sound{Parts: []crashes.SoundPart{{Key: 2, AgoMS: 30}}}
+	for kind, c := range map[wire.Kind]struct {
+		message any
+		input   node.Input
+	}{
+		wire.KindCrash:    {crash, node.PeerCrash{Crash: crash}},
+		wire.KindSuspects: {suspects, node.PeerSuspects{From: "r2", Suspects: suspects}},
+		wire.KindSound:    {sound, node.PeerSound{Sound: sound}},
+	} {
+		in, err := decodeDataPath("r2", wire.Frame{Kind: kind, Payload: encodePayload(c.message)})
+		assert.NilError(t, err, "%s", kind)
+		assert.DeepEqual(t, in, c.input)
+	}
+}
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"endiveplank/coordination/crashes"
 	"endiveplank/coordination/explain"
 	"endiveplank/coordination/limits"
 	"endiveplank/coordination/loadbound"
@@ -39,11 +40,13 @@
 	mesh      *peer.Mesh
 	client    *upstream.Client
 	proposer  Proposer
-	// broadcast sends a notice of a crash or a quarantine to all routers.
-	broadcast func(quarantine.Notice)
-	log       zerolog.Logger
-	self      protocol.RouterID
-	counters  *counters
+	// broadcast sends a notice of a crash or a quarantine to all routers, and broadcastPart a
+	// quarantined part of prompts.
+	broadcast     func(quarantine.Notice)
+	broadcastPart func(crashes.Quarantine)
+	log           zerolog.Logger
+	self          protocol.RouterID
+	counters      *counters
 	// sendEngineReply sends an owner's reply to the issuer of engine orders, without blocking.
 	sendEngineReply func(node.ReplyIssuer)
 
@@ -88,6 +91,8 @@
 		r.mesh.Send(out.To, out.Kind, encodePayload(out.Payload), out.Reliable)
 	case node.Broadcast:
 		r.broadcast(out.Notice)
+	case node.BroadcastPart:
+		r.broadcastPart(out.Quarantine)
 	case node.CallUpstream:
 		r.client.Call(out)
 	case node.ProbeUpstream:
@@ -261,6 +266,12 @@
 		return decodeInput[fleet.ChatMoved](from, frame)
 	case wire.KindOrderReport:
 		return decodeInput[node.OrderReport](from, frame)
+	case wire.KindCrash:
+		return decodeInput[crashes.Crash](from, frame)
+	case wire.KindSuspects:
+		return decodeInput[crashes.Suspects](from, frame)
+	case wire.KindSound:
+		return decodeInput[crashes.Sound](from, frame)
 	}
 	return nil, nil
 }
--- a/protocol/fleet/fleet.go
+++ b/protocol/fleet/fleet.go
@@ -46,6 +46,8 @@
 	PromptTokens int    `msgpack:"pt"`
 	OutputTokens int    `msgpack:"ot"`
 	Chain        []Link `msgpack:"l,omitempty"`
+	// Parts are the keys of a chat's shared parts, see chat.SharedParts.
+	Parts []uint64 `msgpack:"sp,omitempty"`
 	// Model is empty for plain services.
 	Model    protocol.Model `msgpack:"m,omitempty"`
 	Method   string         `msgpack:"me"`
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -329,14 +329,10 @@
 	return unknown
 }
 
-// justBegun is how long after the first event of its answer a request may still be what crashes
-// its upstream.
-const justBegun = 100 * time.Millisecond
-
 // brokenBy describes the request to the fleet, after an upstream has broken it off.
 func (f *forwarding) brokenBy(choice balance.Choice) crashes.Broken {
 	broken := crashes.Broken{Digest: f.job.Digest, Upstream: choice.ID, StartedAt: choice.StartedAt}
-	if f.answeringSince.IsZero() || time.Since(f.answeringSince) < justBegun {
+	if f.answeringSince.IsZero() || time.Since(f.answeringSince) < crashes.JustBegun {
 		broken.Parts = f.job.Prompt.SharedParts()
 	}
 	return broken
