--- a/coordination/node/crashpart_test.go
+++ b/coordination/node/crashpart_test.go
@@ -143,6 +143,33 @@
 	}
 }
 
+// Guards: routers that start, one after the other, don't know which messages and contents crash
+// engines.
+func TestRoutersThatStartKnowWhatIsQuarantined(t *testing.T) {
+	f := newCrashingFleet(t, 3, 12)
+	content := nodetest.CrashMark + " alone"
+	for i := range 10 {
+		f.bad(router(i%3), nodetest.CrashMark)
+		f.Run(time.Second)
+		f.Submit(router(i%3), protocol.RequestID(fmt.Sprint("content-", i)), "key", content, 20)
+		f.Run(time.Second)
+	}
+	before := f.crashes()
+	assert.Assert(t, before > 0 && before <= 10, "%d engines crashed", before)
+	for i := range 3 {
+		f.Kill(router(i))
+		f.Run(time.Second)
+		f.Restart(router(i))
+		f.Run(2 * time.Second)
+		message := f.bad(router(i), nodetest.CrashMark)
+		same := f.Submit(router(i), protocol.RequestID(fmt.Sprint("content-again-", i)), "key", content, 20)
+		f.Run(time.Second)
+		assert.Equal(t, message.Reason, string(reason.Quarantined), "router %d", i)
+		assert.Equal(t, same.Reason, string(reason.Quarantined), "router %d", i)
+	}
+	assert.Equal(t, f.crashes(), before)
+}
+
 // Guards: the messages of a crash grow with the number of routers.
 func TestMessagesOfACrashAreBounded(t *testing.T) {
 	f := newCrashingFleet(t, 984, 12)
--- a/coordination/node/nodetest/fleet.go
+++ b/coordination/node/nodetest/fleet.go
@@ -293,6 +293,16 @@
 	}
 }
 
+// Restart starts a killed router's process again. It has the configuration, and knows nothing else
+// of before.
+func (f *Fleet) Restart(router protocol.RouterID) {
+	r := f.Routers[router]
+	r.Core = f.newCore(router)
+	r.Dead = false
+	f.step(r, node.ViewChanged{View: f.view(r)})
+	f.step(r, node.LeaseChanged{Until: f.Now + leaseDuration, Session: r.session})
+}
+
 // Partition cuts the network between two routers.
 func (f *Fleet) Partition(a, b protocol.RouterID) {
 	f.partitioned[[2]protocol.RouterID{a, b}] = true
