Relay fleet: a router that starts asks another one what is quarantined

Cause: routers learn of quarantines by notices as they arise; what was said before a start is lost to the process, and with restarts in series to the fleet. Ruled out: the notices themselves (routers that run have them within the model's latency). Change: a router asks another one, chosen at random, as it gets its first view, and another each second, five at most, until one answers; one that still asks doesn't answer. After a restart of all at once nothing is known, as before: the relay fleet has no disk copy of it.

--- a/coordination/node/crashpart_test.go
+++ b/coordination/node/crashpart_test.go
@@ -170,7 +170,7 @@
 	assert.Equal(t, f.crashes(), before)
 }
 
-// Guards: the messages of a crash grow with the number of routers.
+// Guards: the messages of a crash, or of a start, grow with the number of routers.
 func TestMessagesOfACrashAreBounded(t *testing.T) {
 	f := newCrashingFleet(t, 984, 12)
 	kinds := map[wire.Kind]int{}
@@ -184,4 +184,9 @@
 	assert.Assert(t, kinds[wire.KindCrash] <= 3*crashes, "%d reports of %d crashes", kinds[wire.KindCrash], crashes)
 	asked := kinds[wire.KindSuspects]
 	assert.Assert(t, asked > 0 && asked <= 3*2*128*crashes, "%d routers asked after %d crashes", asked, crashes)
+	assert.Assert(t, kinds[wire.KindQuarantinesRead] == 0)
+	f.Kill("r7")
+	f.Restart("r7")
+	f.Run(10 * time.Second)
+	assert.Assert(t, kinds[wire.KindQuarantinesRead] == 1, "%d", kinds[wire.KindQuarantinesRead])
 }
--- a/coordination/node/crashparts.go
+++ b/coordination/node/crashparts.go
@@ -12,9 +12,15 @@
 	"endiveplank/protocol"
 )
 
-// maxCollectors is how many routers look for the parts of prompts that crash engines, so that one is
-// left if others fail.
-const maxCollectors = 3
+const (
+	// maxCollectors is how many routers look for the parts of prompts that crash engines, so that
+	// one is left if others fail.
+	maxCollectors = 3
+	// quarantinesReadInterval is how long a router that has started waits for another one to tell
+	// it what is quarantined before it asks the next, and maxQuarantinesReads how many it asks.
+	quarantinesReadInterval = time.Second
+	maxQuarantinesReads     = 5
+)
 
 // crashParts is what a router knows of parts of prompts that crash engines.
 type crashParts struct {
@@ -22,11 +28,15 @@
 	answered *crashes.Answered
 	// detector gets reports while this router is a collector.
 	detector *crashes.Detector
+	// readsLeft is how many routers are still to be asked what is quarantined, and readAt when the
+	// next is.
+	readsLeft int
+	readAt    time.Duration
 }
 
 func newCrashParts() crashParts {
 	list := crashes.NewList()
-	return crashParts{list: list, answered: crashes.NewAnswered(), detector: crashes.NewDetector(list)}
+	return crashParts{list: list, answered: crashes.NewAnswered(), detector: crashes.NewDetector(list), readsLeft: maxQuarantinesReads}
 }
 
 // left returns how much longer prompts with one of these parts are refused, 0 if they aren't.
@@ -121,3 +131,34 @@
 		n.send(in.From, sound)
 	}
 }
+
+// askForQuarantines asks another router what is quarantined, after a start.
+func (n *Node) askForQuarantines(now time.Duration) {
+	if n.crashParts.readsLeft == 0 || now < n.crashParts.readAt {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(n.view.Routers), func(id protocol.RouterID) bool { return id == n.config.Self })
+	if len(others) == 0 {
+		return
+	}
+	n.crashParts.readsLeft--
+	n.crashParts.readAt = now + quarantinesReadInterval
+	n.send(others[n.config.Random.IntN(len(others))], QuarantinesRead{})
+}
+
+// handleQuarantinesRead answers a router that has started, unless this one doesn't know either.
+func (n *Node) handleQuarantinesRead(now time.Duration, in PeerQuarantinesRead) {
+	if n.crashParts.readsLeft > 0 {
+		return
+	}
+	n.send(in.From, Quarantines{Requests: n.quarantine.Notices(now), Parts: n.crashParts.list.Quarantines(now)})
+}
+
+// handleQuarantines takes over what another router has quarantined.
+func (n *Node) handleQuarantines(now time.Duration, in Quarantines) {
+	n.crashParts.readsLeft = 0
+	n.mergePartQuarantines(now, in.Parts)
+	for _, notice := range in.Requests {
+		n.quarantine.Merge(now, notice)
+	}
+}
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -107,6 +107,15 @@
 // PeerQuarantineNotice carries a notice of a crash or a quarantine.
 type PeerQuarantineNotice struct{ Notice quarantine.Notice }
 
+// QuarantinesRead asks another router what is quarantined.
+type QuarantinesRead struct{}
+
+// Quarantines is what is quarantined.
+type Quarantines struct {
+	Requests []quarantine.Notice  `msgpack:"r"`
+	Parts    []crashes.Quarantine `msgpack:"p"`
+}
+
 // PeerCrash reports the crash of an engine, PeerSuspects asks which parts of prompts were answered
 // here, and PeerSound answers that.
 type (
@@ -121,6 +130,12 @@
 // PeerPartQuarantine says that a part of prompts is quarantined.
 type PeerPartQuarantine struct{ Quarantine crashes.Quarantine }
 
+// PeerQuarantinesRead asks this router what is quarantined, and PeerQuarantines answers that.
+type (
+	PeerQuarantinesRead struct{ From protocol.RouterID }
+	PeerQuarantines     struct{ Quarantines Quarantines }
+)
+
 // LiftQuarantine is an operator's command that lets a quarantined request run
 // again.
 type LiftQuarantine struct{ Digest quarantine.Digest }
@@ -263,8 +278,10 @@
 func (PeerAttemptCheck) input()     {}
 func (PeerAttemptAlive) input()     {}
 
-func (LiftQuarantine) input()     {}
-func (PeerCrash) input()          {}
-func (PeerSuspects) input()       {}
-func (PeerSound) input()          {}
-func (PeerPartQuarantine) input() {}
+func (LiftQuarantine) input()      {}
+func (PeerCrash) input()           {}
+func (PeerSuspects) input()        {}
+func (PeerSound) input()           {}
+func (PeerPartQuarantine) input()  {}
+func (PeerQuarantinesRead) input() {}
+func (PeerQuarantines) input()     {}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -242,6 +242,10 @@
 		n.crashParts.detector.HandleSound(now, in.Sound)
 	case PeerPartQuarantine:
 		n.mergePartQuarantines(now, []crashes.Quarantine{in.Quarantine})
+	case PeerQuarantinesRead:
+		n.handleQuarantinesRead(now, in)
+	case PeerQuarantines:
+		n.handleQuarantines(now, in.Quarantines)
 	case UpstreamProbed:
 		n.handleUpstreamProbed(now, in)
 	case PeerLost:
@@ -300,6 +304,7 @@
 	n.sendLoadTotals(now)
 	n.tickMoves(now)
 	n.tickCrashParts(now)
+	n.askForQuarantines(now)
 }
 
 // handlePeerLost ends the attempts that depend on an unreachable peer, on the
@@ -357,6 +362,10 @@
 		return PeerSuspects{From: from, Suspects: message}
 	case crashes.Sound:
 		return PeerSound{Sound: message}
+	case QuarantinesRead:
+		return PeerQuarantinesRead{From: from}
+	case Quarantines:
+		return PeerQuarantines{Quarantines: message}
 	}
 	panic(fmt.Sprintf("node: %T is not a message of the data path", message))
 }
@@ -391,6 +400,10 @@
 		return wire.KindSuspects
 	case crashes.Sound:
 		return wire.KindSound
+	case QuarantinesRead:
+		return wire.KindQuarantinesRead
+	case Quarantines:
+		return wire.KindQuarantinesReply
 	}
 	panic(fmt.Sprintf("node: %T is not a message of the data path", message))
 }
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -177,6 +178,18 @@
 	return entries
 }
 
+// Notices returns the quarantines in force, for a router that has started.
+func (t *Tracker) Notices(now time.Duration) []Notice {
+	var notices []Notice
+	for _, e := range t.List(now) {
+		q := t.quarantined[e.Digest]
+		notices = append(notices, Notice{
+			Kind: QuarantineNotice, Crash: q.crash, Digest: e.Digest, Strikes: uint8(min(e.Strikes, math.MaxUint8)), Seconds: wholeSeconds(e.Expires - now),
+		})
+	}
+	return notices
+}
+
 // Lift ends the quarantine of a digest and clears it as a suspect. It returns
 // the notice for the other routers.
 func (t *Tracker) Lift(d Digest) Notice {
--- a/daemon/gossip_test.go
+++ b/daemon/gossip_test.go
@@ -91,13 +91,19 @@
 	crash := crashes.Crash{Upstream: "e1", StartedAt: 7, Parts: []uint64{1, 2}}
 	suspects := crashes.Suspects{Parts: []uint64{2}}
 	sound := crashes.Sound{Parts: []crashes.SoundPart{{Key: 2, AgoMS: 30}}}
+	known := node.Quarantines{
+		Requests: []quarantine.Notice{{Kind: quarantine.QuarantineNotice, Crash: 3, Digest: 4, Strikes: 1, Seconds: 60}},
+		Parts:    []crashes.Quarantine{{Kind: crashes.Part, Key: 5, Times: 2, Left: time.Minute}},
+	}
 	for kind, c := range map[wire.Kind]struct {
 		message any
 		input   node.Input
 	}{
-		wire.KindCrash:    {crash, node.PeerCrash{Crash: crash}},
-		wire.KindSuspects: {suspects, node.PeerSuspects{From: "r2", Suspects: suspects}},
-		wire.KindSound:    {sound, node.PeerSound{Sound: sound}},
+		wire.KindCrash:            {crash, node.PeerCrash{Crash: crash}},
+		wire.KindSuspects:         {suspects, node.PeerSuspects{From: "r2", Suspects: suspects}},
+		wire.KindSound:            {sound, node.PeerSound{Sound: sound}},
+		wire.KindQuarantinesRead:  {node.QuarantinesRead{}, node.PeerQuarantinesRead{From: "r2"}},
+		wire.KindQuarantinesReply: {known, node.PeerQuarantines{Quarantines: known}},
 	} {
 		in, err := decodeDataPath("r2", wire.Frame{Kind: kind, Payload: encodePayload(c.message)})
 		assert.NilError(t, err, "%s", kind)
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -272,6 +272,10 @@
 		return decodeInput[crashes.Suspects](from, frame)
 	case wire.KindSound:
 		return decodeInput[crashes.Sound](from, frame)
+	case wire.KindQuarantinesRead:
+		return decodeInput[node.QuarantinesRead](from, frame)
+	case wire.KindQuarantinesReply:
+		return decodeInput[node.Quarantines](from, frame)
 	}
 	return nil, nil
 }
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -150,6 +150,10 @@
 	// answers.
 	KindSuspects Kind = 77
 	KindSound    Kind = 78
+	// KindQuarantinesRead asks another router what is quarantined, and KindQuarantinesReply
+	// answers.
+	KindQuarantinesRead  Kind = 79
+	KindQuarantinesReply Kind = 80
 )
 
 // kindNames are the names of the kinds in metrics and logs. They stay the same when
@@ -170,7 +174,7 @@
 	KindHeartbeats: "heard", KindAnnouncements: "announced", KindAnnouncementsAck: "announced-ack", KindPut: "put", KindPutReply: "put-reply", KindRead: "read", KindReadReply: "read-reply",
 	KindLoadReport: "loads", KindHome: "home", KindHomeReply: "home-reply", KindCrash: "blame", KindCacheHolders: "keepers", KindRefusal: "refusal", KindUnreachable: "unreachable",
 	KindBuildsRead: "builds-read", KindBuildsReply: "builds-reply", KindOrigins: "origins", KindOriginQuery: "origin-query", KindOriginReply: "origin-reply",
-	KindSuspects: "suspects", KindSound: "sound",
+	KindSuspects: "suspects", KindSound: "sound", KindQuarantinesRead: "quarantines-read", KindQuarantinesReply: "quarantines-reply",
 	KindEvacuate: "evacuate", KindEvacuateReply: "evacuate-reply",
 }
 
