Long prefixes in demand may have several holders; retries copy from an engine that failed

Cause: a prefix that one engine alone has cached is prefilled again after a crash of that engine. Change: settings prefix_cache (replicas, min_tokens); balance sends a request for a long prefix in demand to a further engine, which copies it.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -89,6 +89,10 @@
 	// DataCentre is the router's own; of equally loaded upstreams, those there are
 	// preferred.
 	DataCentre protocol.DataCentre
+	// PrefixReplicas is how many engines hold a prefix that is in demand and has at least
+	// ReplicaTokens tokens; 1 means that it is copied only when a request needs it elsewhere.
+	PrefixReplicas int
+	ReplicaTokens  int
 }
 
 // NewBalancer returns a Balancer without upstreams.
--- a/coordination/balance/cacheholders.go
+++ b/coordination/balance/cacheholders.go
@@ -104,7 +104,13 @@
 	if b.isCached(now, r.Prompt, chosen) {
 		return ""
 	}
-	for _, key := range append([]uint64{r.Prompt}, r.SharedPrefixes...) {
+	if source := b.copySource(now, r.Prompt, chosen); source != "" {
+		return source
+	}
+	if source := b.erroredSource(r, chosen); source != "" {
+		return source
+	}
+	for _, key := range r.SharedPrefixes {
 		if source := b.copySource(now, key, chosen); source != "" {
 			return source
 		}
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -16,6 +16,11 @@
 	// SharedPrefixes are the keys of the shorter prefixes that the prompt has in common
 	// with other prompts, the longest first.
 	SharedPrefixes []uint64
+	// PrefixTokens is the length of the prompt's prefix in tokens, 0 if it isn't declared.
+	PrefixTokens int
+	// Errored are the upstreams that answered an earlier attempt with an error, the latest
+	// last. They may have prefilled the prompt.
+	Errored []protocol.UpstreamID
 	// NoRetry says that the request is lost if the upstream fails: it must not be
 	// repeated, or its attempts are used up.
 	NoRetry bool
@@ -53,6 +58,9 @@
 	// ReasonRendezvous: no cache holder is within the load bound, and it is the first
 	// within the bound by rendezvous hashing of the prompt.
 	ReasonRendezvous Reason = "prompt-order"
+	// ReasonReplica: too few engines have the prompt's prefix cached, and it copies the prefix
+	// from one of them.
+	ReasonReplica Reason = "replica"
 	// ReasonLeastLoaded: it has a low load, compared with the others.
 	ReasonLeastLoaded Reason = "least-loaded"
 	// ReasonLastResort: all upstreams that are left are unavailable or were tried before.
--- a/coordination/balance/prompt.go
+++ b/coordination/balance/prompt.go
@@ -13,7 +13,10 @@
 func (b *Balancer) pickForPrompt(random *rand.Rand, found *candidates, mean, bound float64) Choice {
 	r := found.request
 	holders := b.holdersOf(found, r.Prompt)
-	chosen, reason := pickHolder(random, bound, holders), ReasonCacheHolder
+	chosen, reason := b.pickReplica(mean, found, holders), ReasonReplica
+	if chosen == nil {
+		chosen, reason = pickHolder(random, bound, holders), ReasonCacheHolder
+	}
 	if chosen == nil {
 		chosen, reason = pickInOrder(random, bound, r.Prompt, found, len(holders)), ReasonRendezvous
 	}
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -48,6 +48,7 @@
 	request := balance.Request{Service: job.Service, Tried: job.Tried, NoRetry: job.LastAttempt(), AllowTried: job.ErrorFrom != ""}
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
+	request.PrefixTokens, request.Errored = job.SharedPrefixTokens(), job.Errored
 	request.Admits, request.IsCold, request.Throttled = r.admits(now), r.isCold(now), r.throttled(now)
 	r.restrictBuild(&request, job)
 	// An attempt that follows failed connections is limited like the first one, but the
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -168,7 +168,8 @@
 	r.follower.SetAnnounceAddress(options.Settings.Listen.Announcements)
 	r.balancer = balance.NewBalancer(balance.Settings{
 		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
-		DataCentre: options.Settings.DataCentre,
+		DataCentre:     options.Settings.DataCentre,
+		PrefixReplicas: options.Settings.PrefixCache.Replicas, ReplicaTokens: options.Settings.PrefixCache.MinTokens,
 	})
 	r.handler = forward.New(forward.Options{
 		Fleet: r, Dialect: options.Dialect, Pool: r.pool, ProxyPool: r.proxyPool, Self: self,
--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -67,6 +67,8 @@
 	c.Between("retries.slack", s.Retries.Slack, 0, 100_000)
 	c.Between("load.multiple", s.Load.Multiple, 1.05, 100)
 	c.Between("load.slack", s.Load.Slack, 0, 10_000)
+	c.Between("prefix_cache.replicas", float64(s.PrefixCache.Replicas), 1, 4)
+	c.Between("prefix_cache.min_tokens", float64(s.PrefixCache.MinTokens), 0, 1<<20)
 	c.Between("slow_start.overrun", s.SlowStart.Overrun, 0, 100)
 	c.Between("slow_start.tolerance", s.SlowStart.Tolerance, 0, 10_000)
 	c.Between("stop.unready_ms", s.Stop.UnreadyMS, 0, 60_000)
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -52,10 +52,12 @@
 	Upstreams Upstream  `json:"upstreams"`
 	Retries   Retries   `json:"retries"`
 	Load      Load      `json:"load"`
-	Stop      Stop      `json:"stop"`
-	Log       Log       `json:"log"`
-	Memory    Memory    `json:"memory"`
-	Link      Link      `json:"link"`
+	// PrefixCache says how engines' caches of prompts' prefixes are used.
+	PrefixCache PrefixCache `json:"prefix_cache"`
+	Stop        Stop        `json:"stop"`
+	Log         Log         `json:"log"`
+	Memory      Memory      `json:"memory"`
+	Link        Link        `json:"link"`
 	// Traces selects where a router exports its spans.
 	Traces settings.Traces `json:"traces"`
 }
@@ -119,6 +121,16 @@
 	Slack    float64 `json:"slack"`
 }
 
+// PrefixCache says how engines' caches of prompts' prefixes are used.
+type PrefixCache struct {
+	// Replicas is how many engines hold a prefix that is in demand, so that it is copied and not
+	// prefilled again when one of them crashes. 1 means no copies in advance.
+	Replicas int `json:"replicas"`
+	// MinTokens is the length from which on a prefix is replicated. Shorter ones are prefilled
+	// about as fast as they are copied.
+	MinTokens int `json:"min_tokens"`
+}
+
 // SlowStart limits what all routers together send to an upstream that is cold. The rate
 // that an upstream declares is in the table; these settings say by how much it may be
 // exceeded in one second.
@@ -190,6 +202,7 @@
 		Upstreams:   Upstream{HeartbeatMS: 1000, LeaveMS: 2000},
 		Retries:     Retries{Ratio: 0.1, WindowMS: 10_000, Slack: 10},
 		Load:        Load{Multiple: 2, Slack: 3},
+		PrefixCache: PrefixCache{Replicas: 1, MinTokens: 4096},
 		SlowStart:   SlowStart{Overrun: 1},
 		Stop:        Stop{UnreadyMS: 2500, GraceMS: 8000},
 		Log:         Log{Level: "info", LinesPerSecond: 100},
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -97,6 +97,8 @@
 	Tried []protocol.UpstreamID
 	// TriedProxies holds the routers that couldn't send it for this one.
 	TriedProxies []protocol.RouterID
+	// Errored holds those of them that answered with an error.
+	Errored []protocol.UpstreamID
 	// ErrorFrom is the last of them if it answered with an error and it isn't known
 	// yet whether the request or the upstream causes the error; else "".
 	ErrorFrom protocol.UpstreamID
@@ -146,6 +148,19 @@
 	return parts[max(len(parts)-2, 0)].Key, true
 }
 
+// SharedPrefixTokens returns the length in tokens of the prefix that SharedPrefixKey returns, 0 if
+// it isn't declared.
+func (j *Job) SharedPrefixTokens() int {
+	if _, any := j.SharedPrefixKey(); !any {
+		return 0
+	}
+	tokens := 0
+	for _, part := range j.Prompt.Parts[:max(len(j.Prompt.Parts)-1, 1)] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // Limits that apply where the table or the caller sets none, and the limit on the
 // memory that bodies take.
 const (
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -146,6 +146,9 @@
 		return f.mayRetryUnsent(outcome)
 	}
 	f.job.Tried = append(f.job.Tried, outcome.Choice.ID)
+	if outcome.Result == balance.Failed {
+		f.job.Errored = append(f.job.Errored, outcome.Choice.ID)
+	}
 	quarantined := f.handler.options.Fleet.QuarantinedFor(f.job)
 	switch {
 	case last == unknown && !f.job.Route.MayRepeat():
