A router that loses its paths keeps its limits of fragile upstreams

What callers would see: a router loses its paths to fragile upstreams for a few seconds of an overload, and after they are back its callers are served much less often than those of other routers.

Cause: while it has no path a router is served nothing, and each cut sets its limit to 0.8 of what it is served, so to almost nothing. Later cuts take the low limit for the one at which the upstream refuses requests (ceiling), beyond which limits grow slowly.

Ruled out: that limits get as unequal without a loss of paths. Steps that make the limits of all routers more equal weren't tried.

Change: the router tells its throttle of requests that it couldn't send. From then on until the upstream answers, the limit isn't cut and grows at most up to the ceiling, and that time doesn't count in the rate at which it is served. The same holds for upstreams that have fallen over, which a router can't tell from lost paths.

--- a/coordination/throttle/doc.go
+++ b/coordination/throttle/doc.go
@@ -17,5 +17,8 @@
 //   - A load report that is some tenths of a second old tells of the refusals after the upstream
 //     has fallen over. They are told by a message of their own, of which a router sends a bounded
 //     number.
+//   - A router loses its paths to the upstreams for a while. It is served nothing, would cut its
+//     limits to almost nothing with the others, and be served less than they for long after its
+//     paths are back. It cuts no limits meanwhile.
 //   - Upstreams stop to be fragile, and are still sent little. Limits end with that.
 package throttle
--- a/coordination/throttle/fleet_test.go
+++ b/coordination/throttle/fleet_test.go
@@ -29,6 +29,8 @@
 	work, slowWork time.Duration
 	// unlimited plays without a Throttle.
 	unlimited bool
+	// losesPaths says that the first router has no path to the servers between pathsLost and pathsBack.
+	losesPaths bool
 }
 
 // The times of a fleetRun.
@@ -81,6 +83,7 @@
 	// falls counts servers that fell over. In the overload, asked counts requests and served
 	// those that were answered.
 	falls, asked, served int
+	paths                pathCounts
 }
 
 func serverID(n int) protocol.UpstreamID { return protocol.UpstreamID(fmt.Sprintf("u%02d", n)) }
@@ -126,7 +129,9 @@
 		if inOverload(at) {
 			m.asked++
 		}
-		m.send(at, m.random.IntN(m.routers), nil)
+		router := m.random.IntN(m.routers)
+		m.paths.asked.count(at, router)
+		m.send(at, router, nil)
 	case ends:
 		m.end(at, e)
 	case reports:
@@ -160,8 +165,13 @@
 	throttle.Sent(now, choice.ID)
 	tried = append(tried, choice.ID)
 	switch {
+	case m.hasLostPaths(at, router):
+		b.Ended(now, choice.ID, balance.NoPath)
+		throttle.Unsent(now, choice.ID)
+		return
 	case at < server.downUntil:
 		b.Ended(now, choice.ID, balance.Unreachable)
+		throttle.Unsent(now, choice.ID)
 	case server.running+len(server.queue) >= m.slots+m.room:
 		b.Ended(now, choice.ID, balance.Refused)
 		m.refuse(at, router, n)
@@ -231,6 +241,7 @@
 	throttle := m.throttles[e.router]
 	throttle.NoteFragile(now, fragileServer, m.bears)
 	throttle.Served(now, serverID(e.server))
+	m.paths.served.count(at, e.router)
 	if inOverload(at) {
 		m.served++
 	}
@@ -255,16 +266,21 @@
 	return int(min(perSecond, m.perSecond) * (overloadEnd - overloadFrom).Seconds())
 }
 
-func TestFragileServersSurviveAnOverload(t *testing.T) {
-	// Guards: fragile servers get more than they can take, refuse it, and fall over one after the
-	// other, as each takes over the requests of the ones before.
-	for _, fleet := range []fleetRun{
+// overloadedFleets returns fleets that get more than their servers can run in the overload.
+func overloadedFleets() []fleetRun {
+	return []fleetRun{
 		{routers: 9, servers: 3, slots: 6, room: 2, bears: 10, perSecond: 180, work: 15 * time.Millisecond, slowWork: 150 * time.Millisecond},
 		{routers: 9, servers: 3, slots: 6, room: 0, bears: 5, perSecond: 360, work: 15 * time.Millisecond, slowWork: 150 * time.Millisecond},
 		{routers: 9, servers: 12, slots: 64, room: 8, bears: 20, perSecond: 800, work: 500 * time.Millisecond, slowWork: 1500 * time.Millisecond},
 		{routers: 87, servers: 4, slots: 6, room: 2, bears: 10, perSecond: 300, work: 30 * time.Millisecond, slowWork: 150 * time.Millisecond},
 		{routers: 195, servers: 5, slots: 6, room: 2, bears: 10, perSecond: 300, work: 30 * time.Millisecond, slowWork: 200 * time.Millisecond},
-	} {
+	}
+}
+
+func TestFragileServersSurviveAnOverload(t *testing.T) {
+	// Guards: fragile servers get more than they can take, refuse it, and fall over one after the
+	// other, as each takes over the requests of the ones before.
+	for _, fleet := range overloadedFleets() {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d routers, %d servers, seed %d", fleet.routers, fleet.servers, seed), func(t *testing.T) {
 				m := fleet.play(seed)
--- /dev/null
+++ b/coordination/throttle/fleetpaths_test.go
@@ -0,0 +1,60 @@
+package throttle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The time in the overload in which a router of a fleetRun has no path to the servers.
+const (
+	pathsLost = 10 * time.Second
+	pathsBack = 13 * time.Second
+)
+
+// routerCounts counts requests after pathsBack: of the router that lost its paths, and of the others.
+type routerCounts struct{ lost, others int }
+
+// pathCounts counts the requests of callers and those that were served.
+type pathCounts struct{ asked, served routerCounts }
+
+func (c *routerCounts) count(at time.Duration, router int) {
+	switch {
+	case at < pathsBack || !inOverload(at):
+	case router == 0:
+		c.lost++
+	default:
+		c.others++
+	}
+}
+
+func (c *routerCounts) add(other routerCounts) {
+	c.lost += other.lost
+	c.others += other.others
+}
+
+// hasLostPaths reports whether a router has no path to the servers.
+func (m *fleetModel) hasLostPaths(at time.Duration, router int) bool {
+	return m.losesPaths && router == 0 && at >= pathsLost && at < pathsBack
+}
+
+// Guards: a router that has lost its paths cuts its limits to almost nothing meanwhile, and is served
+// less than the others for long after its paths are back.
+func TestLimitsOfARouterSurviveTheLossOfItsPaths(t *testing.T) {
+	for _, fleet := range overloadedFleets()[:3] {
+		t.Run(fmt.Sprintf("%d routers, %d servers, room %d", fleet.routers, fleet.servers, fleet.room), func(t *testing.T) {
+			fleet.losesPaths = true
+			var asked, served routerCounts
+			for seed := range uint64(3) {
+				m := fleet.play(seed)
+				assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "seed %d: %d servers fell over", seed, m.falls)
+				asked.add(m.paths.asked)
+				served.add(m.paths.served)
+			}
+			t.Logf("served %d of %d requests of the router, %d of %d of the others", served.lost, asked.lost, served.others, asked.others)
+			assert.Check(t, 3*served.lost*asked.others >= 2*served.others*asked.lost, "the router is served less than two thirds as often")
+		})
+	}
+}
--- a/coordination/throttle/throttle.go
+++ b/coordination/throttle/throttle.go
@@ -74,6 +74,9 @@
 	tokens             float64
 	raisedAt, resumeAt time.Duration
 	lastRefusal        time.Duration
+	// pathLost says that the latest request of this router to have a result couldn't be sent. The
+	// limit isn't cut meanwhile, and grows up to ceiling at most.
+	pathLost bool
 }
 
 // New returns a Throttle without limits.
@@ -104,13 +107,27 @@
 
 // Served records that an upstream of a fragile service has answered a request.
 func (t *Throttle) Served(now time.Duration, id protocol.UpstreamID) {
-	t.upstreamOf(id).served.add(now)
+	u := t.upstreamOf(id)
+	u.pathLost = false
+	u.served.add(now)
+}
+
+// Unsent records that a request couldn't be sent to an upstream of a fragile service: this router
+// has no path to it, or it is down. Until the upstream answers again the limit isn't cut, as what
+// it serves this router meanwhile says nothing about its capacity.
+func (t *Throttle) Unsent(now time.Duration, id protocol.UpstreamID) {
+	u := t.upstreamOf(id)
+	u.pathLost = true
+	u.served.hold(now)
+	u.sent.hold(now)
+	u.sent.weight = max(0, u.sent.weight-1)
 }
 
 // Refused records that an upstream of a fragile service has refused a request of this router
 // for lack of room. tell reports whether to tell the other routers.
 func (t *Throttle) Refused(now time.Duration, id protocol.UpstreamID, service protocol.Service) (refusal Refusal, tell bool) {
 	refusal = Refusal{Upstream: id, Service: service, Bears: t.fragile[service].bears}
+	t.upstreamOf(id).pathLost = false
 	t.note(now, refusal)
 	return refusal, t.mayTell(now)
 }
@@ -131,8 +148,10 @@
 	}
 	u.refusals = append(u.refusals, now)
 	if len(u.refusals) >= max(1, refusal.Bears/cutDivisor) && now >= u.resumeAt {
-		u.cut(now)
 		u.refusals = nil
+		if !u.pathLost || !u.limited {
+			u.cut(now)
+		}
 	}
 }
 
@@ -221,6 +240,9 @@
 		doubling = quickDoubling
 	}
 	grown := u.limit * math.Exp2(float64(passed)/float64(doubling))
+	if u.pathLost {
+		grown = min(grown, max(u.limit, u.ceiling))
+	}
 	// A limit that isn't used up would grow beyond all that the upstream has ever served.
 	u.limit = max(u.limit, min(grown, max(u.ceiling, unusedFactor*u.sent.perSecond(now))))
 	u.tokens = min(u.tokens+u.limit*passed.Seconds(), max(1, min(maxBurst, u.limit*settleTime.Seconds())))
@@ -244,6 +266,9 @@
 	return r.weight / serveTimeConstant.Seconds()
 }
 
+// hold leaves the time since the last event or reading out of the rate.
+func (r *rate) hold(now time.Duration) { r.at = max(r.at, now) }
+
 func (r *rate) decay(now time.Duration) {
 	if now > r.at {
 		r.weight *= math.Exp(-float64(now-r.at) / float64(serveTimeConstant))
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -84,6 +84,9 @@
 		r.balancer.ForgetUnconfirmed(choice.ID, prompt)
 	}
 	now := r.now()
+	if result == balance.NoPath || result == balance.Unreachable {
+		r.noteUnsent(now, choice.ID, job.Service)
+	}
 	switch result {
 	case balance.NoPath:
 		r.setUnconnected(now, choice.ID, job.Service)
--- a/daemon/router/throttle.go
+++ b/daemon/router/throttle.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// noteUnsent records that a request couldn't be sent to an upstream that is or may be limited. The
+// lock is held.
+func (r *Router) noteUnsent(now time.Duration, id protocol.UpstreamID, service protocol.Service) {
+	if r.throttle.IsFragile(now, service) {
+		r.throttle.Unsent(now, id)
+	}
+}
+
 // noteFragility takes what an answer says about how many refusals its upstream bears, and counts
 // it if it is one. The lock is held.
 func (r *Router) noteFragility(now time.Duration, choice balance.Choice, head dialect.Answer) {
