Settings of routers: admission

Cause: the admission decisions of docs/design/overload.md have to be switched on by operators, and stay off where the settings don't name them.

A reserve above one half is refused, as most requests of the other ranks would be refused while capacity is free.

--- a/settings/direct/check.go
+++ b/settings/direct/check.go
@@ -11,6 +11,10 @@
 // would make each change slower.
 const maxDiskLosses = 3
 
+// maxReserve is the largest share of a limit that may be kept for the most urgent rank: with
+// more, most requests of the other ranks would be refused while capacity is free.
+const maxReserve = 0.5
+
 // check returns every invalid value of a document.
 func check(s Settings) strict.Problems {
 	c := &strict.Checker{}
@@ -67,6 +71,8 @@
 	c.Between("retries.slack", s.Retries.Slack, 0, 100_000)
 	c.Between("load.multiple", s.Load.Multiple, 1.05, 100)
 	c.Between("load.slack", s.Load.Slack, 0, 10_000)
+	c.Between("admission.reserve", s.Admission.Reserve, 0, maxReserve)
+	c.Between("admission.floor", s.Admission.Floor, 0, 1)
 	c.Between("slow_start.overrun", s.SlowStart.Overrun, 0, 100)
 	c.Between("slow_start.tolerance", s.SlowStart.Tolerance, 0, 10_000)
 	c.Between("stop.unready_ms", s.Stop.UnreadyMS, 0, 60_000)
--- a/settings/direct/direct_test.go
+++ b/settings/direct/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,6 +47,26 @@
 	}
 }
 
+func TestAdmissionIsOffUnlessSwitchedOn(t *testing.T) {
+	// Guards: a router whose settings don't name admission refuses requests by it; or settings
+	// that only switch it on lose the defaults of the other fields.
+	off, err := Parse([]byte(validSettings))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, off.Admission, Admission{Enabled: false, Reserve: 0.05, Floor: 0.3, Reports: true})
+	on, err := Parse([]byte(strings.TrimSuffix(validSettings, "}") + `,"admission":{"enabled":true}}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, on.Admission, Admission{Enabled: true, Reserve: 0.05, Floor: 0.3, Reports: true})
+}
+
+func TestMistakesInAdmissionNameFieldAndValue(t *testing.T) {
+	// Guards: an operator who gives a percentage instead of a share isn't told which value is wrong.
+	_, err := Parse([]byte(strings.TrimSuffix(validSettings, "}") + `,"admission":{"enabled":true,"reserve":5,"floor":-0.1}}`))
+	assert.ErrorContains(t, err, "admission.reserve")
+	assert.ErrorContains(t, err, "5")
+	assert.ErrorContains(t, err, "admission.floor")
+	assert.ErrorContains(t, err, "-0.1")
+}
+
 func TestSettingsThatWereWrittenAreRead(t *testing.T) {
 	// Guards: a settings file that a program wrote from the defaults is refused, and no
 	// process starts.
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -52,6 +52,8 @@
 	Upstreams Upstream  `json:"upstreams"`
 	Retries   Retries   `json:"retries"`
 	Load      Load      `json:"load"`
+	// Admission decides about requests while demand for a service exceeds its capacity.
+	Admission Admission `json:"admission"`
 	Stop      Stop      `json:"stop"`
 	Log       Log       `json:"log"`
 	Memory    Memory    `json:"memory"`
@@ -119,6 +121,20 @@
 	Slack    float64 `json:"slack"`
 }
 
+// Admission configures what a router decides while demand for a service exceeds its
+// capacity. Shares are shares of the service's rate limit.
+type Admission struct {
+	// Enabled switches rate limits, fleet-wide shares and scheduled retries on.
+	Enabled bool `json:"enabled"`
+	// Reserve is the share that is left to the most urgent requests alone.
+	Reserve float64 `json:"reserve"`
+	// Floor is the share of what it would get if all were served alike that each rank gets
+	// at least.
+	Floor float64 `json:"floor"`
+	// Reports is whether upstreams' reports of their own load are used.
+	Reports bool `json:"reports"`
+}
+
 // SlowStart limits what all routers together send to an upstream that is cold. The rate
 // that an upstream declares is in the table; these settings say by how much it may be
 // exceeded in one second.
@@ -180,7 +196,9 @@
 // of 0.1 with a slack of 10 requests in 10 s allows the requests of a failed
 // upstream to be retried but prevents a retry storm. A load multiple of 2 leaves
 // capacity for an often-used prompt; the slack of 3 is for services with hardly
-// any load. UnreadyMS is 2.5 s because a balancer that probes every second and
+// any load. A floor of 0.3 serves each rank at least a quarter as often as all requests
+// even where a limit is off by a sixth; a reserve of 0.05 covers what more urgent
+// requests need until the other routers know of them. UnreadyMS is 2.5 s because a balancer that probes every second and
 // reacts to the second failed probe needs 2 s to redirect callers.
 func Defaults() Settings {
 	return Settings{
@@ -190,6 +208,7 @@
 		Upstreams:   Upstream{HeartbeatMS: 1000, LeaveMS: 2000},
 		Retries:     Retries{Ratio: 0.1, WindowMS: 10_000, Slack: 10},
 		Load:        Load{Multiple: 2, Slack: 3},
+		Admission:   Admission{Reserve: 0.05, Floor: 0.3, Reports: true},
 		SlowStart:   SlowStart{Overrun: 1},
 		Stop:        Stop{UnreadyMS: 2500, GraceMS: 8000},
 		Log:         Log{Level: "info", LinesPerSecond: 100},
