Balancer: a service's announced slots and requests in flight

Cause: a rate limit is kept per slot of the ready upstreams and needs the requests in flight on them at each tick. Ruled out: adding up all entries on each tick, which are thousands.

Change: running sums by data centre in the pool, so that evacuated data centres can be left out; loadlimit.AdmittedLimit, the load limit of requests that are within a share that all routers keep together. The sum is 0 if any ready upstream announces no slots.

--- /dev/null
+++ b/coordination/balance/capacity.go
@@ -0,0 +1,32 @@
+package balance
+
+import "endiveplank/protocol"
+
+// Capacity is how much work a service's upstreams take, and how much they have.
+type Capacity struct {
+	// Slots is the sum of the slots that the upstreams announce. It is 0 if any of them
+	// announces none, because the sum would be too low then.
+	Slots int
+	// InFlight is the number of requests in flight on them, of all routers.
+	InFlight int
+}
+
+// Capacity returns the capacity of a service's upstreams that accept requests and aren't
+// evacuated.
+func (b *Balancer) Capacity(service protocol.Service) Capacity {
+	p := b.poolOf(service)
+	capacity := Capacity{InFlight: b.omittedLoad[serviceIDOf(service)]}
+	unannounced := 0
+	for dataCentre := range p.readyIn {
+		if b.evacuated[dataCentre] {
+			continue
+		}
+		capacity.Slots += p.slotsIn[dataCentre]
+		capacity.InFlight += p.loadIn[dataCentre]
+		unannounced += p.unannouncedIn[dataCentre]
+	}
+	if unannounced > 0 {
+		capacity.Slots = 0
+	}
+	return capacity
+}
--- a/coordination/balance/pool.go
+++ b/coordination/balance/pool.go
@@ -21,6 +21,9 @@
 	load int
 	// readyIn counts the ready ones by data centre, and loadIn their requests in flight.
 	readyIn, loadIn map[protocol.DataCentre]int
+	// slotsIn sums the slots that the ready ones announce, by data centre, and unannouncedIn
+	// counts those that announce none.
+	slotsIn, unannouncedIn map[protocol.DataCentre]int
 	// builds counts the upstreams that haven't left by their build.
 	builds map[string]int
 	// places is the number of ready upstreams that aren't evacuated, if placesSet says that
@@ -35,7 +38,11 @@
 }
 
 func newPool() *pool {
-	return &pool{readyIn: map[protocol.DataCentre]int{}, loadIn: map[protocol.DataCentre]int{}, builds: map[string]int{}}
+	return &pool{
+		readyIn: map[protocol.DataCentre]int{}, loadIn: map[protocol.DataCentre]int{},
+		slotsIn: map[protocol.DataCentre]int{}, unannouncedIn: map[protocol.DataCentre]int{},
+		builds: map[string]int{},
+	}
 }
 
 // byID compares an upstream with an ID.
@@ -81,9 +88,12 @@
 	p.load += sign * u.load()
 	p.loadIn[u.entry.DataCentre] += sign * u.load()
 	p.readyIn[u.entry.DataCentre] += sign
+	p.countSlots(u, sign)
 	if p.readyIn[u.entry.DataCentre] == 0 {
 		delete(p.readyIn, u.entry.DataCentre)
 		delete(p.loadIn, u.entry.DataCentre)
+		delete(p.slotsIn, u.entry.DataCentre)
+		delete(p.unannouncedIn, u.entry.DataCentre)
 	}
 }
 
@@ -98,6 +108,16 @@
 	}
 }
 
+// countSlots adds a ready upstream's slots to those of its data centre, or subtracts them if
+// sign is -1.
+func (p *pool) countSlots(u *upstream, sign int) {
+	if u.entry.Slots <= 0 {
+		p.unannouncedIn[u.entry.DataCentre] += sign
+		return
+	}
+	p.slotsIn[u.entry.DataCentre] += sign * u.entry.Slots
+}
+
 // countPaused adds an upstream to the paused ones if it is one, or subtracts it if sign is -1.
 func (p *pool) countPaused(u *upstream, sign int) {
 	if u.pause != nil && u.entry.State == roster.Ready {
--- a/coordination/loadlimit/limiter.go
+++ b/coordination/loadlimit/limiter.go
@@ -28,6 +28,10 @@
 	return l.shares.Limit(now, customer, l.curve.Limit(now))
 }
 
+// AdmittedLimit returns the load from which on upstreams don't get a request that is within its
+// customer's share of a rate limit that all routers keep together. It counts no request.
+func (l *Limiter) AdmittedLimit(now time.Duration) int { return withHeadroom(l.curve.Limit(now)) }
+
 // Admitted records that a request got an upstream.
 func (l *Limiter) Admitted(now time.Duration) { l.shares.Admitted(now) }
 
--- a/coordination/loadlimit/shares.go
+++ b/coordination/loadlimit/shares.go
@@ -73,6 +73,14 @@
 	if limit == Unlimited || s.demand[customer] > s.level {
 		return limit
 	}
+	return withHeadroom(limit)
+}
+
+// withHeadroom returns the load limit of a request that is within its customer's share.
+func withHeadroom(limit int) int {
+	if limit == Unlimited {
+		return limit
+	}
 	headroom := max(headroomShare*float64(limit), headroomRoots*math.Sqrt(float64(limit)))
 	return limit + int(headroom)
 }
