Forwarding: callers refused for lack of capacity get their time from the fleet

Cause: callers that are refused for lack of capacity all come back after half of the objective, whatever is free then.

Change: Fleet.ScheduleRetry is asked for a time where a request is answered 503 for lack of capacity: no-room, and attempts-spent and retries-spent after an upstream's rejection. It isn't asked for requests that may have run, whose answers stay 502. The log line of a refusal has its figures. The router's ScheduleRetry gives no times yet: answers are as before.

--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -93,6 +93,9 @@
 	Mean float64
 	// Limit is the request's load limit, set if the reason is ReasonNoCapacity.
 	Limit int
+	// RateLimited says by which figures the request was refused before an upstream was looked
+	// for, with ReasonNoCapacity; nil if it wasn't.
+	RateLimited *RateRefusal
 	// Excluded is the number of upstreams that weren't considered because they lose
 	// requests.
 	Excluded int
@@ -106,6 +109,20 @@
 	PausedFor time.Duration
 }
 
+// RateRefusal is why a request was refused for the rate limit of its service. Rates are in
+// requests a second over all routers.
+type RateRefusal struct {
+	// Rank is the request's urgency, 0 first.
+	Rank int
+	// Limit is the service's rate limit, Demand the arrivals of the request's rank and customer,
+	// and Share how many of these are admitted.
+	Limit, Demand, Share float64
+	// Wait is how long the request is expected to wait for a slot.
+	Wait time.Duration
+	// Early says that the request came before the time that a refusal had given it.
+	Early bool
+}
+
 // Pick chooses the upstream of a request.
 //
 // Prompts have prefixes that take a tenth to half a second to prefill if they aren't
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -38,6 +38,10 @@
 	StreamOrigin(ctx context.Context, job Job, resumes protocol.RequestID) (builds.Pair, bool)
 	// StreamBegan records that a stream begins with an answer of the chosen upstream.
 	StreamBegan(job Job, choice balance.Choice)
+	// ScheduleRetry returns when the caller of a request that is refused for lack of capacity
+	// may send it again. False means that the service has no rate limit in force, so that no
+	// times are given to its callers. The request must not have run.
+	ScheduleRetry(job Job) (RetryOffer, bool)
 	// AttemptEnded records the result of an attempt that is no longer in flight.
 	AttemptEnded(job Job, choice balance.Choice, result balance.Result)
 	// UpstreamReached records that an upstream answered over this router's own connection,
@@ -107,6 +111,15 @@
 	TakenUp bool
 	// Digest is the same for requests of the same content.
 	Digest uint64
+	// Remaining is the time until the caller's deadline or the route's timeout, the earlier one.
+	Remaining time.Duration
+}
+
+// RetryOffer is when a refused caller may send its request again.
+type RetryOffer struct {
+	After time.Duration
+	// Reserved says that capacity is reserved for the request at that time.
+	Reserved bool
 }
 
 // LastAttempt reports whether the next attempt is the last one that the request
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -64,6 +64,12 @@
 	completed   int
 	// timed says of each attempt with known timing whether its answer began in time.
 	timed []bool
+	// offer is what refused callers are offered, nil for nothing; scheduled are the requests that
+	// ScheduleRetry was called for.
+	offer     *RetryOffer
+	scheduled []Job
+	// rateLimited are the figures of refusals.
+	rateLimited *balance.RateRefusal
 }
 
 func (f *fakeFleet) Table() *routing.Index {
@@ -79,7 +85,7 @@
 	defer f.mu.Unlock()
 	f.attempts = append(f.attempts, job.Attempts)
 	if f.chosen >= len(f.addresses) {
-		return balance.Choice{Reason: f.noChoiceReason, PausedFor: f.pausedFor}
+		return balance.Choice{Reason: f.noChoiceReason, PausedFor: f.pausedFor, RateLimited: f.rateLimited}
 	}
 	f.chosen++
 	f.inFlight++
@@ -91,6 +97,17 @@
 	return balance.Choice{ID: protocol.UpstreamID(fmt.Sprint("u", f.chosen)), Address: f.addresses[f.chosen-1]}
 }
 
+// ScheduleRetry implements Fleet.
+func (f *fakeFleet) ScheduleRetry(job Job) (RetryOffer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scheduled = append(f.scheduled, job)
+	if f.offer == nil {
+		return RetryOffer{}, false
+	}
+	return *f.offer, true
+}
+
 func (f *fakeFleet) StreamOrigin(context.Context, Job, protocol.RequestID) (builds.Pair, bool) {
 	return f.origin, f.originKnown
 }
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -25,6 +25,11 @@
 	// upstreams' mean load.
 	Limit int
 	Mean  float64
+	// RateLimited is set if the request was refused for the rate limit of its service.
+	RateLimited *balance.RateRefusal
+	// Offer is set if the request was refused for lack of capacity while its service had a rate
+	// limit.
+	Offer *RetryOffer
 	// HeaderError says which of the caller's headers could not be read.
 	HeaderError string
 	// LocalReply means that this router made the answer, not an upstream.
@@ -51,6 +56,8 @@
 	Cause  string
 	// RetryAfter is the time for which the upstream wants no further requests, 0 for none.
 	RetryAfter time.Duration
+	// Rejected means that the upstream didn't run the request for lack of capacity.
+	Rejected bool
 	// ServerError means that the upstream answered with a 5xx status other than 503.
 	ServerError bool
 	// Late means that the answer was overdue: the fleet was told so while the
@@ -126,6 +133,18 @@
 	return slices.ContainsFunc(o.Attempts, func(a AttemptOutcome) bool { return a.Result == balance.Broken })
 }
 
+// logRateLimit adds to a line the figures of a refusal for lack of capacity, if the service had a
+// rate limit.
+func (o *Outcome) logRateLimit(line *zerolog.Event) {
+	if o.RateLimited != nil {
+		line.Float64("limit", o.RateLimited.Limit).Float64("share", o.RateLimited.Share).Float64("demand", o.RateLimited.Demand).
+			Int("rank", o.RateLimited.Rank).Int64("wait_ms", o.RateLimited.Wait.Milliseconds()).Bool("early", o.RateLimited.Early)
+	}
+	if o.Offer != nil {
+		line.Bool("reserved", o.Offer.Reserved).Int64("retry_after_ms", o.Offer.After.Milliseconds())
+	}
+}
+
 // logSent logs an attempt before it is sent. If the router dies, this line is the
 // only record of which upstream had the request.
 func (f *forwarding) logSent(choice balance.Choice, remaining time.Duration) {
@@ -168,6 +187,7 @@
 	if o.Limit > 0 {
 		line.Int("limit", o.Limit).Float64("mean", o.Mean)
 	}
+	o.logRateLimit(line)
 	if o.HeaderError != "" {
 		line.Str("doubt", o.HeaderError)
 	}
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// giveUpForCapacity is giveUp for a request that finds no capacity. While its service has a rate
+// limit in force, the caller gets the time at which there is capacity for it, instead of after.
+func (f *forwarding) giveUpForCapacity(reason string, after time.Duration) {
+	if f.stream.started || f.mayHaveRun {
+		f.giveUp(reason, after)
+		return
+	}
+	f.job.Remaining = f.remaining()
+	if offer, limited := f.handler.options.Fleet.ScheduleRetry(f.job); limited {
+		f.outcome.Offer = &offer
+		after = offer.After
+	}
+	f.giveUp(reason, after)
+}
+
 // refuseNoUpstream answers a request for which Choose found no upstream.
 //
 // It guards against this failure: for ten seconds, callers send twice the work that the
@@ -75,8 +90,8 @@
 // time.
 func (f *forwarding) refuseNoUpstream(choice balance.Choice) {
 	if choice.Reason == balance.ReasonNoCapacity {
-		f.outcome.Limit, f.outcome.Mean = choice.Limit, choice.Mean
-		f.giveUp(string(balance.ReasonNoCapacity), f.job.Route.Objective/2)
+		f.outcome.Limit, f.outcome.Mean, f.outcome.RateLimited = choice.Limit, choice.Mean, choice.RateLimited
+		f.giveUpForCapacity(string(balance.ReasonNoCapacity), f.job.Route.Objective/2)
 		return
 	}
 	if choice.Reason == balance.ReasonCold {
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -151,17 +151,26 @@
 	case last == unknown && !f.job.Route.MayRepeat():
 		f.giveUp("outcome-unknown", 0)
 	case len(f.job.Tried) >= max(f.job.Route.MaxAttempts, 1):
-		f.giveUp("attempts-spent", retryAfterFull)
+		f.giveUpAfter(outcome, "attempts-spent")
 	case quarantined > 0:
 		f.giveUp("crashes-upstreams", quarantined)
 	case !f.takeRetry():
-		f.giveUp("retries-spent", retryAfterFull)
+		f.giveUpAfter(outcome, "retries-spent")
 	default:
 		return true
 	}
 	return false
 }
 
+// giveUpAfter gives up after an attempt that brought no answer.
+func (f *forwarding) giveUpAfter(last AttemptOutcome, reason string) {
+	if last.Rejected {
+		f.giveUpForCapacity(reason, retryAfterFull)
+		return
+	}
+	f.giveUp(reason, retryAfterFull)
+}
+
 // takeRetry takes a retry from the budget, unless the failed attempt has already done
 // so.
 func (f *forwarding) takeRetry() bool {
@@ -351,6 +360,7 @@
 		drain(answer)
 		outcome.Result = balance.Refused
 		if !head.Misdirected {
+			outcome.Rejected = true
 			f.timing.refused()
 		}
 		return notRun
--- a/transport/forward/warmup.go
+++ b/transport/forward/warmup.go
@@ -52,5 +52,6 @@
 	if len(f.outcome.Attempts) == 0 {
 		f.waitForWarmUp(func() bool { return !fleet.WarmingUp() })
 	}
+	f.job.Remaining = f.remaining()
 	return fleet.Choose(f.context, f.job)
 }
