--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -66,6 +66,8 @@
 	Tracer *tracing.Tracer
 	// Dial opens connections to upstreams; nil for TCP connections.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now returns the time since the start; nil for that of the monotonic clock.
+	Now func() time.Duration
 }
 
 // Router is a running router.
@@ -193,8 +195,13 @@
 	return r, nil
 }
 
-// now returns the time since the start, by the monotonic clock.
-func (r *Router) now() time.Duration { return time.Since(r.started) }
+// now returns the time since the start.
+func (r *Router) now() time.Duration {
+	if r.options.Now != nil {
+		return r.options.Now()
+	}
+	return time.Since(r.started)
+}
 
 // run ticks until the router stops.
 func (r *Router) run() {
