Retry schedule: times for refused callers, and reservations that routers share

Cause: all refused callers of a service that is short of capacity retry after half of the objective, at the same time, whatever capacity is free then.

Change: package retryschedule. A Schedule offers each router's part of 0.3 of the rate limit in steps of 100 ms; Reservations keeps what all routers have offered. balance.LoadReport gets the field Reservations (p), last in the array encoding. Nothing calls the package yet.

Ruled out: whole requests per step and router. At 67 routers and 200 requests a second, a router's part of a step is 0.09 of a request; rounding down offers nothing, and counting up to one request makes all routers offer the same moment after the start of a shortage. Steps are offered with the probability of the room in them, by random numbers that are passed in.

--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"endiveplank/coordination/retryschedule"
 	"endiveplank/protocol"
 )
 
@@ -39,11 +40,14 @@
 	// Omitted is the load in flight on upstreams of each service that a relay knows of
 	// beyond what its reports tell by upstream. It counts until the next report.
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+	// Reservations says which refused requests are expected back.
+	Reservations []retryschedule.Reported `msgpack:"p,omitempty"`
 }
 
 // empty reports whether the report says nothing.
 func (r LoadReport) empty() bool {
-	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0
+	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0 &&
+		len(r.Reservations) == 0
 }
 
 // ServiceID is a hash that stands for a service's name in messages between routers.
--- /dev/null
+++ b/coordination/retryschedule/exchange.go
@@ -0,0 +1,166 @@
+package retryschedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"endiveplank/protocol"
+)
+
+const (
+	// maxPerReport bounds the reservations in one report.
+	maxPerReport = 64
+	// maxQueued bounds the reservations that wait to be sent. Those due last are dropped: a report
+	// would tell of them too late, and the router that made them still knows them.
+	maxQueued = 1024
+	// relayHops is the number of reports that a reservation passes from a member of one relay to a
+	// member of another.
+	relayHops = 3
+	// transit is the time that one report is under way and waits for the receiver's tick.
+	transit = 50 * time.Millisecond
+)
+
+// KnownAfter returns how long it takes until all routers know a reservation, for the time between
+// two reports, with or without relays.
+func KnownAfter(reportInterval time.Duration, relays bool) time.Duration {
+	if relays {
+		return relayHops * (reportInterval + transit)
+	}
+	return reportInterval + transit
+}
+
+// Reported is a reservation in a balance.LoadReport.
+type Reported struct {
+	Digest uint32 `msgpack:"i"`
+	// DueIn is the time in milliseconds from the report until the caller comes back, negative if
+	// that has passed.
+	DueIn int `msgpack:"t"`
+}
+
+// reservation returns the reservation that a report tells of; false if its time is impossible.
+func (e Reported) reservation(now time.Duration) (Reservation, bool) {
+	if e.DueIn > int(horizon/time.Millisecond) || e.DueIn < -int(keepFor/time.Millisecond) {
+		return Reservation{}, false
+	}
+	return Reservation{Digest: e.Digest, Due: now + time.Duration(e.DueIn)*time.Millisecond}, true
+}
+
+// Neighbours are the routers that this one exchanges load reports with. A balance.Neighbours can
+// be converted to it.
+type Neighbours struct {
+	// Mesh are all other routers, in a small fleet.
+	Mesh []protocol.RouterID
+	// Relay is the router that relays for this one, "" if there is none.
+	Relay protocol.RouterID
+	// Members are the routers for which this one relays, and Relays the other relays.
+	Members []protocol.RouterID
+	Relays  []protocol.RouterID
+}
+
+// isRelay reports whether this router passes on what others report.
+func (n Neighbours) isRelay() bool { return n.Relay == "" && len(n.Members)+len(n.Relays) > 0 }
+
+// Outgoing are reservations to report to other routers.
+type Outgoing struct {
+	To       []protocol.RouterID
+	Reported []Reported
+}
+
+// SetNeighbours replaces the neighbours. Queued reservations of other routers are dropped if this
+// router is no relay any more.
+func (r *Reservations) SetNeighbours(n Neighbours) {
+	r.neighbours = n
+	if !n.isRelay() {
+		r.near.keepOwn()
+		r.far = queue{}
+	}
+}
+
+// Reports returns what to send with the next load reports, at most one entry for each neighbour.
+// The reservations that are due first go first; the rest waits.
+func (r *Reservations) Reports(now time.Duration) []Outgoing {
+	n := r.neighbours
+	near, far := r.near.take(now), r.far.take(now)
+	var reports []Outgoing
+	add := func(to []protocol.RouterID, reservations []queued) {
+		if len(to) > 0 && len(reservations) > 0 {
+			reports = append(reports, Outgoing{To: to, Reported: reported(now, reservations)})
+		}
+	}
+	add(n.Mesh, near)
+	if n.Relay != "" {
+		add([]protocol.RouterID{n.Relay}, near)
+	}
+	add(n.Relays, far)
+	for _, member := range n.Members {
+		add([]protocol.RouterID{member}, without(near, member))
+	}
+	return reports
+}
+
+// accepts reports whether to apply a router's reports. In a mesh a router that has just started
+// isn't in the list yet.
+func (r *Reservations) accepts(from protocol.RouterID) bool {
+	n := r.neighbours
+	grouped := n.Relay != "" || n.isRelay()
+	return !grouped || from == n.Relay || slices.Contains(n.Members, from) || slices.Contains(n.Relays, from)
+}
+
+// forward queues a reservation for the routers that don't know it. from is the router that reported
+// it, "" for this one. Relays report to each other only what comes from themselves and their
+// members.
+func (r *Reservations) forward(from protocol.RouterID, reservation Reservation) {
+	relay := r.neighbours.isRelay()
+	if from != "" && !relay {
+		return
+	}
+	r.near.add(queued{reservation, from})
+	if relay && !slices.Contains(r.neighbours.Relays, from) {
+		r.far.add(queued{reservation, from})
+	}
+}
+
+// queued is a reservation that waits to be sent.
+type queued struct {
+	Reservation
+	// from is the router that reported it, "" for this one.
+	from protocol.RouterID
+}
+
+// queue holds reservations that wait to be sent, those due first in front.
+type queue struct{ waiting []queued }
+
+func (q *queue) add(added queued) {
+	at, _ := slices.BinarySearchFunc(q.waiting, added, func(x, y queued) int { return cmp.Compare(x.Due, y.Due) })
+	q.waiting = slices.Insert(q.waiting, at, added)
+	q.waiting = q.waiting[:min(len(q.waiting), maxQueued)]
+}
+
+// take removes and returns the reservations of the next report, without those that have expired.
+func (q *queue) take(now time.Duration) []queued {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w queued) bool { return expired(now, w.Due) })
+	count := min(len(q.waiting), maxPerReport)
+	taken := slices.Clone(q.waiting[:count])
+	q.waiting = slices.Delete(q.waiting, 0, count)
+	return taken
+}
+
+// keepOwn drops the reservations that other routers have reported.
+func (q *queue) keepOwn() {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w queued) bool { return w.from != "" })
+}
+
+// without returns the reservations that a router didn't report itself.
+func without(reservations []queued, id protocol.RouterID) []queued {
+	return slices.DeleteFunc(slices.Clone(reservations), func(w queued) bool { return w.from == id })
+}
+
+// reported returns reservations as a report tells them.
+func reported(now time.Duration, reservations []queued) []Reported {
+	all := make([]Reported, 0, len(reservations))
+	for _, w := range reservations {
+		all = append(all, Reported{Digest: w.Digest, DueIn: int((w.Due - now) / time.Millisecond)})
+	}
+	return all
+}
--- /dev/null
+++ b/coordination/retryschedule/reservations.go
@@ -0,0 +1,144 @@
+package retryschedule
+
+import (
+	"slices"
+	"time"
+
+	"endiveplank/protocol"
+)
+
+const (
+	// maxReservations bounds the reservations that a router keeps.
+	maxReservations = 4096
+	// keepFor is how long a reservation is kept after it is due.
+	keepFor = 2 * time.Second
+	// early is by how much a caller may come back before its reservation is due.
+	early = 100 * time.Millisecond
+	// sweepInterval is the time between two searches for expired reservations.
+	sweepInterval = 500 * time.Millisecond
+)
+
+// Match says whether a request is expected.
+type Match uint8
+
+const (
+	// None means that the request has no reservation.
+	None Match = iota
+	// Due means that the request has a reservation and is admitted.
+	Due
+	// Early means that the request has a reservation and has come too early.
+	Early
+)
+
+// Reservations holds the reservations of all routers. It is not safe for concurrent use.
+type Reservations struct {
+	// due holds when each digest is expected, in order. Two callers may send the same content.
+	due   map[uint32][]time.Duration
+	count int
+	// sweptAt is when expired reservations were last removed.
+	sweptAt    time.Duration
+	neighbours Neighbours
+	// near waits to be sent to the mesh, to this router's relay or, if it is a relay, to its
+	// members; far waits to be sent to the other relays.
+	near, far queue
+}
+
+// NewReservations returns an empty set.
+func NewReservations() *Reservations { return &Reservations{due: map[uint32][]time.Duration{}} }
+
+// Add adds a reservation that this router has offered, and queues it for the next report. False
+// means that there is no room, so the request must be told that nothing is reserved.
+func (r *Reservations) Add(now time.Duration, reservation Reservation) bool {
+	if !r.keep(now, reservation) {
+		return false
+	}
+	r.forward("", reservation)
+	return true
+}
+
+// Apply adds another router's reservations. A relay passes them on.
+func (r *Reservations) Apply(now time.Duration, from protocol.RouterID, reported []Reported) {
+	if !r.accepts(from) {
+		return
+	}
+	for _, entry := range reported[:min(len(reported), maxPerReport)] {
+		reservation, ok := entry.reservation(now)
+		if ok && r.keep(now, reservation) {
+			r.forward(from, reservation)
+		}
+	}
+}
+
+// Match returns whether a request is expected now and, if it is early, how long it must still
+// wait. An early request is refused with that time while a rate limit is in force, without a new
+// offer; otherwise it is served as any other.
+func (r *Reservations) Match(now time.Duration, digest uint64) (Match, time.Duration) {
+	for _, due := range r.due[shortDigest(digest)] {
+		switch {
+		case expired(now, due):
+		case isDue(now, due):
+			return Due, 0
+		default:
+			return Early, due - now
+		}
+	}
+	return None, 0
+}
+
+// Consume removes the reservation of a request that is admitted because it is due.
+func (r *Reservations) Consume(now time.Duration, digest uint64) {
+	short := shortDigest(digest)
+	for i, due := range r.due[short] {
+		if !expired(now, due) && isDue(now, due) {
+			r.set(short, slices.Delete(r.due[short], i, i+1))
+			return
+		}
+	}
+}
+
+// Expire removes the reservations that haven't been used in time. It is called on each tick.
+func (r *Reservations) Expire(now time.Duration) {
+	if now-r.sweptAt >= sweepInterval {
+		r.sweep(now)
+	}
+}
+
+// Len returns the number of reservations.
+func (r *Reservations) Len() int { return r.count }
+
+// sweep removes all reservations that have expired.
+func (r *Reservations) sweep(now time.Duration) {
+	r.sweptAt = now
+	for digest, all := range r.due {
+		r.set(digest, slices.DeleteFunc(all, func(due time.Duration) bool { return expired(now, due) }))
+	}
+}
+
+// keep adds a reservation if there is room.
+func (r *Reservations) keep(now time.Duration, reservation Reservation) bool {
+	if r.count >= maxReservations {
+		r.Expire(now)
+	}
+	if r.count >= maxReservations || expired(now, reservation.Due) {
+		return false
+	}
+	all := r.due[reservation.Digest]
+	at, _ := slices.BinarySearch(all, reservation.Due)
+	r.due[reservation.Digest] = slices.Insert(all, at, reservation.Due)
+	r.count++
+	return true
+}
+
+// set replaces the times at which a digest is expected by some of them, changed in place.
+func (r *Reservations) set(digest uint32, left []time.Duration) {
+	r.count -= len(r.due[digest]) - len(left)
+	if len(left) == 0 {
+		delete(r.due, digest)
+		return
+	}
+	r.due[digest] = left
+}
+
+func isDue(now, due time.Duration) bool { return due-now <= early }
+
+func expired(now, due time.Duration) bool { return now-due > keepFor }
--- /dev/null
+++ b/coordination/retryschedule/schedule.go
@@ -0,0 +1,174 @@
+package retryschedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// step is the time that one entry of a schedule covers.
+	step = 100 * time.Millisecond
+	// horizon is how far ahead times are offered.
+	horizon = 10 * time.Second
+	// steps is the number of entries of a schedule, the current one included.
+	steps = int(horizon/step) + 1
+	// retryPart is the part of the limit that is scheduled. The rest is for new requests.
+	retryPart = 0.3
+	// honouredDivisor sets the longest Retry-After that callers honour: their remaining time
+	// divided by it.
+	honouredDivisor = 3
+	// pauseDivisor sets the shortest Retry-After: the objective divided by it.
+	pauseDivisor = 2
+	// mostUrgent is the rank that may use all of a step.
+	mostUrgent = 0
+	// minRoom is the room in a step, in requests, that is too small to offer.
+	minRoom = 1e-9
+)
+
+// Settings of a Schedule.
+type Settings struct {
+	// Reserve is the part of each step that is kept for the most urgent rank, from 0 to 1.
+	Reserve float64
+}
+
+// Refused is a request that was refused for lack of capacity.
+type Refused struct {
+	// Digest identifies the request's content.
+	Digest uint64
+	// Rank is the request's urgency, 0 for the most urgent.
+	Rank int
+	// Objective is within which time the answer should begin, and Remaining how long the caller
+	// still waits.
+	Objective, Remaining time.Duration
+}
+
+// Capacity is what a router knows of a service's capacity.
+type Capacity struct {
+	// Limit is the rate limit of all routers together in requests a second, 0 for none.
+	Limit float64
+	// Part is this router's part of all arrivals, from 0 to 1.
+	Part float64
+	// Known is how long it takes until all routers know a new reservation; see KnownAfter.
+	Known time.Duration
+}
+
+// Reservation says that a request is expected back.
+type Reservation struct {
+	Digest uint32
+	// Due is when the caller comes back, on this router's clock.
+	Due time.Duration
+}
+
+// Offer is the answer to a refused request.
+type Offer struct {
+	// RetryAfter is the time after which the caller may come back.
+	RetryAfter time.Duration
+	// Reserved says that the request will be admitted then. Otherwise there is no capacity within
+	// the time that the caller honours, and Reservation isn't set.
+	Reserved    bool
+	Reservation Reservation
+}
+
+// Schedule holds one router's offers of capacity of one service. It is not safe for concurrent use.
+type Schedule struct {
+	settings Settings
+	// offered is what has been offered of each step, in requests. The entry of a step is its number
+	// modulo steps.
+	offered [steps]float64
+	// current is the number of the step that time is in.
+	current int64
+}
+
+// NewSchedule returns a schedule in which nothing is offered.
+func NewSchedule(settings Settings) *Schedule {
+	settings.Reserve = clamp(settings.Reserve)
+	return &Schedule{settings: settings}
+}
+
+// Offer returns when a refused request may come back. random is from 0 up to 1. The router adds an
+// offered Reservation to its Reservations; if these are full, the offer doesn't hold.
+func (s *Schedule) Offer(now time.Duration, random float64, r Refused, c Capacity) Offer {
+	s.advance(now)
+	longest := max(r.Remaining/honouredDivisor, 0)
+	shortest := max(r.Objective/pauseDivisor, 0)
+	if !(c.Limit > 0) {
+		return Offer{RetryAfter: min(shortest, longest)}
+	}
+	due, ok := s.take(now, random, max(shortest, c.Known), min(longest, horizon), s.roomPerStep(r.Rank, c))
+	if !ok {
+		return Offer{RetryAfter: longest}
+	}
+	return Offer{RetryAfter: due - now, Reserved: true, Reservation: Reservation{Digest: shortDigest(r.Digest), Due: due}}
+}
+
+// roomPerStep returns how many requests of a rank may be offered a step.
+func (s *Schedule) roomPerStep(rank int, c Capacity) float64 {
+	room := c.Limit * clamp(c.Part) * retryPart * step.Seconds()
+	if rank != mostUrgent {
+		room *= 1 - s.settings.Reserve
+	}
+	return room
+}
+
+// take takes the first room for one request between two times from now, and returns when the
+// request is due. If the steps have less room than one request, the request takes all of it and
+// gets a step with the probability of that room, so that the mean number of requests due in each
+// step is what was taken.
+func (s *Schedule) take(now time.Duration, random float64, shortest, longest time.Duration, room float64) (time.Duration, bool) {
+	if longest < shortest || now > math.MaxInt64-2*horizon {
+		return 0, false
+	}
+	first := max(stepAfter(now+shortest), s.current)
+	end := min(int64((now+longest)/step), s.current+int64(steps))
+	var taken float64
+	var due time.Duration
+	found := false
+	for number := first; number < end && taken < 1; number++ {
+		offered := &s.offered[number%int64(steps)]
+		part := min(room-*offered, 1-taken)
+		if part < minRoom {
+			continue
+		}
+		*offered += part
+		if !found && random < taken+part {
+			found = true
+			due = time.Duration(number)*step + within((random-taken)/part)
+		}
+		taken += part
+	}
+	return due, found
+}
+
+// stepAfter returns the number of the first step that doesn't begin before a time.
+func stepAfter(at time.Duration) int64 { return int64((at + step - 1) / step) }
+
+// within returns the time in a step for a number from 0 to 1, so that the requests of one step
+// don't come at the same moment.
+func within(part float64) time.Duration { return time.Duration(clamp(part) * float64(step-1)) }
+
+// advance drops the steps that have passed.
+func (s *Schedule) advance(now time.Duration) {
+	current := int64(max(now, 0) / step)
+	if current <= s.current {
+		return
+	}
+	if current-s.current >= int64(steps) {
+		s.offered = [steps]float64{}
+	} else {
+		for number := s.current; number < current; number++ {
+			s.offered[number%int64(steps)] = 0
+		}
+	}
+	s.current = current
+}
+
+// clamp returns a part between 0 and 1, 0 for what is no number.
+func clamp(part float64) float64 {
+	if !(part > 0) {
+		return 0
+	}
+	return min(part, 1)
+}
+
+// shortDigest returns the hash that stands for a content digest in reservations.
+func shortDigest(digest uint64) uint32 { return uint32(digest ^ digest>>32) }
