Answers' headers: what upstreams report of their own load

Cause: upstreams of some services say in Instance-Load how many requests run and wait there, how many slots they have and how long work takes now; nobody read it.

Change: platform reads it into dialect.Answer.Load; nil if there is none or it can't be read, whole or in part. Whether the numbers can be true is judged where the announced slots are known.

Ruled out: taking the readable part of a damaged header, as a load without its queue would say that there is room.

--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -98,11 +98,28 @@
 	// Fragile is how many requests the upstream may refuse for lack of room in a second without
 	// falling over; 0 if it doesn't say that it is fragile.
 	Fragile int
+	// Load is what the upstream reports of its load, nil if it reports none or none that can be
+	// read.
+	Load *ReportedLoad
 	// Misdirected means that the request reached another upstream than the
 	// intended one, because the address now belongs to it.
 	Misdirected bool
 }
 
+// ReportedLoad is an upstream's load as it reports it itself.
+type ReportedLoad struct {
+	// Running and Waiting count its requests that run and that wait for a slot, and Slots is the
+	// number of requests that it runs at a time.
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes there now, in percent of the usual time.
+	Pace int
+}
+
+// UsualPace is the pace of an upstream on which work takes the usual time.
+const UsualPace = 100
+
 // Dialect translates the headers of one platform. It is safe for concurrent use.
 type Dialect interface {
 	// ReadCall reads a caller's headers. An error names the header that cannot be
