Load reports: a field for what upstreams report of their load

Cause: routers have to pass on what upstreams report; LoadReport had no place for it.

Change: LoadReport.Reported with at most MaxReportedLoads entries by ShortID, the low bits of the incarnation, and the age. ShortIDOf is exported, as the package that makes the entries isn't balance. Nothing fills the field yet.

Ruled out: a message of its own: load reports go to the same neighbours at the same time. The whole StartedAt in an entry: 7 bytes more each.

--- a/coordination/balance/entries.go
+++ b/coordination/balance/entries.go
@@ -84,7 +84,7 @@
 
 // addUpstream adds an upstream without an entry.
 func (b *Balancer) addUpstream(id protocol.UpstreamID) *upstream {
-	short := shortIDOf(id)
+	short := ShortIDOf(id)
 	u := &upstream{key: xxhash.Sum64String(string(id)), own: UpstreamLoad{ID: short}, reported: UpstreamLoad{ID: short}}
 	b.upstreams[id] = u
 	b.byShortID[short] = u
--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -11,8 +11,8 @@
 // a ShortID, and their loads are counted together.
 type ShortID uint32
 
-// shortIDOf returns an upstream's ShortID.
-func shortIDOf(id protocol.UpstreamID) ShortID {
+// ShortIDOf returns an upstream's ShortID.
+func ShortIDOf(id protocol.UpstreamID) ShortID {
 	return ShortID(xxhash.Sum64String(string(id)))
 }
 
@@ -39,11 +39,33 @@
 	// Omitted is the load in flight on upstreams of each service that a relay knows of
 	// beyond what its reports tell by upstream. It counts until the next report.
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+	// Reported is what upstreams report of their own load, as far as the receiver doesn't know
+	// it yet.
+	Reported []ReportedLoad `msgpack:"c,omitempty"`
+}
+
+// MaxReportedLoads is the largest number of entries in LoadReport.Reported.
+const MaxReportedLoads = 32
+
+// ReportedLoad is what an upstream reports of its own load, with its age. It is encoded without
+// the names of its fields.
+type ReportedLoad struct {
+	ID ShortID `msgpack:"i"`
+	// Incarnation holds the low bits of roster.Entry.StartedAt.
+	Incarnation uint16 `msgpack:"o"`
+	// Running and Waiting count its requests, and Slots is the number that it runs at a time.
+	Running int `msgpack:"n"`
+	Waiting int `msgpack:"w"`
+	Slots   int `msgpack:"s"`
+	// Pace is how long work takes there, in percent of the usual time.
+	Pace int `msgpack:"p"`
+	// AgeMS is how long ago the upstream reported it, in milliseconds.
+	AgeMS int `msgpack:"a"`
 }
 
 // empty reports whether the report says nothing.
 func (r LoadReport) empty() bool {
-	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0
+	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0 && len(r.Reported) == 0
 }
 
 // ServiceID is a hash that stands for a service's name in messages between routers.
--- a/coordination/balance/reach_test.go
+++ b/coordination/balance/reach_test.go
@@ -15,7 +15,7 @@
 	b := newBalancer(4)
 	b.SetReachable("u00", false)
 	for n := range uint64(50) {
-		report := LoadReport{Upstreams: []UpstreamLoad{{ID: shortIDOf("u00"), Served: n}}}
+		report := LoadReport{Upstreams: []UpstreamLoad{{ID: ShortIDOf("u00"), Served: n}}}
 		b.ApplyLoadReport(now+time.Duration(n)*time.Millisecond, "r2", report)
 	}
 	for range 100 {
--- a/coordination/balance/record.go
+++ b/coordination/balance/record.go
@@ -88,7 +88,7 @@
 // engines have cached.
 func (r *CacheHolderRecord) NoteRestart(now time.Duration, id protocol.UpstreamID) {
 	maps.DeleteFunc(r.restarted, func(_ ShortID, at time.Duration) bool { return now-at > holderTTL })
-	r.restarted[shortIDOf(id)] = now
+	r.restarted[ShortIDOf(id)] = now
 }
 
 // holds reports whether a holder still counts.
--- a/coordination/balance/record_test.go
+++ b/coordination/balance/record_test.go
@@ -69,12 +69,12 @@
 	// before its roster, and name an engine that is gone. Meanwhile other routers have
 	// announced a newer holder.
 	b := NewBalancer(Settings{Multiple: 2, Slack: 3})
-	b.RestoreCacheHolders(now, []CachedPrefix{{Prefix: 1, ID: shortIDOf("u01")}, {Prefix: 2, ID: shortIDOf("u01")}, {Prefix: 3, ID: shortIDOf("gone")}})
+	b.RestoreCacheHolders(now, []CachedPrefix{{Prefix: 1, ID: ShortIDOf("u01")}, {Prefix: 2, ID: ShortIDOf("u01")}, {Prefix: 3, ID: ShortIDOf("gone")}})
 	b.SetRoster(entries(3))
 	assert.Equal(t, b.Pick(now, seeded(), prompt(1)).ID, protocol.UpstreamID("u01"))
 	assert.Equal(t, b.Pick(now, seeded(), prompt(1)).Reason, ReasonCacheHolder)
-	b.applyCached(now, []CachedPrefix{{Prefix: 5, ID: shortIDOf("u02")}})
-	b.RestoreCacheHolders(now, []CachedPrefix{{Prefix: 5, ID: shortIDOf("u00")}})
+	b.applyCached(now, []CachedPrefix{{Prefix: 5, ID: ShortIDOf("u02")}})
+	b.RestoreCacheHolders(now, []CachedPrefix{{Prefix: 5, ID: ShortIDOf("u00")}})
 	assert.Equal(t, b.Pick(now, seeded(), prompt(5)).ID, protocol.UpstreamID("u02"))
 	assert.Equal(t, len(b.restored), 1)
 	b.Expire(now + 2*restoredTTL)
--- a/coordination/balance/size_test.go
+++ b/coordination/balance/size_test.go
@@ -131,7 +131,7 @@
 			e := roster.Entry{ID: id, Service: "s", State: roster.State(1 + random.IntN(3)), DataCentre: protocol.DataCentre(fmt.Sprint("dc", random.IntN(3)))}
 			b.ApplyEntries([]roster.Entry{e})
 		case 6:
-			load := UpstreamLoad{ID: shortIDOf(id), InFlight: random.IntN(4), Served: uint64(step)}
+			load := UpstreamLoad{ID: ShortIDOf(id), InFlight: random.IntN(4), Served: uint64(step)}
 			b.ApplyLoadReport(at, protocol.RouterID(fmt.Sprint("r", random.IntN(3))), LoadReport{Full: random.IntN(9) == 0, Upstreams: []UpstreamLoad{load}})
 		case 7:
 			b.HealthChanges(at)
@@ -230,7 +230,7 @@
 		for round := range rounds {
 			at := now + time.Duration(round)*groupReportInterval
 			for _, from := range append(append([]protocol.RouterID{}, n.Members...), n.Relays...) {
-				load := UpstreamLoad{ID: shortIDOf(protocol.UpstreamID(fmt.Sprintf("u%05d", random.IntN(size.upstreams)))), InFlight: 1 + random.IntN(4)}
+				load := UpstreamLoad{ID: ShortIDOf(protocol.UpstreamID(fmt.Sprintf("u%05d", random.IntN(size.upstreams)))), InFlight: 1 + random.IntN(4)}
 				relay.ApplyLoadReport(at, from, LoadReport{Upstreams: []UpstreamLoad{load}})
 			}
 			for _, report := range relay.PendingReports(round%4 == 0) {
@@ -253,7 +253,7 @@
 	for second := range 300 {
 		at += time.Second
 		for i, from := range append(append([]protocol.RouterID{}, n.Members...), n.Relays...) {
-			id := shortIDOf(protocol.UpstreamID(fmt.Sprintf("u%05d", (second+97*i)%upstreams)))
+			id := ShortIDOf(protocol.UpstreamID(fmt.Sprintf("u%05d", (second+97*i)%upstreams)))
 			relay.ApplyLoadReport(at, from, LoadReport{Upstreams: []UpstreamLoad{{ID: id, InFlight: 1, Served: uint64(second)}}})
 			relay.ApplyLoadReport(at, from, LoadReport{Upstreams: []UpstreamLoad{{ID: id, Served: uint64(second) + 1, Failed: 1}}})
 		}
