--- a/coordination/balance/capacity_test.go
+++ b/coordination/balance/capacity_test.go
@@ -52,7 +52,7 @@
 		{ID: "u1", Service: "s", State: roster.Ready, Slots: 6}, {ID: "u2", Service: "s", State: roster.Ready},
 	})
 	assert.Equal(t, b.Capacity("s").Slots, 0)
-	b.ApplyLoadReport(time.Second, "r2", LoadReport{Upstreams: []UpstreamLoad{{ID: shortIDOf("u1"), InFlight: 3}}})
+	b.ApplyLoadReport(time.Second, "r2", LoadReport{Upstreams: []UpstreamLoad{{ID: ShortIDOf("u1"), InFlight: 3}}})
 	assert.Equal(t, b.Capacity("s").InFlight, 3)
 	b.SetRoster([]roster.Entry{{ID: "u1", Service: "s", State: roster.Ready, Slots: 6}})
 	assert.Equal(t, b.Capacity("s"), Capacity{Slots: 6, InFlight: 3})
