--- a/coordination/ratelimit/admit.go
+++ b/coordination/ratelimit/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveplank/coordination/demand"
 	"endiveplank/protocol"
 )
 
@@ -50,9 +51,9 @@
 	if l.perSlot == 0 {
 		return Decision{Admitted: true, Reason: ReasonNoLimit}
 	}
-	rank := min(max(r.Rank, 0), Ranks-1)
+	rank := min(max(r.Rank, 0), demand.Ranks-1)
 	d := Decision{Limit: l.Limit(now), Wait: l.wait()}
-	d.Share, d.Demand = l.shares.of(rank, HashOf(r.Customer))
+	d.Share, d.Demand = l.shares.of(rank, demand.CustomerHashOf(r.Customer))
 	d.Admitted, d.Reason = decide(d, random, r)
 	return d
 }
--- /dev/null
+++ b/coordination/ratelimit/learn.go
@@ -0,0 +1,229 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// decisionInterval is the time between two decisions.
+	decisionInterval = 250 * time.Millisecond
+	// countTimeConstant is the time constant of the rates in the sums.
+	countTimeConstant = time.Second
+	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
+	loadTimeConstant = 150 * time.Millisecond
+	// correctionTime is the time within which the requests in flight are brought to the allowed
+	// number. It is above the age of the reports, beyond which the correction oscillates.
+	correctionTime = 700 * time.Millisecond
+	// maxCorrectionDown and maxCorrectionUp bound the correction.
+	maxCorrectionDown = 0.8
+	maxCorrectionUp   = 0.3
+	// minAnswers is how many answers a second it takes to judge.
+	minAnswers = 20
+	// shortShare is the share of late answers above which a service is short of capacity.
+	shortShare = 0.15
+	// takenPart is the part of the slots that must be taken for load to be the cause.
+	takenPart = 0.5
+	// settleTime is how long the set of reporting routers must not have grown before a first limit.
+	settleTime = 350 * time.Millisecond
+	// firstPart is the part of what upstreams answer that is the first limit.
+	firstPart = 0.85
+	// cutFactor cuts a limit while queues are long and don't get shorter.
+	cutFactor = 0.85
+	// longQueue is how many times the allowed load counts as a long queue, and shrinking the part
+	// of the load before that says that it gets shorter.
+	longQueue = 2.0
+	shrinking = 0.95
+	// freeLoad is the load below which slots are free, and fullLoad the one that a limit is raised
+	// to. raiseRate is the part of the difference that it is raised by in a decision.
+	freeLoad  = 0.85
+	fullLoad  = 0.95
+	raiseRate = 0.5
+	// integralTime is the time in which a lasting correction becomes part of the limit.
+	integralTime = 3 * time.Second
+	// The requests that may wait for each slot: fewer while answers are late, more while not.
+	firstWaiting = 0.5
+	minWaiting   = 0.05
+	maxWaiting   = 2.0
+	fewerWaiting = 0.85
+	moreWaiting  = 1.05
+	// inTimePart is the part of the answers in time that a limit doesn't fall below.
+	inTimePart = 0.9
+	// unusedFactor is how far a limit may be above the demand, and ampleFactor how far above it for
+	// ampleTime it must have been in order to end.
+	unusedFactor = 1.5
+	ampleFactor  = 1.3
+	ampleTime    = 2 * time.Second
+	// agreement is the weight of the other routers' limits in a decision.
+	agreement = 0.3
+	// aloneRaise and aloneCut change the limit in a decision of a router that knows only its own
+	// counts.
+	aloneRaise = 1.02
+	aloneCut   = 0.95
+	// membershipFactor is the change of the number of routers in the sums at which the limit is
+	// scaled to what these routers count. Smaller changes are taken as lost or new routers, whose
+	// requests arrive at the others, after membershipTime.
+	membershipFactor = 2
+	membershipTime   = time.Second
+)
+
+// decide changes the limit if it is time to.
+func (l *Limiter) decide(now time.Duration, reported float64) (Change, bool) {
+	if l.capacity.Slots == 0 {
+		return l.lift()
+	}
+	if l.observed && now-l.decidedAt < decisionInterval {
+		return Change{}, false
+	}
+	passed := now - l.decidedAt
+	l.answers.observe(now, l.totals)
+	l.decidedAt = now
+	if !l.observed {
+		l.observed = true
+		passed = decisionInterval
+	}
+	switch {
+	case l.perSlot > 0:
+		l.regulate(now, passed)
+		l.agree(reported)
+		return l.liftIfAmple(now)
+	case reported > 0 && reported < ampleFactor*l.arrived:
+		return l.adopt(reported), true
+	case l.isShort() && now-l.membership.grownAt >= settleTime:
+		return l.start(), true
+	}
+	return Change{}, false
+}
+
+// isShort reports whether many answers are late because of load.
+func (l *Limiter) isShort() bool {
+	all := l.totals.InTime + l.totals.Late
+	return all >= minAnswers && l.totals.Late > shortShare*all && l.load.perSlot >= takenPart
+}
+
+// start sets the first limit.
+func (l *Limiter) start() Change {
+	completed := l.totals.InTime + l.totals.Late
+	if admitted := sum(l.totals.Admitted); admitted > 0 {
+		// Answers by which upstreams reject requests count as late, and one request may get two.
+		completed = min(completed, admitted)
+	}
+	return l.limitTo(firstPart * completed)
+}
+
+// adopt takes the limit that other routers report.
+func (l *Limiter) adopt(reported float64) Change {
+	change := l.limitTo(reported)
+	change.Adopted = true
+	return change
+}
+
+func (l *Limiter) limitTo(limit float64) Change {
+	l.perSlot = limit / float64(l.capacity.Slots)
+	l.allowedWaiting = firstWaiting
+	l.ample = false
+	return l.change(true)
+}
+
+func (l *Limiter) change(limited bool) Change {
+	return Change{Limited: limited, Limit: l.base(), Capacity: l.capacity, LateShare: l.answers.lateShare, Arrived: l.totals.Arrived}
+}
+
+// lift ends the limit.
+func (l *Limiter) lift() (Change, bool) {
+	if l.perSlot == 0 {
+		return Change{}, false
+	}
+	change := l.change(false)
+	l.perSlot = 0
+	return change, true
+}
+
+// liftIfAmple ends the limit once it has been well above the demand for a while.
+func (l *Limiter) liftIfAmple(now time.Duration) (Change, bool) {
+	ample := l.base() >= ampleFactor*l.arrived
+	if ample && !l.ample {
+		l.ampleSince = now
+	}
+	l.ample = ample
+	if !ample || now-l.ampleSince < ampleTime {
+		return Change{}, false
+	}
+	return l.lift()
+}
+
+// regulate follows the load on the slots.
+func (l *Limiter) regulate(now time.Duration, passed time.Duration) {
+	if l.membership.alone {
+		l.regulateAlone()
+		return
+	}
+	if l.answers.lateShare > shortShare {
+		l.allowedWaiting *= fewerWaiting
+	} else {
+		l.allowedWaiting *= moreWaiting
+	}
+	l.allowedWaiting = min(max(l.allowedWaiting, minWaiting), maxWaiting)
+	load, before := l.load.perSlot, l.load.decided
+	l.load.decided = load
+	allowed := 1 + l.allowedWaiting
+	switch {
+	case load > longQueue*allowed && load > shrinking*before:
+		l.perSlot *= cutFactor
+	case load < freeLoad:
+		l.perSlot *= 1 + raiseRate*(fullLoad-load)
+	default:
+		l.perSlot *= 1 + l.correction()*passed.Seconds()/integralTime.Seconds()
+	}
+	l.bound(now)
+}
+
+// regulateAlone follows this router's own answers: the load of the others isn't known.
+func (l *Limiter) regulateAlone() {
+	if all := l.totals.InTime + l.totals.Late; all > 0 && l.totals.Late > shortShare*all {
+		l.perSlot *= aloneCut
+		return
+	}
+	l.perSlot *= aloneRaise
+}
+
+// bound keeps the limit above what is answered in time, and near the demand.
+func (l *Limiter) bound(now time.Duration) {
+	slots := float64(l.capacity.Slots)
+	l.perSlot = min(l.perSlot, unusedFactor*l.arrived/slots)
+	if now-l.load.changedAt > 2*countTimeConstant {
+		l.perSlot = max(l.perSlot, inTimePart*l.totals.InTime/slots)
+	}
+	l.perSlot = max(l.perSlot, 1/slots)
+}
+
+// agree moves the limit towards what other routers report.
+func (l *Limiter) agree(reported float64) {
+	own := l.base() * (1 + l.correction())
+	if reported <= 0 || own <= 0 {
+		return
+	}
+	l.perSlot *= math.Pow(min(max(reported/own, 0.5), 2), agreement)
+}
+
+// rescale keeps the part of the demand that is admitted when the counts of many routers leave the
+// sums or join them: the sums are of fewer or more requests then, and the limit is for these.
+func (l *Limiter) rescale(now time.Duration) {
+	m := &l.membership
+	if l.totals.Routers > m.last {
+		m.grownAt = now
+	}
+	m.last = l.totals.Routers
+	fewer, more := min(m.last, m.routers), max(m.last, m.routers)
+	switch {
+	case fewer == more:
+		m.arrived, m.confirmedAt = l.arrived, now
+		return
+	case more < membershipFactor*fewer && now-m.confirmedAt < membershipTime:
+		return
+	case more >= membershipFactor*fewer && m.arrived > 0 && l.arrived > 0:
+		l.perSlot *= l.arrived / m.arrived
+		m.alone = m.last <= 1
+	}
+	m.routers, m.arrived, m.confirmedAt = m.last, l.arrived, now
+}
--- /dev/null
+++ b/coordination/ratelimit/model_test.go
@@ -0,0 +1,383 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"endiveplank/coordination/demand"
+	"endiveplank/internal/timequeue"
+	"endiveplank/protocol"
+)
+
+// fleet describes a simulated fleet: routers before the servers of one service.
+type fleet struct {
+	routers, servers, slots int
+	// work is the mean time that a request takes on a slot. An answer begins after first, or at
+	// the end of the work if first is 0.
+	work, first, objective time.Duration
+	// usual is the usual demand as a part of the capacity.
+	usual float64
+	// length is how long a simulation runs.
+	length time.Duration
+}
+
+// trouble is what happens in a simulation from troubleFrom to troubleEnd.
+type trouble struct {
+	name string
+	// demand multiplies the usual demand, and customer that of the largest customer, whose additional
+	// requests all arrive at router 0 if oneRouter is set.
+	demand, customer float64
+	oneRouter        bool
+	// lost is how many servers are lost for good at troubleFrom, back how many return at the end.
+	lost, back int
+	// impatient is the part of the callers that retry at once, whatever Retry-After says.
+	impatient float64
+	// killed says that router 0 is killed and started again, and cutOff that it is cut off.
+	killed, cutOff bool
+	// funnel says that all requests arrive at router 0.
+	funnel bool
+	// unlimited plays without a Limiter, silent without announced slots.
+	unlimited, silent bool
+	// slower multiplies the work.
+	slower float64
+}
+
+// The times of a simulation.
+const (
+	modelStart  = time.Hour
+	troubleFrom = 5 * time.Second
+	troubleEnd  = 15 * time.Second
+	tick        = 50 * time.Millisecond
+	reportTTL   = 2500 * time.Millisecond
+	wave        = 20 * time.Second
+	waveHeight  = 0.25
+	burst       = 3
+	customers   = 24
+	listed      = 8
+	callerWaits = 3 * time.Second
+	impatient   = 0.1
+	hop         = 5 * time.Millisecond
+)
+
+// rankParts is the usual mix of ranks.
+var rankParts = [demand.Ranks]float64{0.15, 0.35, 0.3, 0.2}
+
+// attempt is one request of a caller at a router.
+type attempt struct {
+	router, rank, customer int
+	at, asked              time.Duration
+	retry, impatient       bool
+	tries, server, life    int
+}
+
+type eventKind uint8
+
+const (
+	bursts eventKind = iota
+	arrives
+	begins
+	ends
+	ticks
+	publishes
+	applies
+	breaks
+)
+
+type event struct {
+	kind     eventKind
+	a        *attempt
+	router   int
+	snapshot counts
+}
+
+// counts are a router's decayed counts and its requests in flight.
+type counts struct {
+	at                time.Duration
+	arrived, admitted [demand.Ranks]float64
+	inTime, late      float64
+	customers         [customers]float64
+	inFlight          float64
+	limit             float64
+	limited, routers  int
+}
+
+func (c *counts) decay(at time.Duration) {
+	keep := math.Exp(-(at - c.at).Seconds())
+	for rank := range c.arrived {
+		c.arrived[rank] *= keep
+		c.admitted[rank] *= keep
+	}
+	for n := range c.customers {
+		c.customers[n] *= keep
+	}
+	c.inTime, c.late, c.at = c.inTime*keep, c.late*keep, at
+}
+
+// add adds other counts with a sign.
+func (c *counts) add(o *counts, sign float64) {
+	for rank := range c.arrived {
+		c.arrived[rank] += sign * o.arrived[rank]
+		c.admitted[rank] += sign * o.admitted[rank]
+	}
+	for n := range c.customers {
+		c.customers[n] += sign * o.customers[n]
+	}
+	c.inTime, c.late, c.inFlight = c.inTime+sign*o.inTime, c.late+sign*o.late, c.inFlight+sign*o.inFlight
+	c.limit, c.limited, c.routers = c.limit+sign*o.limit, c.limited+int(sign)*o.limited, c.routers+int(sign)*o.routers
+}
+
+// modelRouter is a router of a simulation.
+type modelRouter struct {
+	limiter       *Limiter
+	own, reported counts
+	flight        []int
+	constrainedAt time.Duration
+	startedAt     time.Duration
+	isolated      bool
+	// refused and asked count the largest customer's new requests in the trouble.
+	refused, asked float64
+	changes        []string
+}
+
+// modelServer is a server of a simulation.
+type modelServer struct {
+	running, life int
+	queue         []*attempt
+	gone          bool
+	average       float64
+}
+
+// outcome counts the callers of a simulation by what became of them.
+type outcome struct{ inTime, late, refused, rejected, lost float64 }
+
+func (o outcome) all() float64 { return o.inTime + o.late + o.refused + o.rejected + o.lost }
+
+// model is the state of a simulation.
+type model struct {
+	fleet
+	trouble
+	random   *rand.Rand
+	events   timequeue.Queue[event]
+	routers  []*modelRouter
+	servers  []*modelServer
+	sums     counts
+	names    [customers]protocol.CustomerID
+	hashes   [customers]demand.CustomerHash
+	weights  [customers]float64
+	outcomes map[string]*outcome
+	// seconds are the outcomes by second of the arrival, new requests only.
+	seconds []outcome
+	// possible is what the capacity allows in each second.
+	possible []float64
+	limits   []string
+	// again counts the retries that honoured Retry-After, and refusedAgain those refused again.
+	again, refusedAgain   float64
+	firstLate, firstLimit time.Duration
+}
+
+// capacity returns how many requests a second the servers can complete.
+func (m *model) capacity() float64 {
+	ready := 0
+	for _, s := range m.servers {
+		if !s.gone {
+			ready++
+		}
+	}
+	return float64(ready*m.slots) / m.work.Seconds()
+}
+
+func (m *model) inTrouble(at time.Duration) bool { return at >= troubleFrom && at < troubleEnd }
+
+// play runs a simulation.
+func play(f fleet, t trouble, seed uint64) *model {
+	m := &model{fleet: f, trouble: t, random: rand.New(rand.NewPCG(seed, 1)), outcomes: map[string]*outcome{}}
+	m.seconds = make([]outcome, int(f.length.Seconds())+1)
+	m.possible = make([]float64, len(m.seconds))
+	total := 0.0
+	for n := range customers {
+		m.names[n] = protocol.CustomerID(fmt.Sprintf("c%02d", n))
+		m.hashes[n] = demand.CustomerHashOf(m.names[n])
+		m.weights[n] = 1 / float64(n+2)
+		total += m.weights[n]
+	}
+	for n := range customers {
+		m.weights[n] /= total
+	}
+	for range f.servers {
+		m.servers = append(m.servers, &modelServer{})
+	}
+	for n := range f.routers {
+		m.routers = append(m.routers, m.newRouter(0))
+		m.events.Push(time.Duration(m.random.Float64()*float64(tick)), event{kind: ticks, router: n})
+		m.events.Push(time.Duration(m.random.Float64()*float64(m.interval())), event{kind: publishes, router: n})
+	}
+	m.events.Push(0, event{kind: bursts})
+	m.events.Push(troubleFrom, event{kind: breaks, router: 0})
+	m.events.Push(troubleEnd, event{kind: breaks, router: 1})
+	for next, any := m.events.Next(); any && next < f.length; next, any = m.events.Next() {
+		at, e := m.events.Pop()
+		m.step(at, e)
+	}
+	return m
+}
+
+func (m *model) newRouter(at time.Duration) *modelRouter {
+	return &modelRouter{limiter: New(DefaultSettings()), flight: make([]int, len(m.servers)), constrainedAt: -time.Hour, startedAt: at, own: counts{at: at}}
+}
+
+// interval is the time between two reports of a router.
+func (m *model) interval() time.Duration {
+	if m.fleet.routers >= 100 {
+		return 250 * time.Millisecond
+	}
+	return max(100*time.Millisecond, time.Duration(m.fleet.routers)*5*time.Millisecond)
+}
+
+// delay is how long a report takes to the other routers.
+func (m *model) delay() time.Duration {
+	if m.fleet.routers >= 100 {
+		return hop + time.Duration(m.random.Float64()*float64(m.interval()))
+	}
+	return hop
+}
+
+func (m *model) step(at time.Duration, e event) {
+	switch e.kind {
+	case bursts:
+		m.burst(at)
+	case arrives:
+		m.arrive(at, e.a)
+	case begins:
+		m.begin(at, e.a)
+	case ends:
+		m.end(at, e.a)
+	case ticks:
+		m.tick(at, e.router)
+	case publishes:
+		m.publish(at, e.router)
+	case applies:
+		r := m.routers[e.router]
+		m.sums.add(&r.reported, -1)
+		r.reported = e.snapshot
+		m.sums.add(&r.reported, 1)
+	case breaks:
+		m.breaks(at, e.router)
+	}
+}
+
+// rate returns the demand at a time in requests a second, and that of the largest customer's
+// additional requests.
+func (m *model) rate(at time.Duration) (usual, extra float64) {
+	full := float64(m.fleet.servers*m.slots) / m.work.Seconds()
+	usual = m.usual * full * (1 + waveHeight*math.Sin(2*math.Pi*at.Seconds()/wave.Seconds()))
+	if m.inTrouble(at) {
+		if m.trouble.demand > 0 {
+			usual *= m.trouble.demand
+		}
+		if m.customer > 1 {
+			extra = usual * m.weights[0] * (m.customer - 1)
+		}
+	}
+	return usual, extra
+}
+
+// burst lets a caller send a burst of requests.
+func (m *model) burst(at time.Duration) {
+	usual, extra := m.rate(at)
+	m.events.Push(at+time.Duration(m.random.ExpFloat64()*burst/(usual+extra)*float64(time.Second)), event{kind: bursts})
+	router, customer := m.random.IntN(m.fleet.routers), 0
+	if m.random.Float64()*(usual+extra) < usual {
+		customer = m.draw(m.weights[:])
+	} else if m.oneRouter {
+		router = 0
+	}
+	if m.funnel && m.inTrouble(at) {
+		router = 0
+	}
+	part := impatient
+	if m.inTrouble(at) && m.trouble.impatient > 0 {
+		part = m.trouble.impatient
+	}
+	second := int(at / time.Second)
+	m.possible[second] += burst
+	for range burst {
+		a := &attempt{router: router, rank: m.draw(rankParts[:]), customer: customer, at: at, asked: at, impatient: m.random.Float64() < part}
+		m.arrive(at, a)
+	}
+}
+
+// draw returns a random index by weights.
+func (m *model) draw(weights []float64) int {
+	point := m.random.Float64()
+	for n, weight := range weights {
+		if point -= weight; point < 0 {
+			return n
+		}
+	}
+	return len(weights) - 1
+}
+
+// arrive lets a request arrive at a router.
+func (m *model) arrive(at time.Duration, a *attempt) {
+	r := m.routers[a.router]
+	r.own.decay(at)
+	r.own.arrived[a.rank]++
+	r.own.customers[a.customer]++
+	remaining := callerWaits - (at - a.asked)
+	d := r.limiter.Admit(modelStart+at, m.random.Float64(), Request{Rank: a.rank, Customer: m.names[a.customer], Remaining: remaining})
+	counted := a.customer == 0 && m.inTrouble(at-2*time.Second) && m.inTrouble(at)
+	if counted {
+		r.asked++
+	}
+	if a.retry && !a.impatient {
+		m.again++
+	}
+	if d.Admitted || m.unlimited {
+		r.own.admitted[a.rank]++
+		m.send(at, a, -1)
+		return
+	}
+	if counted {
+		r.refused++
+	}
+	if a.retry && !a.impatient {
+		m.refusedAgain++
+	}
+	r.constrainedAt = at
+	m.refused(at, a, remaining)
+}
+
+// refused lets a caller retry once, at another router.
+func (m *model) refused(at time.Duration, a *attempt, remaining time.Duration) {
+	after := m.objective / 2
+	if a.impatient {
+		after = 0
+	}
+	if a.retry || after > remaining/3 {
+		m.finish(a, func(o *outcome) { o.refused++ })
+		return
+	}
+	retry := *a
+	retry.retry, retry.at = true, at+after
+	if !m.funnel {
+		retry.router = m.random.IntN(m.fleet.routers)
+	}
+	m.events.Push(retry.at, event{kind: arrives, a: &retry})
+}
+
+// finish counts what became of a caller's request.
+func (m *model) finish(a *attempt, count func(*outcome)) {
+	count(&m.seconds[int(a.asked/time.Second)])
+	keys := []string{fmt.Sprintf("rank %d", a.rank), fmt.Sprintf("customer %02d", a.customer)}
+	if !m.measured(a.asked) {
+		return
+	}
+	for _, key := range append(keys, "all") {
+		if m.outcomes[key] == nil {
+			m.outcomes[key] = &outcome{}
+		}
+		count(m.outcomes[key])
+	}
+}
