Router: counts, rate limits and scheduled retries of services that are short of capacity

Cause: each router judges a service's capacity alone, and its choices know neither urgency nor the other routers' customers.

Change: with admission switched on, the router counts first attempts, admissions and answers, lets a ratelimit.Limiter for each service learn at each tick, sends and applies counts, reservations and reported loads with the load reports, and asks the limiter before balance.Pick for first attempts alone. Refused callers get their time from the schedule. A router's parts of a report are put together by receiver, so that a mesh still gets one message. A report without loads leaves what its sender reported of them as it is: a relay sends none while nothing has changed.

A late answer or a refusal counts as a sign of a shortage only if a quarter of the announced slots are taken: single prompts are late at any load, and would keep reports flowing. With admission off none of this runs; the choices are the same as before by test.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -150,6 +150,16 @@
 	return u.load(), true
 }
 
+// InFlight returns the requests in flight on an upstream: this router's and all routers'; 0 if the
+// upstream isn't known.
+func (b *Balancer) InFlight(id protocol.UpstreamID) (own, all int) {
+	u := b.upstreams[id]
+	if u == nil {
+		return 0, 0
+	}
+	return u.own.InFlight, u.load()
+}
+
 // LastServed returns when an upstream was last known to have answered a request, from this
 // router or another one; 0 if it never was.
 func (b *Balancer) LastServed(id protocol.UpstreamID) time.Duration {
--- /dev/null
+++ b/daemon/router/admit.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"time"
+
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/capacity"
+	"endiveplank/coordination/demand"
+	"endiveplank/coordination/ratelimit"
+	"endiveplank/coordination/retryschedule"
+	"endiveplank/protocol/dialect"
+	"endiveplank/transport/forward"
+)
+
+// rankOf returns the rank by which a request is counted.
+func rankOf(job forward.Job) int { return min(max(job.Priority, 0), demand.Ranks-1) }
+
+// refuseByRate counts the first attempt of a request, and returns by which figures it is refused for
+// the rate limit of its service, nil if it isn't. A stream that a caller takes up again is never
+// refused: the work that was done for it would be lost. The lock is held.
+func (r *Router) refuseByRate(now time.Duration, job forward.Job) *balance.RateRefusal {
+	a := r.admission
+	if a == nil {
+		return nil
+	}
+	rank := rankOf(job)
+	a.counter.Arrived(now, job.Service, rank, job.Customer)
+	match, _ := a.reservations.Match(now, job.Digest)
+	if match == retryschedule.Due {
+		a.reservations.Consume(now, job.Digest)
+	}
+	if job.TakenUp || a.limit(now, job.Service) == 0 {
+		return nil
+	}
+	decision := a.service(job.Service).limiter.Admit(now, r.random.Float64(), ratelimit.Request{
+		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
+	})
+	early := match == retryschedule.Early
+	if decision.Admitted && !early {
+		r.metrics.countReservationKept(match == retryschedule.Due)
+		return nil
+	}
+	r.metrics.countRateRefusal(rank)
+	a.counter.NoteConstrained(now, job.Service)
+	return &balance.RateRefusal{
+		Rank: rank, Limit: decision.Limit, Demand: decision.Demand, Share: decision.Share, Wait: decision.Wait, Early: early,
+	}
+}
+
+// loadLimit returns the load from which on upstreams don't get a request that was never sent. While
+// a rate limit is in force it has its headroom for all requests, as customers' shares are judged
+// over all routers. The lock is held.
+func (r *Router) loadLimit(now time.Duration, job forward.Job, first bool) int {
+	limiter := r.limiter(job.Service)
+	limit := limiter.LimitFor
+	if first {
+		limit = limiter.Arrived
+	}
+	own := limit(now, job.Customer)
+	if r.admission.limit(now, job.Service) > 0 {
+		return limiter.AdmittedLimit(now)
+	}
+	return own
+}
+
+// noteChoice counts a first attempt that was admitted, and a request that found no capacity. The
+// lock is held.
+func (r *Router) noteChoice(now time.Duration, job forward.Job, first bool, choice balance.Choice) {
+	switch {
+	case r.admission == nil:
+	case first && choice.ID != "":
+		r.admission.counter.Admitted(now, job.Service, rankOf(job), job.Customer)
+	case choice.Reason == balance.ReasonNoCapacity:
+		r.noteShort(now, job.Service)
+	}
+}
+
+// noteAnswer counts an answer. The lock is held.
+func (r *Router) noteAnswer(now time.Duration, job forward.Job, inTime bool) {
+	if r.admission == nil {
+		return
+	}
+	r.admission.counter.Answered(now, job.Service, inTime)
+	if !inTime {
+		r.noteShort(now, job.Service)
+	}
+}
+
+// noteReportedLoad takes what an upstream reports of its load in the head of an answer, which took
+// so long to begin. The lock is held.
+func (r *Router) noteReportedLoad(now time.Duration, job forward.Job, choice balance.Choice, head dialect.Answer, took time.Duration) {
+	if r.admission == nil || r.admission.reports == nil || head.Load == nil {
+		return
+	}
+	own, all := r.balancer.InFlight(choice.ID)
+	observation := capacity.Observation{
+		Upstream: choice.ID, StartedAt: choice.StartedAt, Load: *head.Load,
+		// The request that was answered is still in flight here.
+		InFlight: max(own-1, 0), FleetInFlight: max(all-1, 0),
+	}
+	if took > 0 && !head.NotRun && choice.Proxy == "" && !answerKind(job, choice).Cold {
+		observation.Kind, observation.Took = job.Route.Name, took
+	}
+	r.metrics.countReportedLoad(r.admission.reports.Observe(now, observation))
+}
+
+// ScheduleRetry implements forward.Fleet.
+func (r *Router) ScheduleRetry(job forward.Job) (forward.RetryOffer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, a := r.now(), r.admission
+	limit := a.limit(now, job.Service)
+	if limit == 0 {
+		return forward.RetryOffer{}, false
+	}
+	if match, left := a.reservations.Match(now, job.Digest); match == retryschedule.Early {
+		return forward.RetryOffer{After: left, Reserved: true}, true
+	}
+	refused := retryschedule.Refused{Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining}
+	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, retryschedule.Capacity{
+		Limit: limit, Part: r.ownPart(now, job), Known: a.known,
+	})
+	if offer.Reserved && !a.reservations.Add(now, offer.Reservation) {
+		offer.Reserved = false
+	}
+	if offer.Reserved {
+		r.metrics.count("reservations_total")
+		a.service(job.Service).noteOffered(offer.Reservation.Due)
+	}
+	return forward.RetryOffer{After: offer.RetryAfter, Reserved: offer.Reserved}, true
+}
+
+// ownPart returns this router's part of the arrivals of a request's service, from 0 to 1. The lock is
+// held.
+func (r *Router) ownPart(now time.Duration, job forward.Job) float64 {
+	own := arrivals(r.admission.counter.Own(now, job.Service))
+	all := arrivals(r.admission.counter.Fleet(now, job.Service))
+	if all == 0 {
+		return 0
+	}
+	return min(own/all, 1)
+}
+
+// arrivals returns the first attempts a second of all ranks.
+func arrivals(totals demand.Totals) float64 {
+	sum := 0.0
+	for _, arrived := range totals.Arrived {
+		sum += arrived
+	}
+	return sum
+}
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -44,7 +44,12 @@
 func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	now, first := r.now(), job.Attempts == 0 && len(job.Tried) == 0
+	if first {
+		if refusal := r.refuseByRate(now, job); refusal != nil {
+			return balance.Choice{Reason: balance.ReasonNoCapacity, RateLimited: refusal}
+		}
+	}
 	request := balance.Request{Service: job.Service, Tried: job.Tried, NoRetry: job.LastAttempt(), AllowTried: job.ErrorFrom != ""}
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
@@ -52,12 +57,8 @@
 	r.restrictBuild(&request, job)
 	// An attempt that follows failed connections is limited like the first one, but the
 	// request has been counted.
-	limiter, first := r.limiter(job.Service), job.Attempts == 0 && len(job.Tried) == 0
-	switch {
-	case first:
-		request.LoadLimit = limiter.Arrived(now, job.Customer)
-	case len(job.Tried) == 0:
-		request.LoadLimit = limiter.LimitFor(now, job.Customer)
+	if len(job.Tried) == 0 {
+		request.LoadLimit = r.loadLimit(now, job, first)
 	}
 	if job.TakenUp {
 		// The work that was done for the stream would be lost.
@@ -71,8 +72,9 @@
 		r.noteSent(now, choice.ID, job.Service)
 	}
 	if first && choice.ID != "" {
-		limiter.Admitted(now)
+		r.limiter(job.Service).Admitted(now)
 	}
+	r.noteChoice(now, job, first, choice)
 	return choice
 }
 
@@ -145,11 +147,12 @@
 }
 
 // AnswerHead implements forward.Fleet.
-func (r *Router) AnswerHead(choice balance.Choice, head dialect.Answer) {
+func (r *Router) AnswerHead(job forward.Job, choice balance.Choice, head dialect.Answer, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	r.noteFragility(now, choice, head)
+	r.noteReportedLoad(now, job, choice, head, took)
 	if head.RetryAfter <= 0 && !head.Leaving {
 		return
 	}
@@ -188,7 +191,9 @@
 func (r *Router) AnswerTimed(job forward.Job, choice balance.Choice, inTime bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limiter(job.Service).Record(r.now(), choice.Load, inTime)
+	now := r.now()
+	r.limiter(job.Service).Record(now, choice.Load, inTime)
+	r.noteAnswer(now, job, inTime)
 }
 
 // window returns the retry budget of a service. The lock is held.
--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"endiveplank/coordination/capacity"
 	"endiveplank/daemon/metricstext"
 	"endiveplank/transport/forward"
 	"endiveplank/transport/peerproxy"
@@ -27,6 +29,10 @@
 
 	"proxy_refused_total": "reason",
 
+	"admission_limit":         "service",
+	"admission_refused_total": "rank",
+	"upstream_reports_total":  "verdict",
+
 	"peer_bytes_sent_total":    "kind",
 	"peer_messages_sent_total": "kind",
 }
@@ -64,6 +70,23 @@
 	m.count("retries_refused_total")
 }
 
+// countRateRefusal counts a request that was refused for a rate limit.
+func (m *instruments) countRateRefusal(rank int) {
+	m.count("admission_refused_total." + strconv.Itoa(rank))
+}
+
+// countReservationKept counts a request that came when it was due, if it did.
+func (m *instruments) countReservationKept(kept bool) {
+	if kept {
+		m.count("reservations_kept_total")
+	}
+}
+
+// countReportedLoad counts what an upstream reported of its load.
+func (m *instruments) countReportedLoad(verdict capacity.Verdict) {
+	m.count("upstream_reports_total." + string(verdict))
+}
+
 func (m *instruments) set(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
@@ -139,10 +162,21 @@
 	r.metrics.set("upstreams_unreachable", int64(r.paths.Unreachable()))
 	r.metrics.set("upstream_connections_made_total", int64(dialed))
 	r.metrics.set("upstream_connections_reused_total", int64(reused))
+	r.setLimitGauges()
 	r.fabric.SetGauges(r.metrics.set)
 	r.metrics.set("uptime_seconds", int64(r.now()/time.Second))
 }
 
+// setLimitGauges sets the gauges of the services' rate limits. The lock is held.
+func (r *Router) setLimitGauges() {
+	if r.admission == nil {
+		return
+	}
+	for service, s := range r.admission.services {
+		r.metrics.set("admission_limit."+string(service), int64(s.limiter.Limit(r.now())))
+	}
+}
+
 // gaugeValue returns 1 for true and 0 for false.
 func gaugeValue(b bool) int64 {
 	if b {
--- a/daemon/router/paths.go
+++ b/daemon/router/paths.go
@@ -15,6 +15,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/transport/exchange"
+	"endiveplank/transport/forward"
 	"endiveplank/transport/peerproxy"
 )
 
@@ -276,7 +277,8 @@
 // ProxyAnswered implements peerproxy.Fleet.
 func (r *Router) ProxyAnswered(target peerproxy.Target, head dialect.Answer) {
 	if entry, known := r.upstreamEntry(target.Upstream); known {
-		r.AnswerHead(balance.Choice{ID: entry.ID, Address: entry.Address, StartedAt: target.StartedAt}, head)
+		// How long answers to other routers' requests usually take isn't known here.
+		r.AnswerHead(forward.Job{}, balance.Choice{ID: entry.ID, Address: entry.Address, StartedAt: target.StartedAt}, head, 0)
 	}
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -111,6 +111,7 @@
 	times         *answertime.Times
 	windows       map[protocol.Service]*retry.Window
 	limiters      map[protocol.Service]*loadlimit.Limiter
+	admission     *admission
 	// slowStart limits what is sent to cold upstreams, throttle what is sent to fragile ones.
 	slowStart *slowstart.Limiter
 	throttle  *throttle.Throttle
@@ -162,6 +163,7 @@
 	r.routersListen = options.Settings.RoutersListen()
 	r.proxyNeededAt = -proxyNeededFor
 	r.slowStart = slowstart.NewLimiter(self)
+	r.admission = newAdmission(self, options.Settings.Admission)
 	r.follower = control.NewFollower(self, true, options.Settings.SeedPeers(), r.roster)
 	r.relay = control.NewRelay(control.Router{ID: self, DataCentre: options.Settings.DataCentre}, options.Settings.LinkRate())
 	r.follower.SetRelay(r.relay)
@@ -232,6 +234,7 @@
 	r.logEvents()
 	r.updateRouters(now)
 	r.fabric.SendAll(r.relay.Due(now))
+	r.tickAdmission(now)
 	r.sendLoadReports(now)
 	for _, id := range r.balancer.Expire(now) {
 		r.log.Info().Str("event", "router-silent").Str("router", string(id)).Msg("no message from this router lately, its load no longer counts")
@@ -300,6 +303,7 @@
 	r.proxies.SetRouters(r.others)
 	r.relay.SetRouters(routers)
 	r.balancer.SetNeighbours(r.relay.Neighbours())
+	r.admission.setNeighbours(r.relay.Neighbours(), r.balancer.ReportInterval())
 	r.setOriginRouters()
 	r.balancer.SetPosition(r.relay.Position())
 }
@@ -315,7 +319,7 @@
 	if full {
 		r.fullReportSentAt = now
 	}
-	for _, message := range r.balancer.PendingReports(full) {
+	for _, message := range r.withAdmission(now, r.balancer.PendingReports(full)) {
 		r.fabric.SendEach(message.To, message.Report)
 	}
 	if full {
@@ -348,6 +352,7 @@
 	r.rosterRevision = r.roster.Revision()
 	now := r.now()
 	entries, complete := r.roster.ChangedSince(before)
+	r.admission.applyEntries(entries, complete, r.roster.Entries)
 	var changed []roster.Entry
 	if complete {
 		changed = r.balancer.ApplyEntries(entries)
@@ -400,7 +405,7 @@
 	case control.AnnouncementsAck:
 		r.announcements.ack(m.Number)
 	case balance.LoadReport:
-		r.balancer.ApplyLoadReport(now, from, m)
+		r.applyLoadReport(now, from, m)
 	case balance.CacheHolderList:
 		if r.follower.HandleCacheHolders(now, m) {
 			holders := m.Unpack()
@@ -436,6 +441,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.proxies.Unsuitable(r.now(), from)
+	r.admission.drop(from)
 	if r.balancer.DropLoad(r.now(), from) {
 		r.log.Info().Str("event", "router-disconnected").Str("router", string(from)).Msg("its load counts again with its next full report")
 	}
@@ -451,6 +457,7 @@
 	}
 	r.table.Store(routing.NewIndex(table))
 	r.applyColdLimits(r.now(), table)
+	r.admission.retain(table)
 	r.times.Retain(func(route string) bool {
 		return slices.ContainsFunc(table.Routes, func(known routing.Route) bool { return known.Name == route })
 	})
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -63,8 +63,9 @@
 	// AnswerTimed records whether an attempt's answer began in time. It is called
 	// with false as soon as the answer is known to be late.
 	AnswerTimed(job Job, choice balance.Choice, inTime bool)
-	// AnswerHead records what the head of an answer says about the upstream that was chosen.
-	AnswerHead(choice balance.Choice, head dialect.Answer)
+	// AnswerHead records what the head of an answer, which took so long to begin, says about the
+	// upstream that was chosen.
+	AnswerHead(job Job, choice balance.Choice, head dialect.Answer, took time.Duration)
 	// MaySend reports whether an attempt may still be sent to its upstream.
 	MaySend(choice balance.Choice) bool
 	// RequestArrived counts a request for a service, which adds to the service's
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -164,7 +164,7 @@
 	f.timed = append(f.timed, inTime)
 }
 
-func (f *fakeFleet) AnswerHead(_ balance.Choice, head dialect.Answer) {
+func (f *fakeFleet) AnswerHead(_ Job, _ balance.Choice, head dialect.Answer, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heads = append(f.heads, head)
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -353,7 +353,7 @@
 	head := f.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
 	outcome.RetryAfter = head.RetryAfter
 	if !head.Misdirected {
-		f.handler.options.Fleet.AnswerHead(choice, head)
+		f.handler.options.Fleet.AnswerHead(f.job, choice, head, outcome.FirstAfter)
 	}
 	switch {
 	case head.NotRun || head.Misdirected:
