--- a/coordination/retryschedule/doc.go
+++ b/coordination/retryschedule/doc.go
@@ -19,6 +19,8 @@
 //   - A caller never comes back. Its reservation ends a fixed time after it is due.
 //   - A caller comes back before the other routers know of its reservation. No time is offered
 //     that is sooner than reports take to reach all routers.
+//   - Several requests have the same content, and each router admits one of them by the same
+//     reservation. Routers report which reservations have been used.
 //   - Less urgent requests take all room. A part of each step is kept for the most urgent rank.
 //   - A router is killed. The others know its reservations, except those of its last report.
 //   - The limit falls or ends. Reservations don't depend on it; only new offers do.
--- a/coordination/retryschedule/exchange.go
+++ b/coordination/retryschedule/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,8 @@
 	relayHops = 3
 	// transit is the time that one report is under way and waits for the receiver's tick.
 	transit = 50 * time.Millisecond
+	// usedMark is a Reported.DueIn that takes one byte.
+	usedMark = -1
 )
 
 // KnownAfter returns how long it takes until all routers know a reservation, for the time between
@@ -30,17 +33,17 @@
 	return reportInterval + transit
 }
 
-// Reported is a reservation in a balance.LoadReport.
+// Reported is a reservation in a balance.LoadReport, a new one or one that has been used.
 type Reported struct {
 	Digest uint32 `msgpack:"i"`
-	// DueIn is the time in milliseconds from the report until the caller comes back, negative if
-	// that has passed.
+	// DueIn is the time in milliseconds from the report until the caller comes back, 0 if that has
+	// passed, usedMark if the reservation has been used.
 	DueIn int `msgpack:"t"`
 }
 
-// reservation returns the reservation that a report tells of; false if its time is impossible.
+// reservation returns the new reservation that a report tells of; false if its time is impossible.
 func (e Reported) reservation(now time.Duration) (Reservation, bool) {
-	if e.DueIn > int(horizon/time.Millisecond) || e.DueIn < -int(keepFor/time.Millisecond) {
+	if e.DueIn < 0 || e.DueIn > int(horizon/time.Millisecond) || now > math.MaxInt64-2*horizon {
 		return Reservation{}, false
 	}
 	return Reservation{Digest: e.Digest, Due: now + time.Duration(e.DueIn)*time.Millisecond}, true
@@ -107,32 +110,42 @@
 	return !grouped || from == n.Relay || slices.Contains(n.Members, from) || slices.Contains(n.Relays, from)
 }
 
-// forward queues a reservation for the routers that don't know it. from is the router that reported
-// it, "" for this one. Relays report to each other only what comes from themselves and their
-// members.
-func (r *Reservations) forward(from protocol.RouterID, reservation Reservation) {
+// forward queues a reservation, or the news that it was used, for the routers that don't know it.
+// Relays report to each other only what comes from themselves and their members.
+func (r *Reservations) forward(news queued) {
 	relay := r.neighbours.isRelay()
-	if from != "" && !relay {
+	if news.from != "" && !relay {
 		return
 	}
-	r.near.add(queued{reservation, from})
-	if relay && !slices.Contains(r.neighbours.Relays, from) {
-		r.far.add(queued{reservation, from})
+	r.near.add(news)
+	if relay && !slices.Contains(r.neighbours.Relays, news.from) {
+		r.far.add(news)
 	}
 }
 
-// queued is a reservation that waits to be sent.
+// queued is a reservation that waits to be reported.
 type queued struct {
 	Reservation
 	// from is the router that reported it, "" for this one.
 	from protocol.RouterID
+	// used says that the reservation was used.
+	used bool
 }
 
-// queue holds reservations that wait to be sent, those due first in front.
+// sendBy orders what is sent: new reservations by when they are due; used ones by when they would
+// end, as they matter only to further requests of the same content.
+func (w queued) sendBy() time.Duration {
+	if w.used {
+		return w.Due + keepFor
+	}
+	return w.Due
+}
+
+// queue holds reservations that wait to be sent, in the order of sendBy.
 type queue struct{ waiting []queued }
 
 func (q *queue) add(added queued) {
-	at, _ := slices.BinarySearchFunc(q.waiting, added, func(x, y queued) int { return cmp.Compare(x.Due, y.Due) })
+	at, _ := slices.BinarySearchFunc(q.waiting, added, func(x, y queued) int { return cmp.Compare(x.sendBy(), y.sendBy()) })
 	q.waiting = slices.Insert(q.waiting, at, added)
 	q.waiting = q.waiting[:min(len(q.waiting), maxQueued)]
 }
@@ -160,7 +173,11 @@
 func reported(now time.Duration, reservations []queued) []Reported {
 	all := make([]Reported, 0, len(reservations))
 	for _, w := range reservations {
-		all = append(all, Reported{Digest: w.Digest, DueIn: int((w.Due - now) / time.Millisecond)})
+		dueIn := int(max(w.Due-now, 0) / time.Millisecond)
+		if w.used {
+			dueIn = usedMark
+		}
+		all = append(all, Reported{Digest: w.Digest, DueIn: dueIn})
 	}
 	return all
 }
--- a/coordination/retryschedule/reservations.go
+++ b/coordination/retryschedule/reservations.go
@@ -14,6 +14,9 @@
 	keepFor = 2 * time.Second
 	// early is by how much a caller may come back before its reservation is due.
 	early = 100 * time.Millisecond
+	// underWay is by how much later a reservation may be due at a router that has it by reports, as
+	// the time that reports are under way isn't known.
+	underWay = relayHops * transit
 	// sweepInterval is the time between two searches for expired reservations.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -52,19 +55,24 @@
 	if !r.keep(now, reservation) {
 		return false
 	}
-	r.forward("", reservation)
+	r.forward(queued{Reservation: reservation})
 	return true
 }
 
-// Apply adds another router's reservations. A relay passes them on.
+// Apply adds another router's new reservations and removes those that it reports as used. A relay
+// passes both on.
 func (r *Reservations) Apply(now time.Duration, from protocol.RouterID, reported []Reported) {
 	if !r.accepts(from) {
 		return
 	}
 	for _, entry := range reported[:min(len(reported), maxPerReport)] {
+		if entry.DueIn == usedMark {
+			r.use(now+underWay, entry.Digest, from)
+			continue
+		}
 		reservation, ok := entry.reservation(now)
 		if ok && r.keep(now, reservation) {
-			r.forward(from, reservation)
+			r.forward(queued{Reservation: reservation, from: from})
 		}
 	}
 }
@@ -85,12 +93,18 @@
 	return None, 0
 }
 
-// Consume removes the reservation of a request that is admitted because it is due.
-func (r *Reservations) Consume(now time.Duration, digest uint64) {
-	short := shortDigest(digest)
-	for i, due := range r.due[short] {
+// Consume removes the reservation of a request that is admitted because it is due, and queues that
+// for the next report. Until the other routers know, they may each admit one more request of the
+// same content.
+func (r *Reservations) Consume(now time.Duration, digest uint64) { r.use(now, shortDigest(digest), "") }
+
+// use removes the first reservation of a digest that is due. from is the router that reported its
+// use, "" for this one.
+func (r *Reservations) use(now time.Duration, digest uint32, from protocol.RouterID) {
+	for i, due := range r.due[digest] {
 		if !expired(now, due) && isDue(now, due) {
-			r.set(short, slices.Delete(r.due[short], i, i+1))
+			r.set(digest, slices.Delete(r.due[digest], i, i+1))
+			r.forward(queued{Reservation: Reservation{Digest: digest, Due: due}, from: from, used: true})
 			return
 		}
 	}
