Retry schedule: no more reservations than reports carry, new ones before used ones

Cause: a relay's report has room for 64 reservations of all routers, 256 a second.

Change: Capacity.Carried, computed by CarriedBy, bounds the offers of a router; used reservations are reported after all new ones.

--- a/coordination/retryschedule/exchange.go
+++ b/coordination/retryschedule/exchange.go
@@ -12,8 +12,11 @@
 const (
 	// maxPerReport bounds the reservations in one report.
 	maxPerReport = 64
-	// maxQueued bounds the reservations that wait to be sent. Those due last are dropped: a report
-	// would tell of them too late, and the router that made them still knows them.
+	// reportFill is the part of a report's room to plan with. The rest is for the variation of what
+	// waits at each report.
+	reportFill = 0.75
+	// maxQueued bounds the reservations that wait to be sent. The last ones are dropped: reports would
+	// tell of them too late.
 	maxQueued = 1024
 	// relayHops is the number of reports that a reservation passes from a member of one relay to a
 	// member of another.
@@ -33,6 +36,18 @@
 	return reportInterval + transit
 }
 
+// CarriedBy returns how many reservations of a service a router may make a second so that reports
+// have room for them. part is the router's part of the arrivals, and services is the number of
+// services that are short of capacity. A relay's report has room for the reservations of all
+// routers together, another router's only for its own.
+func CarriedBy(reportInterval time.Duration, relays bool, part float64, services int) float64 {
+	carried := reportFill * maxPerReport / max(reportInterval, time.Millisecond).Seconds() / float64(max(services, 1))
+	if relays {
+		return carried * clamp(part)
+	}
+	return carried
+}
+
 // Reported is a reservation in a balance.LoadReport, a new one or one that has been used.
 type Reported struct {
 	Digest uint32 `msgpack:"i"`
@@ -132,20 +147,23 @@
 	used bool
 }
 
-// sendBy orders what is sent: new reservations by when they are due; used ones by when they would
-// end, as they matter only to further requests of the same content.
-func (w queued) sendBy() time.Duration {
-	if w.used {
-		return w.Due + keepFor
+// order compares what is sent: new reservations go before used ones, as these matter only to further
+// requests of the same content; then those due first.
+func (w queued) order(other queued) int {
+	if w.used != other.used {
+		if w.used {
+			return 1
+		}
+		return -1
 	}
-	return w.Due
+	return cmp.Compare(w.Due, other.Due)
 }
 
-// queue holds reservations that wait to be sent, in the order of sendBy.
+// queue holds reservations that wait to be sent, in the order in which they are sent.
 type queue struct{ waiting []queued }
 
 func (q *queue) add(added queued) {
-	at, _ := slices.BinarySearchFunc(q.waiting, added, func(x, y queued) int { return cmp.Compare(x.sendBy(), y.sendBy()) })
+	at, _ := slices.BinarySearchFunc(q.waiting, added, queued.order)
 	q.waiting = slices.Insert(q.waiting, at, added)
 	q.waiting = q.waiting[:min(len(q.waiting), maxQueued)]
 }
--- a/coordination/retryschedule/schedule.go
+++ b/coordination/retryschedule/schedule.go
@@ -50,6 +50,9 @@
 	Part float64
 	// Known is how long it takes until all routers know a new reservation; see KnownAfter.
 	Known time.Duration
+	// Carried is how many reservations of this service the router may make a second so that reports
+	// have room for them, 0 for any number; see CarriedBy.
+	Carried float64
 }
 
 // Reservation says that a request is expected back.
@@ -103,7 +106,11 @@
 
 // roomPerStep returns how many requests of a rank may be offered a step.
 func (s *Schedule) roomPerStep(rank int, c Capacity) float64 {
-	room := c.Limit * clamp(c.Part) * retryPart * step.Seconds()
+	rate := c.Limit * clamp(c.Part) * retryPart
+	if c.Carried > 0 {
+		rate = min(rate, c.Carried)
+	}
+	room := rate * step.Seconds()
 	if rank != mostUrgent {
 		room *= 1 - s.settings.Reserve
 	}
--- a/coordination/retryschedule/surge_test.go
+++ b/coordination/retryschedule/surge_test.go
@@ -24,7 +24,6 @@
 
 // The requests of a surge.
 const (
-	surgeLimit     = 200.0
 	surgeObjective = 300 * time.Millisecond
 	surgeRemaining = 5 * time.Second
 	surgeEnd       = 20 * time.Second
@@ -38,12 +37,13 @@
 // scheduled or, with conserves, that isn't used by reservations.
 type surge struct {
 	*network
-	demand     float64
-	hurrying   float64
-	unpromised conduct
-	conserves  bool
-	schedules  []*Schedule
-	returning  timequeue.Queue[caller]
+	// limit and demand are requests a second.
+	limit, demand float64
+	hurrying      float64
+	unpromised    conduct
+	conserves     bool
+	schedules     []*Schedule
+	returning     timequeue.Queue[caller]
 	// arrivals is the moving rate of requests that are judged as new ones, and keptRate that of
 	// those admitted by a reservation, a second.
 	arrivals, keptRate float64
@@ -68,10 +68,10 @@
 
 // newSurge returns a surge. A part of the callers hurries; the others do as unpromised says if
 // nothing is reserved for them.
-func newSurge(routers, perRelay int, demand, hurrying float64, unpromised conduct) *surge {
+func newSurge(routers, perRelay int, limit, demand, hurrying float64, unpromised conduct) *surge {
 	s := &surge{
-		network: newNetwork(routers, perRelay), demand: demand * surgeLimit, hurrying: hurrying, unpromised: unpromised,
-		arrivals: demand * surgeLimit, tallies: map[conduct]*tally{honours: {}, hopes: {}, hurries: {}},
+		network: newNetwork(routers, perRelay), limit: limit, demand: demand * limit, hurrying: hurrying, unpromised: unpromised,
+		arrivals: demand * limit, tallies: map[conduct]*tally{honours: {}, hopes: {}, hurries: {}},
 		admitted: make([]float64, surgeEnd/time.Second+1), kept: make([]float64, surgeEnd/time.Second+1),
 	}
 	for range routers {
@@ -135,9 +135,9 @@
 // forNew returns the part of the limit that new requests get.
 func (s *surge) forNew() float64 {
 	if s.conserves {
-		return surgeLimit - s.keptRate
+		return s.limit - s.keptRate
 	}
-	return (1 - retryPart) * surgeLimit
+	return (1 - retryPart) * s.limit
 }
 
 func (s *surge) serve(c caller) {
@@ -146,7 +146,10 @@
 }
 
 func (s *surge) offer(i int, c caller) Offer {
-	capacity := Capacity{Limit: surgeLimit, Part: 1 / float64(len(s.ids)), Known: KnownAfter(s.interval, s.relays)}
+	part := 1 / float64(len(s.ids))
+	capacity := Capacity{
+		Limit: s.limit, Part: part, Known: KnownAfter(s.interval, s.relays), Carried: CarriedBy(s.interval, s.relays, part, 1),
+	}
 	refused := Refused{Digest: c.digest, Rank: 1, Objective: surgeObjective, Remaining: surgeRemaining}
 	offer := s.schedules[i].Offer(s.now, s.random.Float64(), refused, capacity)
 	if offer.Reserved {
@@ -181,8 +184,8 @@
 
 func (s *surge) log(t *testing.T, c conduct) {
 	a := s.tallies[c]
-	t.Logf("%d routers, %.1f times, conduct %d: %.0f callers, served %.3f, reserved %.0f, refused again %.3f of reserved, %.3f of %.0f back",
-		len(s.ids), s.demand/surgeLimit, c, a.callers, a.part(), a.reserved, a.reservedAgain/max(a.reserved, 1), a.again/max(a.back, 1), a.back)
+	t.Logf("%d routers, limit %.0f, %.1f times, conduct %d: %.0f callers, served %.3f, reserved %.0f, refused again %.3f of reserved, %.3f of %.0f back",
+		len(s.ids), s.limit, s.demand/s.limit, c, a.callers, a.part(), a.reserved, a.reservedAgain/max(a.reserved, 1), a.again/max(a.back, 1), a.back)
 }
 
 // perSecond returns the mean and the highest number of some seconds, without the first ones and
@@ -205,11 +208,12 @@
 	// back to doesn't expect them, or because more are due than there is capacity for.
 	for _, fleet := range []struct {
 		routers, perRelay int
+		limit             float64
 		// leastKept is the part of the scheduled capacity that is used at least.
 		leastKept float64
-	}{{9, 0, 0.8}, {67, 0, 0.8}, {330, 18, 0}} {
+	}{{9, 0, 200, 0.8}, {67, 0, 200, 0.8}, {330, 18, 200, 0}, {330, 18, 1000, 0}} {
 		for _, demand := range []float64{1.3, 2} {
-			s := newSurge(fleet.routers, fleet.perRelay, demand, 0, honours)
+			s := newSurge(fleet.routers, fleet.perRelay, fleet.limit, demand, 0, honours)
 			s.play()
 			s.log(t, honours)
 			a := s.tallies[honours]
@@ -217,8 +221,8 @@
 			kept, mostKept := perSecond(s.kept)
 			t.Logf("admitted a second: %.1f, at most %.0f; by reservation %.1f, at most %.0f", mean, highest, kept, mostKept)
 			assert.Assert(t, a.back > 0 && a.again < 0.1*a.back && a.reservedAgain < 0.1*a.reserved)
-			assert.Assert(t, mean <= 1.03*surgeLimit && highest <= withinNoise(surgeLimit))
-			assert.Assert(t, kept >= fleet.leastKept*retryPart*surgeLimit && mostKept <= withinNoise(retryPart*surgeLimit))
+			assert.Assert(t, mean <= 1.03*fleet.limit && highest <= withinNoise(fleet.limit))
+			assert.Assert(t, kept >= fleet.leastKept*retryPart*fleet.limit && mostKept <= withinNoise(retryPart*fleet.limit))
 		}
 	}
 }
@@ -228,7 +232,7 @@
 	// others are served less often.
 	for _, routers := range []int{9, 67} {
 		for _, conserves := range []bool{false, true} {
-			without, with := newSurge(routers, 0, 1.3, 0, hopes), newSurge(routers, 0, 1.3, 1.0/3, hopes)
+			without, with := newSurge(routers, 0, 200, 1.3, 0, hopes), newSurge(routers, 0, 200, 1.3, 1.0/3, hopes)
 			without.conserves, with.conserves = conserves, conserves
 			without.play()
 			with.play()
