Retry schedule: the most urgent rank takes the reserve of later steps

Cause: the reserve is 0.05 of a router's part of each step. At 67 routers it adds up to 0.06 of a request within the time that callers honour, so most urgent requests, behind less urgent ones, found no more room than these.

Change: the most urgent rank also takes the reserve of the steps up to the horizon, which others then find taken. At most the reserve of ten seconds comes sooner.

--- a/coordination/retryschedule/failures_test.go
+++ b/coordination/retryschedule/failures_test.go
@@ -70,42 +70,56 @@
 	// Guards: each router offers its part, rounded up or counted from the same moment, and
 	// together they offer more than becomes free, or far less.
 	for _, routers := range []int{9, 29, 67, 330} {
-		random := rand.New(rand.NewPCG(uint64(routers), 3))
-		schedules := make([]*Schedule, routers)
-		for i := range schedules {
-			schedules[i] = NewSchedule(Settings{Reserve: 0.05})
-		}
-		// One router gets a tenth of the requests, the others the same part of the rest.
-		parts := make([]float64, routers)
-		for i := range parts {
-			parts[i] = 0.9 / float64(routers-1)
-		}
-		parts[0] = 0.1
-		perSecond := make([]float64, 24)
-		const seconds, refusedPerTick = 20, 4
-		for now := time.Duration(0); now < seconds*time.Second; now += tick {
-			for range refusedPerTick {
-				i := 0
-				if random.Float64() >= parts[0] {
-					i = 1 + random.IntN(routers-1)
-				}
-				offer := schedules[i].Offer(now, random.Float64(), order(0), Capacity{Limit: 200, Part: parts[i], Known: meshInterval})
-				if offer.Reserved {
-					perSecond[offer.Reservation.Due/time.Second]++
-				}
-			}
-		}
+		others := offeredPerSecond(routers, 1)
 		const scheduled = 0.95 * retryPart * 200
-		full := perSecond[2:seconds]
-		var sum float64
-		for _, count := range full {
-			sum += count
-			assert.Assert(t, count <= withinNoise(scheduled), "%d routers: %v", routers, perSecond)
-		}
-		mean := sum / float64(len(full))
-		t.Logf("%d routers: %.1f a second of %.1f, from %.0f to %.0f", routers, mean, scheduled, slices.Min(full), slices.Max(full))
+		mean := meanOf(others)
+		t.Logf("%d routers: %.1f a second of %.1f, from %.0f to %.0f", routers, mean, scheduled, slices.Min(others), slices.Max(others))
 		assert.Assert(t, mean <= 1.05*scheduled && mean >= 0.8*scheduled, "%d routers: %.1f", routers, mean)
+		assert.Assert(t, slices.Max(others) <= withinNoise(scheduled), "%d routers: %v", routers, others)
+
+		// The most urgent rank has the reserve of all steps up to the horizon at once.
+		urgent := offeredPerSecond(routers, mostUrgent)
+		const all = retryPart * 200
+		mean = meanOf(urgent)
+		t.Logf("%d routers, most urgent rank: %.1f a second of %.1f, from %.0f to %.0f", routers, mean, all, slices.Min(urgent), slices.Max(urgent))
+		assert.Assert(t, mean <= 1.05*all, "%d routers: %.1f", routers, mean)
+		assert.Assert(t, slices.Max(urgent) <= withinNoise(all+0.05*all*horizon.Seconds()), "%d routers: %v", routers, urgent)
+	}
+}
+
+// offeredPerSecond returns how many requests of a rank are due in each second after 400 a second are
+// refused, at a limit of 200. One router gets a tenth of them, the others the same part of the rest.
+func offeredPerSecond(routers, rank int) []float64 {
+	random := rand.New(rand.NewPCG(uint64(routers), 3))
+	schedules := make([]*Schedule, routers)
+	for i := range schedules {
+		schedules[i] = NewSchedule(Settings{Reserve: 0.05})
+	}
+	const seconds, refusedPerTick, largest = 30, 4, 0.1
+	perSecond := make([]float64, seconds+int(horizon/time.Second))
+	refused := order(0)
+	refused.Rank = rank
+	for now := time.Duration(0); now < seconds*time.Second; now += tick {
+		for range refusedPerTick {
+			i, part := 0, largest
+			if random.Float64() >= largest {
+				i, part = 1+random.IntN(routers-1), (1-largest)/float64(routers-1)
+			}
+			offer := schedules[i].Offer(now, random.Float64(), refused, Capacity{Limit: 200, Part: part, Known: meshInterval})
+			if offer.Reserved {
+				perSecond[offer.Reservation.Due/time.Second]++
+			}
+		}
+	}
+	return perSecond[1:seconds]
+}
+
+func meanOf(counts []float64) float64 {
+	var sum float64
+	for _, count := range counts {
+		sum += count
 	}
+	return sum / float64(len(counts))
 }
 
 func TestEarlyCallerGainsAndMovesNothing(t *testing.T) {
--- a/coordination/retryschedule/schedule.go
+++ b/coordination/retryschedule/schedule.go
@@ -78,6 +78,8 @@
 	// offered is what has been offered of each step, in requests. The entry of a step is its number
 	// modulo steps.
 	offered [steps]float64
+	// borrowed is the part of offered that the most urgent rank uses sooner.
+	borrowed [steps]float64
 	// current is the number of the step that time is in.
 	current int64
 }
@@ -97,62 +99,102 @@
 	if !(c.Limit > 0) {
 		return Offer{RetryAfter: min(shortest, longest)}
 	}
-	due, ok := s.take(now, random, max(shortest, c.Known), min(longest, horizon), s.roomPerStep(r.Rank, c))
+	due, ok := s.take(now, random, max(shortest, c.Known), min(longest, horizon), r.Rank, roomPerStep(c))
 	if !ok {
 		return Offer{RetryAfter: longest}
 	}
 	return Offer{RetryAfter: due - now, Reserved: true, Reservation: Reservation{Digest: shortDigest(r.Digest), Due: due}}
 }
 
-// roomPerStep returns how many requests of a rank may be offered a step.
-func (s *Schedule) roomPerStep(rank int, c Capacity) float64 {
+// roomPerStep returns how many requests may be offered a step.
+func roomPerStep(c Capacity) float64 {
 	rate := c.Limit * clamp(c.Part) * retryPart
 	if c.Carried > 0 {
 		rate = min(rate, c.Carried)
 	}
-	room := rate * step.Seconds()
-	if rank != mostUrgent {
-		room *= 1 - s.settings.Reserve
-	}
-	return room
+	return rate * step.Seconds()
 }
 
 // take takes the first room for one request between two times from now, and returns when the
 // request is due. If the steps have less room than one request, the request takes all of it and
 // gets a step with the probability of that room, so that the mean number of requests due in each
 // step is what was taken.
-func (s *Schedule) take(now time.Duration, random float64, shortest, longest time.Duration, room float64) (time.Duration, bool) {
+//
+// The reserve in these few steps is rarely enough for a request at a router with a small part. The
+// most urgent rank therefore also takes the reserve of later steps, in return for which others find
+// less room there.
+func (s *Schedule) take(now time.Duration, random float64, shortest, longest time.Duration, rank int, room float64) (time.Duration, bool) {
 	if longest < shortest || now > math.MaxInt64-2*horizon {
 		return 0, false
 	}
 	first := max(stepAfter(now+shortest), s.current)
 	end := min(int64((now+longest)/step), s.current+int64(steps))
+	reserve := room * s.settings.Reserve
+	if rank != mostUrgent {
+		room -= reserve
+	}
+	d := draw{random: random}
+	for number := first; number < end && d.taken < 1; number++ {
+		d.add(s.fill(number, room, 1-d.taken), time.Duration(number)*step, step)
+	}
+	if rank == mostUrgent && first < end {
+		d.add(s.borrow(end, reserve, 1-d.taken), time.Duration(first)*step, time.Duration(end-first)*step)
+	}
+	return d.due, d.found
+}
+
+// draw chooses the time of a request from the room that it takes.
+type draw struct {
+	random, taken float64
+	due           time.Duration
+	found         bool
+}
+
+// add adds room that was taken for times in a span. The time within the span depends on the random
+// number, so that the requests of one step don't come at the same moment.
+func (d *draw) add(part float64, begin, span time.Duration) {
+	if part <= 0 {
+		return
+	}
+	if !d.found && d.random < d.taken+part {
+		d.found = true
+		d.due = begin + time.Duration(clamp((d.random-d.taken)/part)*float64(span-1))
+	}
+	d.taken += part
+}
+
+// fill takes room of a step, up to a part of a request, and returns how much it took.
+func (s *Schedule) fill(number int64, room, wanted float64) float64 {
+	part := min(room-s.offered[index(number)], wanted)
+	if part < minRoom {
+		return 0
+	}
+	s.offered[index(number)] += part
+	return part
+}
+
+// borrow takes the reserve of the steps from one on, up to a part of a request, and returns how
+// much it took.
+func (s *Schedule) borrow(from int64, reserve, wanted float64) float64 {
 	var taken float64
-	var due time.Duration
-	found := false
-	for number := first; number < end && taken < 1; number++ {
-		offered := &s.offered[number%int64(steps)]
-		part := min(room-*offered, 1-taken)
+	for number := from; number < s.current+int64(steps) && taken < wanted; number++ {
+		part := min(reserve-s.borrowed[index(number)], wanted-taken)
 		if part < minRoom {
 			continue
 		}
-		*offered += part
-		if !found && random < taken+part {
-			found = true
-			due = time.Duration(number)*step + within((random-taken)/part)
-		}
+		s.borrowed[index(number)] += part
+		s.offered[index(number)] += part
 		taken += part
 	}
-	return due, found
+	return taken
 }
 
+// index returns the entry of a step.
+func index(number int64) int { return int(number % int64(steps)) }
+
 // stepAfter returns the number of the first step that doesn't begin before a time.
 func stepAfter(at time.Duration) int64 { return int64((at + step - 1) / step) }
 
-// within returns the time in a step for a number from 0 to 1, so that the requests of one step
-// don't come at the same moment.
-func within(part float64) time.Duration { return time.Duration(clamp(part) * float64(step-1)) }
-
 // advance drops the steps that have passed.
 func (s *Schedule) advance(now time.Duration) {
 	current := int64(max(now, 0) / step)
@@ -160,10 +202,10 @@
 		return
 	}
 	if current-s.current >= int64(steps) {
-		s.offered = [steps]float64{}
+		s.offered, s.borrowed = [steps]float64{}, [steps]float64{}
 	} else {
 		for number := s.current; number < current; number++ {
-			s.offered[number%int64(steps)] = 0
+			s.offered[index(number)], s.borrowed[index(number)] = 0, 0
 		}
 	}
 	s.current = current
--- a/coordination/retryschedule/surge_test.go
+++ b/coordination/retryschedule/surge_test.go
@@ -28,6 +28,8 @@
 	surgeRemaining = 5 * time.Second
 	surgeEnd       = 20 * time.Second
 	hurryAfter     = 20 * time.Millisecond
+	// One request in urgentEvery is of the most urgent rank.
+	urgentEvery = 50
 	// surgeFrom is the time from which callers are counted.
 	surgeFrom = 3 * time.Second
 )
@@ -50,11 +52,14 @@
 	tallies            map[conduct]*tally
 	// admitted counts the admissions in each second, and kept those of them by reservation.
 	admitted, kept []float64
+	// refused counts the requests that asked for an offer, and promised the reservations, by rank.
+	refused, promised [2]float64
 }
 
 type caller struct {
 	conduct
 	digest   uint64
+	rank     int
 	counted  bool
 	reserved bool
 	retried  bool
@@ -97,6 +102,9 @@
 
 func (s *surge) newCaller() caller {
 	c := caller{conduct: s.unpromised, digest: s.random.Uint64(), counted: s.now >= surgeFrom && s.now < surgeEnd-surgeRemaining}
+	if c.digest%urgentEvery != 0 {
+		c.rank = 1
+	}
 	if s.random.Float64() < s.hurrying {
 		c.conduct = hurries
 	}
@@ -150,9 +158,11 @@
 	capacity := Capacity{
 		Limit: s.limit, Part: part, Known: KnownAfter(s.interval, s.relays), Carried: CarriedBy(s.interval, s.relays, part, 1),
 	}
-	refused := Refused{Digest: c.digest, Rank: 1, Objective: surgeObjective, Remaining: surgeRemaining}
+	refused := Refused{Digest: c.digest, Rank: c.rank, Objective: surgeObjective, Remaining: surgeRemaining}
 	offer := s.schedules[i].Offer(s.now, s.random.Float64(), refused, capacity)
+	s.refused[c.rank]++
 	if offer.Reserved {
+		s.promised[c.rank]++
 		s.all[s.ids[i]].Add(s.now, offer.Reservation)
 	}
 	return offer
@@ -221,6 +231,9 @@
 			kept, mostKept := perSecond(s.kept)
 			t.Logf("admitted a second: %.1f, at most %.0f; by reservation %.1f, at most %.0f", mean, highest, kept, mostKept)
 			assert.Assert(t, a.back > 0 && a.again < 0.1*a.back && a.reservedAgain < 0.1*a.reserved)
+			urgent, others := s.promised[0]/s.refused[0], s.promised[1]/s.refused[1]
+			t.Logf("reserved for %.3f of the most urgent rank, %.3f of the others", urgent, others)
+			assert.Assert(t, urgent > 1.2*others)
 			assert.Assert(t, mean <= 1.03*fleet.limit && highest <= withinNoise(fleet.limit))
 			assert.Assert(t, kept >= fleet.leastKept*retryPart*fleet.limit && mostKept <= withinNoise(retryPart*fleet.limit))
 		}
