--- a/coordination/retryschedule/exchange.go
+++ b/coordination/retryschedule/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,14 +12,19 @@
 const (
 	// maxPerReport bounds the reservations in one report.
 	maxPerReport = 64
-	// maxQueued bounds the reservations that wait to be sent. Those due last are dropped: a report
-	// would tell of them too late, and the router that made them still knows them.
+	// reportFill is the part of a report's room to plan with. The rest is for the variation of what
+	// waits at each report.
+	reportFill = 0.75
+	// maxQueued bounds the reservations that wait to be sent. The last ones are dropped: reports would
+	// tell of them too late.
 	maxQueued = 1024
 	// relayHops is the number of reports that a reservation passes from a member of one relay to a
 	// member of another.
 	relayHops = 3
 	// transit is the time that one report is under way and waits for the receiver's tick.
 	transit = 50 * time.Millisecond
+	// usedMark is a Reported.DueIn that takes one byte.
+	usedMark = -1
 )
 
 // KnownAfter returns how long it takes until all routers know a reservation, for the time between
@@ -30,17 +36,29 @@
 	return reportInterval + transit
 }
 
-// Reported is a reservation in a balance.LoadReport.
+// CarriedBy returns how many reservations of a service a router may make a second so that reports
+// have room for them. part is the router's part of the arrivals, and services is the number of
+// services that are short of capacity. A relay's report has room for the reservations of all
+// routers together, another router's only for its own.
+func CarriedBy(reportInterval time.Duration, relays bool, part float64, services int) float64 {
+	carried := reportFill * maxPerReport / max(reportInterval, time.Millisecond).Seconds() / float64(max(services, 1))
+	if relays {
+		return carried * clamp(part)
+	}
+	return carried
+}
+
+// Reported is a reservation in a balance.LoadReport, a new one or one that has been used.
 type Reported struct {
 	Digest uint32 `msgpack:"i"`
-	// DueIn is the time in milliseconds from the report until the caller comes back, negative if
-	// that has passed.
+	// DueIn is the time in milliseconds from the report until the caller comes back, 0 if that has
+	// passed, usedMark if the reservation has been used.
 	DueIn int `msgpack:"t"`
 }
 
-// reservation returns the reservation that a report tells of; false if its time is impossible.
+// reservation returns the new reservation that a report tells of; false if its time is impossible.
 func (e Reported) reservation(now time.Duration) (Reservation, bool) {
-	if e.DueIn > int(horizon/time.Millisecond) || e.DueIn < -int(keepFor/time.Millisecond) {
+	if e.DueIn < 0 || e.DueIn > int(horizon/time.Millisecond) || now > math.MaxInt64-2*horizon {
 		return Reservation{}, false
 	}
 	return Reservation{Digest: e.Digest, Due: now + time.Duration(e.DueIn)*time.Millisecond}, true
@@ -107,32 +125,45 @@
 	return !grouped || from == n.Relay || slices.Contains(n.Members, from) || slices.Contains(n.Relays, from)
 }
 
-// forward queues a reservation for the routers that don't know it. from is the router that reported
-// it, "" for this one. Relays report to each other only what comes from themselves and their
-// members.
-func (r *Reservations) forward(from protocol.RouterID, reservation Reservation) {
+// forward queues a reservation, or the news that it was used, for the routers that don't know it.
+// Relays report to each other only what comes from themselves and their members.
+func (r *Reservations) forward(news queued) {
 	relay := r.neighbours.isRelay()
-	if from != "" && !relay {
+	if news.from != "" && !relay {
 		return
 	}
-	r.near.add(queued{reservation, from})
-	if relay && !slices.Contains(r.neighbours.Relays, from) {
-		r.far.add(queued{reservation, from})
+	r.near.add(news)
+	if relay && !slices.Contains(r.neighbours.Relays, news.from) {
+		r.far.add(news)
 	}
 }
 
-// queued is a reservation that waits to be sent.
+// queued is a reservation that waits to be reported.
 type queued struct {
 	Reservation
 	// from is the router that reported it, "" for this one.
 	from protocol.RouterID
+	// used says that the reservation was used.
+	used bool
 }
 
-// queue holds reservations that wait to be sent, those due first in front.
+// order compares what is sent: new reservations go before used ones, as these matter only to further
+// requests of the same content; then those due first.
+func (w queued) order(other queued) int {
+	if w.used != other.used {
+		if w.used {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(w.Due, other.Due)
+}
+
+// queue holds reservations that wait to be sent, in the order in which they are sent.
 type queue struct{ waiting []queued }
 
 func (q *queue) add(added queued) {
-	at, _ := slices.BinarySearchFunc(q.waiting, added, func(x, y queued) int { return cmp.Compare(x.Due, y.Due) })
+	at, _ := slices.BinarySearchFunc(q.waiting, added, queued.order)
 	q.waiting = slices.Insert(q.waiting, at, added)
 	q.waiting = q.waiting[:min(len(q.waiting), maxQueued)]
 }
@@ -160,7 +191,11 @@
 func reported(now time.Duration, reservations []queued) []Reported {
 	all := make([]Reported, 0, len(reservations))
 	for _, w := range reservations {
-		all = append(all, Reported{Digest: w.Digest, DueIn: int((w.Due - now) / time.Millisecond)})
+		dueIn := int(max(w.Due-now, 0) / time.Millisecond)
+		if w.used {
+			dueIn = usedMark
+		}
+		all = append(all, Reported{Digest: w.Digest, DueIn: dueIn})
 	}
 	return all
 }
