--- a/coordination/capacity/exchange.go
+++ b/coordination/capacity/exchange.go
@@ -22,15 +22,18 @@
 
 const (
 	// entryBytes is the size of an entry of a load report on the wire.
-	entryBytes = 16
+	entryBytes = 18
 	// maxBytesPerSecond bounds what a router sends of reported loads.
-	maxBytesPerSecond = 900
+	maxBytesPerSecond = 1_000
 	// hopDelay is added to the age of what another router passes on, for the time that it was under
 	// way.
 	hopDelay = 30 * time.Millisecond
 	// refreshAge is the age of what neighbours know from which on they are told again, though
 	// it has not changed.
 	refreshAge = time.Second
+	// minInterval is the age of what neighbours know up to which they aren't told even of a change:
+	// many routers see it, and one of them is enough.
+	minInterval = 500 * time.Millisecond
 	// minChange is the part of an upstream's slots by which its free slots must have changed, and
 	// minPaceChange the change of its pace in percent, for neighbours to be told.
 	minChange     = 0.125
@@ -50,7 +53,8 @@
 // Pending returns the entries that the neighbours lack, of services for which wanted returns true,
 // at most balance.MaxReportedLoads for each neighbour. A router of a mesh and a member report what
 // they have observed themselves. A relay passes on its members' entries to all neighbours, and the
-// other relays' to its members. What differs most from what the neighbours know goes first.
+// other relays' to its members. What differs most from what the neighbours know goes first, and
+// services with few upstreams before those with many, of which fewer entries say less.
 func (r *Reports) Pending(now time.Duration, n balance.Neighbours, wanted func(protocol.Service) bool) []Outgoing {
 	to := recipients(n)
 	r.budget.refill(now, entryBytes*max(len(to[peers]), len(to[relays])))
@@ -93,7 +97,7 @@
 		if !wanted(name) {
 			continue
 		}
-		for _, u := range s.ready {
+		for u := range s.recent(now) {
 			all = u.appendDue(all, now, to)
 		}
 	}
@@ -113,7 +117,7 @@
 			continue
 		}
 		if weight := u.last.weight(now, told); weight > 0 {
-			all = append(all, dueEntry{u, audience, weight})
+			all = append(all, dueEntry{u, audience, weight / math.Sqrt(float64(len(u.service.ready)))})
 		}
 	}
 	return all
@@ -126,8 +130,8 @@
 	}
 	change := math.Abs(r.free()-told.free()) / float64(r.slots)
 	paceChange := math.Abs(float64(r.pace - told.pace))
-	age := now - told.madeAt
-	if age < refreshAge && change < minChange && paceChange < minPaceChange {
+	age, changed := now-told.madeAt, change >= minChange || paceChange >= minPaceChange
+	if age < minInterval || age < refreshAge && !changed {
 		return 0
 	}
 	return min(change+paceChange/dialect.UsualPace, maxChange) + float64(age)/float64(maxAge)
@@ -157,18 +161,18 @@
 		load := dialect.ReportedLoad{Running: e.Running, Waiting: e.Waiting, Slots: e.Slots, Pace: e.Pace}
 		if possible(load, u.announced) {
 			madeAt := now - time.Duration(e.AgeMS)*time.Millisecond - hopDelay
-			u.apply(newReport(load, madeAt), n, from)
+			u.apply(now, newReport(load, madeAt), n, from)
 		}
 	}
 }
 
 // apply takes a report that another router passes on.
-func (u *upstream) apply(told report, n balance.Neighbours, from protocol.RouterID) {
+func (u *upstream) apply(now time.Duration, told report, n balance.Neighbours, from protocol.RouterID) {
 	if audience, all := audienceOf(n, from); all && told.newer(u.told[audience]) {
 		u.told[audience] = told
 	}
 	if told.newer(u.last) {
-		u.last = told
+		u.set(now, told)
 	}
 }
 
--- a/coordination/capacity/reports.go
+++ b/coordination/capacity/reports.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"endiveplank/coordination/balance"
@@ -11,7 +13,7 @@
 
 const (
 	// maxAge is the age up to which a report is used.
-	maxAge = 2 * time.Second
+	maxAge = 3 * time.Second
 	// maxSlots, maxWaiting and maxPace bound what a report may say.
 	maxSlots   = 1 << 16
 	maxWaiting = 1 << 16
@@ -78,13 +80,15 @@
 
 // upstream is a listed upstream and its last report.
 type upstream struct {
-	id          protocol.UpstreamID
-	short       balance.ShortID
-	startedAt   int64
-	announced   int
-	service     *service
-	index       int
-	last        report
+	id        protocol.UpstreamID
+	short     balance.ShortID
+	startedAt int64
+	announced int
+	service   *service
+	index     int
+	last      report
+	// reporting says that it is in service.reporting.
+	reporting   bool
 	told        [audiences]report
 	credibility credibility
 }
@@ -93,9 +97,31 @@
 type service struct {
 	name  protocol.Service
 	ready []*upstream
+	// reporting holds the upstreams that have reported within maxAge, and some that have not.
+	reporting []*upstream
+	// usual is how long answers of upstreams with free slots take, by kind of request.
 	usual map[string]time.Duration
 }
 
+// recent returns the upstreams whose reports are recent enough to be used. Of thousands of upstreams
+// few are, so the others cost nothing.
+func (s *service) recent(now time.Duration) iter.Seq[*upstream] {
+	s.reporting = slices.DeleteFunc(s.reporting, func(u *upstream) bool {
+		u.reporting = u.reporting && u.last.known(now)
+		return !u.reporting
+	})
+	return slices.Values(s.reporting)
+}
+
+// set replaces the upstream's report.
+func (u *upstream) set(now time.Duration, last report) {
+	u.last = last
+	if !u.reporting && last.known(now) {
+		u.reporting = true
+		u.service.reporting = append(u.service.reporting, u)
+	}
+}
+
 // report is a report and when it was made. The zero value is no report.
 type report struct {
 	running, waiting, slots int32
@@ -177,6 +203,7 @@
 }
 
 func (r *Reports) remove(u *upstream) {
+	u.reporting = false
 	s, last := u.service, len(u.service.ready)-1
 	s.ready[u.index] = s.ready[last]
 	s.ready[u.index].index = u.index
@@ -218,7 +245,7 @@
 	case u.credibility.distrusts(now):
 		return Distrusted
 	}
-	u.last = newReport(o.Load, now)
+	u.set(now, newReport(o.Load, now))
 	return Used
 }
 
@@ -260,7 +287,7 @@
 		return Capacity{}
 	}
 	sum := Capacity{Upstreams: len(s.ready)}
-	for _, u := range s.ready {
+	for u := range s.recent(now) {
 		if u.usable(now) {
 			sum.add(u.last)
 		}
