Operators' view of admission: /admission of routers, endiveplank admission, metrics

Cause: nobody can see which service is short of capacity, who is refused and why.

Change: routers serve what they know of the whole fleet as JSON at /admission of the metrics listener, and endiveplank admission prints it. The schedule's bound by what reports carry is passed on (CarriedBy).

--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -34,8 +34,10 @@
 	reservations *retryschedule.Reservations
 	// reports is nil if upstreams' reports of their load aren't used.
 	reports *capacity.Reports
-	// known is how long it takes until all routers know a reservation.
-	known time.Duration
+	// reportInterval is the time between two load reports, and relays says that relays aggregate
+	// them.
+	reportInterval time.Duration
+	relays         bool
 }
 
 // limitedService is the state of one service.
@@ -90,6 +92,22 @@
 	return a.services[service].limiter.Limit(now)
 }
 
+// retryCapacity returns the capacity for retries of a service at a router that has a part of the
+// arrivals, from 0 to 1.
+func (a *admission) retryCapacity(now time.Duration, service protocol.Service, part float64) retryschedule.Capacity {
+	limited := 0
+	for name := range a.services {
+		if a.limit(now, name) > 0 {
+			limited++
+		}
+	}
+	return retryschedule.Capacity{
+		Limit: a.limit(now, service), Part: part,
+		Known:   retryschedule.KnownAfter(a.reportInterval, a.relays),
+		Carried: retryschedule.CarriedBy(a.reportInterval, a.relays, part, limited),
+	}
+}
+
 // retain drops the state of services that a table doesn't have.
 func (a *admission) retain(table *routing.Table) {
 	if a == nil {
@@ -106,7 +124,7 @@
 		return
 	}
 	a.reservations.SetNeighbours(retryschedule.Neighbours(n))
-	a.known = retryschedule.KnownAfter(reportInterval, len(n.Mesh) == 0)
+	a.reportInterval, a.relays = reportInterval, len(n.Mesh) == 0
 }
 
 // applyEntries follows changed roster entries, or all of them if complete isn't set.
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -109,17 +109,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, a := r.now(), r.admission
-	limit := a.limit(now, job.Service)
-	if limit == 0 {
+	if a.limit(now, job.Service) == 0 {
 		return forward.RetryOffer{}, false
 	}
 	if match, left := a.reservations.Match(now, job.Digest); match == retryschedule.Early {
 		return forward.RetryOffer{After: left, Reserved: true}, true
 	}
 	refused := retryschedule.Refused{Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining}
-	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, retryschedule.Capacity{
-		Limit: limit, Part: r.ownPart(now, job), Known: a.known,
-	})
+	available := a.retryCapacity(now, job.Service, r.ownPart(now, job))
+	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, available)
 	if offer.Reserved && !a.reservations.Add(now, offer.Reservation) {
 		offer.Reserved = false
 	}
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"endiveplank/transport/admissionview"
 )
 
 const (
@@ -70,10 +72,18 @@
 	if listen.Metrics == "" {
 		return nil
 	}
-	r.servers.metrics = &http.Server{Handler: http.HandlerFunc(r.serveMetrics), ReadHeaderTimeout: headerTimeout}
+	r.servers.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	return r.startServer(r.servers.metrics, listen.Metrics)
 }
 
+// metricsHandler serves the metrics at any path but admissionview.Path.
+func (r *Router) metricsHandler() http.Handler {
+	paths := http.NewServeMux()
+	paths.HandleFunc("/", r.serveMetrics)
+	paths.HandleFunc(admissionview.Path, r.serveAdmission)
+	return paths
+}
+
 // startServer listens at an address and serves it in the background.
 func (r *Router) startServer(server *http.Server, address string) error {
 	return r.startServerOn(server, address, func(listener net.Listener) net.Listener { return listener })
--- a/tool/tool.go
+++ b/tool/tool.go
@@ -98,7 +98,7 @@
 	flags.StringVar(&o.output, "output", "table", "table or json")
 	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "timeout of one call")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return o.complete() }
-	root.AddCommand(statusCommand(o), tableCommand(o), explainCommand(o), orderCommand(o), upstreamCommand(o), quarantineCommand(o), vmCommand(o), evacuationCommand(o), keyCommand(), certsCommand(), loadgen.NewCommand(), report.NewCommand())
+	root.AddCommand(statusCommand(o), admissionCommand(o), tableCommand(o), explainCommand(o), orderCommand(o), upstreamCommand(o), quarantineCommand(o), vmCommand(o), evacuationCommand(o), keyCommand(), certsCommand(), loadgen.NewCommand(), report.NewCommand())
 	return root
 }
 
