--- /dev/null
+++ b/daemon/router/admission_test.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/transport/admissionview"
+)
+
+// settling is how long a surge lasts before answers are counted: time to find that the service is
+// short, and to drain the queues.
+const settling = 3 * time.Second
+
+func TestUrgentRequestsAreServedInAnOverloadAndOthersKeepTheirFloor(t *testing.T) {
+	// Guards: while callers send twice what a service can do, urgent requests are refused or late
+	// like all others; or the less urgent ones get nothing.
+	f := startLimitedFleet(t, newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond))
+	results := f.flows(settling+5*time.Second, map[string]int{"rank0": 40, "rank2": 160})
+	urgent, other := servedShare(results["rank0"], settling), servedShare(results["rank2"], settling)
+	all := servedShare(append(results["rank0"], results["rank2"]...), settling)
+	t.Logf("served in time: rank 0 %.2f, rank 2 %.2f, all %.2f", urgent, other, all)
+	assert.Check(t, urgent >= 0.9, "%.2f", urgent)
+	assert.Check(t, other >= all/4, "%.2f of rank 2, %.2f of all", other, all)
+	assert.Check(t, all >= 0.4, "%.2f", all)
+	for _, lines := range f.lines {
+		assert.Check(t, lines.count(`"event":"rate-limited"`) >= 1)
+		assert.Check(t, lines.count(`"event":"rate-limit`) <= 8, "few lines for one surge")
+	}
+	f.stop(t)
+}
+
+func TestRouterStartedInASurgeTakesTheLimitOfTheOthers(t *testing.T) {
+	// Guards: the limit is lost with a killed router, and the one that starts in its place admits all
+	// requests until it has learned a limit of its own.
+	f := startLimitedFleet(t, newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond))
+	var surge sync.WaitGroup
+	surge.Go(func() { f.flows(settling+4*time.Second, map[string]int{"rank0": 40, "rank2": 160}) })
+	f.routers[1].eventually("a limit is in force", func() bool { return f.limit(0) > 0 && f.limit(1) > 0 })
+	time.Sleep(settling)
+	f.kill(2)
+	f.restart(2)
+	r := f.routers[2]
+	r.eventually("the router is ready", r.ready)
+	began := time.Now()
+	r.eventually("it has a limit", func() bool { return f.limit(2) > 0 })
+	assert.Check(t, time.Since(began) < 2*time.Second, "after %s", time.Since(began))
+	assert.Check(t, f.lines[2].count(`"adopted":true`) >= 1)
+	own, others := f.limit(2), f.limit(0)
+	assert.Check(t, own > others/2 && own < 2*others, "%.0f, the others' is %.0f", own, others)
+	surge.Wait()
+	f.stop(t)
+}
+
+func TestRefusedCallersThatComeBackInTimeAreServedAtAnotherRouter(t *testing.T) {
+	// Guards: a caller that was told when to come back is refused again, as the router that it comes
+	// to knows nothing of that; or coming back early gains something.
+	f := startLimitedFleet(t, newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond))
+	var reserved, served, early atomic.Int64
+	var waiting sync.WaitGroup
+	f.flow("rank2", 160, settling+4*time.Second, func(got result) {
+		if got.status != http.StatusServiceUnavailable || !got.reserved || got.at < settling {
+			return
+		}
+		reserved.Add(1)
+		waiting.Go(func() {
+			other := (got.router + 1) % len(f.callers)
+			if got.after > time.Second && f.ask(got.router, got.target).status == http.StatusOK {
+				early.Add(1)
+				return
+			}
+			time.Sleep(got.after)
+			if f.ask(other, got.target).status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	})
+	waiting.Wait()
+	t.Logf("reserved %d, served %d, early ones served %d", reserved.Load(), served.Load(), early.Load())
+	assert.Assert(t, reserved.Load() >= 20, "%d", reserved.Load())
+	assert.Check(t, served.Load() >= reserved.Load()*8/10, "%d of %d", served.Load(), reserved.Load())
+	assert.Check(t, early.Load() == 0, "%d", early.Load())
+	f.stop(t)
+}
+
+func TestRequestsThatMayHaveRunAreNotAnsweredAsNotRun(t *testing.T) {
+	// Guards: in an overload, a request that may run only once and whose upstream broke it off is
+	// answered 429 or 503, and its caller sends it again.
+	servers := []*slotServer{newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond)}
+	for _, server := range servers {
+		server.breaks = 10
+	}
+	f := startLimitedFleet(t, servers...)
+	results := f.flows(settling+3*time.Second, map[string]int{"once": 160})
+	broken, refused := 0, 0
+	for _, got := range results["once"] {
+		ran := false
+		for _, server := range servers {
+			server.mu.Lock()
+			ran = ran || server.broken[got.target]
+			server.mu.Unlock()
+		}
+		promised := got.status == http.StatusTooManyRequests || got.status == http.StatusServiceUnavailable
+		assert.Check(t, !ran || !promised, "%s was answered %d", got.target, got.status)
+		if ran {
+			broken++
+		}
+		if promised {
+			refused++
+		}
+	}
+	t.Logf("%d broken off, %d refused", broken, refused)
+	assert.Check(t, broken > 10 && refused > 100, "%d, %d", broken, refused)
+	f.stop(t)
+}
+
+// limit returns the rate limit that a router has.
+func (f *limitedFleet) limit(router int) float64 {
+	view := f.view(router)
+	if len(view.Services) == 0 {
+		return 0
+	}
+	return view.Services[0].Limit
+}
+
+// view returns what a router shows to operators.
+func (f *limitedFleet) view(router int) admissionview.View {
+	return f.routers[router].router.admissionView()
+}
+
+// kill ends a router without notice to the others.
+func (f *limitedFleet) kill(router int) {
+	r := f.routers[router].router
+	r.fabric.Close()
+	r.closeServers()
+	_ = r.servers.callers.Close()
+	close(r.quit)
+	r.done.Wait()
+	r.pool.Close()
+}
+
+// restart starts a router anew that was killed.
+func (f *limitedFleet) restart(router int) {
+	f.lines[router].reset()
+	f.routers[router] = f.starts[router]()
+}
--- a/transport/forward/ratelimit_test.go
+++ b/transport/forward/ratelimit_test.go
@@ -35,6 +35,7 @@
 			got := r.call(test.path)
 			assert.Equal(t, got.status, http.StatusServiceUnavailable)
 			assert.Assert(t, strings.Contains(got.body, test.reason), got.body)
+			assert.Assert(t, strings.Contains(got.body, `"reserved":true`), got.body)
 			assert.Equal(t, got.retryAfter, "1.23")
 			assert.Assert(t, r.scheduled[0].Remaining > 0)
 		})
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -28,6 +28,9 @@
 type refusalBody struct {
 	Error  string `json:"error"`
 	Reason string `json:"reason"`
+	// Reserved says whether capacity is reserved for the request at the time that Retry-After gives.
+	// It is nil if the service has no rate limit.
+	Reserved *bool `json:"reserved,omitempty"`
 }
 
 // refuse answers the caller without an upstream's answer. after becomes the
@@ -41,7 +44,11 @@
 	if after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
-	body, err := json.Marshal(refusalBody{Error: http.StatusText(status), Reason: reason})
+	refusal := refusalBody{Error: http.StatusText(status), Reason: reason}
+	if f.outcome.Offer != nil {
+		refusal.Reserved = &f.outcome.Offer.Reserved
+	}
+	body, err := json.Marshal(refusal)
 	if err != nil {
 		panic("forward: invariant broken: a refusal always encodes: " + err.Error())
 	}
