Load reports carry counts of services that are short of capacity

Cause: counts are to travel to the same neighbours as loads, in the same messages. Change: a field Demand at the end of LoadReport and in its check for emptiness; AddDemand adds a Counter's reports to the load reports of the same round; ServiceID comes from package demand, which balance imports now. A report that has only counts doesn't change loads: taken as any other it would end the load that the report before gave by service (a test has that). No other decision changes.

--- /dev/null
+++ b/coordination/balance/demand.go
@@ -0,0 +1,52 @@
+package balance
+
+import (
+	"slices"
+
+	"endiveplank/coordination/demand"
+	"endiveplank/protocol"
+)
+
+// AddDemand adds the reports of a demand.Counter to load reports that are sent at the same time,
+// so that a receiver gets one message. It divides a load report whose receivers get different
+// counts, and adds one for receivers that get no load report.
+func AddDemand(reports []OutgoingReport, counts []demand.Outgoing) []OutgoingReport {
+	for _, c := range counts {
+		reports = addCounts(reports, c)
+	}
+	return reports
+}
+
+// addCounts adds counts for some receivers to load reports.
+func addCounts(reports []OutgoingReport, counts demand.Outgoing) []OutgoingReport {
+	var merged []OutgoingReport
+	missing := counts.To
+	for _, r := range reports {
+		with, without := divide(r.To, counts.To)
+		if len(with) > 0 {
+			report := r.Report
+			report.Demand = counts.Report
+			merged = append(merged, OutgoingReport{To: with, Report: report})
+		}
+		if len(without) > 0 {
+			merged = append(merged, OutgoingReport{To: without, Report: r.Report})
+		}
+		_, missing = divide(missing, with)
+	}
+	if len(missing) > 0 {
+		merged = append(merged, OutgoingReport{To: missing, Report: LoadReport{Demand: counts.Report}})
+	}
+	return merged
+}
+
+// divide returns the routers that are among others, and those that aren't.
+func divide(ids, others []protocol.RouterID) (in, out []protocol.RouterID) {
+	for _, id := range ids {
+		if slices.Contains(others, id) {
+			in = append(in, id)
+		} else {
+			out = append(out, id)
+		}
+	}
+	return in, out
+}
--- /dev/null
+++ b/coordination/balance/demand_test.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endiveplank/coordination/demand"
+	"endiveplank/protocol"
+)
+
+func TestCountsTravelWithLoadReports(t *testing.T) {
+	// Guards: routers whose relay has nothing to tell them about loads get no counts, or relays
+	// get another one's.
+	counts := func(routers int) []demand.ServiceCounts { return []demand.ServiceCounts{{Routers: routers}} }
+	reports := AddDemand([]OutgoingReport{
+		{To: []protocol.RouterID{"r1", "r2", "r3"}, Report: LoadReport{Full: true}},
+		{To: []protocol.RouterID{"m1"}, Report: LoadReport{Full: true}},
+	}, []demand.Outgoing{
+		{To: []protocol.RouterID{"r1"}, Report: counts(1)},
+		{To: []protocol.RouterID{"r3"}, Report: counts(2)},
+		{To: []protocol.RouterID{"m2"}, Report: counts(3)},
+	})
+	got := map[protocol.RouterID]LoadReport{}
+	for _, r := range reports {
+		for _, to := range r.To {
+			_, again := got[to]
+			assert.Assert(t, !again, "%s gets two reports", to)
+			got[to] = r.Report
+		}
+	}
+	assert.DeepEqual(t, got, map[protocol.RouterID]LoadReport{
+		"r1": {Full: true, Demand: counts(1)}, "r2": {Full: true}, "r3": {Full: true, Demand: counts(2)},
+		"m1": {Full: true}, "m2": {Demand: counts(3)},
+	})
+}
+
+func TestCountsAloneLeaveLoadsAsTheyAre(t *testing.T) {
+	// Guards: a report that has only counts ends the load that the report before has by service.
+	g := newGroups(20, 4)
+	b := g.balancers["r1"]
+	omitted := []ServiceLoad{{ID: serviceIDOf("s"), InFlight: 7}}
+	b.ApplyLoadReport(g.at, "r0", LoadReport{Omitted: omitted})
+	b.ApplyLoadReport(g.at, "r0", LoadReport{Demand: []demand.ServiceCounts{{Routers: 1}}})
+	assert.Equal(t, b.omittedLoad[serviceIDOf("s")], 7)
+}
--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"endiveplank/coordination/demand"
 	"endiveplank/protocol"
 )
 
@@ -39,20 +40,25 @@
 	// Omitted is the load in flight on upstreams of each service that a relay knows of
 	// beyond what its reports tell by upstream. It counts until the next report.
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+	// Demand are counts of services that are short of capacity, for a demand.Counter.
+	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
 }
 
 // empty reports whether the report says nothing.
 func (r LoadReport) empty() bool {
-	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0
+	return !r.hasLoads() && len(r.Demand) == 0
+}
+
+// hasLoads reports whether the report names upstreams, prompts or services' loads.
+func (r LoadReport) hasLoads() bool {
+	return len(r.Upstreams) > 0 || len(r.Cached) > 0 || len(r.Omitted) > 0
 }
 
 // ServiceID is a hash that stands for a service's name in messages between routers.
-type ServiceID uint32
+type ServiceID = demand.ServiceID
 
 // serviceIDOf returns the ServiceID of a service.
-func serviceIDOf(service protocol.Service) ServiceID {
-	return ServiceID(xxhash.Sum64String(string(service)))
-}
+func serviceIDOf(service protocol.Service) ServiceID { return demand.ServiceIDOf(service) }
 
 // ServiceLoad is a load on the upstreams of one service.
 type ServiceLoad struct {
--- a/coordination/balance/remote.go
+++ b/coordination/balance/remote.go
@@ -23,9 +23,10 @@
 	omitted    []ServiceLoad
 }
 
-// ApplyLoadReport applies another router's report, or the total that a relay sends.
+// ApplyLoadReport applies another router's report, or the total that a relay sends. It leaves
+// alone what the report says about demand, also where it says nothing else.
 func (b *Balancer) ApplyLoadReport(now time.Duration, from protocol.RouterID, report LoadReport) {
-	if !b.accepts(from) {
+	if onlyDemand := !report.Full && !report.hasLoads() && len(report.Demand) > 0; onlyDemand || !b.accepts(from) {
 		return
 	}
 	remote := b.routers[from]
