--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -46,7 +46,7 @@
 	// Reported is what upstreams report of their own load, as far as the receiver doesn't know
 	// it yet.
 	Reported []ReportedLoad `msgpack:"c,omitempty"`
-	// Demand are the counts of services that are short of capacity.
+	// Demand are counts of services that are short of capacity, for a demand.Counter.
 	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
 }
 
@@ -69,25 +69,21 @@
 	AgeMS int `msgpack:"a"`
 }
 
-// HasLoads reports whether the report says anything about loads or caches. One that doesn't leaves
-// what the sender has reported of them as it is.
-func (r LoadReport) HasLoads() bool {
-	return r.Full || len(r.Upstreams) > 0 || len(r.Cached) > 0 || len(r.Omitted) > 0
+// empty reports whether the report says nothing.
+func (r LoadReport) empty() bool {
+	return !r.hasLoads() && len(r.Demand) == 0 && len(r.Reservations) == 0 && len(r.Reported) == 0
 }
 
-// empty reports whether the report says nothing, apart from Full.
-func (r LoadReport) empty() bool {
-	return len(r.Upstreams) == 0 && len(r.Cached) == 0 && len(r.Omitted) == 0 &&
-		len(r.Reservations) == 0 && len(r.Reported) == 0 && len(r.Demand) == 0
+// hasLoads reports whether the report names upstreams, prompts or services' loads.
+func (r LoadReport) hasLoads() bool {
+	return len(r.Upstreams) > 0 || len(r.Cached) > 0 || len(r.Omitted) > 0
 }
 
 // ServiceID is a hash that stands for a service's name in messages between routers.
-type ServiceID uint32
+type ServiceID = demand.ServiceID
 
 // serviceIDOf returns the ServiceID of a service.
-func serviceIDOf(service protocol.Service) ServiceID {
-	return ServiceID(xxhash.Sum64String(string(service)))
-}
+func serviceIDOf(service protocol.Service) ServiceID { return demand.ServiceIDOf(service) }
 
 // ServiceLoad is a load on the upstreams of one service.
 type ServiceLoad struct {
--- a/coordination/balance/remote.go
+++ b/coordination/balance/remote.go
@@ -23,9 +23,10 @@
 	omitted    []ServiceLoad
 }
 
-// ApplyLoadReport applies another router's report, or the total that a relay sends.
+// ApplyLoadReport applies another router's report, or the total that a relay sends. It leaves
+// alone what the report says about demand and capacity, also where it says nothing else.
 func (b *Balancer) ApplyLoadReport(now time.Duration, from protocol.RouterID, report LoadReport) {
-	if !b.accepts(from) {
+	if withoutLoads := !report.Full && !report.hasLoads() && !report.empty(); withoutLoads || !b.accepts(from) {
 		return
 	}
 	remote := b.routers[from]
--- a/daemon/router/admissionreports.go
+++ b/daemon/router/admissionreports.go
@@ -9,85 +9,22 @@
 	"endiveplank/protocol"
 )
 
-// reportParts are the parts of a load report to one router: places in the lists of loads, counts,
-// reservations and reported loads that are due, -1 for none.
-type reportParts struct{ loads, counts, reservations, reported int }
-
-// dueReports are the parts of load reports that are due, and which of them each router gets.
-type dueReports struct {
-	parts map[protocol.RouterID]*reportParts
-	// order holds the routers in the order in which parts for them were added.
-	order []protocol.RouterID
-}
-
-// add adds a part for some routers.
-func (d *dueReports) add(to []protocol.RouterID, set func(*reportParts)) {
-	for _, id := range to {
-		parts := d.parts[id]
-		if parts == nil {
-			parts = &reportParts{-1, -1, -1, -1}
-			d.parts[id] = parts
-			d.order = append(d.order, id)
-		}
-		set(parts)
-	}
-}
-
-// groups returns the routers that get the same parts.
-func (d *dueReports) groups() (keys []reportParts, routers map[reportParts][]protocol.RouterID) {
-	routers = map[reportParts][]protocol.RouterID{}
-	for _, id := range d.order {
-		key := *d.parts[id]
-		if len(routers[key]) == 0 {
-			keys = append(keys, key)
-		}
-		routers[key] = append(routers[key], id)
-	}
-	return keys, routers
-}
-
 // withAdmission adds to load reports what other routers need to know about services that are short
 // of capacity. The lock is held.
-func (r *Router) withAdmission(now time.Duration, loads []balance.OutgoingReport) []balance.OutgoingReport {
+func (r *Router) withAdmission(now time.Duration, reports []balance.OutgoingReport) []balance.OutgoingReport {
 	a := r.admission
 	if a == nil {
-		return loads
+		return reports
 	}
 	neighbours := r.relay.Neighbours()
-	counts, reservations := a.counter.Reports(now, demand.Neighbours(neighbours)), a.reservations.Reports(now)
-	reported := r.pendingReportedLoads(now, neighbours)
-	due := dueReports{parts: map[protocol.RouterID]*reportParts{}}
-	for i, part := range loads {
-		due.add(part.To, func(p *reportParts) { p.loads = i })
-	}
-	for i, part := range counts {
-		due.add(part.To, func(p *reportParts) { p.counts = i })
+	reports = balance.AddDemand(reports, a.counter.Reports(now, demand.Neighbours(neighbours)))
+	for _, part := range a.reservations.Reports(now) {
+		reports = balance.AddTo(reports, part.To, func(report *balance.LoadReport) { report.Reservations = part.Reported })
 	}
-	for i, part := range reservations {
-		due.add(part.To, func(p *reportParts) { p.reservations = i })
+	for _, part := range r.pendingReportedLoads(now, neighbours) {
+		reports = balance.AddTo(reports, part.To, func(report *balance.LoadReport) { report.Reported = part.Reported })
 	}
-	for i, part := range reported {
-		due.add(part.To, func(p *reportParts) { p.reported = i })
-	}
-	keys, routers := due.groups()
-	var all []balance.OutgoingReport
-	for _, key := range keys {
-		out := balance.OutgoingReport{To: routers[key]}
-		if key.loads >= 0 {
-			out.Report = loads[key.loads].Report
-		}
-		if key.counts >= 0 {
-			out.Report.Demand = counts[key.counts].Report
-		}
-		if key.reservations >= 0 {
-			out.Report.Reservations = reservations[key.reservations].Reported
-		}
-		if key.reported >= 0 {
-			out.Report.Reported = reported[key.reported].Reported
-		}
-		all = append(all, out)
-	}
-	return all
+	return reports
 }
 
 // pendingReportedLoads returns what upstreams report of their load, of services that are short of
@@ -103,14 +40,11 @@
 
 // applyLoadReport takes another router's report. The lock is held.
 func (r *Router) applyLoadReport(now time.Duration, from protocol.RouterID, report balance.LoadReport) {
+	r.balancer.ApplyLoadReport(now, from, report)
 	a := r.admission
 	if a == nil {
-		r.balancer.ApplyLoadReport(now, from, report)
 		return
 	}
-	if report.HasLoads() {
-		r.balancer.ApplyLoadReport(now, from, report)
-	}
 	a.counter.Apply(now, from, report.Demand)
 	a.reservations.Apply(now, from, report.Reservations)
 	if a.reports != nil {
