--- a/coordination/ratelimit/admit.go
+++ b/coordination/ratelimit/admit.go
@@ -52,7 +52,7 @@
 		return Decision{Admitted: true, Reason: ReasonNoLimit}
 	}
 	rank := min(max(r.Rank, 0), demand.Ranks-1)
-	d := Decision{Limit: l.Limit(now), Wait: l.wait()}
+	d := Decision{Limit: l.allowed(), Wait: l.wait()}
 	d.Share, d.Demand = l.shares.of(rank, demand.CustomerHashOf(r.Customer))
 	d.Admitted, d.Reason = decide(d, random, r)
 	return d
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"endiveplank/coordination/demand"
 )
 
 const (
@@ -12,9 +14,11 @@
 	countTimeConstant = time.Second
 	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
 	loadTimeConstant = 150 * time.Millisecond
-	// correctionTime is the time within which the requests in flight are brought to the allowed
-	// number. It is above the age of the reports, beyond which the correction oscillates.
-	correctionTime = 700 * time.Millisecond
+	// minCorrectionTime is the time within which the requests in flight are brought to the allowed
+	// number. It is above the age of the reports, beyond which the correction oscillates, and at
+	// least workPart of the time that a request takes.
+	minCorrectionTime = 500 * time.Millisecond
+	workPart          = 0.5
 	// maxCorrectionDown and maxCorrectionUp bound the correction.
 	maxCorrectionDown = 0.8
 	maxCorrectionUp   = 0.3
@@ -27,26 +31,51 @@
 	// settleTime is how long the set of reporting routers must not have grown before a first limit.
 	settleTime = 350 * time.Millisecond
 	// firstPart is the part of what upstreams answer that is the first limit.
-	firstPart = 0.85
+	firstPart = 0.95
 	// cutFactor cuts a limit while queues are long and don't get shorter.
 	cutFactor = 0.85
 	// longQueue is how many times the allowed load counts as a long queue, and shrinking the part
 	// of the load before that says that it gets shorter.
 	longQueue = 2.0
 	shrinking = 0.95
-	// freeLoad is the load below which slots are free, and fullLoad the one that a limit is raised
-	// to. raiseRate is the part of the difference that it is raised by in a decision.
-	freeLoad  = 0.85
-	fullLoad  = 0.95
-	raiseRate = 0.5
-	// integralTime is the time in which a lasting correction becomes part of the limit.
-	integralTime = 3 * time.Second
-	// The requests that may wait for each slot: fewer while answers are late, more while not.
-	firstWaiting = 0.5
-	minWaiting   = 0.05
-	maxWaiting   = 2.0
-	fewerWaiting = 0.85
-	moreWaiting  = 1.05
+	// raiseRate is the part of the free slots that the limit is raised by in a decision.
+	raiseRate = 0.4
+	// integralRate is by what part a second the limit changes if the load is all above or below
+	// the allowed one, and maxIntegral bounds this change in a decision.
+	integralRate = 0.25
+	maxIntegral  = 0.1
+	// effectivePart is how far above the limit the admitted requests may be while it is in effect.
+	effectivePart = 1.15
+	// The load that is allowed on each slot: less while more than regulatedShare of the answers are
+	// late, more while not.
+	minLoad        = 0.75
+	maxLoad        = 3.0
+	lessLoad       = 0.15
+	moreLoad       = 0.1
+	regulatedShare = 0.35
+	// The first allowed load is a part of the one that made answers late.
+	firstLoadPart = 0.75
+	maxFirstLoad  = 2.0
+	// drainedTime is how long after the load has come down to the allowed one answers are still late
+	// because of what waited before.
+	drainedTime = 500 * time.Millisecond
+	// severeShare is the share of late answers from which on the allowed load falls quickly.
+	severeShare  = 0.7
+	muchLessLoad = 0.85
+	// usedPart is the part of the allowed load that must be used for it to be raised.
+	usedPart = 0.9
+	// biasExponent is the power of the relative error of a rank's admissions by which its capacity is
+	// corrected in a decision, and maxBias bounds the correction.
+	biasExponent = 0.25
+	// steadyPart is by what part a rank's share may change while its admissions are compared with it.
+	steadyPart = 0.2
+	maxBias    = 2.0
+	// arrivalNoise is the variance of the number of arrivals as a multiple of the number: requests
+	// arrive in bursts. The change of the demand is taken to be at most maxTrend, and measured over
+	// at least the time that leaves maxTrendKeep of a rate.
+	arrivalNoise = 3.0
+	maxTrend     = 2.5
+	maxTrendKeep = 0.8
 	// inTimePart is the part of the answers in time that a limit doesn't fall below.
 	inTimePart = 0.9
 	// unusedFactor is how far a limit may be above the demand, and ampleFactor how far above it for
@@ -77,6 +106,7 @@
 	}
 	passed := now - l.decidedAt
 	l.answers.observe(now, l.totals)
+	l.observeDemand(now)
 	l.decidedAt = now
 	if !l.observed {
 		l.observed = true
@@ -120,13 +150,15 @@
 
 func (l *Limiter) limitTo(limit float64) Change {
 	l.perSlot = limit / float64(l.capacity.Slots)
-	l.allowedWaiting = firstWaiting
+	l.allowedLoad = min(max(firstLoadPart*l.load.perSlot, 1), maxFirstLoad)
 	l.ample = false
+	l.rankBias = [demand.Ranks]float64{1, 1, 1, 1}
+	l.rankShare = l.totals.Admitted
 	return l.change(true)
 }
 
 func (l *Limiter) change(limited bool) Change {
-	return Change{Limited: limited, Limit: l.base(), Capacity: l.capacity, LateShare: l.answers.lateShare, Arrived: l.totals.Arrived}
+	return Change{Limited: limited, Limit: l.perSlot * float64(l.capacity.Slots), Capacity: l.capacity, LateShare: l.answers.lateShare, Arrived: l.totals.Arrived}
 }
 
 // lift ends the limit.
@@ -141,7 +173,7 @@
 
 // liftIfAmple ends the limit once it has been well above the demand for a while.
 func (l *Limiter) liftIfAmple(now time.Duration) (Change, bool) {
-	ample := l.base() >= ampleFactor*l.arrived
+	ample := l.Limit(now) >= ampleFactor*l.arrived
 	if ample && !l.ample {
 		l.ampleSince = now
 	}
@@ -158,24 +190,55 @@
 		l.regulateAlone()
 		return
 	}
-	if l.answers.lateShare > shortShare {
-		l.allowedWaiting *= fewerWaiting
-	} else {
-		l.allowedWaiting *= moreWaiting
-	}
-	l.allowedWaiting = min(max(l.allowedWaiting, minWaiting), maxWaiting)
+	l.allowLoad(now)
 	load, before := l.load.perSlot, l.load.decided
 	l.load.decided = load
-	allowed := 1 + l.allowedWaiting
+	admittedTooMuch := l.admitted.latest > effectivePart*l.allowed()
 	switch {
-	case load > longQueue*allowed && load > shrinking*before:
+	case load > longQueue*l.allowedLoad && load > shrinking*before && !admittedTooMuch:
 		l.perSlot *= cutFactor
-	case load < freeLoad:
-		l.perSlot *= 1 + raiseRate*(fullLoad-load)
+	case load > l.allowedLoad && (load < before || admittedTooMuch):
+		// The queues get shorter, or will once the demand is known.
 	default:
-		l.perSlot *= 1 + l.correction()*passed.Seconds()/integralTime.Seconds()
+		change := integralRate * passed.Seconds() * (1 - load/l.allowedLoad)
+		free := max(min(l.allowedLoad, 1)-load, 0)
+		l.perSlot *= 1 + min(max(change, -maxIntegral), maxIntegral) + raiseRate*free
 	}
 	l.bound(now)
+	l.correctRanks(passed)
+}
+
+// correctRanks corrects the capacity of each rank by what was admitted of it. It differs from the
+// rank's share because the ranks of single customers aren't known.
+func (l *Limiter) correctRanks(passed time.Duration) {
+	weight := 1 - math.Exp(-float64(passed)/float64(countTimeConstant))
+	for rank, admitted := range l.totals.Admitted {
+		l.rankShare[rank] += weight * (l.shares.rank[rank] - l.rankShare[rank])
+		steady := math.Abs(l.shares.rank[rank]-l.rankShare[rank]) < steadyPart*l.rankShare[rank]
+		if !steady || admitted <= 0 || l.shares.rank[rank] >= l.shares.demand[rank] {
+			continue
+		}
+		l.rankBias[rank] *= math.Pow(l.rankShare[rank]/admitted, biasExponent)
+		l.rankBias[rank] = min(max(l.rankBias[rank], 1/maxBias), maxBias)
+	}
+}
+
+// allowLoad changes the load that is allowed by how many answers are late.
+func (l *Limiter) allowLoad(now time.Duration) {
+	late, load := l.answers.lateShare, l.load.perSlot
+	if load > l.allowedLoad/usedPart {
+		l.load.aboveAt = now
+	}
+	switch {
+	case now-l.load.aboveAt < drainedTime:
+	case late > severeShare:
+		l.allowedLoad *= muchLessLoad
+	case late > regulatedShare:
+		l.allowedLoad *= 1 - lessLoad*(late-regulatedShare)
+	case load > usedPart*l.allowedLoad:
+		l.allowedLoad *= 1 + moreLoad*(regulatedShare-late)
+	}
+	l.allowedLoad = min(max(l.allowedLoad, minLoad), maxLoad)
 }
 
 // regulateAlone follows this router's own answers: the load of the others isn't known.
@@ -199,7 +262,7 @@
 
 // agree moves the limit towards what other routers report.
 func (l *Limiter) agree(reported float64) {
-	own := l.base() * (1 + l.correction())
+	own := l.perSlot * float64(l.capacity.Slots)
 	if reported <= 0 || own <= 0 {
 		return
 	}
@@ -209,7 +272,7 @@
 // rescale keeps the part of the demand that is admitted when the counts of many routers leave the
 // sums or join them: the sums are of fewer or more requests then, and the limit is for these.
 func (l *Limiter) rescale(now time.Duration) {
-	m := &l.membership
+	m, arrived := &l.membership, sum(l.totals.Arrived)
 	if l.totals.Routers > m.last {
 		m.grownAt = now
 	}
@@ -217,13 +280,13 @@
 	fewer, more := min(m.last, m.routers), max(m.last, m.routers)
 	switch {
 	case fewer == more:
-		m.arrived, m.confirmedAt = l.arrived, now
+		m.arrived, m.confirmedAt = arrived, now
 		return
 	case more < membershipFactor*fewer && now-m.confirmedAt < membershipTime:
 		return
-	case more >= membershipFactor*fewer && m.arrived > 0 && l.arrived > 0:
-		l.perSlot *= l.arrived / m.arrived
+	case more >= membershipFactor*fewer && m.arrived > 0 && arrived > 0:
+		l.perSlot *= arrived / m.arrived
 		m.alone = m.last <= 1
 	}
-	m.routers, m.arrived, m.confirmedAt = m.last, l.arrived, now
+	m.routers, m.arrived, m.confirmedAt = m.last, arrived, now
 }
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"endiveplank/coordination/demand"
@@ -48,22 +49,29 @@
 	totals   demand.Totals
 	capacity Capacity
 	// arrived is the demand of all ranks in requests a second.
-	arrived    float64
-	answers    answers
-	load       load
-	membership membership
+	arrived float64
+	trends  [demand.Ranks]trend
+	// trendFactor is the latest demand of each rank as a multiple of the decaying rate.
+	trendFactor [demand.Ranks]float64
+	admitted    trend
+	answers     answers
+	load        load
+	membership  membership
 	// perSlot is the limit of each slot in requests a second without the correction for the
 	// requests in flight, 0 if there is no limit.
 	perSlot float64
-	// allowedWaiting is how many requests may wait for each slot.
-	allowedWaiting float64
-	observed       bool
-	observedAt     time.Duration
-	decidedAt      time.Duration
+	// allowedLoad is how many requests may be in flight for each slot.
+	allowedLoad float64
+	observed    bool
+	observedAt  time.Duration
+	decidedAt   time.Duration
 	// ampleSince is since when the limit has been well above the demand.
 	ample      bool
 	ampleSince time.Duration
 	shares     shares
+	// rankShare is each rank's share, averaged as the counts are, and rankBias the factor that
+	// corrects the difference between it and what is admitted.
+	rankShare, rankBias [demand.Ranks]float64
 }
 
 // New returns a Limiter without a limit.
@@ -74,23 +82,23 @@
 // It returns a Change if the limit came into force or ended.
 func (l *Limiter) Observe(now time.Duration, totals demand.Totals, capacity Capacity, reported float64) (Change, bool) {
 	l.totals, l.capacity = totals, capacity
-	l.arrived = sum(totals.Arrived)
 	l.load.observe(now, capacity)
 	l.rescale(now)
 	change, changed := l.decide(now, reported)
 	if l.perSlot > 0 {
-		l.shares = newShares(l.settings, l.Limit(now), totals)
+		l.shares = newShares(l.settings, l.allowed(), l.latest(), l.rankBias)
 	}
 	return change, changed
 }
 
-// Limit returns the limit in requests a second over all routers, 0 if there is none.
-func (l *Limiter) Limit(now time.Duration) float64 {
-	return l.base() * (1 + l.correction())
-}
+// Limit returns the learned limit in requests a second over all routers, 0 if there is none. It is
+// what other routers are told; the correction for the requests in flight isn't in it.
+func (l *Limiter) Limit(now time.Duration) float64 { return l.perSlot * float64(l.capacity.Slots) }
 
-// base returns the limit without the correction for the requests in flight.
-func (l *Limiter) base() float64 { return l.perSlot * float64(l.capacity.Slots) }
+// allowed returns how many requests a second are admitted by all routers together.
+func (l *Limiter) allowed() float64 {
+	return l.perSlot * float64(l.capacity.Slots) * (1 + l.correction())
+}
 
 // correction returns by what part the limit is raised or lowered to bring the requests in flight
 // to the number that is allowed.
@@ -98,10 +106,16 @@
 	if l.perSlot == 0 || l.membership.alone {
 		return 0
 	}
-	excess := (1 + l.allowedWaiting - l.load.perSlot) / (l.perSlot * correctionTime.Seconds())
+	excess := (l.allowedLoad - l.load.perSlot) / (l.perSlot * l.correctionTime())
 	return min(max(excess, -maxCorrectionDown), maxCorrectionUp)
 }
 
+// correctionTime returns the time in seconds within which the requests in flight are brought to the
+// allowed number.
+func (l *Limiter) correctionTime() float64 {
+	return max(minCorrectionTime.Seconds(), workPart/l.perSlot)
+}
+
 func sum(rates [demand.Ranks]float64) float64 {
 	total := 0.0
 	for _, rate := range rates {
@@ -117,6 +131,8 @@
 	// decided is perSlot at the last decision.
 	decided float64
 	at      time.Duration
+	// aboveAt is when it was last above the allowed one.
+	aboveAt time.Duration
 	// changedAt is when the number of slots last changed.
 	changedAt time.Duration
 }
@@ -134,6 +150,77 @@
 	o.at = now
 }
 
+// trend estimates the latest value of a decaying rate, so that a change needn't last as long as its
+// time constant until it is known.
+type trend struct {
+	// before are the last two measurements.
+	before [2]measurement
+	// latest is the rate since the one before the last.
+	latest float64
+}
+
+// measurement is a rate at a time.
+type measurement struct {
+	rate float64
+	at   time.Duration
+}
+
+// observe takes the decaying rate and returns an estimate of the latest one, which is as far from it
+// as isn't likely to be chance.
+func (t *trend) observe(now time.Duration, rate float64) float64 {
+	oldest := t.before[0]
+	t.before = [2]measurement{t.before[1], {rate, now}}
+	t.latest = rate
+	keep := math.Exp(-float64(now-oldest.at) / float64(countTimeConstant))
+	if oldest.rate == 0 || rate == 0 || keep > maxTrendKeep {
+		return rate
+	}
+	t.latest = max(rate-keep*oldest.rate, 0) / (1 - keep)
+	variance := arrivalNoise / (rate * (now - oldest.at).Seconds())
+	factor := 1 + significant(t.latest/rate-1, variance)
+	return rate * min(max(factor, 1/maxTrend), maxTrend)
+}
+
+// significant returns the part of a difference that isn't likely to be chance, for the variance that
+// chance gives it.
+func significant(difference, variance float64) float64 {
+	square := difference * difference
+	return difference * square / (square + variance)
+}
+
+// latest returns totals with the latest demand.
+func (l *Limiter) latest() demand.Totals {
+	totals := l.totals
+	before := sum(totals.Arrived)
+	for rank := range totals.Arrived {
+		totals.Arrived[rank] *= l.trendFactor[rank]
+	}
+	if before == 0 {
+		return totals
+	}
+	factor := sum(totals.Arrived) / before
+	totals.Customers = slices.Clone(totals.Customers)
+	for n := range totals.Customers {
+		totals.Customers[n].Arrived *= factor
+	}
+	totals.RestArrived *= factor
+	return totals
+}
+
+// observeDemand estimates the latest demand.
+func (l *Limiter) observeDemand(now time.Duration) {
+	l.arrived = 0
+	for rank, arrived := range l.totals.Arrived {
+		latest := l.trends[rank].observe(now, arrived)
+		l.trendFactor[rank] = 1
+		if arrived > 0 {
+			l.trendFactor[rank] = latest / arrived
+		}
+		l.arrived += latest
+	}
+	l.admitted.observe(now, sum(l.totals.Admitted))
+}
+
 // answers separates the answers since the last decision from the decaying rates.
 type answers struct {
 	inTime, late float64
--- a/coordination/ratelimit/model_test.go
+++ b/coordination/ratelimit/model_test.go
@@ -158,15 +158,17 @@
 type model struct {
 	fleet
 	trouble
-	random   *rand.Rand
-	events   timequeue.Queue[event]
-	routers  []*modelRouter
-	servers  []*modelServer
-	sums     counts
-	names    [customers]protocol.CustomerID
-	hashes   [customers]demand.CustomerHash
-	weights  [customers]float64
-	outcomes map[string]*outcome
+	random      *rand.Rand
+	arrivedNow  int
+	admittedNow int
+	events      timequeue.Queue[event]
+	routers     []*modelRouter
+	servers     []*modelServer
+	sums        counts
+	names       [customers]protocol.CustomerID
+	hashes      [customers]demand.CustomerHash
+	weights     [customers]float64
+	outcomes    map[string]*outcome
 	// seconds are the outcomes by second of the arrival, new requests only.
 	seconds []outcome
 	// possible is what the capacity allows in each second.
@@ -323,6 +325,7 @@
 func (m *model) arrive(at time.Duration, a *attempt) {
 	r := m.routers[a.router]
 	r.own.decay(at)
+	m.arrivedNow++
 	r.own.arrived[a.rank]++
 	r.own.customers[a.customer]++
 	remaining := callerWaits - (at - a.asked)
@@ -336,6 +339,7 @@
 	}
 	if d.Admitted || m.unlimited {
 		r.own.admitted[a.rank]++
+		m.admittedNow++
 		m.send(at, a, -1)
 		return
 	}
--- a/coordination/ratelimit/servers_test.go
+++ b/coordination/ratelimit/servers_test.go
@@ -13,8 +13,8 @@
 // spread is the deviation of the logarithm of the work, which gives it a tail.
 const spread = 0.6
 
-// send sends a request to the server with the fewest requests of its router, of all if there are few
-// and of two otherwise, as coordination/balance does with plain requests.
+// send sends a request to the server with the fewest requests of its router, one with a low average
+// load from all routers among several, as coordination/balance does with plain requests.
 func (m *model) send(at time.Duration, a *attempt, tried int) {
 	n := m.choose(a.router, tried)
 	if n < 0 {
@@ -41,30 +41,17 @@
 func (m *model) choose(router, tried int) int {
 	flight := m.routers[router].flight
 	best, least, total := -1, math.MaxInt, 0.0
-	for range 2 {
-		for n := range m.servers {
-			if len(m.servers) > 8 {
-				n = m.random.IntN(len(m.servers))
-			}
-			if server := m.servers[n]; server.gone || n == tried {
-				continue
-			}
-			weight := 1 / math.Pow(1+m.servers[n].average, 2)
-			if flight[n] < least {
-				least, total = flight[n], 0
-			}
-			if flight[n] == least {
-				total += weight
-				if m.random.Float64()*total < weight {
-					best = n
-				}
-			}
-			if len(m.servers) > 8 {
-				break
-			}
+	for n, server := range m.servers {
+		if server.gone || n == tried || flight[n] > least {
+			continue
 		}
-		if len(m.servers) <= 8 {
-			break
+		if flight[n] < least {
+			least, total = flight[n], 0
+		}
+		weight := 1 / ((1 + server.average) * (1 + server.average))
+		total += weight
+		if m.random.Float64()*total < weight {
+			best = n
 		}
 	}
 	return best
@@ -199,8 +186,10 @@
 		r.constrainedAt = at
 	}
 	if n == m.fleet.routers-1 && int(at/tick)%5 == 0 {
-		m.limits = append(m.limits, fmt.Sprintf("%.1fs: limit %.0f base %.0f load %.2f waiting %.2f late %.2f arrived %.0f", at.Seconds(),
-			r.limiter.Limit(0), r.limiter.base(), r.limiter.load.perSlot, r.limiter.allowedWaiting, r.limiter.answers.lateShare, r.limiter.arrived))
+		m.limits = append(m.limits, fmt.Sprintf("%.1fs: limit %.0f base %.0f load %.2f waiting %.2f late %.2f arrived %.0f admitted %.0f sum %.0f now %d arrivedNow %d sum %.0f bias %.2f", at.Seconds(),
+			r.limiter.allowed(), r.limiter.Limit(0), r.limiter.load.perSlot, r.limiter.allowedLoad, r.limiter.answers.lateShare, r.limiter.arrived, r.limiter.admitted.latest, sum(r.limiter.totals.Admitted), m.admittedNow*4, m.arrivedNow*4, sum(r.limiter.totals.Arrived), r.limiter.rankBias))
+		m.arrivedNow = 0
+		m.admittedNow = 0
 	}
 }
 
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -37,8 +37,8 @@
 	kept [demand.Ranks]float64
 }
 
-// newShares divides a limit.
-func newShares(settings Settings, limit float64, totals demand.Totals) shares {
+// newShares divides a limit. The capacity of each rank is multiplied by its bias.
+func newShares(settings Settings, limit float64, totals demand.Totals, bias [demand.Ranks]float64) shares {
 	s := shares{customers: map[demand.CustomerHash]float64{}}
 	for _, arrived := range totals.Arrived {
 		s.sum += arrived
@@ -59,7 +59,7 @@
 	s.floor = settings.Floor * alike
 	s.outlier = s.findOutlier(limit, totals)
 	s.divideAmongRanks(settings, limit, totals)
-	s.divideAmongCustomers(totals)
+	s.divideAmongCustomers(totals, bias)
 	return s
 }
 
@@ -114,7 +114,7 @@
 
 // divideAmongCustomers sets the level up to which each customer's requests of a rank get more than
 // their floor. The ranks of single customers aren't known; they are taken to be those of all.
-func (s *shares) divideAmongCustomers(totals demand.Totals) {
+func (s *shares) divideAmongCustomers(totals demand.Totals, bias [demand.Ranks]float64) {
 	for rank, part := range s.arrivedPart {
 		if part == 0 {
 			continue
@@ -127,7 +127,7 @@
 		if totals.RestCustomers > 0 {
 			claims = append(claims, claim{s.rest * part, float64(totals.RestCustomers)})
 		}
-		s.level[rank] = levelFor(claims, s.rank[rank]-s.floor*s.demand[rank])
+		s.level[rank] = levelFor(claims, (s.rank[rank]-s.floor*s.demand[rank])*bias[rank])
 	}
 }
 
