--- a/coordination/retryschedule/failures_test.go
+++ b/coordination/retryschedule/failures_test.go
@@ -73,7 +73,7 @@
 		others := offeredPerSecond(routers, 1)
 		const scheduled = 0.95 * retryPart * 200
 		mean := meanOf(others)
-		t.Logf("%d routers: %.1f a second of %.1f, from %.0f to %.0f", routers, mean, scheduled, slices.Min(others), slices.Max(others))
+		logRates(t, routers, "others", others)
 		assert.Assert(t, mean <= 1.05*scheduled && mean >= 0.8*scheduled, "%d routers: %.1f", routers, mean)
 		assert.Assert(t, slices.Max(others) <= withinNoise(scheduled), "%d routers: %v", routers, others)
 
@@ -81,7 +81,7 @@
 		urgent := offeredPerSecond(routers, mostUrgent)
 		const all = retryPart * 200
 		mean = meanOf(urgent)
-		t.Logf("%d routers, most urgent rank: %.1f a second of %.1f, from %.0f to %.0f", routers, mean, all, slices.Min(urgent), slices.Max(urgent))
+		logRates(t, routers, "most urgent rank", urgent)
 		assert.Assert(t, mean <= 1.05*all, "%d routers: %.1f", routers, mean)
 		assert.Assert(t, slices.Max(urgent) <= withinNoise(all+0.05*all*horizon.Seconds()), "%d routers: %v", routers, urgent)
 	}
@@ -105,7 +105,8 @@
 			if random.Float64() >= largest {
 				i, part = 1+random.IntN(routers-1), (1-largest)/float64(routers-1)
 			}
-			offer := schedules[i].Offer(now, random.Float64(), refused, Capacity{Limit: 200, Part: part, Known: meshInterval})
+			capacity := Capacity{Limit: 200, Part: part, Known: meshInterval}
+			offer := schedules[i].Offer(now, random.Float64(), refused, capacity)
 			if offer.Reserved {
 				perSecond[offer.Reservation.Due/time.Second]++
 			}
@@ -114,6 +115,11 @@
 	return perSecond[1:seconds]
 }
 
+func logRates(t *testing.T, routers int, rank string, counts []float64) {
+	lowest, highest := slices.Min(counts), slices.Max(counts)
+	t.Logf("%d routers, %s: %.1f a second, from %.0f to %.0f", routers, rank, meanOf(counts), lowest, highest)
+}
+
 func meanOf(counts []float64) float64 {
 	var sum float64
 	for _, count := range counts {
@@ -303,7 +309,8 @@
 
 func TestNonsenseInputsOfferNothing(t *testing.T) {
 	// Guards: a limit or part that is no number reserves without bound.
-	for _, c := range []Capacity{{Limit: math.NaN(), Part: 1}, {Limit: -1, Part: 1}, {Limit: 200, Part: math.NaN()}, {Limit: 200, Part: -1}} {
-		assert.Assert(t, !NewSchedule(Settings{Reserve: math.NaN()}).Offer(at, 0, order(1), c).Reserved)
+	nan := math.NaN()
+	for _, c := range []Capacity{{Limit: nan, Part: 1}, {Limit: -1, Part: 1}, {Limit: 200, Part: nan}, {Limit: 200, Part: -1}} {
+		assert.Assert(t, !NewSchedule(Settings{Reserve: nan}).Offer(at, 0, order(1), c).Reserved)
 	}
 }
--- a/coordination/retryschedule/relay_test.go
+++ b/coordination/retryschedule/relay_test.go
@@ -117,7 +117,8 @@
 			most = max(most, sent)
 		}
 		mean := sum / fleet.routers / seconds
-		t.Logf("%d routers, %d reservations a second: each sends %d bytes a second, at most %d", fleet.routers, perSecond, mean, most/seconds)
+		t.Logf("%d routers, %d reservations a second: each sends %d bytes a second, at most %d",
+			fleet.routers, perSecond, mean, most/seconds)
 		assert.Assert(t, mean <= 1100)
 	}
 }
--- a/coordination/retryschedule/schedule.go
+++ b/coordination/retryschedule/schedule.go
@@ -99,7 +99,8 @@
 	if !(c.Limit > 0) {
 		return Offer{RetryAfter: min(shortest, longest)}
 	}
-	due, ok := s.take(now, random, max(shortest, c.Known), min(longest, horizon), r.Rank, roomPerStep(c))
+	times := span{max(shortest, c.Known), min(longest, horizon)}
+	due, ok := s.take(now, random, times, r.Rank, roomPerStep(c))
 	if !ok {
 		return Offer{RetryAfter: longest}
 	}
@@ -115,7 +116,10 @@
 	return rate * step.Seconds()
 }
 
-// take takes the first room for one request between two times from now, and returns when the
+// span is the time from now within which a caller may come back.
+type span struct{ shortest, longest time.Duration }
+
+// take takes the first room for one request within a span, and returns when the
 // request is due. If the steps have less room than one request, the request takes all of it and
 // gets a step with the probability of that room, so that the mean number of requests due in each
 // step is what was taken.
@@ -123,12 +127,12 @@
 // The reserve in these few steps is rarely enough for a request at a router with a small part. The
 // most urgent rank therefore also takes the reserve of later steps, in return for which others find
 // less room there.
-func (s *Schedule) take(now time.Duration, random float64, shortest, longest time.Duration, rank int, room float64) (time.Duration, bool) {
-	if longest < shortest || now > math.MaxInt64-2*horizon {
+func (s *Schedule) take(now time.Duration, random float64, times span, rank int, room float64) (time.Duration, bool) {
+	if times.longest < times.shortest || now > math.MaxInt64-2*horizon {
 		return 0, false
 	}
-	first := max(stepAfter(now+shortest), s.current)
-	end := min(int64((now+longest)/step), s.current+int64(steps))
+	first := max(stepAfter(now+times.shortest), s.current)
+	end := min(int64((now+times.longest)/step), s.current+int64(steps))
 	reserve := room * s.settings.Reserve
 	if rank != mostUrgent {
 		room -= reserve
--- a/coordination/retryschedule/surge_test.go
+++ b/coordination/retryschedule/surge_test.go
@@ -101,7 +101,8 @@
 }
 
 func (s *surge) newCaller() caller {
-	c := caller{conduct: s.unpromised, digest: s.random.Uint64(), counted: s.now >= surgeFrom && s.now < surgeEnd-surgeRemaining}
+	counted := s.now >= surgeFrom && s.now < surgeEnd-surgeRemaining
+	c := caller{conduct: s.unpromised, digest: s.random.Uint64(), counted: counted}
 	if c.digest%urgentEvery != 0 {
 		c.rank = 1
 	}
@@ -194,8 +195,10 @@
 
 func (s *surge) log(t *testing.T, c conduct) {
 	a := s.tallies[c]
-	t.Logf("%d routers, limit %.0f, %.1f times, conduct %d: %.0f callers, served %.3f, reserved %.0f, refused again %.3f of reserved, %.3f of %.0f back",
-		len(s.ids), s.limit, s.demand/s.limit, c, a.callers, a.part(), a.reserved, a.reservedAgain/max(a.reserved, 1), a.again/max(a.back, 1), a.back)
+	t.Logf("%d routers, limit %.0f, %.1f times, conduct %d: %.0f callers, served %.3f, "+
+		"reserved %.0f, refused again %.3f of reserved, %.3f of %.0f back",
+		len(s.ids), s.limit, s.demand/s.limit, c, a.callers, a.part(),
+		a.reserved, a.reservedAgain/max(a.reserved, 1), a.again/max(a.back, 1), a.back)
 }
 
 // perSecond returns the mean and the highest number of some seconds, without the first ones and
@@ -229,7 +232,8 @@
 			a := s.tallies[honours]
 			mean, highest := perSecond(s.admitted)
 			kept, mostKept := perSecond(s.kept)
-			t.Logf("admitted a second: %.1f, at most %.0f; by reservation %.1f, at most %.0f", mean, highest, kept, mostKept)
+			t.Logf("admitted a second: %.1f, at most %.0f; by reservation %.1f, at most %.0f",
+				mean, highest, kept, mostKept)
 			assert.Assert(t, a.back > 0 && a.again < 0.1*a.back && a.reservedAgain < 0.1*a.reserved)
 			urgent, others := s.promised[0]/s.refused[0], s.promised[1]/s.refused[1]
 			t.Logf("reserved for %.3f of the most urgent rank, %.3f of the others", urgent, others)
