Admission: rates in the log are rounded, the part of arrivals is computed once a tick

Cause: adding up the counts of 67 routers takes 0.15 ms (benchmark on a busy machine, one service; with it a tick costs 0.3% of a core); a router that all refused callers come to would do so for each of them. Rates had 15 digits in the log. Change: the part is kept from the last tick; requests without a customer are shown as such.

--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -44,6 +45,9 @@
 type limitedService struct {
 	limiter  *ratelimit.Limiter
 	schedule *retryschedule.Schedule
+	// part is this router's part of the arrivals at all routers at the last tick, from 0 to 1. Adding
+	// up all routers' counts for each refusal would cost more than refusing.
+	part float64
 	// offered counts this router's reservations by the second in which they are due.
 	offered map[int64]int
 	// limited says whether the last line was about a limit that came into force, and loggedAt when
@@ -92,10 +96,9 @@
 	return a.services[service].limiter.Limit(now)
 }
 
-// retryCapacity returns the capacity for retries of a service at a router that has a part of the
-// arrivals, from 0 to 1.
-func (a *admission) retryCapacity(now time.Duration, service protocol.Service, part float64) retryschedule.Capacity {
-	limited := 0
+// retryCapacity returns the capacity for retries of a service.
+func (a *admission) retryCapacity(now time.Duration, service protocol.Service) retryschedule.Capacity {
+	limited, part := 0, a.service(service).part
 	for name := range a.services {
 		if a.limit(now, name) > 0 {
 			limited++
@@ -154,7 +157,9 @@
 // observeService lets the limiter of one service learn. The lock is held.
 func (r *Router) observeService(now time.Duration, name protocol.Service) {
 	a, s := r.admission, r.admission.service(name)
-	change, changed := s.limiter.Observe(now, a.counter.Fleet(now, name), r.rateCapacity(name), a.counter.ReportedLimit(now, name))
+	totals := a.counter.Fleet(now, name)
+	s.part = partOf(a.counter.Own(now, name), totals)
+	change, changed := s.limiter.Observe(now, totals, r.rateCapacity(name), a.counter.ReportedLimit(now, name))
 	if changed {
 		s.change, s.unlogged = change, true
 	}
@@ -167,6 +172,24 @@
 	r.logRateLimit(now, name, s)
 }
 
+// partOf returns a router's part of the arrivals at all routers, from 0 to 1.
+func partOf(own, all demand.Totals) float64 {
+	sum := arrivals(all)
+	if sum == 0 {
+		return 0
+	}
+	return min(arrivals(own)/sum, 1)
+}
+
+// arrivals returns the first attempts a second of all ranks.
+func arrivals(totals demand.Totals) float64 {
+	sum := 0.0
+	for _, arrived := range totals.Arrived {
+		sum += arrived
+	}
+	return sum
+}
+
 // rateCapacity returns what a service's upstreams announce, and their load. The lock is held.
 func (r *Router) rateCapacity(service protocol.Service) ratelimit.Capacity {
 	return ratelimit.Capacity(r.balancer.Capacity(service))
@@ -196,11 +219,18 @@
 	if s.limited {
 		line = r.log.Warn().Str("event", "rate-limited").Bool("adopted", s.change.Adopted)
 	}
-	line.Str("service", string(name)).Float64("limit", s.change.Limit).Int("slots", s.change.Capacity.Slots).
-		Int("in_flight", s.change.Capacity.InFlight).Float64("late_share", s.change.LateShare).
-		Floats64("demand_by_rank", s.change.Arrived[:]).Send()
+	demand := slices.Clone(s.change.Arrived[:])
+	for rank := range demand {
+		demand[rank] = rounded(demand[rank])
+	}
+	line.Str("service", string(name)).Float64("limit", rounded(s.change.Limit)).Int("slots", s.change.Capacity.Slots).
+		Int("in_flight", s.change.Capacity.InFlight).Float64("late_share", rounded(s.change.LateShare)).
+		Floats64("demand_by_rank", demand).Send()
 }
 
+// rounded returns a number with two decimals, for the log.
+func rounded(number float64) float64 { return math.Round(100*number) / 100 }
+
 // noteOffered counts a reservation by the second in which it is due.
 func (s *limitedService) noteOffered(due time.Duration) { s.offered[int64(due/time.Second)]++ }
 
--- a/daemon/router/admissionview.go
+++ b/daemon/router/admissionview.go
@@ -85,25 +85,38 @@
 	return view
 }
 
+// noCustomer stands for the requests of public routes without a customer's key.
+const noCustomer = "(no customer)"
+
 // customerView returns the demand of a customer.
 func customerView(now time.Duration, limiter *ratelimit.Limiter, rate demand.CustomerRate, names map[demand.CustomerHash]protocol.CustomerID) admissionview.Customer {
+	name, known := names[rate.Customer]
 	view := admissionview.Customer{
-		Customer: fmt.Sprintf("#%08x", uint32(rate.Customer)), Arrived: rate.Arrived, Admitted: rate.Admitted,
+		Customer: string(name), Arrived: rate.Arrived, Admitted: rate.Admitted,
 		Refused: max(rate.Arrived-rate.Admitted, 0), Share: rate.Arrived,
 	}
-	name, known := names[rate.Customer]
-	if !known || limiter.Limit(now) == 0 {
+	switch {
+	case !known:
+		view.Customer = fmt.Sprintf("#%08x", uint32(rate.Customer))
 		return view
+	case name == "":
+		view.Customer = noCustomer
 	}
-	if name != "" {
-		view.Customer = string(name)
+	if limiter.Limit(now) > 0 {
+		view.Share = min(shareOf(now, limiter, name), rate.Arrived)
 	}
-	view.Share = 0
+	return view
+}
+
+// shareOf returns how many requests a second of a customer are admitted by the limit in force, of all
+// ranks.
+func shareOf(now time.Duration, limiter *ratelimit.Limiter, customer protocol.CustomerID) float64 {
+	share := 0.0
 	for rank := range demand.Ranks {
-		decision := limiter.Admit(now, 0, ratelimit.Request{Rank: rank, Customer: name})
-		view.Share += min(decision.Share, decision.Demand)
+		decision := limiter.Admit(now, 0, ratelimit.Request{Rank: rank, Customer: customer})
+		share += min(decision.Share, decision.Demand)
 	}
-	return view
+	return share
 }
 
 // reportedView returns what the upstreams of a service report, nil if that isn't used.
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -116,8 +116,7 @@
 		return forward.RetryOffer{After: left, Reserved: true}, true
 	}
 	refused := retryschedule.Refused{Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining}
-	available := a.retryCapacity(now, job.Service, r.ownPart(now, job))
-	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, available)
+	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, a.retryCapacity(now, job.Service))
 	if offer.Reserved && !a.reservations.Add(now, offer.Reservation) {
 		offer.Reserved = false
 	}
@@ -127,23 +126,3 @@
 	}
 	return forward.RetryOffer{After: offer.RetryAfter, Reserved: offer.Reserved}, true
 }
-
-// ownPart returns this router's part of the arrivals of a request's service, from 0 to 1. The lock is
-// held.
-func (r *Router) ownPart(now time.Duration, job forward.Job) float64 {
-	own := arrivals(r.admission.counter.Own(now, job.Service))
-	all := arrivals(r.admission.counter.Fleet(now, job.Service))
-	if all == 0 {
-		return 0
-	}
-	return min(own/all, 1)
-}
-
-// arrivals returns the first attempts a second of all ranks.
-func arrivals(totals demand.Totals) float64 {
-	sum := 0.0
-	for _, arrived := range totals.Arrived {
-		sum += arrived
-	}
-	return sum
-}
--- a/transport/admissionview/view.go
+++ b/transport/admissionview/view.go
@@ -62,7 +62,8 @@
 	Arrived  float64 `json:"arrived"`
 	Admitted float64 `json:"admitted"`
 	Refused  float64 `json:"refused"`
-	// Share is how much of its demand is admitted by the limit in force.
+	// Share is how much of its demand the limit in force admits now. It is above what has been
+	// admitted lately where that was too little.
 	Share float64 `json:"share"`
 }
 
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -137,7 +138,7 @@
 // rate limit.
 func (o *Outcome) logRateLimit(line *zerolog.Event) {
 	if o.RateLimited != nil {
-		line.Float64("limit", o.RateLimited.Limit).Float64("share", o.RateLimited.Share).Float64("demand", o.RateLimited.Demand).
+		line.Float64("limit", tenths(o.RateLimited.Limit)).Float64("share", tenths(o.RateLimited.Share)).Float64("demand", tenths(o.RateLimited.Demand)).
 			Int("rank", o.RateLimited.Rank).Int64("wait_ms", o.RateLimited.Wait.Milliseconds()).Bool("early", o.RateLimited.Early)
 	}
 	if o.Offer != nil {
@@ -145,6 +146,9 @@
 	}
 }
 
+// tenths rounds a rate for the log.
+func tenths(rate float64) float64 { return math.Round(10*rate) / 10 }
+
 // logSent logs an attempt before it is sent. If the router dies, this line is the
 // only record of which upstream had the request.
 func (f *forwarding) logSent(choice balance.Choice, remaining time.Duration) {
