--- a/coordination/ratelimit/admit.go
+++ b/coordination/ratelimit/admit.go
@@ -49,23 +49,36 @@
 // Admit decides whether a request is admitted, by a random number from 0 to 1.
 func (l *Limiter) Admit(now time.Duration, random float64, r Request) Decision {
 	if l.perSlot == 0 {
+		l.pace.adjust(now, 1, 1)
 		return Decision{Admitted: true, Reason: ReasonNoLimit}
 	}
 	rank := min(max(r.Rank, 0), demand.Ranks-1)
 	d := Decision{Limit: l.allowed(), Wait: l.wait()}
 	d.Share, d.Demand = l.shares.of(rank, demand.CustomerHashOf(r.Customer))
-	d.Admitted, d.Reason = decide(d, random, r)
+	probability := l.pace.adjust(now, d.probability(), l.shares.mean)
+	d.Admitted, d.Reason = decide(d, random < probability, r)
+	if d.Admitted {
+		l.pace.admitted()
+	}
 	return d
 }
 
+// probability returns the part of the demand that is within the share.
+func (d Decision) probability() float64 {
+	if d.Share >= d.Demand {
+		return 1
+	}
+	return d.Share / d.Demand
+}
+
 // decide returns whether a request is admitted, and why.
-func decide(d Decision, random float64, r Request) (bool, Reason) {
+func decide(d Decision, drawn bool, r Request) (bool, Reason) {
 	switch {
 	case r.Remaining > 0 && d.Wait > r.Remaining:
 		return false, ReasonTooLate
 	case r.Reserved:
 		return true, ReasonReserved
-	case random*d.Demand >= d.Share && d.Share < d.Demand:
+	case !drawn:
 		return false, ReasonOverShare
 	}
 	return true, ReasonShare
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -13,11 +13,11 @@
 	// countTimeConstant is the time constant of the rates in the sums.
 	countTimeConstant = time.Second
 	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
-	loadTimeConstant = 150 * time.Millisecond
+	loadTimeConstant = 50 * time.Millisecond
 	// minCorrectionTime is the time within which the requests in flight are brought to the allowed
 	// number. It is above the age of the reports, beyond which the correction oscillates, and at
 	// least workPart of the time that a request takes.
-	minCorrectionTime = 500 * time.Millisecond
+	minCorrectionTime = 400 * time.Millisecond
 	workPart          = 0.5
 	// maxCorrectionDown and maxCorrectionUp bound the correction.
 	maxCorrectionDown = 0.8
@@ -39,7 +39,7 @@
 	longQueue = 2.0
 	shrinking = 0.95
 	// raiseRate is the part of the free slots that the limit is raised by in a decision.
-	raiseRate = 0.4
+	raiseRate = 0.8
 	// integralRate is by what part a second the limit changes if the load is all above or below
 	// the allowed one, and maxIntegral bounds this change in a decision.
 	integralRate = 0.25
@@ -51,7 +51,7 @@
 	minLoad        = 0.75
 	maxLoad        = 3.0
 	lessLoad       = 0.15
-	moreLoad       = 0.1
+	moreLoad       = 0.04
 	regulatedShare = 0.35
 	// The first allowed load is a part of the one that made answers late.
 	firstLoadPart = 0.75
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -69,6 +69,7 @@
 	ample      bool
 	ampleSince time.Duration
 	shares     shares
+	pace       pace
 	// rankShare is each rank's share, averaged as the counts are, and rankBias the factor that
 	// corrects the difference between it and what is admitted.
 	rankShare, rankBias [demand.Ranks]float64
--- /dev/null
+++ b/coordination/ratelimit/pace.go
@@ -0,0 +1,59 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceDepth is how many requests a router may be ahead of or behind its part of the limit before
+	// the probabilities are corrected as far as they may be.
+	paceDepth = 3.0
+	// maxPaceChange bounds the correction, so that routers that get many requests at once don't
+	// refuse much more of them than the others.
+	maxPaceChange = 0.5
+)
+
+// pace evens out what a router admits, so that bursts don't fill the upstreams' queues: it lowers
+// the probabilities after the router has admitted more than its part of the limit, and raises them
+// after it has admitted less.
+type pace struct {
+	at time.Duration
+	// arrived is the decaying rate of the router's requests; probability and mean are sums over
+	// them, of their probability and of that over all routers' requests.
+	arrived, probability, mean float64
+	// credit is by how many requests the router is behind its part.
+	credit float64
+}
+
+// adjust counts a request with a probability, where mean is that of all routers' requests, and returns
+// its corrected probability.
+func (p *pace) adjust(now time.Duration, probability, mean float64) float64 {
+	p.advance(now, mean)
+	p.arrived++
+	p.probability += probability
+	p.mean += mean
+	if probability >= 1 {
+		return probability
+	}
+	change := p.credit / paceDepth
+	return probability * (1 + min(max(change, -maxPaceChange), maxPaceChange))
+}
+
+// advance adds the credit of the time that has passed.
+func (p *pace) advance(now time.Duration, mean float64) {
+	passed := now - p.at
+	p.at = now
+	if passed <= 0 {
+		return
+	}
+	keep := math.Exp(-float64(passed) / float64(countTimeConstant))
+	if p.mean > 0 {
+		part := p.probability / p.mean * mean
+		p.credit = min(p.credit+p.arrived*part*(1-keep)*countTimeConstant.Seconds(), paceDepth)
+	}
+	p.arrived, p.probability, p.mean = p.arrived*keep, p.probability*keep, p.mean*keep
+}
+
+// admitted counts an admitted request.
+func (p *pace) admitted() { p.credit = max(p.credit-1, -paceDepth) }
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -24,6 +24,8 @@
 	customers map[demand.CustomerHash]float64
 	rest      float64
 	sum       float64
+	// mean is the part of the demand that is within the limit.
+	mean float64
 	// arrivedPart is the part of each rank in the demand.
 	arrivedPart [demand.Ranks]float64
 	outlier     outlier
@@ -56,6 +58,7 @@
 			s.arrivedPart[rank] = arrived / s.sum
 		}
 	}
+	s.mean = alike
 	s.floor = settings.Floor * alike
 	s.outlier = s.findOutlier(limit, totals)
 	s.divideAmongRanks(settings, limit, totals)
