Router: tests that only first attempts are refused, and of one customer at six times its rate

Cause: both are promised, and neither was tested through routers. A router that knows no others took itself for one with relays when it computed how long reservations take to be known.

--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -127,7 +127,7 @@
 		return
 	}
 	a.reservations.SetNeighbours(retryschedule.Neighbours(n))
-	a.reportInterval, a.relays = reportInterval, len(n.Mesh) == 0
+	a.reportInterval, a.relays = reportInterval, n.Relay != "" || len(n.Members)+len(n.Relays) > 0
 }
 
 // applyEntries follows changed roster entries, or all of them if complete isn't set.
--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -9,7 +9,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"endiveplank/coordination/balance"
+	"endiveplank/coordination/demand"
+	"endiveplank/coordination/ratelimit"
+	"endiveplank/protocol"
+	"endiveplank/settings/direct"
 	"endiveplank/transport/admissionview"
+	"endiveplank/transport/forward"
 )
 
 // settling is how long a surge lasts before answers are counted: time to find that the service is
@@ -42,7 +48,8 @@
 	surge.Go(func() { f.flows(settling+4*time.Second, map[string]int{"rank0": 40, "rank2": 160}) })
 	f.routers[1].eventually("a limit is in force", func() bool { return f.limit(0) > 0 && f.limit(1) > 0 })
 	time.Sleep(settling)
-	f.kill(2)
+	f.routers[2].stopTicking()
+	f.routers[2].kill()
 	f.restart(2)
 	r := f.routers[2]
 	r.eventually("the router is ready", r.ready)
@@ -135,19 +142,78 @@
 	return f.routers[router].router.admissionView()
 }
 
-// kill ends a router without notice to the others.
-func (f *limitedFleet) kill(router int) {
-	r := f.routers[router].router
-	r.fabric.Close()
-	r.closeServers()
-	_ = r.servers.callers.Close()
-	close(r.quit)
-	r.done.Wait()
-	r.pool.Close()
-}
-
 // restart starts a router anew that was killed.
 func (f *limitedFleet) restart(router int) {
 	f.lines[router].reset()
 	f.routers[router] = f.starts[router]()
 }
+
+// stopTicking ends what the router does by itself.
+func (r *rig) stopTicking() {
+	close(r.router.quit)
+	r.router.done.Wait()
+}
+
+// kill ends a router that doesn't tick any more without notice to the others.
+func (r *rig) kill() {
+	r.router.fabric.Close()
+	r.router.closeServers()
+	_ = r.router.servers.callers.Close()
+	r.router.pool.Close()
+}
+
+func TestOnlyFirstAttemptsAreRefusedForARateLimit(t *testing.T) {
+	// Guards: a rate limit refuses a stream that is taken up again, or a request that was sent before,
+	// and the work that was done for it is lost.
+	r := startChoosing(t, direct.Admission{Enabled: true, Floor: 0.3})
+	r.stopTicking()
+	totals := demand.Totals{Routers: 1, Arrived: [demand.Ranks]float64{0, 0, 1000, 0}}
+	limiter := r.router.admission.service("s").limiter
+	_, changed := limiter.Observe(stoppedAt+time.Minute, totals, ratelimit.Capacity{Slots: 72, InFlight: 72}, 1)
+	assert.Assert(t, changed)
+	first := forward.Job{Service: "s", Route: &r.router.Table().Table().Routes[1], Priority: 2, Remaining: 3 * time.Second}
+	tried, resumed, unsent := first, first, first
+	tried.Tried, tried.Attempts = []protocol.UpstreamID{"u3"}, 1
+	resumed.TakenUp = true
+	unsent.Attempts = 1
+	refused := 0
+	for n := range 200 {
+		job := first
+		job.Digest = uint64(n)
+		choice := r.router.Choose(t.Context(), job)
+		if choice.ID != "" {
+			r.router.AttemptEnded(job, choice, balance.Served)
+			continue
+		}
+		refused++
+		assert.Equal(t, choice.Reason, balance.ReasonNoCapacity)
+		assert.Equal(t, choice.RateLimited.Rank, 2)
+		assert.Assert(t, choice.RateLimited.Share < choice.RateLimited.Demand)
+		for name, job := range map[string]forward.Job{"tried": tried, "resumed": resumed, "unsent": unsent} {
+			choice := r.router.Choose(t.Context(), job)
+			assert.Assert(t, choice.ID != "", name)
+			r.router.AttemptEnded(job, choice, balance.Served)
+		}
+	}
+	assert.Assert(t, refused > 100, "%d", refused)
+	r.kill()
+}
+
+func TestACustomerThatSendsTooMuchIsRefusedAlone(t *testing.T) {
+	// Guards: one customer sends six times its usual rate, and others, which would fit without it, are
+	// refused or late because of it.
+	f := startLimitedFleet(t, newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond))
+	results := f.flows(settling+4*time.Second, map[string]int{"rank1/large": 120, "rank1/small-1": 20, "rank1/small-2": 20, "rank1/small-3": 20})
+	large := servedShare(results["rank1/large"], settling)
+	t.Logf("served in time: the large customer %.2f", large)
+	for name, got := range results {
+		if name == "rank1/large" {
+			continue
+		}
+		small := servedShare(got, settling)
+		t.Logf("%s %.2f", name, small)
+		assert.Check(t, small >= 0.85, "%s %.2f", name, small)
+	}
+	assert.Check(t, large < 0.5, "%.2f", large)
+	f.stop(t)
+}
--- a/daemon/router/limitedfleet_test.go
+++ b/daemon/router/limitedfleet_test.go
@@ -87,6 +87,9 @@
 // whose requests may run once only.
 func parseRankedTable(version uint64, _ []byte) (*routing.Table, error) {
 	table := &routing.Table{Version: version, Services: []routing.Service{{Name: "s"}}, Limits: routing.Limits{MaxBodyBytes: 1000}}
+	for _, name := range []string{"large", "small-1", "small-2", "small-3"} {
+		table.Customers = append(table.Customers, routing.Customer{Name: protocol.CustomerID(name), Keys: []string{name}})
+	}
 	add := func(name string, priority int, repeat routing.Repeat, attempts int) {
 		table.Routes = append(table.Routes, routing.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Public: true, Timeout: callerPatience, Objective: limitedObjective,
@@ -163,6 +166,10 @@
 	}
 	request.Host = "h"
 	request.Header.Set("T-Id", target)
+	// The customer of a target is the part between the rank and the number, if there is any.
+	if parts := strings.Split(target, "/"); len(parts) > 3 {
+		request.Header.Set("T-Key", parts[2])
+	}
 	request.Header.Set("T-Left", strconv.FormatInt(callerPatience.Milliseconds(), 10))
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
