--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endiveplank/coordination/demand"
+	"endiveplank/coordination/retryschedule"
 	"endiveplank/protocol"
 )
 
@@ -42,11 +43,13 @@
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
 	// Demand are counts of services that are short of capacity, for a demand.Counter.
 	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
+	// Reservations says which refused requests are expected back.
+	Reservations []retryschedule.Reported `msgpack:"p,omitempty"`
 }
 
 // empty reports whether the report says nothing.
 func (r LoadReport) empty() bool {
-	return !r.hasLoads() && len(r.Demand) == 0
+	return !r.hasLoads() && len(r.Demand) == 0 && len(r.Reservations) == 0
 }
 
 // hasLoads reports whether the report names upstreams, prompts or services' loads.
--- a/coordination/ratelimit/pace.go
+++ b/coordination/ratelimit/pace.go
@@ -8,10 +8,10 @@
 const (
 	// paceDepth is how many requests a router may be ahead of or behind its part of the limit before
 	// the probabilities are corrected as far as they may be.
-	paceDepth = 3.0
+	paceDepth = 2.0
 	// maxPaceChange bounds the correction, so that routers that get many requests at once don't
 	// refuse much more of them than the others.
-	maxPaceChange = 0.5
+	maxPaceChange = 1.0
 )
 
 // pace evens out what a router admits, so that bursts don't fill the upstreams' queues: it lowers
