--- a/coordination/ratelimit/model_test.go
+++ b/coordination/ratelimit/model_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"endiveplank/coordination/demand"
+	"endiveplank/coordination/retryschedule"
 	"endiveplank/internal/timequeue"
 	"endiveplank/protocol"
 )
@@ -69,6 +70,7 @@
 	router, rank, customer int
 	at, asked              time.Duration
 	retry, impatient       bool
+	reserved               bool
 	tries, server, life    int
 }
 
@@ -131,6 +133,7 @@
 // modelRouter is a router of a simulation.
 type modelRouter struct {
 	limiter       *Limiter
+	schedule      *retryschedule.Schedule
 	own, reported counts
 	flight        []int
 	constrainedAt time.Duration
@@ -165,6 +168,7 @@
 	routers     []*modelRouter
 	servers     []*modelServer
 	sums        counts
+	digest      uint64
 	names       [customers]protocol.CustomerID
 	hashes      [customers]demand.CustomerHash
 	weights     [customers]float64
@@ -226,7 +230,7 @@
 }
 
 func (m *model) newRouter(at time.Duration) *modelRouter {
-	return &modelRouter{limiter: New(DefaultSettings()), flight: make([]int, len(m.servers)), constrainedAt: -time.Hour, startedAt: at, own: counts{at: at}}
+	return &modelRouter{limiter: New(DefaultSettings()), schedule: retryschedule.NewSchedule(retryschedule.Settings{Reserve: DefaultSettings().Reserve}), flight: make([]int, len(m.servers)), constrainedAt: -time.Hour, startedAt: at, own: counts{at: at}}
 }
 
 // interval is the time between two reports of a router.
@@ -329,7 +333,7 @@
 	r.own.arrived[a.rank]++
 	r.own.customers[a.customer]++
 	remaining := callerWaits - (at - a.asked)
-	d := r.limiter.Admit(modelStart+at, m.random.Float64(), Request{Rank: a.rank, Customer: m.names[a.customer], Remaining: remaining})
+	d := r.limiter.Admit(modelStart+at, m.random.Float64(), Request{Rank: a.rank, Customer: m.names[a.customer], Remaining: remaining, Reserved: a.reserved})
 	counted := a.customer == 0 && m.inTrouble(at-2*time.Second) && m.inTrouble(at)
 	if counted {
 		r.asked++
@@ -353,24 +357,37 @@
 	m.refused(at, a, remaining)
 }
 
-// refused lets a caller retry once, at another router.
+// refused lets a caller retry once, at another router, when the router's schedule says.
 func (m *model) refused(at time.Duration, a *attempt, remaining time.Duration) {
-	after := m.objective / 2
-	if a.impatient {
-		after = 0
+	retry := *a
+	retry.retry, retry.at = true, at
+	if !a.impatient {
+		offer := m.offer(at, a, remaining)
+		retry.at, retry.reserved = at+offer.RetryAfter, offer.Reserved
 	}
-	if a.retry || after > remaining/3 {
+	if a.retry || retry.at-at > remaining/3 {
 		m.finish(a, func(o *outcome) { o.refused++ })
 		return
 	}
-	retry := *a
-	retry.retry, retry.at = true, at+after
 	if !m.funnel {
 		retry.router = m.random.IntN(m.fleet.routers)
 	}
 	m.events.Push(retry.at, event{kind: arrives, a: &retry})
 }
 
+// offer returns what a router's schedule offers. The part of the router is that of its arrivals.
+func (m *model) offer(at time.Duration, a *attempt, remaining time.Duration) retryschedule.Offer {
+	r := m.routers[a.router]
+	m.digest++
+	capacity := retryschedule.Capacity{
+		Limit: r.limiter.Limit(modelStart + at),
+		Part:  sum(m.ownCounts(at, r).arrived) / max(sum(r.limiter.totals.Arrived), 1),
+		Known: retryschedule.KnownAfter(m.interval(), m.fleet.routers >= 100),
+	}
+	refused := retryschedule.Refused{Digest: m.digest, Rank: a.rank, Objective: m.objective, Remaining: remaining}
+	return r.schedule.Offer(modelStart+at, m.random.Float64(), refused, capacity)
+}
+
 // finish counts what became of a caller's request.
 func (m *model) finish(a *attempt, count func(*outcome)) {
 	count(&m.seconds[int(a.asked/time.Second)])
