--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"endiveplank/coordination/demand"
 )
 
 const (
@@ -44,7 +42,8 @@
 	// the allowed one, and maxIntegral bounds this change in a decision.
 	integralRate = 0.25
 	maxIntegral  = 0.1
-	// effectivePart is how far above the limit the admitted requests may be while it is in effect.
+	// effectivePart is how far above the limit the admitted requests, and above the average the latest
+	// demand, may be while the limit is in effect.
 	effectivePart = 1.15
 	// The load that is allowed on each slot: less while more than regulatedShare of the answers are
 	// late, more while not.
@@ -64,12 +63,6 @@
 	muchLessLoad = 0.85
 	// usedPart is the part of the allowed load that must be used for it to be raised.
 	usedPart = 0.9
-	// biasExponent is the power of the relative error of a rank's admissions by which its capacity is
-	// corrected in a decision, and maxBias bounds the correction.
-	biasExponent = 0.25
-	// steadyPart is by what part a rank's share may change while its admissions are compared with it.
-	steadyPart = 0.2
-	maxBias    = 2.0
 	// arrivalNoise is the variance of the number of arrivals as a multiple of the number: requests
 	// arrive in bursts. The change of the demand is taken to be at most maxTrend, and measured over
 	// at least the time that leaves maxTrendKeep of a rate.
@@ -152,8 +145,6 @@
 	l.perSlot = limit / float64(l.capacity.Slots)
 	l.allowedLoad = min(max(firstLoadPart*l.load.perSlot, 1), maxFirstLoad)
 	l.ample = false
-	l.rankBias = [demand.Ranks]float64{1, 1, 1, 1}
-	l.rankShare = l.totals.Admitted
 	return l.change(true)
 }
 
@@ -193,11 +184,11 @@
 	l.allowLoad(now)
 	load, before := l.load.perSlot, l.load.decided
 	l.load.decided = load
-	admittedTooMuch := l.admitted.latest > effectivePart*l.allowed()
+	surging := l.admitted.latest > effectivePart*l.allowed() && l.arrived > effectivePart*sum(l.totals.Arrived)
 	switch {
-	case load > longQueue*l.allowedLoad && load > shrinking*before && !admittedTooMuch:
+	case load > longQueue*l.allowedLoad && load > shrinking*before && !surging:
 		l.perSlot *= cutFactor
-	case load > l.allowedLoad && (load < before || admittedTooMuch):
+	case load > l.allowedLoad && (load < before || surging):
 		// The queues get shorter, or will once the demand is known.
 	default:
 		change := integralRate * passed.Seconds() * (1 - load/l.allowedLoad)
@@ -205,22 +196,6 @@
 		l.perSlot *= 1 + min(max(change, -maxIntegral), maxIntegral) + raiseRate*free
 	}
 	l.bound(now)
-	l.correctRanks(passed)
-}
-
-// correctRanks corrects the capacity of each rank by what was admitted of it. It differs from the
-// rank's share because the ranks of single customers aren't known.
-func (l *Limiter) correctRanks(passed time.Duration) {
-	weight := 1 - math.Exp(-float64(passed)/float64(countTimeConstant))
-	for rank, admitted := range l.totals.Admitted {
-		l.rankShare[rank] += weight * (l.shares.rank[rank] - l.rankShare[rank])
-		steady := math.Abs(l.shares.rank[rank]-l.rankShare[rank]) < steadyPart*l.rankShare[rank]
-		if !steady || admitted <= 0 || l.shares.rank[rank] >= l.shares.demand[rank] {
-			continue
-		}
-		l.rankBias[rank] *= math.Pow(l.rankShare[rank]/admitted, biasExponent)
-		l.rankBias[rank] = min(max(l.rankBias[rank], 1/maxBias), maxBias)
-	}
 }
 
 // allowLoad changes the load that is allowed by how many answers are late.
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -63,16 +63,12 @@
 	// allowedLoad is how many requests may be in flight for each slot.
 	allowedLoad float64
 	observed    bool
-	observedAt  time.Duration
 	decidedAt   time.Duration
 	// ampleSince is since when the limit has been well above the demand.
 	ample      bool
 	ampleSince time.Duration
 	shares     shares
 	pace       pace
-	// rankShare is each rank's share, averaged as the counts are, and rankBias the factor that
-	// corrects the difference between it and what is admitted.
-	rankShare, rankBias [demand.Ranks]float64
 }
 
 // New returns a Limiter without a limit.
@@ -87,7 +83,7 @@
 	l.rescale(now)
 	change, changed := l.decide(now, reported)
 	if l.perSlot > 0 {
-		l.shares = newShares(l.settings, l.allowed(), l.latest(), l.rankBias)
+		l.shares = newShares(l.settings, l.allowed(), l.latest())
 	}
 	return change, changed
 }
--- a/coordination/ratelimit/model_test.go
+++ b/coordination/ratelimit/model_test.go
@@ -37,6 +37,10 @@
 	impatient float64
 	// killed says that router 0 is killed and started again, and cutOff that it is cut off.
 	killed, cutOff bool
+	// lowered says that all limits are set far too low, and falseLoad by how many requests a server
+	// overstates its load.
+	lowered   bool
+	falseLoad int
 	// funnel says that all requests arrive at router 0.
 	funnel bool
 	// unlimited plays without a Limiter, silent without announced slots.
@@ -71,7 +75,7 @@
 	at, asked              time.Duration
 	retry, impatient       bool
 	reserved               bool
-	tries, server, life    int
+	server, life           int
 }
 
 type eventKind uint8
@@ -139,9 +143,14 @@
 	constrainedAt time.Duration
 	startedAt     time.Duration
 	isolated      bool
-	// refused and asked count the largest customer's new requests in the trouble.
-	refused, asked float64
-	changes        []string
+	// refused and asked count the largest customer's requests while it is measured, and
+	// othersRefused and othersAsked those of the others.
+	refused, asked, othersRefused, othersAsked float64
+	// frozen is the last sum of the others' counts before the router was cut off.
+	frozen     counts
+	isolatedAt time.Duration
+	// limitedAt is when the router first had a limit.
+	limitedAt time.Duration
 }
 
 // modelServer is a server of a simulation.
@@ -222,6 +231,7 @@
 	m.events.Push(0, event{kind: bursts})
 	m.events.Push(troubleFrom, event{kind: breaks, router: 0})
 	m.events.Push(troubleEnd, event{kind: breaks, router: 1})
+	m.events.Push(troubleFrom+3*time.Second, event{kind: breaks, router: 2})
 	for next, any := m.events.Next(); any && next < f.length; next, any = m.events.Next() {
 		at, e := m.events.Pop()
 		m.step(at, e)
@@ -334,10 +344,7 @@
 	r.own.customers[a.customer]++
 	remaining := callerWaits - (at - a.asked)
 	d := r.limiter.Admit(modelStart+at, m.random.Float64(), Request{Rank: a.rank, Customer: m.names[a.customer], Remaining: remaining, Reserved: a.reserved})
-	counted := a.customer == 0 && m.inTrouble(at-2*time.Second) && m.inTrouble(at)
-	if counted {
-		r.asked++
-	}
+	r.count(m.measured(at) && m.inTrouble(at), a.customer == 0, d.Admitted)
 	if a.retry && !a.impatient {
 		m.again++
 	}
@@ -347,9 +354,6 @@
 		m.send(at, a, -1)
 		return
 	}
-	if counted {
-		r.refused++
-	}
 	if a.retry && !a.impatient {
 		m.refusedAgain++
 	}
@@ -357,6 +361,23 @@
 	m.refused(at, a, remaining)
 }
 
+// count counts a request for the comparison of routers.
+func (r *modelRouter) count(counted, largest, admitted bool) {
+	switch {
+	case !counted:
+	case largest && !admitted:
+		r.refused++
+		r.asked++
+	case largest:
+		r.asked++
+	case !admitted:
+		r.othersRefused++
+		r.othersAsked++
+	default:
+		r.othersAsked++
+	}
+}
+
 // refused lets a caller retry once, at another router, when the router's schedule says.
 func (m *model) refused(at time.Duration, a *attempt, remaining time.Duration) {
 	retry := *a
--- a/coordination/ratelimit/pace.go
+++ b/coordination/ratelimit/pace.go
@@ -9,9 +9,6 @@
 	// paceDepth is how many requests a router may be ahead of or behind its part of the limit before
 	// the probabilities are corrected as far as they may be.
 	paceDepth = 2.0
-	// maxPaceChange bounds the correction, so that routers that get many requests at once don't
-	// refuse much more of them than the others.
-	maxPaceChange = 1.0
 )
 
 // pace evens out what a router admits, so that bursts don't fill the upstreams' queues: it lowers
@@ -33,11 +30,8 @@
 	p.arrived++
 	p.probability += probability
 	p.mean += mean
-	if probability >= 1 {
-		return probability
-	}
-	change := p.credit / paceDepth
-	return probability * (1 + min(max(change, -maxPaceChange), maxPaceChange))
+	change := min(max(p.credit/paceDepth, -1), 1)
+	return probability + change*min(probability, 1-probability)
 }
 
 // advance adds the credit of the time that has passed.
--- a/coordination/ratelimit/servers_test.go
+++ b/coordination/ratelimit/servers_test.go
@@ -164,15 +164,16 @@
 	r := m.routers[n]
 	c := m.ownCounts(at, r)
 	reported := 0.0
-	if !r.isolated {
-		others := m.sums
-		others.add(&r.reported, -1)
+	if others := m.others(at, r); others.routers > 0 {
 		if others.limited > 0 {
 			reported = others.limit / float64(others.limited)
 		}
 		c.add(&others, 1)
 	}
 	capacity := Capacity{InFlight: int(math.Round(c.inFlight))}
+	if m.inTrouble(at) {
+		capacity.InFlight += m.falseLoad
+	}
 	for _, server := range m.servers {
 		if !server.gone && !m.silent {
 			capacity.Slots += m.slots
@@ -184,15 +185,31 @@
 	}
 	if r.limiter.Limit(modelStart+at) > 0 {
 		r.constrainedAt = at
+		if r.limitedAt == 0 {
+			r.limitedAt = at
+		}
 	}
 	if n == m.fleet.routers-1 && int(at/tick)%2 == 0 {
-		m.limits = append(m.limits, fmt.Sprintf("%.1fs: limit %.0f base %.0f load %.2f waiting %.2f late %.2f arrived %.0f admitted %.0f sum %.0f real %s now %d arrivedNow %d sum %.0f bias %.2f", at.Seconds(),
-			r.limiter.allowed(), r.limiter.Limit(0), r.limiter.load.perSlot, r.limiter.allowedLoad, r.limiter.answers.lateShare, r.limiter.arrived, r.limiter.admitted.latest, sum(r.limiter.totals.Admitted), m.realLoad(), m.admittedNow*10, m.arrivedNow*10, sum(r.limiter.totals.Arrived), r.limiter.rankBias))
+		m.limits = append(m.limits, fmt.Sprintf("%.1fs: limit %.0f base %.0f load %.2f waiting %.2f late %.2f arrived %.0f admitted %.0f sum %.0f real %s now %d arrivedNow %d sum %.0f", at.Seconds(),
+			r.limiter.allowed(), r.limiter.Limit(0), r.limiter.load.perSlot, r.limiter.allowedLoad, r.limiter.answers.lateShare, r.limiter.arrived, r.limiter.admitted.latest, sum(r.limiter.totals.Admitted), m.realLoad(), m.admittedNow*10, m.arrivedNow*10, sum(r.limiter.totals.Arrived)))
 		m.arrivedNow = 0
 		m.admittedNow = 0
 	}
 }
 
+// others returns what a router knows of the other routers' counts.
+func (m *model) others(at time.Duration, r *modelRouter) counts {
+	if r.isolated && at-r.isolatedAt < reportTTL {
+		return r.frozen
+	}
+	if r.isolated {
+		return counts{}
+	}
+	others := m.sums
+	others.add(&r.reported, -1)
+	return others
+}
+
 // totals converts counts.
 func (m *model) totals(c counts) demand.Totals {
 	t := demand.Totals{Routers: c.routers, Arrived: c.arrived, Admitted: c.admitted, InTime: c.inTime, Late: c.late}
@@ -208,32 +225,40 @@
 	return t
 }
 
-// breaks begins (0) or ends (1) the trouble.
+// breaks begins (0) or ends (1) the trouble, or breaks router 0 in its middle (2).
 func (m *model) breaks(at time.Duration, phase int) {
-	if phase == 0 {
+	r := m.routers[0]
+	switch phase {
+	case 0:
 		for n := range m.lost {
 			m.lose(n)
 		}
-	} else {
+	case 1:
 		for n := range m.back {
 			m.servers[n].gone = false
 		}
+		r.isolated = false
+	case 2:
+		m.breakRouter(at, r)
 	}
-	switch {
-	case m.cutOff:
-		r := m.routers[0]
+}
+
+// breakRouter kills a router, cuts it off, or sets all limits too low.
+func (m *model) breakRouter(at time.Duration, r *modelRouter) {
+	if m.killed || m.cutOff {
 		m.sums.add(&r.reported, -1)
 		r.reported = counts{}
-		r.isolated = phase == 0
-	case m.killed && phase == 1:
-		m.sums.add(&m.routers[0].reported, -1)
-		for n, server := range m.servers {
-			server.queue = slices.DeleteFunc(server.queue, func(a *attempt) bool { return a.router == 0 })
-			_ = n
-		}
-		before := m.routers[0]
+	}
+	switch {
+	case m.killed:
 		m.routers[0] = m.newRouter(at)
-		m.routers[0].flight = before.flight
+		m.routers[0].flight = r.flight
+	case m.cutOff:
+		r.isolated, r.isolatedAt, r.frozen = true, at, m.sums
+	case m.lowered:
+		for _, router := range m.routers {
+			router.limiter.perSlot *= 0.3
+		}
 	}
 }
 
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -11,6 +11,10 @@
 // have to be held to its share in all ranks.
 const outlierFactor = 2
 
+// outlierMargin is the part of the limit that an outlier and the others together get: with all of it,
+// any rise of the others' demand would be refused.
+const outlierMargin = 0.9
+
 // shares divides a limit among ranks and customers. All rates are in requests a second.
 type shares struct {
 	// rank and demand are the share and the demand of each rank. The demand is without what an
@@ -39,8 +43,8 @@
 	kept [demand.Ranks]float64
 }
 
-// newShares divides a limit. The capacity of each rank is multiplied by its bias.
-func newShares(settings Settings, limit float64, totals demand.Totals, bias [demand.Ranks]float64) shares {
+// newShares divides a limit.
+func newShares(settings Settings, limit float64, totals demand.Totals) shares {
 	s := shares{customers: map[demand.CustomerHash]float64{}}
 	for _, arrived := range totals.Arrived {
 		s.sum += arrived
@@ -62,7 +66,7 @@
 	s.floor = settings.Floor * alike
 	s.outlier = s.findOutlier(limit, totals)
 	s.divideAmongRanks(settings, limit, totals)
-	s.divideAmongCustomers(totals, bias)
+	s.divideAmongCustomers(totals)
 	return s
 }
 
@@ -81,7 +85,7 @@
 		return outlier{}
 	}
 	found := outlier{found: true, customer: largest.Customer}
-	left := max(limit-others, second)
+	left := max(outlierMargin*limit-others, second)
 	for rank, arrived := range totals.Arrived {
 		demand := arrived * largest.Arrived / s.sum
 		kept := min(demand, left)
@@ -117,7 +121,7 @@
 
 // divideAmongCustomers sets the level up to which each customer's requests of a rank get more than
 // their floor. The ranks of single customers aren't known; they are taken to be those of all.
-func (s *shares) divideAmongCustomers(totals demand.Totals, bias [demand.Ranks]float64) {
+func (s *shares) divideAmongCustomers(totals demand.Totals) {
 	for rank, part := range s.arrivedPart {
 		if part == 0 {
 			continue
@@ -130,7 +134,7 @@
 		if totals.RestCustomers > 0 {
 			claims = append(claims, claim{s.rest * part, float64(totals.RestCustomers)})
 		}
-		s.level[rank] = levelFor(claims, (s.rank[rank]-s.floor*s.demand[rank])*bias[rank])
+		s.level[rank] = levelFor(claims, s.rank[rank]-s.floor*s.demand[rank])
 	}
 }
 
