--- a/coordination/ratelimit/admit.go
+++ b/coordination/ratelimit/admit.go
@@ -20,6 +20,9 @@
 	ReasonShare Reason = "share"
 	// ReasonOverShare: the request is beyond the share of its rank and customer.
 	ReasonOverShare Reason = "over-share"
+	// ReasonOutlier: the customer's demand is the cause of the shortage, and the request is beyond its
+	// share. A reservation for it would take the capacity from the other customers.
+	ReasonOutlier Reason = "outlier"
 	// ReasonTooLate: the request can't begin within its remaining time.
 	ReasonTooLate Reason = "too-late"
 )
@@ -57,6 +60,9 @@
 	d.Share, d.Demand = l.shares.of(rank, demand.CustomerHashOf(r.Customer))
 	probability := l.pace.adjust(now, d.probability(), l.shares.mean)
 	d.Admitted, d.Reason = decide(d, random < probability, r)
+	if d.Reason == ReasonOverShare && l.shares.isOutlier(demand.CustomerHashOf(r.Customer)) {
+		d.Reason = ReasonOutlier
+	}
 	if d.Admitted {
 		l.pace.admitted()
 	}
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -12,6 +12,8 @@
 	countTimeConstant = time.Second
 	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
 	loadTimeConstant = 50 * time.Millisecond
+	// takenTimeConstant is that of the load by which a service is judged to be short.
+	takenTimeConstant = 500 * time.Millisecond
 	// minCorrectionTime is the time within which the requests in flight are brought to the allowed
 	// number. It is above the age of the reports, beyond which the correction oscillates, and at
 	// least workPart of the time that a request takes.
@@ -71,10 +73,11 @@
 	maxTrendKeep = 0.8
 	// inTimePart is the part of the answers in time that a limit doesn't fall below.
 	inTimePart = 0.9
-	// unusedFactor is how far a limit may be above the demand, and ampleFactor how far above it for
-	// ampleTime it must have been in order to end.
+	// unusedFactor is how far a limit may be above the demand. A limit ends once it has been
+	// ampleFactor above it, and since then not below scarceFactor, for ampleTime.
 	unusedFactor = 1.5
 	ampleFactor  = 1.3
+	scarceFactor = 1.1
 	ampleTime    = 2 * time.Second
 	// agreement is the weight of the other routers' limits in a decision.
 	agreement = 0.3
@@ -121,7 +124,7 @@
 // isShort reports whether many answers are late because of load.
 func (l *Limiter) isShort() bool {
 	all := l.totals.InTime + l.totals.Late
-	return all >= minAnswers && l.totals.Late > shortShare*all && l.load.perSlot >= takenPart
+	return all >= minAnswers && l.totals.Late > shortShare*all && l.load.taken >= takenPart
 }
 
 // start sets the first limit.
@@ -164,12 +167,14 @@
 
 // liftIfAmple ends the limit once it has been well above the demand for a while.
 func (l *Limiter) liftIfAmple(now time.Duration) (Change, bool) {
-	ample := l.Limit(now) >= ampleFactor*l.arrived
-	if ample && !l.ample {
-		l.ampleSince = now
+	limit := l.Limit(now)
+	switch {
+	case limit < scarceFactor*l.arrived:
+		l.ample = false
+	case limit >= ampleFactor*l.arrived && !l.ample:
+		l.ample, l.ampleSince = true, now
 	}
-	l.ample = ample
-	if !ample || now-l.ampleSince < ampleTime {
+	if !l.ample || now-l.ampleSince < ampleTime {
 		return Change{}, false
 	}
 	return l.lift()
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -124,7 +124,9 @@
 // load is a short average of the requests in flight for each slot.
 type load struct {
 	perSlot float64
-	slots   int
+	// taken is a longer average, to judge whether load is the cause of late answers.
+	taken float64
+	slots int
 	// decided is perSlot at the last decision.
 	decided float64
 	at      time.Duration
@@ -139,14 +141,20 @@
 		o.slots, o.changedAt = capacity.Slots, now
 	}
 	if capacity.Slots == 0 {
-		o.perSlot = 0
+		o.perSlot, o.taken = 0, 0
 		return
 	}
-	weight := 1 - math.Exp(-float64(now-o.at)/float64(loadTimeConstant))
-	o.perSlot += weight * (float64(capacity.InFlight)/float64(capacity.Slots) - o.perSlot)
+	latest := float64(capacity.InFlight) / float64(capacity.Slots)
+	o.perSlot += weight(now-o.at, loadTimeConstant) * (latest - o.perSlot)
+	o.taken += weight(now-o.at, takenTimeConstant) * (latest - o.taken)
 	o.at = now
 }
 
+// weight returns the weight of a value in an average that it enters after some time.
+func weight(passed, timeConstant time.Duration) float64 {
+	return 1 - math.Exp(-float64(passed)/float64(timeConstant))
+}
+
 // trend estimates the latest value of a decaying rate, so that a change needn't last as long as its
 // time constant until it is known.
 type trend struct {
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -11,6 +11,10 @@
 // have to be held to its share in all ranks.
 const outlierFactor = 2
 
+// outlierOthers is how much the others may ask for, as a part of the limit, for an outlier to be the
+// cause of a shortage. It is above 1 because the limit varies and refused callers ask again.
+const outlierOthers = 1.5
+
 // outlierMargin is the part of the limit that an outlier and the others together get: with all of it,
 // any rise of the others' demand would be refused.
 const outlierMargin = 0.9
@@ -72,7 +76,7 @@
 
 // findOutlier returns the customer that asks for a multiple of what the others do, if they would fit
 // into the limit without it. Its share is what they leave, but at least as much as the second
-// largest has, and its most urgent requests get it first.
+// largest has and its floor, and its most urgent requests get it first.
 func (s *shares) findOutlier(limit float64, totals demand.Totals) outlier {
 	if len(totals.Customers) < 2 || s.sum <= limit {
 		return outlier{}
@@ -81,17 +85,17 @@
 	slices.SortFunc(list, func(a, b demand.CustomerRate) int { return cmp.Compare(b.Arrived, a.Arrived) })
 	largest, second := list[0], list[1].Arrived
 	others := max(s.sum-largest.Arrived, 0)
-	if others > limit || largest.Arrived < outlierFactor*second {
+	if others > outlierOthers*limit || largest.Arrived < outlierFactor*second {
 		return outlier{}
 	}
 	found := outlier{found: true, customer: largest.Customer}
-	left := max(outlierMargin*limit-others, second)
+	left := max(outlierMargin*limit-others, second, s.floor*largest.Arrived)
 	for rank, arrived := range totals.Arrived {
 		demand := arrived * largest.Arrived / s.sum
 		kept := min(demand, left)
 		left -= kept
 		if demand > 0 {
-			found.kept[rank] = max(kept/demand, s.floor)
+			found.kept[rank] = kept / demand
 		}
 	}
 	return found
@@ -162,9 +166,14 @@
 	return claims[len(claims)-1].rate
 }
 
+// isOutlier reports whether a customer's demand is the cause of the shortage.
+func (s *shares) isOutlier(customer demand.CustomerHash) bool {
+	return s.outlier.found && customer == s.outlier.customer
+}
+
 // keptOf returns the part of a customer's demand in a rank that counts as demand.
 func (s *shares) keptOf(customer demand.CustomerHash, rank int) float64 {
-	if s.outlier.found && customer == s.outlier.customer {
+	if s.isOutlier(customer) {
 		return s.outlier.kept[rank]
 	}
 	return 1
