--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -63,16 +63,12 @@
 	// allowedLoad is how many requests may be in flight for each slot.
 	allowedLoad float64
 	observed    bool
-	observedAt  time.Duration
 	decidedAt   time.Duration
 	// ampleSince is since when the limit has been well above the demand.
 	ample      bool
 	ampleSince time.Duration
 	shares     shares
 	pace       pace
-	// rankShare is each rank's share, averaged as the counts are, and rankBias the factor that
-	// corrects the difference between it and what is admitted.
-	rankShare, rankBias [demand.Ranks]float64
 }
 
 // New returns a Limiter without a limit.
@@ -87,7 +83,7 @@
 	l.rescale(now)
 	change, changed := l.decide(now, reported)
 	if l.perSlot > 0 {
-		l.shares = newShares(l.settings, l.allowed(), l.latest(), l.rankBias)
+		l.shares = newShares(l.settings, l.allowed(), l.latest())
 	}
 	return change, changed
 }
@@ -128,7 +124,9 @@
 // load is a short average of the requests in flight for each slot.
 type load struct {
 	perSlot float64
-	slots   int
+	// taken is a longer average, to judge whether load is the cause of late answers.
+	taken float64
+	slots int
 	// decided is perSlot at the last decision.
 	decided float64
 	at      time.Duration
@@ -143,14 +141,20 @@
 		o.slots, o.changedAt = capacity.Slots, now
 	}
 	if capacity.Slots == 0 {
-		o.perSlot = 0
+		o.perSlot, o.taken = 0, 0
 		return
 	}
-	weight := 1 - math.Exp(-float64(now-o.at)/float64(loadTimeConstant))
-	o.perSlot += weight * (float64(capacity.InFlight)/float64(capacity.Slots) - o.perSlot)
+	latest := float64(capacity.InFlight) / float64(capacity.Slots)
+	o.perSlot += weight(now-o.at, loadTimeConstant) * (latest - o.perSlot)
+	o.taken += weight(now-o.at, takenTimeConstant) * (latest - o.taken)
 	o.at = now
 }
 
+// weight returns the weight of a value in an average that it enters after some time.
+func weight(passed, timeConstant time.Duration) float64 {
+	return 1 - math.Exp(-float64(passed)/float64(timeConstant))
+}
+
 // trend estimates the latest value of a decaying rate, so that a change needn't last as long as its
 // time constant until it is known.
 type trend struct {
