Admission: the log says which figure refused a request; no reservations for an outlier

Cause: a Limiter counts what Admit admits since it evens admissions out, so asking it for figures, as the view and early requests did, changed its decisions. Change: a copy of the Limiter gives figures; refused_for replaces early in the log; requests of a customer that causes the shortage get a time without a reservation.

--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -119,10 +119,26 @@
 	Limit, Demand, Share float64
 	// Wait is how long the request is expected to wait for a slot.
 	Wait time.Duration
-	// Early says that the request came before the time that a refusal had given it.
-	Early bool
+	// Cause says which of the figures decided.
+	Cause RateCause
 }
 
+// RateCause is why a request was refused for a rate limit, for the log.
+type RateCause string
+
+// The causes.
+const (
+	// CauseShare: more requests of its rank and customer arrive than are admitted.
+	CauseShare RateCause = "over-share"
+	// CauseOutlier: the same, and its customer's demand is why the service is short. Nothing is
+	// reserved for it, as that would take the capacity from other customers.
+	CauseOutlier RateCause = "outlier"
+	// CauseWait: it would wait longer than its caller does.
+	CauseWait RateCause = "too-late"
+	// CauseEarly: it came before the time that a refusal had given it.
+	CauseEarly RateCause = "early"
+)
+
 // Pick chooses the upstream of a request.
 //
 // Prompts have prefixes that take a tenth to half a second to prefill if they aren't
--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -29,7 +29,8 @@
 	results := f.flows(settling+5*time.Second, map[string]int{"rank0": 40, "rank2": 160})
 	urgent, other := servedShare(results["rank0"], settling), servedShare(results["rank2"], settling)
 	all := servedShare(append(results["rank0"], results["rank2"]...), settling)
-	t.Logf("served in time: rank 0 %.2f, rank 2 %.2f, all %.2f", urgent, other, all)
+	t.Logf("served in time: rank 0 %.2f (%s), rank 2 %.2f (%s), all %.2f", urgent, outcomes(results["rank0"], settling),
+		other, outcomes(results["rank2"], settling), all)
 	assert.Check(t, urgent >= 0.9, "%.2f", urgent)
 	assert.Check(t, other >= all/4, "%.2f of rank 2, %.2f of all", other, all)
 	assert.Check(t, all >= 0.4, "%.2f", all)
--- a/daemon/router/admissionview.go
+++ b/daemon/router/admissionview.go
@@ -113,7 +113,7 @@
 func shareOf(now time.Duration, limiter *ratelimit.Limiter, customer protocol.CustomerID) float64 {
 	share := 0.0
 	for rank := range demand.Ranks {
-		decision := limiter.Admit(now, 0, ratelimit.Request{Rank: rank, Customer: customer})
+		decision := inspect(now, limiter, ratelimit.Request{Rank: rank, Customer: customer})
 		share += min(decision.Share, decision.Demand)
 	}
 	return share
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -32,21 +32,33 @@
 	if job.TakenUp || a.limit(now, job.Service) == 0 {
 		return nil
 	}
-	decision := a.service(job.Service).limiter.Admit(now, r.random.Float64(), ratelimit.Request{
-		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
-	})
-	early := match == retryschedule.Early
-	if decision.Admitted && !early {
-		r.metrics.countReservationKept(match == retryschedule.Due)
+	request := ratelimit.Request{Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due}
+	limiter, cause := a.service(job.Service).limiter, balance.CauseEarly
+	var decision ratelimit.Decision
+	if match == retryschedule.Early {
+		decision = inspect(now, limiter, request)
+	} else {
+		decision = limiter.Admit(now, r.random.Float64(), request)
+		cause = balance.RateCause(decision.Reason)
+	}
+	if decision.Admitted && cause != balance.CauseEarly {
+		r.metrics.countReservationKept(request.Reserved)
 		return nil
 	}
 	r.metrics.countRateRefusal(rank)
 	a.counter.NoteConstrained(now, job.Service)
 	return &balance.RateRefusal{
-		Rank: rank, Limit: decision.Limit, Demand: decision.Demand, Share: decision.Share, Wait: decision.Wait, Early: early,
+		Rank: rank, Limit: decision.Limit, Demand: decision.Demand, Share: decision.Share, Wait: decision.Wait, Cause: cause,
 	}
 }
 
+// inspect returns the figures of a decision about a request that isn't admitted by it. The limiter
+// counts what it admits, so a copy of it decides.
+func inspect(now time.Duration, limiter *ratelimit.Limiter, request ratelimit.Request) ratelimit.Decision {
+	unused := *limiter
+	return unused.Admit(now, 0, request)
+}
+
 // loadLimit returns the load from which on upstreams don't get a request that was never sent. While
 // a rate limit is in force it has its headroom for all requests, as customers' shares are judged
 // over all routers. The lock is held.
@@ -116,7 +128,11 @@
 		return forward.RetryOffer{After: left, Reserved: true}, true
 	}
 	refused := retryschedule.Refused{Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining}
-	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, a.retryCapacity(now, job.Service))
+	available := a.retryCapacity(now, job.Service)
+	if job.Unreserved {
+		available.Part = 0
+	}
+	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, available)
 	if offer.Reserved && !a.reservations.Add(now, offer.Reservation) {
 		offer.Reserved = false
 	}
--- a/daemon/router/limitedfleet_test.go
+++ b/daemon/router/limitedfleet_test.go
@@ -221,6 +221,21 @@
 	return results
 }
 
+// outcomes counts the results from a time on by status, and those that were served late.
+func outcomes(results []result, from time.Duration) string {
+	statuses, late := map[int]int{}, 0
+	for _, got := range results {
+		if got.at < from {
+			continue
+		}
+		statuses[got.status]++
+		if got.status == http.StatusOK && got.took > limitedObjective {
+			late++
+		}
+	}
+	return fmt.Sprintf("by status %v, %d late", statuses, late)
+}
+
 // servedShare returns the part of the results from a time on that were served within the objective.
 func servedShare(results []result, from time.Duration) float64 {
 	all, served := 0.0, 0.0
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -112,6 +112,8 @@
 	TakenUp bool
 	// Digest is the same for requests of the same content.
 	Digest uint64
+	// Unreserved says that no capacity may be reserved for the request.
+	Unreserved bool
 	// Remaining is the time until the caller's deadline or the route's timeout, the earlier one.
 	Remaining time.Duration
 }
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -139,7 +139,7 @@
 func (o *Outcome) logRateLimit(line *zerolog.Event) {
 	if o.RateLimited != nil {
 		line.Float64("limit", tenths(o.RateLimited.Limit)).Float64("share", tenths(o.RateLimited.Share)).Float64("demand", tenths(o.RateLimited.Demand)).
-			Int("rank", o.RateLimited.Rank).Int64("wait_ms", o.RateLimited.Wait.Milliseconds()).Bool("early", o.RateLimited.Early)
+			Int("rank", o.RateLimited.Rank).Int64("wait_ms", o.RateLimited.Wait.Milliseconds()).Str("refused_for", string(o.RateLimited.Cause))
 	}
 	if o.Offer != nil {
 		line.Bool("reserved", o.Offer.Reserved).Int64("retry_after_ms", o.Offer.After.Milliseconds())
--- a/transport/forward/ratelimit_test.go
+++ b/transport/forward/ratelimit_test.go
@@ -65,12 +65,13 @@
 	// Guards: the log of a refused request doesn't say which figures it was refused by.
 	r := newTestRouter(t)
 	r.noChoiceReason, r.offer = balance.ReasonNoCapacity, &RetryOffer{After: 2 * time.Second}
-	r.rateLimited = &balance.RateRefusal{Rank: 2, Limit: 200, Share: 12.5, Demand: 40, Wait: 30 * time.Millisecond}
+	r.rateLimited = &balance.RateRefusal{Rank: 2, Limit: 200, Share: 12.5, Demand: 40, Wait: 30 * time.Millisecond, Cause: balance.CauseOutlier}
 	var log bytes.Buffer
 	r.server.Config.Handler = New(Options{Fleet: r, Dialect: dialecttest.Plain{}, Pool: r.pool, Log: zerolog.New(&log)})
 	assert.Equal(t, r.call("/idem/x").status, http.StatusServiceUnavailable)
 	r.server.Close()
-	for _, field := range []string{`"limit":200`, `"share":12.5`, `"demand":40`, `"rank":2`, `"wait_ms":30`, `"reserved":false`, `"retry_after_ms":2000`} {
+	for _, field := range []string{`"limit":200`, `"share":12.5`, `"demand":40`, `"rank":2`, `"wait_ms":30`, `"refused_for":"outlier"`, `"reserved":false`, `"retry_after_ms":2000`} {
 		assert.Assert(t, strings.Contains(log.String(), field), "%s in %s", field, log.String())
 	}
+	assert.Assert(t, r.scheduled[0].Unreserved, "the customer that causes the shortage gets no reservation")
 }
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -98,6 +98,7 @@
 func (f *forwarding) refuseNoUpstream(choice balance.Choice) {
 	if choice.Reason == balance.ReasonNoCapacity {
 		f.outcome.Limit, f.outcome.Mean, f.outcome.RateLimited = choice.Limit, choice.Mean, choice.RateLimited
+		f.job.Unreserved = choice.RateLimited != nil && choice.RateLimited.Cause == balance.CauseOutlier
 		f.giveUpForCapacity(string(balance.ReasonNoCapacity), f.job.Route.Objective/2)
 		return
 	}
