--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,6 +37,12 @@
 	assert.Check(t, urgent >= 0.9, "%.2f", urgent)
 	assert.Check(t, other >= all/4, "%.2f of rank 2, %.2f of all", other, all)
 	assert.Check(t, all >= 0.4, "%.2f", all)
+	var view admissionview.View
+	assert.NilError(t, json.Unmarshal(f.metrics(t, 0, admissionview.Path), &view))
+	service := view.Services[0]
+	assert.Check(t, service.Limit > 0 && service.Routers == len(f.callers) && service.Slots == 4, "%+v", service)
+	assert.Check(t, service.Ranks[2].Refused > service.Ranks[0].Refused, "%+v", service.Ranks)
+	assert.Check(t, strings.Contains(string(f.metrics(t, 0, "/any")), `admission_refused_total{rank="2"}`))
 	for _, lines := range f.lines {
 		assert.Check(t, lines.count(`"event":"rate-limited"`) >= 1)
 		assert.Check(t, lines.count(`"event":"rate-limit`) <= 8, "few lines for one surge")
@@ -143,6 +152,17 @@
 	return f.routers[router].router.admissionView()
 }
 
+// metrics reads a path of a router's metrics listener.
+func (f *limitedFleet) metrics(t *testing.T, router int, path string) []byte {
+	t.Helper()
+	response, err := http.Get("http://" + f.routers[router].settings.Listen.Metrics + path)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return body
+}
+
 // restart starts a router anew that was killed.
 func (f *limitedFleet) restart(router int) {
 	f.lines[router].reset()
