Load reports without counts stay as they were, and other versions' are read

With a further field, routers of two versions would refuse each other's load reports while a fleet is upgraded. Ruled out: omitempty, which arrays don't know; another message kind, which costs a message for each report. Change: LoadReport encodes itself, without empty fields at its end beyond the four that it had, and ignores elements behind those that it knows. The test compares the bytes with those of the struct before. New fields go to the end of fields().

--- a/coordination/balance/demand_test.go
+++ b/coordination/balance/demand_test.go
@@ -7,8 +7,36 @@
 
 	"endiveplank/coordination/demand"
 	"endiveplank/protocol"
+	"endiveplank/protocol/codec"
 )
 
+func TestLoadReportsAreReadByOtherVersions(t *testing.T) {
+	// Guards: while a fleet is upgraded, routers refuse each other's load reports, as the msgpack
+	// library refuses an array that has more or fewer elements than a struct has fields.
+	type before struct {
+		Full      bool
+		Upstreams []UpstreamLoad
+		Cached    []CachedPrefix
+		Omitted   []ServiceLoad
+	}
+	loads := before{Full: true, Upstreams: []UpstreamLoad{{ID: 7, InFlight: 2, Served: 1 << 40}}, Omitted: []ServiceLoad{{ID: 1, InFlight: 3}}}
+	report := LoadReport{Full: true, Upstreams: loads.Upstreams, Omitted: loads.Omitted}
+	assert.DeepEqual(t, codec.MarshalArrays(report), codec.MarshalArrays(loads))
+	for _, limit := range []int{0, 5} {
+		var got LoadReport
+		report.Demand = nil
+		if limit > 0 {
+			report.Demand = []demand.ServiceCounts{{Routers: 1, Limit: limit, Rates: []byte{1}}}
+		}
+		assert.NilError(t, codec.Unmarshal(codec.MarshalArrays(report), &got))
+		assert.DeepEqual(t, got, report)
+		got = LoadReport{}
+		fromLater := []any{report.Full, report.Upstreams, report.Cached, report.Omitted, report.Demand, []ServiceLoad{{ID: 3}}}
+		assert.NilError(t, codec.Unmarshal(codec.MarshalArrays(fromLater), &got))
+		assert.DeepEqual(t, got, report)
+	}
+}
+
 func TestCountsTravelWithLoadReports(t *testing.T) {
 	// Guards: routers whose relay has nothing to tell them about loads get no counts, or relays
 	// get another one's.
--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -1,7 +1,10 @@
 package balance
 
 import (
+	"reflect"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"endiveplank/coordination/demand"
 	"endiveplank/protocol"
@@ -44,6 +47,50 @@
 	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
 }
 
+// requiredFields is the number of fields of a LoadReport that are always encoded.
+const requiredFields = 4
+
+// fields returns the fields in the order in which they are encoded. Those behind requiredFields are
+// left out from the last one that isn't empty on, so that routers of an earlier version can read
+// reports without them; new fields are added at the end.
+func (r *LoadReport) fields() []any {
+	return []any{&r.Full, &r.Upstreams, &r.Cached, &r.Omitted, &r.Demand}
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r LoadReport) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	fields := r.fields()
+	count := len(fields)
+	for count > requiredFields && reflect.ValueOf(fields[count-1]).Elem().Len() == 0 {
+		count--
+	}
+	if err := encoder.EncodeArrayLen(count); err != nil {
+		return err
+	}
+	return encoder.EncodeMulti(fields[:count]...)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. It ignores fields that a later version has added,
+// which the msgpack library refuses to do.
+func (r *LoadReport) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := r.fields()
+	for i := range count {
+		if i >= len(fields) {
+			err = decoder.Skip()
+		} else {
+			err = decoder.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // empty reports whether the report says nothing.
 func (r LoadReport) empty() bool {
 	return !r.hasLoads() && len(r.Demand) == 0
