--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -1,7 +1,10 @@
 package balance
 
 import (
+	"reflect"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"endiveplank/coordination/demand"
 	"endiveplank/coordination/retryschedule"
@@ -13,8 +16,8 @@
 // a ShortID, and their loads are counted together.
 type ShortID uint32
 
-// ShortIDOf returns an upstream's ShortID.
-func ShortIDOf(id protocol.UpstreamID) ShortID {
+// shortIDOf returns an upstream's ShortID.
+func shortIDOf(id protocol.UpstreamID) ShortID {
 	return ShortID(xxhash.Sum64String(string(id)))
 }
 
@@ -41,13 +44,57 @@
 	// Omitted is the load in flight on upstreams of each service that a relay knows of
 	// beyond what its reports tell by upstream. It counts until the next report.
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+	// Demand are counts of services that are short of capacity, for a demand.Counter.
+	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
 	// Reservations says which refused requests are expected back.
 	Reservations []retryschedule.Reported `msgpack:"p,omitempty"`
 	// Reported is what upstreams report of their own load, as far as the receiver doesn't know
 	// it yet.
 	Reported []ReportedLoad `msgpack:"c,omitempty"`
-	// Demand are counts of services that are short of capacity, for a demand.Counter.
-	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
+}
+
+// requiredFields is the number of fields of a LoadReport that are always encoded.
+const requiredFields = 4
+
+// fields returns the fields in the order in which they are encoded. Those behind requiredFields are
+// left out from the last one that isn't empty on, so that routers of an earlier version can read
+// reports without them; new fields are added at the end.
+func (r *LoadReport) fields() []any {
+	return []any{&r.Full, &r.Upstreams, &r.Cached, &r.Omitted, &r.Demand, &r.Reservations, &r.Reported}
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r LoadReport) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	fields := r.fields()
+	count := len(fields)
+	for count > requiredFields && reflect.ValueOf(fields[count-1]).Elem().Len() == 0 {
+		count--
+	}
+	if err := encoder.EncodeArrayLen(count); err != nil {
+		return err
+	}
+	return encoder.EncodeMulti(fields[:count]...)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. It ignores fields that a later version has added,
+// which the msgpack library refuses to do.
+func (r *LoadReport) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := r.fields()
+	for i := range count {
+		if i >= len(fields) {
+			err = decoder.Skip()
+		} else {
+			err = decoder.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // MaxReportedLoads is the largest number of entries in LoadReport.Reported.
