Plain requests: loads compared at the upstreams' speeds, where the settings say so

Cause: the choice compares loads as if all upstreams were alike.

OwnInFlight tells a router's own requests at an upstream.

Ruled out: the same for the load bound of prompts' engines.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -89,6 +89,9 @@
 	// DataCentre is the router's own; of equally loaded upstreams, those there are
 	// preferred.
 	DataCentre protocol.DataCentre
+	// BySpeed compares the loads of upstreams at their speeds, which Request.Slowness returns, when
+	// a request without a prompt is sent. A prompt's engine is chosen by load alone.
+	BySpeed bool
 }
 
 // NewBalancer returns a Balancer without upstreams.
@@ -150,6 +153,14 @@
 	return u.load(), true
 }
 
+// OwnInFlight returns this router's own requests in flight on an upstream.
+func (b *Balancer) OwnInFlight(id protocol.UpstreamID) int {
+	if u := b.upstreams[id]; u != nil {
+		return u.own.InFlight
+	}
+	return 0
+}
+
 // LastServed returns when an upstream was last known to have answered a request, from this
 // router or another one; 0 if it never was.
 func (b *Balancer) LastServed(id protocol.UpstreamID) time.Duration {
--- a/coordination/balance/doc.go
+++ b/coordination/balance/doc.go
@@ -18,6 +18,8 @@
 //     doesn't depend on the current load; load only bounds the choice. Requests without a
 //     prompt go to one of the upstreams with the fewest requests of this router, drawn at
 //     random with weights by the moving average of the other routers' load.
+//   - An upstream becomes slower, and its load shows it only once requests have piled up there. With
+//     Settings.BySpeed, loads are compared at the speeds that upstreams report.
 //   - A router dies, and its requests are counted for ever. They are dropped when the last
 //     connection with it ends, and its LoadReports expire.
 //   - A data centre is evacuated, or its engines are cold, and each router fills the other
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -38,6 +38,9 @@
 	Throttled func(protocol.UpstreamID) bool
 	// IsCold reports whether an upstream is cold; nil means that none is.
 	IsCold func(protocol.UpstreamID) bool
+	// Slowness returns how many times as long as usual work takes on an upstream, 1 if that isn't
+	// known; nil means that it isn't known of any. It is used only with Settings.BySpeed.
+	Slowness func(protocol.UpstreamID) float64
 	// AllowTried says that, where no other is left, the request may go again to an
 	// upstream that it was sent to, as the last one answered with an error.
 	AllowTried bool
--- a/coordination/balance/plain.go
+++ b/coordination/balance/plain.go
@@ -4,7 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"endiveplank/protocol"
 )
@@ -21,10 +20,10 @@
 // few reports tells a slow server from a momentary queue.
 func (b *Balancer) leastLoaded(random *rand.Rand, found *candidates) *upstream {
 	idle := fewestOwn(found.sample(random, b.settings.DataCentre))
-	if near := b.localCandidates(found.now, idle); len(near) > 0 {
+	if near := b.localCandidates(found, idle); len(near) > 0 {
 		return near[random.IntN(len(near))]
 	}
-	return b.drawWeighted(found.now, random, idle)
+	return b.drawWeighted(found, random, idle)
 }
 
 // fewestOwn returns the upstreams with the fewest requests of this router. It reuses the
@@ -76,25 +75,25 @@
 
 // localCandidates returns the upstreams in the own data centre on which the other
 // routers' average load isn't above the mean of the list by more than localMargin.
-func (b *Balancer) localCandidates(now time.Duration, list []*upstream) []*upstream {
+func (b *Balancer) localCandidates(found *candidates, list []*upstream) []*upstream {
 	sum := 0.0
 	for _, u := range list {
-		sum += b.averageElsewhere(now, u)
+		sum += found.atItsSpeed(u, b.averageElsewhere(found.now, u))
 	}
 	mean := sum / float64(len(list))
 	return slices.DeleteFunc(slices.Clone(list), func(u *upstream) bool {
-		return u.entry.DataCentre != b.settings.DataCentre || b.averageElsewhere(now, u) > mean+localMargin
+		return u.entry.DataCentre != b.settings.DataCentre || found.atItsSpeed(u, b.averageElsewhere(found.now, u)) > mean+localMargin
 	})
 }
 
 // drawWeighted returns a random upstream, with a weight inversely proportional to the
 // square of the other routers' average load. With a lower power than the square a slow
 // upstream gets too much; with a higher one, a momentary difference shifts all requests.
-func (b *Balancer) drawWeighted(now time.Duration, random *rand.Rand, list []*upstream) *upstream {
+func (b *Balancer) drawWeighted(found *candidates, random *rand.Rand, list []*upstream) *upstream {
 	weights := make([]float64, len(list))
 	sum := 0.0
 	for i, u := range list {
-		load := 1 + b.averageElsewhere(now, u)
+		load := found.atItsSpeed(u, 1+b.averageElsewhere(found.now, u))
 		weights[i] = 1 / (load * load)
 		sum += weights[i]
 	}
