--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -214,6 +214,22 @@
 	}
 }
 
+func TestAnUpstreamThatSaysAnotherPaceIsNotBelieved(t *testing.T) {
+	// Guards: an upstream says that work takes no time there, or for ever, while its answers take as
+	// long as others': its slots count many times, or the service has no capacity.
+	for pace, want := range map[int]Verdict{1: Contradicted, 60: Used, 100: Used, 160: Used, 10_000: Contradicted} {
+		r, entries := withUpstreams(2)
+		usual := answer(entries[1], load(2, 0, 100))
+		usual.Took = 60 * time.Millisecond
+		r.Observe(start, usual)
+		first := answer(entries[0], load(0, 0, pace))
+		r.Observe(start, first)
+		assert.Assert(t, r.Free(start, plain).Effective <= slots+2*slots, "before it is known")
+		first.Took = 60 * time.Millisecond
+		assert.Equal(t, lying(r, first), want, "pace %d", pace)
+	}
+}
+
 func TestAnHonestUpstreamIsBelievedAgain(t *testing.T) {
 	// Guards: some reports that crossed requests under way, or a fault that is mended, make an
 	// upstream unknown for ever.
--- a/coordination/capacity/credibility.go
+++ b/coordination/capacity/credibility.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"endiveplank/protocol/dialect"
 )
 
 const (
@@ -13,13 +15,18 @@
 	// fleetFactor and fleetSlack do the same for averages over all routers' requests.
 	fleetFactor = 2.0
 	fleetSlack  = 3.0
-	// averageTime is the time constant of these averages, and minAveraged the number of reports
-	// from which on they are compared.
-	averageTime = time.Second
-	minAveraged = 5
+	// averageTime is the time constant of these averages, maxAverageWeight bounds the weight of a
+	// report, as a router may see few, and minAveraged is the number of reports from which on the
+	// averages are compared.
+	averageTime      = time.Second
+	maxAverageWeight = 0.25
+	minAveraged      = 5
 	// quickFactor is how many times the usual time an answer may take that contradicts a report of
 	// a full upstream.
 	quickFactor = 1.5
+	// paceFactor is by how much the reported pace may differ from what answers show: it changes many
+	// times a second, and requests differ.
+	paceFactor = 3.0
 	// distrustAt is the number of contradicted reports, less the others, from which on an upstream
 	// is not believed; it is believed again once the difference is 0.
 	distrustAt = 5
@@ -42,6 +49,9 @@
 	// reported and fleet are averages of the requests that the upstream reports, and of those that
 	// all routers have in flight there.
 	reported, fleet float32
+	// pace is an average of the reported paces, and took one of how many times the usual time answers
+	// took that didn't wait, both as factors.
+	pace, took float32
 }
 
 // distrusts reports whether the upstream is not believed.
@@ -55,23 +65,32 @@
 	if now-u.credibility.at > forgetAfter {
 		u.credibility = credibility{}
 	}
-	u.credibility.average(now, o)
-	contradicted := u.saysIdle(o) || u.saysFull(o)
+	u.credibility.average(now, o, u.service.usual[o.Kind])
+	contradicted := u.saysIdle(o) || u.saysFull(o) || u.credibility.saysOtherPace()
 	u.credibility.count(contradicted)
 	u.noteUsual(o)
 	return contradicted
 }
 
 // average adds a report to the averages.
-func (c *credibility) average(now time.Duration, o Observation) {
+func (c *credibility) average(now time.Duration, o Observation, usual time.Duration) {
 	weight := 1 - math.Exp(-float64(now-c.at)/float64(averageTime))
-	if c.observed == 0 {
+	if weight = min(weight, maxAverageWeight); c.observed == 0 {
 		weight = 1
 	}
 	c.at = now
 	c.observed = min(c.observed+1, minAveraged)
 	c.reported += float32(weight) * (float32(o.Load.Running+o.Load.Waiting) - c.reported)
 	c.fleet += float32(weight) * (float32(o.FleetInFlight) - c.fleet)
+	if usual > 0 && o.unqueued() {
+		c.pace += float32(weight) * (float32(o.Load.Pace)/dialect.UsualPace - c.pace)
+		c.took += float32(weight) * (float32(o.Took)/float32(usual) - c.took)
+	}
+}
+
+// unqueued reports whether the answer tells how long work takes, without a wait.
+func (o Observation) unqueued() bool {
+	return o.Took > 0 && o.Load.Running < o.Load.Slots && o.Load.Waiting == 0
 }
 
 // count counts a report.
@@ -99,20 +118,35 @@
 }
 
 // saysFull reports whether the upstream says that it has no free slot and answers as quickly as
-// those that have some. A full upstream whose queue is short may answer quickly, so it needs a
-// queue as long as its slots, or a load known here that doesn't fill them.
+// those that have some. A full upstream whose queue is short, or only just long, may answer quickly,
+// so on average its queue has to be as long as its slots, or it has to report many more requests
+// than routers have there.
 func (u *upstream) saysFull(o Observation) bool {
 	usual := u.service.usual[o.Kind]
 	if o.Load.Running < o.Load.Slots || o.Took <= 0 || usual == 0 {
 		return false
 	}
-	quick := float64(o.Took) <= quickFactor*float64(usual)
-	return quick && (o.Load.Waiting >= o.Load.Slots || 2*o.FleetInFlight <= o.Load.Slots)
+	if float64(o.Took) > quickFactor*float64(usual) {
+		return false
+	}
+	c := u.credibility
+	if c.observed < minAveraged {
+		return false
+	}
+	return c.reported >= 2*float32(o.Load.Slots) || c.reported > fleetFactor*c.fleet+fleetSlack
+}
+
+// saysOtherPace reports whether the upstream says that it is faster or slower than its answers show.
+func (c credibility) saysOtherPace() bool {
+	if c.observed < minAveraged || c.took == 0 {
+		return false
+	}
+	return c.pace > paceFactor*c.took || c.took > paceFactor*c.pace
 }
 
 // noteUsual learns how long answers of upstreams with free slots take.
 func (u *upstream) noteUsual(o Observation) {
-	if o.Took <= 0 || o.Load.Running >= o.Load.Slots || o.Load.Waiting > 0 {
+	if !o.unqueued() {
 		return
 	}
 	usual, known := u.service.usual[o.Kind]
--- a/coordination/capacity/reports.go
+++ b/coordination/capacity/reports.go
@@ -87,6 +87,8 @@
 	service   *service
 	index     int
 	last      report
+	// pace is an average of the paces of the last reports.
+	pace float32
 	// reporting says that it is in service.reporting.
 	reporting   bool
 	told        [audiences]report
@@ -113,8 +115,29 @@
 	return slices.Values(s.reporting)
 }
 
+// paceWeight is the weight of a new report in the average of an upstream's paces. Machines' paces
+// change many times a second, so that a single one says little.
+const paceWeight = 0.3
+
+// maxPaceAge is the age up to which a pace counts in the choice. An upstream that was slow gets few
+// requests, so that few reports say that it has recovered.
+const maxPaceAge = 1500 * time.Millisecond
+
+// Slowness returns how many times as long as usual work takes on an upstream, 1 if that isn't known.
+func (r *Reports) Slowness(now time.Duration, id protocol.UpstreamID) float64 {
+	u := r.upstreams[id]
+	if u == nil || !u.usable(now) || now-u.last.madeAt > maxPaceAge {
+		return 1
+	}
+	return float64(u.pace) / dialect.UsualPace
+}
+
 // set replaces the upstream's report.
 func (u *upstream) set(now time.Duration, last report) {
+	if !u.last.known(now) {
+		u.pace = float32(last.pace)
+	}
+	u.pace += paceWeight * (float32(last.pace) - u.pace)
 	u.last = last
 	if !u.reporting && last.known(now) {
 		u.reporting = true
@@ -137,10 +160,19 @@
 	return dialect.ReportedLoad{Running: int(r.running), Waiting: int(r.waiting), Slots: int(r.slots), Pace: int(r.pace)}
 }
 
+// minUsedPace bounds how much faster than usual an upstream counts, as its capacity would be endless
+// if it said that work takes no time.
+const minUsedPace = 50
+
+// effective returns the slots that would do the same at the usual pace.
+func (r report) effective() float64 {
+	return float64(r.slots) * dialect.UsualPace / float64(max(r.pace, minUsedPace))
+}
+
 // free returns the requests for which the upstream has room, negative if more wait than it could
 // run at once.
 func (r report) free() float64 {
-	return float64(r.slots)*dialect.UsualPace/float64(r.pace) - float64(r.running) - float64(r.waiting)
+	return r.effective() - float64(r.running) - float64(r.waiting)
 }
 
 func newReport(load dialect.ReportedLoad, madeAt time.Duration) report {
@@ -274,7 +306,7 @@
 	Slots   int
 	Running int
 	Waiting int
-	// Effective is the sum of slots x 100/pace: how many upstreams' slots of the usual speed would
+	// Effective is the sum of slots x 100/pace, with at least half of the usual pace: how many upstreams' slots of the usual speed would
 	// do the same. Free is Effective less the running and waiting requests.
 	Effective float64
 	Free      float64
@@ -300,7 +332,7 @@
 	c.Slots += int(r.slots)
 	c.Running += int(r.running)
 	c.Waiting += int(r.waiting)
-	c.Effective += float64(r.slots) * dialect.UsualPace / float64(r.pace)
+	c.Effective += r.effective()
 	c.Free += r.free()
 }
 
