--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -16,8 +16,8 @@
 // a ShortID, and their loads are counted together.
 type ShortID uint32
 
-// shortIDOf returns an upstream's ShortID.
-func shortIDOf(id protocol.UpstreamID) ShortID {
+// ShortIDOf returns an upstream's ShortID.
+func ShortIDOf(id protocol.UpstreamID) ShortID {
 	return ShortID(xxhash.Sum64String(string(id)))
 }
 
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -104,11 +104,11 @@
 	if r.admission == nil || r.admission.reports == nil || head.Load == nil {
 		return
 	}
-	own, all := r.balancer.InFlight(choice.ID)
+	all, _ := r.balancer.Load(choice.ID)
 	observation := capacity.Observation{
 		Upstream: choice.ID, StartedAt: choice.StartedAt, Load: *head.Load,
 		// The request that was answered is still in flight here.
-		InFlight: max(own-1, 0), FleetInFlight: max(all-1, 0),
+		InFlight: max(r.balancer.OwnInFlight(choice.ID)-1, 0), FleetInFlight: max(all-1, 0),
 	}
 	if took > 0 && !head.NotRun && choice.Proxy == "" && !answerKind(job, choice).Cold {
 		observation.Kind, observation.Took = job.Route.Name, took
