Router: servers are chosen by their reported speed while their service is short

Ruled out: always, as choices of services that aren't short have to stay as they were. Change: Request.Slowness is set while any router sees the service short; short is computed once a tick.

--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -48,6 +48,8 @@
 	// part is this router's part of the arrivals at all routers at the last tick, from 0 to 1. Adding
 	// up all routers' counts for each refusal would cost more than refusing.
 	part float64
+	// short says whether any router saw the service short of capacity at the last tick.
+	short bool
 	// offered counts this router's reservations by the second in which they are due.
 	offered map[int64]int
 	// limited says whether the last line was about a limit that came into force, and loggedAt when
@@ -158,7 +160,7 @@
 func (r *Router) observeService(now time.Duration, name protocol.Service) {
 	a, s := r.admission, r.admission.service(name)
 	totals := a.counter.Fleet(now, name)
-	s.part = partOf(a.counter.Own(now, name), totals)
+	s.part, s.short = partOf(a.counter.Own(now, name), totals), a.counter.IsConstrained(now, name)
 	change, changed := s.limiter.Observe(now, totals, r.rateCapacity(name), a.counter.ReportedLimit(now, name))
 	if changed {
 		s.change, s.unlogged = change, true
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -8,6 +8,7 @@
 	"endiveplank/coordination/demand"
 	"endiveplank/coordination/ratelimit"
 	"endiveplank/coordination/retryschedule"
+	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/transport/forward"
 )
@@ -59,6 +60,16 @@
 	return unused.Admit(now, 0, request)
 }
 
+// slowness returns how many times as long as usual work takes on an upstream by its own reports, nil
+// unless these are used and the service is short of capacity. The lock is held.
+func (r *Router) slowness(now time.Duration, service protocol.Service) func(protocol.UpstreamID) float64 {
+	a := r.admission
+	if a == nil || a.reports == nil || a.services[service] == nil || !a.services[service].short {
+		return nil
+	}
+	return func(id protocol.UpstreamID) float64 { return a.reports.Slowness(now, id) }
+}
+
 // loadLimit returns the load from which on upstreams don't get a request that was never sent. While
 // a rate limit is in force it has its headroom for all requests, as customers' shares are judged
 // over all routers. The lock is held.
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -54,6 +54,7 @@
 	request.Prompt, request.HasPrompt = job.SharedPrefixKey()
 	request.SharedPrefixes = job.ShorterPrefixKeys()
 	request.Admits, request.IsCold, request.Throttled = r.admits(now), r.isCold(now), r.throttled(now)
+	request.Slowness = r.slowness(now, job.Service)
 	r.restrictBuild(&request, job)
 	// An attempt that follows failed connections is limited like the first one, but the
 	// request has been counted.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -172,7 +172,7 @@
 	r.follower.SetAnnounceAddress(options.Settings.Listen.Announcements)
 	r.balancer = balance.NewBalancer(balance.Settings{
 		Multiple: options.Settings.Load.Multiple, Slack: options.Settings.Load.Slack,
-		DataCentre: options.Settings.DataCentre,
+		DataCentre: options.Settings.DataCentre, BySpeed: options.Settings.Admission.Reports,
 	})
 	r.handler = forward.New(forward.Options{
 		Fleet: r, Dialect: options.Dialect, Pool: r.pool, ProxyPool: r.proxyPool, Self: self,
