--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -41,6 +41,7 @@
 	assert.NilError(t, json.Unmarshal(f.metrics(t, 0, admissionview.Path), &view))
 	service := view.Services[0]
 	assert.Check(t, service.Limit > 0 && service.Routers == len(f.callers) && service.Slots == 4, "%+v", service)
+	assert.Check(t, service.Reported != nil && service.Reported.Known == 2, "%+v", service.Reported)
 	assert.Check(t, service.Ranks[2].Refused > service.Ranks[0].Refused, "%+v", service.Ranks)
 	assert.Check(t, strings.Contains(string(f.metrics(t, 0, "/any")), `admission_refused_total{rank="2"}`))
 	for _, lines := range f.lines {
--- a/daemon/router/limitedfleet_test.go
+++ b/daemon/router/limitedfleet_test.go
@@ -53,6 +53,8 @@
 	<-s.running
 	s.mu.Lock()
 	s.held--
+	running := min(s.held, s.slots)
+	w.Header().Set("T-Load", fmt.Sprintf("%d,%d,%d", running, s.held-running, s.slots))
 	s.mu.Unlock()
 	if breaks {
 		panic(http.ErrAbortHandler)
--- a/protocol/dialect/dialecttest/plain.go
+++ b/protocol/dialect/dialecttest/plain.go
@@ -2,6 +2,7 @@
 package dialecttest
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -61,9 +62,20 @@
 	}
 	return dialect.Answer{
 		Fragile:    fragile,
+		Load:       readLoad(header.Get("T-Load")),
 		RetryAfter: time.Duration(after) * time.Millisecond,
 		ID:         protocol.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
 		Leaving: header.Get("T-Leaving") != "",
 		Signed:  header.Get("T-Signed") != "", Misdirected: header.Get("T-Other") != "",
 	}
 }
+
+// readLoad parses running requests, waiting requests and slots, separated by commas; nil if there are
+// none.
+func readLoad(text string) *dialect.ReportedLoad {
+	load := dialect.ReportedLoad{Pace: dialect.UsualPace}
+	if _, err := fmt.Sscanf(text, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); err != nil {
+		return nil
+	}
+	return &load
+}
