--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -26,6 +26,9 @@
 	minAnswers = 20
 	// shortShare is the share of late answers above which a service is short of capacity.
 	shortShare = 0.15
+	// suddenShare is the share of late answers since the last decision, if these are minAnswers, above
+	// which a service is short too: the average takes longer to show it.
+	suddenShare = 0.3
 	// takenPart is the part of the slots that must be taken for load to be the cause.
 	takenPart = 0.5
 	// settleTime is how long the set of reporting routers must not have grown before a first limit.
@@ -123,8 +126,12 @@
 
 // isShort reports whether many answers are late because of load.
 func (l *Limiter) isShort() bool {
+	if l.load.taken < takenPart {
+		return false
+	}
 	all := l.totals.InTime + l.totals.Late
-	return all >= minAnswers && l.totals.Late > shortShare*all && l.load.taken >= takenPart
+	latest := l.answers.latest >= minAnswers && l.answers.lateShare > suddenShare
+	return latest || (all >= minAnswers && l.totals.Late > shortShare*all)
 }
 
 // start sets the first limit.
@@ -152,7 +159,13 @@
 }
 
 func (l *Limiter) change(limited bool) Change {
-	return Change{Limited: limited, Limit: l.perSlot * float64(l.capacity.Slots), Capacity: l.capacity, LateShare: l.answers.lateShare, Arrived: l.totals.Arrived}
+	return Change{
+		Limited:   limited,
+		Limit:     l.perSlot * float64(l.capacity.Slots),
+		Capacity:  l.capacity,
+		LateShare: l.answers.lateShare,
+		Arrived:   l.totals.Arrived,
+	}
 }
 
 // lift ends the limit.
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -230,14 +230,16 @@
 type answers struct {
 	inTime, late float64
 	at           time.Duration
-	// lateShare is the share of the answers since the last decision that were late.
-	lateShare float64
+	// latest is the number of answers since the last decision, and lateShare the share of them that
+	// were late.
+	latest, lateShare float64
 }
 
 func (a *answers) observe(now time.Duration, totals demand.Totals) {
 	keep := math.Exp(-float64(now-a.at) / float64(countTimeConstant))
 	inTime := max(totals.InTime-a.inTime*keep, 0)
 	late := max(totals.Late-a.late*keep, 0)
+	a.latest = (inTime + late) * countTimeConstant.Seconds()
 	if inTime+late > 0 {
 		a.lateShare = late / (inTime + late)
 	}
