--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -101,7 +101,8 @@
 		})
 	})
 	waiting.Wait()
-	t.Logf("reserved %d, served %d; of %d that also came early %d served", reserved.Load(), served.Load(), hurried.Load(), early.Load())
+	t.Logf("reserved %d, served %d; of %d that also came early %d served",
+		reserved.Load(), served.Load(), hurried.Load(), early.Load())
 	assert.Assert(t, reserved.Load() >= 20, "%d", reserved.Load())
 	assert.Check(t, served.Load() >= reserved.Load()*8/10, "%d of %d", served.Load(), reserved.Load())
 	assert.Check(t, hurried.Load() > 0 && early.Load() == 0, "%d of %d", early.Load(), hurried.Load())
@@ -225,7 +226,9 @@
 	// Guards: one customer sends six times its usual rate, and others, which would fit without it, are
 	// refused or late because of it.
 	f := startLimitedFleet(t, newSlotServer(2, 40*time.Millisecond), newSlotServer(2, 40*time.Millisecond))
-	results := f.flows(settling+4*time.Second, map[string]int{"rank1/large": 120, "rank1/small-1": 20, "rank1/small-2": 20, "rank1/small-3": 20})
+	results := f.flows(settling+4*time.Second, map[string]int{
+		"rank1/large": 120, "rank1/small-1": 20, "rank1/small-2": 20, "rank1/small-3": 20,
+	})
 	large := servedShare(results["rank1/large"], settling)
 	t.Logf("served in time: the large customer %.2f", large)
 	for name, got := range results {
--- a/daemon/router/admissionview.go
+++ b/daemon/router/admissionview.go
@@ -33,7 +33,9 @@
 func (r *Router) admissionView() admissionview.View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	view := admissionview.View{Router: string(r.settings.Self()), Enabled: r.admission != nil, Services: []admissionview.Service{}}
+	view := admissionview.View{
+		Router: string(r.settings.Self()), Enabled: r.admission != nil, Services: []admissionview.Service{},
+	}
 	index := r.table.Load()
 	if r.admission == nil || index == nil {
 		return view
@@ -46,9 +48,12 @@
 	return view
 }
 
+// customersByHash are the customers of a table.
+type customersByHash map[demand.CustomerHash]protocol.CustomerID
+
 // customerNames returns the customers by their hashes.
-func customerNames(table *routing.Table) map[demand.CustomerHash]protocol.CustomerID {
-	names := map[demand.CustomerHash]protocol.CustomerID{demand.CustomerHashOf(""): ""}
+func customerNames(table *routing.Table) customersByHash {
+	names := customersByHash{demand.CustomerHashOf(""): ""}
 	for _, customer := range table.Customers {
 		names[demand.CustomerHashOf(customer.Name)] = customer.Name
 	}
@@ -56,12 +61,12 @@
 }
 
 // serviceView returns the state of a service. The lock is held.
-func (r *Router) serviceView(now time.Duration, name protocol.Service, names map[demand.CustomerHash]protocol.CustomerID) admissionview.Service {
+func (r *Router) serviceView(now time.Duration, name protocol.Service, names customersByHash) admissionview.Service {
 	a, s, totals := r.admission, r.admission.service(name), r.admission.counter.Fleet(now, name)
 	at := r.balancer.Capacity(name)
 	view := admissionview.Service{
-		Service: string(name), Short: a.counter.IsConstrained(now, name), Routers: totals.Routers, Slots: at.Slots, InFlight: at.InFlight,
-		Limit: s.limiter.Limit(now), InTime: totals.InTime, Late: totals.Late,
+		Service: string(name), Short: a.counter.IsConstrained(now, name), Routers: totals.Routers,
+		Slots: at.Slots, InFlight: at.InFlight, Limit: s.limiter.Limit(now), InTime: totals.InTime, Late: totals.Late,
 		RestCustomers: totals.RestCustomers, RestArrived: totals.RestArrived, Customers: []admissionview.Customer{},
 		Due: make([]int, dueSeconds),
 	}
@@ -89,7 +94,9 @@
 const noCustomer = "(no customer)"
 
 // customerView returns the demand of a customer.
-func customerView(now time.Duration, limiter *ratelimit.Limiter, rate demand.CustomerRate, names map[demand.CustomerHash]protocol.CustomerID) admissionview.Customer {
+func customerView(
+	now time.Duration, limiter *ratelimit.Limiter, rate demand.CustomerRate, names customersByHash,
+) admissionview.Customer {
 	name, known := names[rate.Customer]
 	view := admissionview.Customer{
 		Customer: string(name), Arrived: rate.Arrived, Admitted: rate.Admitted,
@@ -125,5 +132,7 @@
 		return nil
 	}
 	sum := a.reports.Free(now, service)
-	return &admissionview.Reported{Upstreams: sum.Upstreams, Known: sum.Known, Running: sum.Running, Waiting: sum.Waiting, Free: sum.Free}
+	return &admissionview.Reported{
+		Upstreams: sum.Upstreams, Known: sum.Known, Running: sum.Running, Waiting: sum.Waiting, Free: sum.Free,
+	}
 }
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -33,7 +33,9 @@
 	if job.TakenUp || a.limit(now, job.Service) == 0 {
 		return nil
 	}
-	request := ratelimit.Request{Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due}
+	request := ratelimit.Request{
+		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
+	}
 	limiter, cause := a.service(job.Service).limiter, balance.CauseEarly
 	var decision ratelimit.Decision
 	if match == retryschedule.Early {
@@ -111,7 +113,9 @@
 
 // noteReportedLoad takes what an upstream reports of its load in the head of an answer, which took
 // so long to begin. The lock is held.
-func (r *Router) noteReportedLoad(now time.Duration, job forward.Job, choice balance.Choice, head dialect.Answer, took time.Duration) {
+func (r *Router) noteReportedLoad(
+	now time.Duration, job forward.Job, choice balance.Choice, head dialect.Answer, took time.Duration,
+) {
 	if r.admission == nil || r.admission.reports == nil || head.Load == nil {
 		return
 	}
@@ -138,7 +142,9 @@
 	if match, left := a.reservations.Match(now, job.Digest); match == retryschedule.Early {
 		return forward.RetryOffer{After: left, Reserved: true}, true
 	}
-	refused := retryschedule.Refused{Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining}
+	refused := retryschedule.Refused{
+		Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining,
+	}
 	available := a.retryCapacity(now, job.Service)
 	if job.Unreserved {
 		available.Part = 0
--- a/tool/admission.go
+++ b/tool/admission.go
@@ -26,7 +26,10 @@
 				return err
 			}
 			if !view.Enabled {
-				return &Failure{Status: ExitRefused, What: "admission is off on router " + view.Router, Next: "set admission.enabled in the settings of all routers"}
+				return &Failure{
+					Status: ExitRefused, What: "admission is off on router " + view.Router,
+					Next: "set admission.enabled in the settings of all routers",
+				}
 			}
 			return o.print(command.OutOrStdout(), view, func(w io.Writer) { writeAdmission(w, view) })
 		},
@@ -39,7 +42,9 @@
 func (o *options) fetchAdmission(ctx context.Context, router string) (admissionview.View, error) {
 	var view admissionview.View
 	if router == "" {
-		return view, &Failure{Status: ExitUsage, What: "no router", Next: "set --router to a router's metrics address (listen.metrics)"}
+		return view, &Failure{
+			Status: ExitUsage, What: "no router", Next: "set --router to a router's metrics address (listen.metrics)",
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
@@ -49,26 +54,34 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return view, &Failure{Status: ExitUnreachable, What: "the router is unreachable: " + err.Error(), Next: "try another router"}
+		return view, unreachableRouter(err)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return view, &Failure{Status: ExitUnreachable, What: "the router is unreachable: " + err.Error(), Next: "try another router"}
+		return view, unreachableRouter(err)
 	}
 	if err := json.Unmarshal(raw, &view); err != nil || response.StatusCode != http.StatusOK {
-		return view, fmt.Errorf("the response (HTTP status %d) isn't a view of admission; is this a router's metrics address?", response.StatusCode)
+		return view, fmt.Errorf("the response (HTTP status %d) isn't a view of admission; is this a router's metrics address?",
+			response.StatusCode)
 	}
 	return view, nil
 }
 
+// unreachableRouter returns the failure of a call that got no response.
+func unreachableRouter(err error) error {
+	return &Failure{Status: ExitUnreachable, What: "the router is unreachable: " + err.Error(), Next: "try another router"}
+}
+
 // writeAdmission writes the services one after the other.
 func writeAdmission(w io.Writer, view admissionview.View) {
-	printRow(w, fmt.Sprintf("as router %s knows it; rates in requests a second of all routers that report; %d reservations known", view.Router, view.Reservations))
+	printRow(w, fmt.Sprintf("as router %s knows it; rates in requests a second of all routers that report; %d reservations known",
+		view.Router, view.Reservations))
 	printRow(w)
 	printRow(w, "SERVICE", "STATE", "ROUTERS", "SLOTS", "IN FLIGHT", "LIMIT", "FREE", "IN TIME", "LATE")
 	for _, s := range view.Services {
-		printRow(w, s.Service, stateOf(s), s.Routers, unknownIfZero(s.Slots), s.InFlight, limitOf(s, s.Limit), limitOf(s, s.Free), rate(s.InTime), rate(s.Late))
+		printRow(w, s.Service, stateOf(s), s.Routers, unknownIfZero(s.Slots), s.InFlight,
+			limitOf(s, s.Limit), limitOf(s, s.Free), rate(s.InTime), rate(s.Late))
 	}
 	for _, s := range view.Services {
 		if s.Short {
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -88,6 +88,15 @@
 	f.giveUp(reason, after)
 }
 
+// giveUpAfter gives up after an attempt that brought no answer.
+func (f *forwarding) giveUpAfter(last AttemptOutcome, reason string) {
+	if last.Rejected {
+		f.giveUpForCapacity(reason, retryAfterFull)
+		return
+	}
+	f.giveUp(reason, retryAfterFull)
+}
+
 // refuseNoUpstream answers a request for which Choose found no upstream.
 //
 // It guards against this failure: for ten seconds, callers send twice the work that the
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -162,15 +162,6 @@
 	return false
 }
 
-// giveUpAfter gives up after an attempt that brought no answer.
-func (f *forwarding) giveUpAfter(last AttemptOutcome, reason string) {
-	if last.Rejected {
-		f.giveUpForCapacity(reason, retryAfterFull)
-		return
-	}
-	f.giveUp(reason, retryAfterFull)
-}
-
 // takeRetry takes a retry from the budget, unless the failed attempt has already done
 // so.
 func (f *forwarding) takeRetry() bool {
