--- a/coordination/balance/demand_test.go
+++ b/coordination/balance/demand_test.go
@@ -31,7 +31,10 @@
 		assert.NilError(t, codec.Unmarshal(codec.MarshalArrays(report), &got))
 		assert.DeepEqual(t, got, report)
 		got = LoadReport{}
-		fromLater := []any{report.Full, report.Upstreams, report.Cached, report.Omitted, report.Demand, []ServiceLoad{{ID: 3}}}
+		fromLater := []any{
+			report.Full, report.Upstreams, report.Cached, report.Omitted, report.Reported, report.Demand, report.Reservations,
+			[]ServiceLoad{{ID: 3}},
+		}
 		assert.NilError(t, codec.Unmarshal(codec.MarshalArrays(fromLater), &got))
 		assert.DeepEqual(t, got, report)
 	}
--- a/coordination/balance/messages.go
+++ b/coordination/balance/messages.go
@@ -44,13 +44,13 @@
 	// Omitted is the load in flight on upstreams of each service that a relay knows of
 	// beyond what its reports tell by upstream. It counts until the next report.
 	Omitted []ServiceLoad `msgpack:"o,omitempty"`
+	// Reported is what upstreams report of their own load, as far as the receiver doesn't know
+	// it yet.
+	Reported []ReportedLoad `msgpack:"c,omitempty"`
 	// Demand are counts of services that are short of capacity, for a demand.Counter.
 	Demand []demand.ServiceCounts `msgpack:"d,omitempty"`
 	// Reservations says which refused requests are expected back.
 	Reservations []retryschedule.Reported `msgpack:"p,omitempty"`
-	// Reported is what upstreams report of their own load, as far as the receiver doesn't know
-	// it yet.
-	Reported []ReportedLoad `msgpack:"c,omitempty"`
 }
 
 // requiredFields is the number of fields of a LoadReport that are always encoded.
@@ -60,7 +60,7 @@
 // left out from the last one that isn't empty on, so that routers of an earlier version can read
 // reports without them; new fields are added at the end.
 func (r *LoadReport) fields() []any {
-	return []any{&r.Full, &r.Upstreams, &r.Cached, &r.Omitted, &r.Demand, &r.Reservations, &r.Reported}
+	return []any{&r.Full, &r.Upstreams, &r.Cached, &r.Omitted, &r.Reported, &r.Demand, &r.Reservations}
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
