ratelimit: what corrections will change is expected before reports show it

Cause: the requests in flight are a quarter of a second old, so each difference was corrected again until reports showed the first correction, and a stronger correction oscillated. Change: the correction counts what it has changed within the last 250 ms, and acts within 250 instead of 400 ms.

--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -14,11 +14,13 @@
 	loadTimeConstant = 50 * time.Millisecond
 	// takenTimeConstant is that of the load by which a service is judged to be short.
 	takenTimeConstant = 500 * time.Millisecond
+	// reportAge is about how old the requests in flight are that reports tell.
+	reportAge = 250 * time.Millisecond
 	// minCorrectionTime is the time within which the requests in flight are brought to the allowed
-	// number. It is above the age of the reports, beyond which the correction oscillates, and at
-	// least workPart of the time that a request takes.
-	minCorrectionTime = 400 * time.Millisecond
-	workPart          = 0.5
+	// number, at least workPart of the time that a request takes. What reports don't show yet is
+	// expected, so that the same difference isn't corrected twice.
+	minCorrectionTime = 250 * time.Millisecond
+	workPart          = 0.3
 	// maxCorrectionDown and maxCorrectionUp bound the correction.
 	maxCorrectionDown = 0.8
 	maxCorrectionUp   = 0.3
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -79,6 +79,7 @@
 // It returns a Change if the limit came into force or ended.
 func (l *Limiter) Observe(now time.Duration, totals demand.Totals, capacity Capacity, reported float64) (Change, bool) {
 	l.totals, l.capacity = totals, capacity
+	l.load.expect(now, l.correction()*l.perSlot)
 	l.load.observe(now, capacity)
 	l.rescale(now)
 	change, changed := l.decide(now, reported)
@@ -103,7 +104,7 @@
 	if l.perSlot == 0 || l.membership.alone {
 		return 0
 	}
-	excess := (l.allowedLoad - l.load.perSlot) / (l.perSlot * l.correctionTime())
+	excess := (l.allowedLoad - l.load.perSlot - l.load.expected) / (l.perSlot * l.correctionTime())
 	return min(max(excess, -maxCorrectionDown), maxCorrectionUp)
 }
 
@@ -127,6 +128,8 @@
 	// taken is a longer average, to judge whether load is the cause of late answers.
 	taken float64
 	slots int
+	// expected is by how much corrections that reports don't show yet will change perSlot.
+	expected float64
 	// decided is perSlot at the last decision.
 	decided float64
 	at      time.Duration
@@ -136,6 +139,15 @@
 	changedAt time.Duration
 }
 
+// expect takes the correction since the last observation, in requests a second on each slot.
+func (o *load) expect(now time.Duration, correction float64) {
+	passed := now - o.at
+	if o.at == 0 || passed <= 0 {
+		return
+	}
+	o.expected = (o.expected + correction*passed.Seconds()) * (1 - weight(passed, reportAge))
+}
+
 func (o *load) observe(now time.Duration, capacity Capacity) {
 	if capacity.Slots != o.slots {
 		o.slots, o.changedAt = capacity.Slots, now
