--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -43,6 +43,9 @@
 	Throttled func(protocol.UpstreamID) bool
 	// IsCold reports whether an upstream is cold; nil means that none is.
 	IsCold func(protocol.UpstreamID) bool
+	// Slowness returns how many times as long as usual work takes on an upstream, 1 if that isn't
+	// known; nil means that it isn't known of any. It is used only with Settings.BySpeed.
+	Slowness func(protocol.UpstreamID) float64
 	// AllowTried says that, where no other is left, the request may go again to an
 	// upstream that it was sent to, as the last one answered with an error.
 	AllowTried bool
@@ -101,6 +104,9 @@
 	Mean float64
 	// Limit is the request's load limit, set if the reason is ReasonNoCapacity.
 	Limit int
+	// RateLimited says by which figures the request was refused before an upstream was looked
+	// for, with ReasonNoCapacity; nil if it wasn't.
+	RateLimited *RateRefusal
 	// Excluded is the number of upstreams that weren't considered because they lose
 	// requests.
 	Excluded int
@@ -114,6 +120,36 @@
 	PausedFor time.Duration
 }
 
+// RateRefusal is why a request was refused for the rate limit of its service. Rates are in
+// requests a second over all routers.
+type RateRefusal struct {
+	// Rank is the request's urgency, 0 first.
+	Rank int
+	// Limit is the service's rate limit, Demand the arrivals of the request's rank and customer,
+	// and Share how many of these are admitted.
+	Limit, Demand, Share float64
+	// Wait is how long the request is expected to wait for a slot.
+	Wait time.Duration
+	// Cause says which of the figures decided.
+	Cause RateCause
+}
+
+// RateCause is why a request was refused for a rate limit, for the log.
+type RateCause string
+
+// The causes.
+const (
+	// CauseShare: more requests of its rank and customer arrive than are admitted.
+	CauseShare RateCause = "over-share"
+	// CauseOutlier: the same, and its customer's demand is why the service is short. Nothing is
+	// reserved for it, as that would take the capacity from other customers.
+	CauseOutlier RateCause = "outlier"
+	// CauseWait: it would wait longer than its caller does.
+	CauseWait RateCause = "too-late"
+	// CauseEarly: it came before the time that a refusal had given it.
+	CauseEarly RateCause = "early"
+)
+
 // Pick chooses the upstream of a request.
 //
 // Prompts have prefixes that take a tenth to half a second to prefill if they aren't
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -38,6 +38,10 @@
 	StreamOrigin(ctx context.Context, job Job, resumes protocol.RequestID) (builds.Pair, bool)
 	// StreamBegan records that a stream begins with an answer of the chosen upstream.
 	StreamBegan(job Job, choice balance.Choice)
+	// ScheduleRetry returns when the caller of a request that is refused for lack of capacity
+	// may send it again. False means that the service has no rate limit in force, so that no
+	// times are given to its callers. The request must not have run.
+	ScheduleRetry(job Job) (RetryOffer, bool)
 	// AttemptEnded records the result of an attempt that is no longer in flight.
 	AttemptEnded(job Job, choice balance.Choice, result balance.Result)
 	// UpstreamReached records that an upstream answered over this router's own connection,
@@ -59,8 +63,9 @@
 	// AnswerTimed records whether an attempt's answer began in time. It is called
 	// with false as soon as the answer is known to be late.
 	AnswerTimed(job Job, choice balance.Choice, inTime bool)
-	// AnswerHead records what the head of an answer says about the upstream that was chosen.
-	AnswerHead(choice balance.Choice, head dialect.Answer)
+	// AnswerHead records what the head of an answer, which took so long to begin, says about the
+	// upstream that was chosen.
+	AnswerHead(job Job, choice balance.Choice, head dialect.Answer, took time.Duration)
 	// MaySend reports whether an attempt may still be sent to its upstream.
 	MaySend(choice balance.Choice) bool
 	// RequestArrived counts a request for a service, which adds to the service's
@@ -109,6 +114,17 @@
 	TakenUp bool
 	// Digest is the same for requests of the same content.
 	Digest uint64
+	// Unreserved says that no capacity may be reserved for the request.
+	Unreserved bool
+	// Remaining is the time until the caller's deadline or the route's timeout, the earlier one.
+	Remaining time.Duration
+}
+
+// RetryOffer is when a refused caller may send its request again.
+type RetryOffer struct {
+	After time.Duration
+	// Reserved says that capacity is reserved for the request at that time.
+	Reserved bool
 }
 
 // LastAttempt reports whether the next attempt is the last one that the request
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -28,6 +28,9 @@
 type refusalBody struct {
 	Error  string `json:"error"`
 	Reason string `json:"reason"`
+	// Reserved says whether capacity is reserved for the request at the time that Retry-After gives.
+	// It is nil if the service has no rate limit.
+	Reserved *bool `json:"reserved,omitempty"`
 }
 
 // refuse answers the caller without an upstream's answer. after becomes the
@@ -41,7 +44,11 @@
 	if after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
-	body, err := json.Marshal(refusalBody{Error: http.StatusText(status), Reason: reason})
+	refusal := refusalBody{Error: http.StatusText(status), Reason: reason}
+	if f.outcome.Offer != nil {
+		refusal.Reserved = &f.outcome.Offer.Reserved
+	}
+	body, err := json.Marshal(refusal)
 	if err != nil {
 		panic("forward: invariant broken: a refusal always encodes: " + err.Error())
 	}
@@ -66,6 +73,30 @@
 	}
 }
 
+// giveUpForCapacity is giveUp for a request that finds no capacity. While its service has a rate
+// limit in force, the caller gets the time at which there is capacity for it, instead of after.
+func (f *forwarding) giveUpForCapacity(reason string, after time.Duration) {
+	if f.stream.started || f.mayHaveRun {
+		f.giveUp(reason, after)
+		return
+	}
+	f.job.Remaining = f.remaining()
+	if offer, limited := f.handler.options.Fleet.ScheduleRetry(f.job); limited {
+		f.outcome.Offer = &offer
+		after = offer.After
+	}
+	f.giveUp(reason, after)
+}
+
+// giveUpAfter gives up after an attempt that brought no answer.
+func (f *forwarding) giveUpAfter(last AttemptOutcome, reason string) {
+	if last.Rejected {
+		f.giveUpForCapacity(reason, retryAfterFull)
+		return
+	}
+	f.giveUp(reason, retryAfterFull)
+}
+
 // refuseNoUpstream answers a request for which Choose found no upstream.
 //
 // It guards against this failure: for ten seconds, callers send twice the work that the
@@ -75,8 +106,9 @@
 // time.
 func (f *forwarding) refuseNoUpstream(choice balance.Choice) {
 	if choice.Reason == balance.ReasonNoCapacity {
-		f.outcome.Limit, f.outcome.Mean = choice.Limit, choice.Mean
-		f.giveUp(string(balance.ReasonNoCapacity), f.job.Route.Objective/2)
+		f.outcome.Limit, f.outcome.Mean, f.outcome.RateLimited = choice.Limit, choice.Mean, choice.RateLimited
+		f.job.Unreserved = choice.RateLimited != nil && choice.RateLimited.Cause == balance.CauseOutlier
+		f.giveUpForCapacity(string(balance.ReasonNoCapacity), f.job.Route.Objective/2)
 		return
 	}
 	if choice.Reason == balance.ReasonCold {
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -154,11 +154,11 @@
 	case last == unknown && !f.job.Route.MayRepeat():
 		f.giveUp("outcome-unknown", 0)
 	case len(f.job.Tried) >= max(f.job.Route.MaxAttempts, 1):
-		f.giveUp("attempts-spent", retryAfterFull)
+		f.giveUpAfter(outcome, "attempts-spent")
 	case quarantined > 0:
 		f.giveUp("crashes-upstreams", quarantined)
 	case !f.takeRetry():
-		f.giveUp("retries-spent", retryAfterFull)
+		f.giveUpAfter(outcome, "retries-spent")
 	default:
 		return true
 	}
@@ -347,13 +347,14 @@
 	head := f.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
 	outcome.RetryAfter = head.RetryAfter
 	if !head.Misdirected {
-		f.handler.options.Fleet.AnswerHead(choice, head)
+		f.handler.options.Fleet.AnswerHead(f.job, choice, head, outcome.FirstAfter)
 	}
 	switch {
 	case head.NotRun || head.Misdirected:
 		drain(answer)
 		outcome.Result = balance.Refused
 		if !head.Misdirected {
+			outcome.Rejected = true
 			f.timing.refused()
 		}
 		return notRun
