Callers who can only be answered late get what new requests leave

Cause: with objectives of 150 and 300 ms a refused caller can't be back in time, since all routers must first learn of its reservation. The late ones took the capacity of new requests. Ruled out: servers that were slower than before; their answers took 60 ms at the median. Change: where the earliest time isn't within the objective, the schedule offers only what new requests leave of the limit. Refused requests without a reservation are reported too, and count as the least urgent rank when they come back, at any router. Requests without a body can't be told from others of the same customer and take no part.

--- a/coordination/retryschedule/exchange.go
+++ b/coordination/retryschedule/exchange.go
@@ -23,8 +23,10 @@
 	relayHops = 3
 	// transit is the time that one report is under way and waits for the receiver's tick.
 	transit = 50 * time.Millisecond
-	// usedMark is a Reported.DueIn that takes one byte.
-	usedMark = -1
+	// usedMark is a Reported.DueIn that takes one byte, and unreservedMark that of a request that
+	// comes back at once. One that comes back in n ms without a reservation has unreservedMark - n.
+	usedMark       = -1
+	unreservedMark = -2
 )
 
 // KnownAfter returns how long it takes until all routers know a reservation, for the time between
@@ -52,16 +54,21 @@
 type Reported struct {
 	Digest uint32 `msgpack:"i"`
 	// DueIn is the time in milliseconds from the report until the caller comes back, 0 if that has
-	// passed, usedMark if the reservation has been used.
+	// passed, usedMark if the reservation has been used, and from unreservedMark downwards if
+	// nothing is reserved.
 	DueIn int `msgpack:"t"`
 }
 
 // reservation returns the new reservation that a report tells of; false if its time is impossible.
 func (e Reported) reservation(now time.Duration) (Reservation, bool) {
-	if e.DueIn < 0 || e.DueIn > int(horizon/time.Millisecond) || now > math.MaxInt64-2*horizon {
+	dueIn, unreserved := e.DueIn, e.DueIn <= unreservedMark
+	if unreserved {
+		dueIn = unreservedMark - dueIn
+	}
+	if dueIn < 0 || dueIn > int(horizon/time.Millisecond) || now > math.MaxInt64-2*horizon {
 		return Reservation{}, false
 	}
-	return Reservation{Digest: e.Digest, Due: now + time.Duration(e.DueIn)*time.Millisecond}, true
+	return Reservation{Digest: e.Digest, Due: now + time.Duration(dueIn)*time.Millisecond, Unreserved: unreserved}, true
 }
 
 // Neighbours are the routers that this one exchanges load reports with. A balance.Neighbours can
@@ -148,7 +155,8 @@
 }
 
 // order compares what is sent: new reservations go before used ones, as these matter only to further
-// requests of the same content; then those due first.
+// requests of the same content, and before requests for which nothing is reserved; then those due
+// first.
 func (w queued) order(other queued) int {
 	if w.used != other.used {
 		if w.used {
@@ -156,6 +164,12 @@
 		}
 		return -1
 	}
+	if w.Unreserved != other.Unreserved {
+		if w.Unreserved {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Compare(w.Due, other.Due)
 }
 
@@ -192,8 +206,11 @@
 	all := make([]Reported, 0, len(reservations))
 	for _, w := range reservations {
 		dueIn := int(max(w.Due-now, 0) / time.Millisecond)
-		if w.used {
+		switch {
+		case w.used:
 			dueIn = usedMark
+		case w.Unreserved:
+			dueIn = unreservedMark - dueIn
 		}
 		all = append(all, Reported{Digest: w.Digest, DueIn: dueIn})
 	}
--- a/coordination/retryschedule/reservations.go
+++ b/coordination/retryschedule/reservations.go
@@ -1,6 +1,7 @@
 package retryschedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,13 +32,16 @@
 	Due
 	// Early means that the request has a reservation and has come too early.
 	Early
+	// Returning means that the request was refused before and nothing is reserved for it.
+	Returning
 )
 
 // Reservations holds the reservations of all routers. It is not safe for concurrent use.
 type Reservations struct {
-	// due holds when each digest is expected, in order. Two callers may send the same content.
-	due   map[uint32][]time.Duration
-	count int
+	// expected holds what is known of each digest, in the order in which it is due. Two callers may
+	// send the same content.
+	expected map[uint32][]expectation
+	count    int
 	// sweptAt is when expired reservations were last removed.
 	sweptAt    time.Duration
 	neighbours Neighbours
@@ -46,8 +50,18 @@
 	near, far queue
 }
 
+// expectation is a refused request that may come back.
+type expectation struct {
+	due time.Duration
+	// reserved says that it is admitted then; otherwise its caller was told the longest time that it
+	// honours.
+	reserved bool
+}
+
 // NewReservations returns an empty set.
-func NewReservations() *Reservations { return &Reservations{due: map[uint32][]time.Duration{}} }
+func NewReservations() *Reservations {
+	return &Reservations{expected: map[uint32][]expectation{}}
+}
 
 // Add adds a reservation that this router has offered, and queues it for the next report. False
 // means that there is no room, so the request must be told that nothing is reserved.
@@ -81,30 +95,32 @@
 // wait. An early request is refused with that time while a rate limit is in force, without a new
 // offer; otherwise it is served as any other.
 func (r *Reservations) Match(now time.Duration, digest uint64) (Match, time.Duration) {
-	for _, due := range r.due[shortDigest(digest)] {
+	for _, e := range r.expected[shortDigest(digest)] {
 		switch {
-		case expired(now, due):
-		case isDue(now, due):
+		case expired(now, e.due):
+		case !e.reserved:
+			return Returning, 0
+		case isDue(now, e.due):
 			return Due, 0
 		default:
-			return Early, due - now
+			return Early, e.due - now
 		}
 	}
 	return None, 0
 }
 
-// Consume removes the reservation of a request that is admitted because it is due, and queues that
-// for the next report. Until the other routers know, they may each admit one more request of the
+// Consume removes the reservation of a request that is admitted because it is due, or what is known
+// of one that is returning, and queues that for the next report. Until the other routers know, they may each admit one more request of the
 // same content.
 func (r *Reservations) Consume(now time.Duration, digest uint64) { r.use(now, shortDigest(digest), "") }
 
 // use removes the first reservation of a digest that is due. from is the router that reported its
 // use, "" for this one.
 func (r *Reservations) use(now time.Duration, digest uint32, from protocol.RouterID) {
-	for i, due := range r.due[digest] {
-		if !expired(now, due) && isDue(now, due) {
-			r.set(digest, slices.Delete(r.due[digest], i, i+1))
-			r.forward(queued{Reservation: Reservation{Digest: digest, Due: due}, from: from, used: true})
+	for i, e := range r.expected[digest] {
+		if !expired(now, e.due) && (!e.reserved || isDue(now, e.due)) {
+			r.set(digest, slices.Delete(r.expected[digest], i, i+1))
+			r.forward(queued{Reservation: Reservation{Digest: digest, Due: e.due}, from: from, used: true})
 			return
 		}
 	}
@@ -123,8 +139,8 @@
 // sweep removes all reservations that have expired.
 func (r *Reservations) sweep(now time.Duration) {
 	r.sweptAt = now
-	for digest, all := range r.due {
-		r.set(digest, slices.DeleteFunc(all, func(due time.Duration) bool { return expired(now, due) }))
+	for digest, all := range r.expected {
+		r.set(digest, slices.DeleteFunc(all, func(e expectation) bool { return expired(now, e.due) }))
 	}
 }
 
@@ -136,21 +152,21 @@
 	if r.count >= maxReservations || expired(now, reservation.Due) {
 		return false
 	}
-	all := r.due[reservation.Digest]
-	at, _ := slices.BinarySearch(all, reservation.Due)
-	r.due[reservation.Digest] = slices.Insert(all, at, reservation.Due)
+	all := r.expected[reservation.Digest]
+	at, _ := slices.BinarySearchFunc(all, reservation.Due, func(e expectation, due time.Duration) int { return cmp.Compare(e.due, due) })
+	r.expected[reservation.Digest] = slices.Insert(all, at, expectation{reservation.Due, !reservation.Unreserved})
 	r.count++
 	return true
 }
 
-// set replaces the times at which a digest is expected by some of them, changed in place.
-func (r *Reservations) set(digest uint32, left []time.Duration) {
-	r.count -= len(r.due[digest]) - len(left)
+// set replaces what is known of a digest by a part of it, changed in place.
+func (r *Reservations) set(digest uint32, left []expectation) {
+	r.count -= len(r.expected[digest]) - len(left)
 	if len(left) == 0 {
-		delete(r.due, digest)
+		delete(r.expected, digest)
 		return
 	}
-	r.due[digest] = left
+	r.expected[digest] = left
 }
 
 func isDue(now, due time.Duration) bool { return due-now <= early }
--- a/coordination/retryschedule/schedule.go
+++ b/coordination/retryschedule/schedule.go
@@ -46,6 +46,8 @@
 type Capacity struct {
 	// Limit is the rate limit of all routers together in requests a second, 0 for none.
 	Limit float64
+	// Spare is what new requests leave of the limit, in requests a second.
+	Spare float64
 	// Part is this router's part of all arrivals, from 0 to 1.
 	Part float64
 	// Known is how long it takes until all routers know a new reservation; see KnownAfter.
@@ -60,6 +62,8 @@
 	Digest uint32
 	// Due is when the caller comes back, on this router's clock.
 	Due time.Duration
+	// Unreserved says that it isn't admitted then: it is only known to have been refused before.
+	Unreserved bool
 }
 
 // Offer is the answer to a refused request.
@@ -67,7 +71,7 @@
 	// RetryAfter is the time after which the caller may come back.
 	RetryAfter time.Duration
 	// Reserved says that the request will be admitted then. Otherwise there is no capacity within
-	// the time that the caller honours, and Reservation isn't set.
+	// the time that the caller honours.
 	Reserved    bool
 	Reservation Reservation
 }
@@ -100,22 +104,37 @@
 		return Offer{RetryAfter: min(shortest, longest)}
 	}
 	times := span{max(shortest, c.Known), min(longest, horizon)}
-	due, ok := s.take(now, random, times, r.Rank, roomPerStep(c))
+	due, ok := s.take(now, random, times, r.Rank, roomPerStep(r, times, c))
 	if !ok {
-		return Offer{RetryAfter: longest}
+		return Offer{RetryAfter: longest, Reservation: Reservation{Digest: shortDigest(r.Digest), Due: now + longest, Unreserved: true}}
 	}
 	return Offer{RetryAfter: due - now, Reserved: true, Reservation: Reservation{Digest: shortDigest(r.Digest), Due: due}}
 }
 
 // roomPerStep returns how many requests may be offered a step.
-func roomPerStep(c Capacity) float64 {
-	rate := c.Limit * clamp(c.Part) * retryPart
+//
+// A caller that can't be back within the objective is answered late. It gets only what new requests
+// leave: these can still be answered in time, and would be late in its place.
+func roomPerStep(r Refused, times span, c Capacity) float64 {
+	rate := c.Limit * retryPart
+	if r.Objective > 0 && times.shortest >= r.Objective {
+		rate = spare(c, rate)
+	}
+	rate *= clamp(c.Part)
 	if c.Carried > 0 {
 		rate = min(rate, c.Carried)
 	}
 	return rate * step.Seconds()
 }
 
+// spare returns what new requests leave of the limit, at most a rate; 0 for what is no number.
+func spare(c Capacity, rate float64) float64 {
+	if !(c.Spare > 0) {
+		return 0
+	}
+	return min(rate, c.Spare)
+}
+
 // span is the time from now within which a caller may come back.
 type span struct{ shortest, longest time.Duration }
 
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -16,22 +16,26 @@
 // rankOf returns the rank by which a request is counted.
 func rankOf(job forward.Job) int { return min(max(job.Priority, 0), demand.Ranks-1) }
 
-// refuseByRate counts the first attempt of a request, and returns by which figures it is refused for
-// the rate limit of its service, nil if it isn't. A stream that a caller takes up again is never
-// refused: the work that was done for it would be lost. The lock is held.
-func (r *Router) refuseByRate(now time.Duration, job forward.Job) *balance.RateRefusal {
-	a := r.admission
+// refuseByRate counts the first attempt of a request, and returns the rank that it counts for and by
+// which figures it is refused for the rate limit of its service, nil if it isn't. A stream that a
+// caller takes up again is never refused: the work that was done for it would be lost. The lock is
+// held.
+func (r *Router) refuseByRate(now time.Duration, job forward.Job) (int, *balance.RateRefusal) {
+	a, rank := r.admission, rankOf(job)
 	if a == nil {
-		return nil
+		return rank, nil
 	}
-	rank := rankOf(job)
-	a.counter.Arrived(now, job.Service, rank, job.Customer)
-	match, _ := a.reservations.Match(now, job.Digest)
-	if match == retryschedule.Due {
+	match := a.match(now, job)
+	if match == retryschedule.Due || match == retryschedule.Returning {
 		a.reservations.Consume(now, job.Digest)
 	}
+	if match == retryschedule.Returning {
+		// It can't be answered in time any more, unlike a new request in its place.
+		rank = demand.Ranks - 1
+	}
+	a.counter.Arrived(now, job.Service, rank, job.Customer)
 	if job.TakenUp || a.limit(now, job.Service) == 0 {
-		return nil
+		return rank, nil
 	}
 	request := ratelimit.Request{
 		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
@@ -46,15 +50,25 @@
 	}
 	if decision.Admitted && cause != balance.CauseEarly {
 		r.metrics.countReservationKept(request.Reserved)
-		return nil
+		return rank, nil
 	}
 	r.metrics.countRateRefusal(rank)
 	a.counter.NoteConstrained(now, job.Service)
-	return &balance.RateRefusal{
+	return rank, &balance.RateRefusal{
 		Rank: rank, Limit: decision.Limit, Demand: decision.Demand, Share: decision.Share, Wait: decision.Wait, Cause: cause,
 	}
 }
 
+// match returns whether a request was refused before and is expected. Requests without a body can't
+// be told from others of the same customer.
+func (a *admission) match(now time.Duration, job forward.Job) retryschedule.Match {
+	if !job.HasBody {
+		return retryschedule.None
+	}
+	match, _ := a.reservations.Match(now, job.Digest)
+	return match
+}
+
 // inspect returns the figures of a decision about a request that isn't admitted by it. The limiter
 // counts what it admits, so a copy of it decides.
 func inspect(now time.Duration, limiter *ratelimit.Limiter, request ratelimit.Request) ratelimit.Decision {
@@ -88,13 +102,13 @@
 	return own
 }
 
-// noteChoice counts a first attempt that was admitted, and a request that found no capacity. The
-// lock is held.
-func (r *Router) noteChoice(now time.Duration, job forward.Job, first bool, choice balance.Choice) {
+// noteChoice counts a first attempt that was admitted, for a rank, and a request that found no
+// capacity. The lock is held.
+func (r *Router) noteChoice(now time.Duration, job forward.Job, first bool, rank int, choice balance.Choice) {
 	switch {
 	case r.admission == nil:
 	case first && choice.ID != "":
-		r.admission.counter.Admitted(now, job.Service, rankOf(job), job.Customer)
+		r.admission.counter.Admitted(now, job.Service, rank, job.Customer)
 	case choice.Reason == balance.ReasonNoCapacity:
 		r.noteShort(now, job.Service)
 	}
@@ -111,6 +125,14 @@
 	}
 }
 
+// noteRejection takes back the admission of a request that an upstream has rejected. The lock is
+// held.
+func (r *Router) noteRejection(now time.Duration, job forward.Job, head dialect.Answer) {
+	if r.admission != nil && head.NotRun && len(job.Tried) == 0 {
+		r.admission.counter.Rejected(now, job.Service, rankOf(job))
+	}
+}
+
 // noteReportedLoad takes what an upstream reports of its load in the head of an answer, which took
 // so long to begin. The lock is held.
 func (r *Router) noteReportedLoad(
@@ -139,7 +161,7 @@
 	if a.limit(now, job.Service) == 0 {
 		return forward.RetryOffer{}, false
 	}
-	if match, left := a.reservations.Match(now, job.Digest); match == retryschedule.Early {
+	if match, left := a.reservations.Match(now, job.Digest); job.HasBody && match == retryschedule.Early {
 		return forward.RetryOffer{After: left, Reserved: true}, true
 	}
 	refused := retryschedule.Refused{
@@ -150,7 +172,7 @@
 		available.Part = 0
 	}
 	offer := a.service(job.Service).schedule.Offer(now, r.random.Float64(), refused, available)
-	if offer.Reserved && !a.reservations.Add(now, offer.Reservation) {
+	if !job.HasBody || !a.reservations.Add(now, offer.Reservation) {
 		offer.Reserved = false
 	}
 	if offer.Reserved {
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -44,9 +44,10 @@
 func (r *Router) Choose(_ context.Context, job forward.Job) balance.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, first := r.now(), job.Attempts == 0 && len(job.Tried) == 0
+	now, first, rank := r.now(), job.Attempts == 0 && len(job.Tried) == 0, rankOf(job)
 	if first {
-		if refusal := r.refuseByRate(now, job); refusal != nil {
+		var refusal *balance.RateRefusal
+		if rank, refusal = r.refuseByRate(now, job); refusal != nil {
 			return balance.Choice{Reason: balance.ReasonNoCapacity, RateLimited: refusal}
 		}
 	}
@@ -76,7 +77,7 @@
 	if first && choice.ID != "" {
 		r.limiter(job.Service).Admitted(now)
 	}
-	r.noteChoice(now, job, first, choice)
+	r.noteChoice(now, job, first, rank, choice)
 	return choice
 }
 
@@ -157,6 +158,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.noteFragility(now, choice, head)
+	r.noteRejection(now, job, head)
 	r.noteReportedLoad(now, job, choice, head, took)
 	if head.RetryAfter <= 0 && !head.Leaving {
 		return
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -112,8 +112,10 @@
 	// caller.
 	Began   *builds.Pair
 	TakenUp bool
-	// Digest is the same for requests of the same content.
-	Digest uint64
+	// Digest is the same for requests of the same content, and HasBody says that this includes a
+	// body.
+	Digest  uint64
+	HasBody bool
 	// Unreserved says that no capacity may be reserved for the request.
 	Unreserved bool
 	// Remaining is the time until the caller's deadline or the route's timeout, the earlier one.
@@ -381,6 +383,6 @@
 		f.refuse(http.StatusServiceUnavailable, "bodies-fill-memory", retryAfterFull)
 		return false
 	}
-	f.job.Digest = f.digest()
+	f.job.Digest, f.job.HasBody = f.digest(), len(f.body) > 0
 	return true
 }
