A rate limit begins only where demand is near what the upstreams can complete

Cause: a burst of half a second made 40 in 100 answers later than half of the objective at 390 requests a second before three servers that complete some 550, and the first limit was 0.95 of what had been completed on average. Ruled out: rejections; there were none. Change: the demand must be 0.9 of what would be completed with all slots in use; 35 in 100 late answers in place of 15, half in place of 30 since the last decision; the first allowed load is 1.5 requests a slot at least, and follows late answers faster. Rejected requests no longer count as admitted, so that they don't raise the first limit.

--- a/coordination/demand/counter.go
+++ b/coordination/demand/counter.go
@@ -102,6 +102,14 @@
 	}
 }
 
+// Rejected takes back an admission: an upstream has rejected the request for lack of capacity, and
+// hasn't run it.
+func (c *Counter) Rejected(now time.Duration, service protocol.Service, rank int) {
+	own := c.counts(now, ServiceIDOf(service))
+	admitted := &own.admitted[rankIndex(rank)]
+	*admitted = max(*admitted-own.weight(now), 0)
+}
+
 // counts returns the router's own counts of a service.
 func (c *Counter) counts(now time.Duration, service ServiceID) *counts {
 	own := c.own[service]
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -27,12 +27,15 @@
 	// minAnswers is how many answers a second it takes to judge.
 	minAnswers = 20
 	// shortShare is the share of late answers above which a service is short of capacity.
-	shortShare = 0.15
+	shortShare = 0.35
 	// suddenShare is the share of late answers since the last decision, if these are minAnswers, above
 	// which a service is short too: the average takes longer to show it.
-	suddenShare = 0.3
+	suddenShare = 0.5
 	// takenPart is the part of the slots that must be taken for load to be the cause.
 	takenPart = 0.5
+	// shortDemand is the part of what the upstreams could complete from which on the demand is too
+	// high for them: bursts need the rest.
+	shortDemand = 0.9
 	// settleTime is how long the set of reporting routers must not have grown before a first limit.
 	settleTime = 350 * time.Millisecond
 	// firstPart is the part of what upstreams answer that is the first limit.
@@ -56,11 +59,12 @@
 	// late, more while not.
 	minLoad        = 0.75
 	maxLoad        = 3.0
-	lessLoad       = 0.15
-	moreLoad       = 0.04
+	lessLoad       = 0.4
+	moreLoad       = 0.2
 	regulatedShare = 0.35
 	// The first allowed load is a part of the one that made answers late.
 	firstLoadPart = 0.75
+	minFirstLoad  = 1.5
 	maxFirstLoad  = 2.0
 	// drainedTime is how long after the load has come down to the allowed one answers are still late
 	// because of what waited before.
@@ -133,17 +137,28 @@
 	}
 	all := l.totals.InTime + l.totals.Late
 	latest := l.answers.latest >= minAnswers && l.answers.lateShare > suddenShare
-	return latest || (all >= minAnswers && l.totals.Late > shortShare*all)
+	late := latest || (all >= minAnswers && l.totals.Late > shortShare*all)
+	return late && l.arrived >= shortDemand*l.estimate()
 }
 
-// start sets the first limit.
-func (l *Limiter) start() Change {
+// estimate returns how many requests a second the upstreams would complete if all slots were in use:
+// what they complete, divided by the part of the slots that is in use for it. A burst makes answers
+// late at a demand that is well below it.
+func (l *Limiter) estimate() float64 { return l.completed() / max(l.load.busy, takenPart) }
+
+// completed returns how many requests a second the upstreams answer.
+func (l *Limiter) completed() float64 {
 	completed := l.totals.InTime + l.totals.Late
 	if admitted := sum(l.totals.Admitted); admitted > 0 {
-		// Answers by which upstreams reject requests count as late, and one request may get two.
+		// Answers by which upstreams reject requests count as late, but not as admitted.
 		completed = min(completed, admitted)
 	}
-	return l.limitTo(firstPart * completed)
+	return completed
+}
+
+// start sets the first limit.
+func (l *Limiter) start() Change {
+	return l.limitTo(firstPart * l.completed())
 }
 
 // adopt takes the limit that other routers report.
@@ -155,7 +170,7 @@
 
 func (l *Limiter) limitTo(limit float64) Change {
 	l.perSlot = limit / float64(l.capacity.Slots)
-	l.allowedLoad = min(max(firstLoadPart*l.load.perSlot, 1), maxFirstLoad)
+	l.allowedLoad = min(max(firstLoadPart*l.load.perSlot, minFirstLoad), maxFirstLoad)
 	l.ample = false
 	return l.change(true)
 }
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -127,6 +127,8 @@
 	perSlot float64
 	// taken is a longer average, to judge whether load is the cause of late answers.
 	taken float64
+	// busy is the part of the slots that is in use, averaged as the counts are.
+	busy  float64
 	slots int
 	// expected is by how much corrections that reports don't show yet will change perSlot.
 	expected float64
@@ -153,12 +155,13 @@
 		o.slots, o.changedAt = capacity.Slots, now
 	}
 	if capacity.Slots == 0 {
-		o.perSlot, o.taken = 0, 0
+		o.perSlot, o.taken, o.busy = 0, 0, 0
 		return
 	}
 	latest := float64(capacity.InFlight) / float64(capacity.Slots)
 	o.perSlot += weight(now-o.at, loadTimeConstant) * (latest - o.perSlot)
 	o.taken += weight(now-o.at, takenTimeConstant) * (latest - o.taken)
+	o.busy += weight(now-o.at, countTimeConstant) * (min(latest, 1) - o.busy)
 	o.at = now
 }
 
