Soak: surges on slow desks, with admission switched on in all routers

Cause: the soak knew no surge, and its routers had no admission. Change: a fault that gives desks slots and a queue and sends them more than they can do, beside kills, pauses, lost paths; a test of its own, so that the draws of the other seeds stay as they are; it fails if no request is refused under a rate limit.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -49,6 +49,8 @@
 	reader  *bufio.Reader
 	// opened is when the connection was opened.
 	opened time.Time
+	// until is when the caller stops, zero for at the end of the run.
+	until time.Time
 }
 
 // startCallers starts n callers that send requests to a path.
@@ -67,6 +69,9 @@
 			return
 		case <-time.After(time.Duration(c.harness.intN(2 * int(callerPause)))):
 		}
+		if !c.until.IsZero() && time.Now().After(c.until) {
+			return
+		}
 		c.number++
 		id := fmt.Sprintf("%s-%d", c.name, c.number)
 		if c.path == chatPath {
@@ -133,6 +138,7 @@
 		return
 	}
 	answer, err := io.ReadAll(response.Body)
+	c.harness.noteRateLimit(response.StatusCode, answer)
 	c.checkAnswer(id, response, answer, err)
 	if err != nil || response.Close {
 		c.disconnect()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -117,6 +117,16 @@
 	return f.name != "lose paths" && f.name != "make desks fragile"
 })
 
+// surgeFaults are surges, and what makes routers forget or mistake what they know of them.
+var surgeFaults = append(slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "kill a router", "stop a router", "pause a router", "kill all routers", "kill all disk VMs",
+		"silence a process's connections", "silence an upstream's connections", "crash an upstream", "lose paths":
+		return false
+	}
+	return true
+}), fault{"surge on the desks", (*harness).surge})
+
 // partFaults are prompts that crash engines, and routers and disk VMs that may forget which.
 var partFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
 	switch f.name {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -38,6 +38,8 @@
 
 	chatService = "chat"
 	deskService = "desk"
+	// deskSlots is how many slots upstreams announce.
+	deskSlots = 8
 )
 
 // run records how the upstreams ran one request.
@@ -67,6 +69,9 @@
 	departures map[departure]time.Time
 	violations []string
 	counts     map[string]int
+	// surgeMu is held during a surge, and surges counts them.
+	surgeMu sync.Mutex
+	surges  int
 	// accepted is the highest version of a table that a disk VM has accepted.
 	accepted uint64
 	// emptied is the data centre that may get no new request any more, "" for none.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -109,6 +109,7 @@
 	s.Retries = direct.Retries{Ratio: retryRatio, WindowMS: float64(retryWindow.Milliseconds()), Slack: retrySlack}
 	s.Stop = direct.Stop{UnreadyMS: 500, GraceMS: 4000}
 	s.Log.LinesPerSecond = 2000
+	s.Admission.Enabled = role == direct.RoleRouter
 	switch role {
 	case direct.RoleRouter:
 		s.Listen.Callers = bindAddress(n, h.ports.callers)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,6 +99,25 @@
 	h.run(seconds, overloadFaults)
 }
 
+// Desks that get more than they can do must not make a router refuse what has run, while routers and
+// upstreams are lost.
+func TestSurgesOnDesks(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		h := newHarness(t, seed)
+		h.done.Go(func() {
+			h.awaitRouters(readyWithin)
+			h.surge()
+		})
+		h.run(max(*secondsPerSeed, 12), surgeFaults)
+		if h.counts["refusals under a rate limit"] == 0 {
+			t.Errorf("seed %d: no request was refused under a rate limit", seed)
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
+
 // A part of prompts that crashes engines must be refused everywhere, while routers and disk VMs are
 // killed, stopped, paused and reloaded.
 func TestPartsOfPromptsThatCrashEngines(t *testing.T) {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -49,6 +49,7 @@
 	leaving  bool // answers say that the upstream leaves, its announcements don't
 	refusals []*refusal
 	fragile  *fragility // nil if the upstream isn't fragile
+	slots    *slots     // nil if the upstream isn't slow
 	random   *rand.Rand
 	quit     chan struct{}
 }
@@ -93,7 +94,7 @@
 	u.mu.Lock()
 	u.sequence++
 	entry := roster.Entry{
-		ID: u.id, Service: u.service, Address: u.proxy.Address(), DataCentre: u.dataCentre, Build: u.build, Slots: 8,
+		ID: u.id, Service: u.service, Address: u.proxy.Address(), DataCentre: u.dataCentre, Build: u.build, Slots: deskSlots,
 		State: roster.Ready, Sequence: u.sequence, StartedAt: u.startedAt,
 	}
 	if !u.draining.IsZero() {
@@ -177,6 +178,9 @@
 		return
 	}
 	defer leave()
+	if !u.enterSlot(w, request) {
+		return
+	}
 	u.harness.checkNotEvacuated(u, id)
 	u.harness.recordRun(id, r, body)
 	if u.failOnRequest(r, id) {
