--- a/coordination/balance/replicas.go
+++ b/coordination/balance/replicas.go
@@ -7,7 +7,8 @@
 	"endiveplank/coordination/roster"
 )
 
-// replicaDemandAge is the age up to which the last use of a prefix counts as demand for it.
+// replicaDemandAge is the longest time since its last use for which a prefix is in demand. Copying
+// one that isn't used again would cost a transfer and cache for nothing.
 const replicaDemandAge = 5 * time.Second
 
 // pickReplica returns an engine that is to become a further holder of a prompt's prefix, nil if
@@ -15,7 +16,7 @@
 //
 // It guards against this failure: an engine crashes, and the long prefixes that it alone had
 // cached are prefilled again, each on the engine that gets its next request, while that engine's
-// other requests wait. With two holders the next one copies.
+// other requests wait. With two holders, one survives, and the next engine copies the prefix from it.
 func (b *Balancer) pickReplica(mean float64, found *candidates, holders []*upstream) *upstream {
 	r := found.request
 	if len(holders) == 0 || len(holders) >= b.settings.PrefixReplicas || len(r.Tried) > 0 {
@@ -24,8 +25,8 @@
 	if r.PrefixTokens < b.settings.ReplicaTokens || !b.inDemand(found.now, r.Prompt) {
 		return nil
 	}
-	// The candidates are compared with the mean: an engine that is busy already isn't given
-	// requests that have a holder elsewhere.
+	// Only engines with at most the mean load become holders: a copy isn't worth a longer queue while
+	// another holder exists.
 	first, second := firstInOrder(mean, r.Prompt, found)
 	for _, u := range []*upstream{first, second} {
 		if u != nil && !slices.Contains(holders, u) {
@@ -45,9 +46,9 @@
 	return !slices.ContainsFunc(list, func(k cacheHolder) bool { return !k.confirmed })
 }
 
-// erroredSource returns the address of an engine that answered an earlier attempt of the request
-// with an error, "" if there is none. It is alive and may have prefilled the prompt before it
-// failed; if it hasn't, the chosen engine prefills the prompt as it would without a source.
+// erroredSource returns the address of the last engine that answered an attempt of the request with
+// an error, "" if there is none or if prefixes aren't replicated. The engine is alive and may have
+// prefilled the prompt; if it hasn't, the chosen engine prefills it as it would without a source.
 func (b *Balancer) erroredSource(r Request, chosen *upstream) string {
 	if b.settings.PrefixReplicas <= 1 {
 		return ""
--- a/coordination/demand/counter.go
+++ b/coordination/demand/counter.go
@@ -11,8 +11,8 @@
 const Ranks = 4
 
 const (
-	// reportTTL is how long a router's report is used. Each router reports every second, so
-	// two reports may be lost.
+	// reportTTL is how long a router's report is used. A router reports at least once a second
+	// (maxInterval), so one lost report does no harm.
 	reportTTL = 2500 * time.Millisecond
 	// constrainedTTL is how long a service counts as short of capacity after a router has seen
 	// or reported it.
--- a/coordination/ratelimit/doc.go
+++ b/coordination/ratelimit/doc.go
@@ -16,8 +16,9 @@
 //     one would admit. All decide by the same sums, and each limit approaches the others'.
 //   - Queues fill up before a limit is known, and stay full: a limit that only equals what the
 //     upstreams complete never drains them. The limit is lower while too many requests wait.
-//   - A limit follows what is served and what is served follows the limit, downwards. A limit is
-//     raised while slots are free, and never cut below what is answered in time.
+//   - A limit follows what is served and what is served follows the limit, downwards. The
+//     learned limit is raised while slots are free, and not cut below inTimePart of the answers in
+//     time.
 //   - Answers are late for another reason than load, as from a slow upstream. There is no limit
 //     while slots are free, or where upstreams don't announce them.
 //   - Half of the upstreams are lost or added. The limit is kept per slot.
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -8,42 +8,43 @@
 const (
 	// decisionInterval is the time between two decisions.
 	decisionInterval = 250 * time.Millisecond
-	// countTimeConstant is the time constant of the rates in the sums.
+	// countTimeConstant must equal the time constant with which package demand decays its counts.
 	countTimeConstant = time.Second
 	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
 	loadTimeConstant = 50 * time.Millisecond
 	// takenTimeConstant is that of the load by which a service is judged to be short.
 	takenTimeConstant = 500 * time.Millisecond
-	// reportAge is about how old the requests in flight are that reports tell.
+	// reportAge is the typical age of the requests in flight that load reports state.
 	reportAge = 250 * time.Millisecond
-	// minCorrectionTime is the time within which the requests in flight are brought to the allowed
-	// number, at least workPart of the time that a request takes. What reports don't show yet is
-	// expected, so that the same difference isn't corrected twice.
+	// The requests in flight are brought to the allowed number within minCorrectionTime, or within
+	// workPart of the time that a request takes on a slot if that is longer.
 	minCorrectionTime = 250 * time.Millisecond
 	workPart          = 0.3
-	// maxCorrectionDown and maxCorrectionUp bound the correction.
+	// maxCorrectionDown and maxCorrectionUp bound the correction, as parts of the limit.
 	maxCorrectionDown = 0.8
 	maxCorrectionUp   = 0.3
-	// minAnswers is how many answers a second it takes to judge.
+	// minAnswers is the least number of answers, in the last second or since the last decision, from
+	// which a share of late answers is judged.
 	minAnswers = 20
 	// shortShare is the share of late answers above which a service is short of capacity.
 	shortShare = 0.35
-	// suddenShare is the share of late answers since the last decision, if these are minAnswers, above
-	// which a service is short too: the average takes longer to show it.
+	// suddenShare is the share of late answers since the last decision above which a service is short
+	// even if the average over a second isn't above shortShare yet.
 	suddenShare = 0.5
 	// takenPart is the part of the slots that must be taken for load to be the cause.
 	takenPart = 0.5
-	// shortDemand is the part of what the upstreams could complete from which on the demand is too
-	// high for them: bursts need the rest.
+	// shortDemand is the least demand at which a service is short, as a part of what the upstreams
+	// could complete. Below it, late answers come from bursts, and a limit would refuse needlessly.
 	shortDemand = 0.9
-	// settleTime is how long the set of reporting routers must not have grown before a first limit.
+	// settleTime is how long no router must have joined the sums before a first limit: one learned
+	// from some of the routers would be too low for all.
 	settleTime = 350 * time.Millisecond
 	// firstPart is the part of what upstreams answer that is the first limit.
 	firstPart = 0.95
 	// cutFactor cuts a limit while queues are long and don't get shorter.
 	cutFactor = 0.85
-	// longQueue is how many times the allowed load counts as a long queue, and shrinking the part
-	// of the load before that says that it gets shorter.
+	// The limit is cut by cutFactor while the load is above longQueue times the allowed one and above
+	// shrinking times that of the last decision.
 	longQueue = 2.0
 	shrinking = 0.95
 	// raiseRate is the part of the free slots that the limit is raised by in a decision.
@@ -52,31 +53,36 @@
 	// the allowed one, and maxIntegral bounds this change in a decision.
 	integralRate = 0.25
 	maxIntegral  = 0.1
-	// effectivePart is how far above the limit the admitted requests, and above the average the latest
-	// demand, may be while the limit is in effect.
+	// effectivePart detects the begin of a surge: the admitted rate exceeds the limit, and the latest
+	// demand the average demand, by more than this factor. The queues then come from demand that the
+	// shares didn't include yet, so the limit isn't cut for them.
 	effectivePart = 1.15
-	// The load that is allowed on each slot: less while more than regulatedShare of the answers are
-	// late, more while not.
+	// minLoad and maxLoad bound the allowed load, in requests in flight per slot. In each decision it
+	// falls by lessLoad times the share of late answers above regulatedShare, or rises by moreLoad
+	// times what is missing to it.
 	minLoad        = 0.75
 	maxLoad        = 3.0
 	lessLoad       = 0.4
 	moreLoad       = 0.2
 	regulatedShare = 0.35
-	// The first allowed load is a part of the one that made answers late.
+	// The first allowed load is firstLoadPart of the load at which answers were late, within these
+	// bounds, in requests per slot.
 	firstLoadPart = 0.75
 	minFirstLoad  = 1.5
 	maxFirstLoad  = 2.0
 	// drainedTime is how long after the load has come down to the allowed one answers are still late
 	// because of what waited before.
 	drainedTime = 500 * time.Millisecond
-	// severeShare is the share of late answers from which on the allowed load falls quickly.
+	// Above severeShare of late answers, the allowed load is multiplied by muchLessLoad in each
+	// decision.
 	severeShare  = 0.7
 	muchLessLoad = 0.85
 	// usedPart is the part of the allowed load that must be used for it to be raised.
 	usedPart = 0.9
-	// arrivalNoise is the variance of the number of arrivals as a multiple of the number: requests
-	// arrive in bursts. The change of the demand is taken to be at most maxTrend, and measured over
-	// at least the time that leaves maxTrendKeep of a rate.
+	// arrivalNoise is the variance of the number of arrivals divided by their mean; 1 would be Poisson,
+	// and requests arrive in bursts. maxTrend bounds the factor between the latest demand and its
+	// average. The change is measured over a time in which a rate decays to maxTrendKeep or less, at
+	// least 0.22 s.
 	arrivalNoise = 3.0
 	maxTrend     = 2.5
 	maxTrendKeep = 0.8
@@ -88,15 +94,18 @@
 	ampleFactor  = 1.3
 	scarceFactor = 1.1
 	ampleTime    = 2 * time.Second
-	// agreement is the weight of the other routers' limits in a decision.
-	agreement = 0.3
+	// agreement is the part of the logarithmic difference to the mean reported limit that a decision
+	// closes, and maxDisagreement bounds the factor between the two that it counts.
+	agreement       = 0.3
+	maxDisagreement = 2.0
 	// aloneRaise and aloneCut change the limit in a decision of a router that knows only its own
 	// counts.
 	aloneRaise = 1.02
 	aloneCut   = 0.95
-	// membershipFactor is the change of the number of routers in the sums at which the limit is
-	// scaled to what these routers count. Smaller changes are taken as lost or new routers, whose
-	// requests arrive at the others, after membershipTime.
+	// If the number of routers in the sums changes by membershipFactor or more, this router has lost
+	// or regained contact with many, and the limit is scaled by the change of the demand in the sums.
+	// A smaller change that lasts membershipTime is of routers that stopped or started; their requests
+	// go to the others, and the limit stays.
 	membershipFactor = 2
 	membershipTime   = time.Second
 )
@@ -224,7 +233,7 @@
 	case load > longQueue*l.allowedLoad && load > shrinking*before && !surging:
 		l.perSlot *= cutFactor
 	case load > l.allowedLoad && (load < before || surging):
-		// The queues get shorter, or will once the demand is known.
+		// Unchanged: the queues get shorter, or will once the shares include the new demand.
 	default:
 		change := integralRate * passed.Seconds() * (1 - load/l.allowedLoad)
 		free := max(min(l.allowedLoad, 1)-load, 0)
@@ -276,7 +285,7 @@
 	if reported <= 0 || own <= 0 {
 		return
 	}
-	l.perSlot *= math.Pow(min(max(reported/own, 0.5), 2), agreement)
+	l.perSlot *= math.Pow(min(max(reported/own, 1/maxDisagreement), maxDisagreement), agreement)
 }
 
 // rescale keeps the part of the demand that is admitted when the counts of many routers leave the
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -8,7 +8,7 @@
 	"endiveplank/coordination/demand"
 )
 
-// Settings are the parts of the limit that don't follow the order of urgency.
+// Settings are how a limit is divided. Both are parts from 0 to 1.
 type Settings struct {
 	// Reserve is the part of the limit that is left to the most urgent rank alone.
 	Reserve float64
@@ -64,7 +64,7 @@
 	allowedLoad float64
 	observed    bool
 	decidedAt   time.Duration
-	// ampleSince is since when the limit has been well above the demand.
+	// ampleSince is when the limit rose well above the demand, if ample is set.
 	ample      bool
 	ampleSince time.Duration
 	shares     shares
@@ -185,8 +185,8 @@
 	at   time.Duration
 }
 
-// observe takes the decaying rate and returns an estimate of the latest one, which is as far from it
-// as isn't likely to be chance.
+// observe takes the decaying rate and returns an estimate of the latest rate. It differs from the
+// decaying one only as far as their difference is statistically significant.
 func (t *trend) observe(now time.Duration, rate float64) float64 {
 	oldest := t.before[0]
 	t.before = [2]measurement{t.before[1], {rate, now}}
@@ -201,8 +201,7 @@
 	return rate * min(max(factor, 1/maxTrend), maxTrend)
 }
 
-// significant returns the part of a difference that isn't likely to be chance, for the variance that
-// chance gives it.
+// significant shrinks a difference towards 0, the more the larger its variance by chance is.
 func significant(difference, variance float64) float64 {
 	square := difference * difference
 	return difference * square / (square + variance)
--- a/coordination/ratelimit/pace.go
+++ b/coordination/ratelimit/pace.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// paceDepth is how many requests a router may be ahead of or behind its part of the limit before
-	// the probabilities are corrected as far as they may be.
+	// paceDepth is the credit, in requests, at which the correction of the probabilities is largest.
 	paceDepth = 2.0
 )
 
@@ -16,15 +15,15 @@
 // after it has admitted less.
 type pace struct {
 	at time.Duration
-	// arrived is the decaying rate of the router's requests; probability and mean are sums over
-	// them, of their probability and of that over all routers' requests.
+	// arrived, probability and mean are decaying sums over this router's requests: of 1, of the
+	// request's probability of admission, and of the mean probability over all routers' requests.
 	arrived, probability, mean float64
 	// credit is by how many requests the router is behind its part.
 	credit float64
 }
 
-// adjust counts a request with a probability, where mean is that of all routers' requests, and returns
-// its corrected probability.
+// adjust counts a request and returns its probability of admission, corrected by the credit. mean is
+// the mean probability over all routers' requests.
 func (p *pace) adjust(now time.Duration, probability, mean float64) float64 {
 	p.advance(now, mean)
 	p.arrived++
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -7,12 +7,13 @@
 	"endiveplank/coordination/demand"
 )
 
-// outlierFactor is how many times the demand of the second largest customer the largest one must
-// have to be held to its share in all ranks.
+// outlierFactor is the least ratio of the largest customer's demand to the second largest's at which
+// the largest may be an outlier.
 const outlierFactor = 2
 
-// outlierOthers is how much the others may ask for, as a part of the limit, for an outlier to be the
-// cause of a shortage. It is above 1 because the limit varies and refused callers ask again.
+// outlierOthers is the highest demand of the other customers, as a multiple of the limit, at which the
+// largest customer is still held to be the cause of the shortage. It is above 1 because the limit
+// varies and refused callers retry.
 const outlierOthers = 1.5
 
 // outlierMargin is the part of the limit that an outlier and the others together get: with all of it,
@@ -28,11 +29,11 @@
 	level [demand.Ranks]float64
 	// floor is the part of its demand that every customer gets in any case.
 	floor float64
-	// customers holds the demand of the largest customers; others have rest each.
+	// customers holds the demand of the largest customers; rest is the mean demand of the others.
 	customers map[demand.CustomerHash]float64
 	rest      float64
 	sum       float64
-	// mean is the part of the demand that is within the limit.
+	// mean is limit / demand, at most 1: the mean probability of admission.
 	mean float64
 	// arrivedPart is the part of each rank in the demand.
 	arrivedPart [demand.Ranks]float64
@@ -145,8 +146,8 @@
 // claim is what each of a number of customers asks for.
 type claim struct{ rate, customers float64 }
 
-// levelFor returns the level at which claims, each up to the level, take the whole capacity. It is
-// above all claims if they fit.
+// levelFor returns the max-min fair level: claims cut to it add up to the capacity. If all claims
+// fit, it is the largest claim.
 func levelFor(claims []claim, capacity float64) float64 {
 	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(a.rate, b.rate) })
 	customers := 0.0
@@ -179,8 +180,8 @@
 	return 1
 }
 
-// of returns the share and the demand of a customer's requests of a rank. A customer that isn't in the
-// sums yet is served like the whole rank.
+// of returns the share and the demand of a customer's requests of a rank. If the sums have no demand
+// of it, these are the rank's.
 func (s *shares) of(rank int, customer demand.CustomerHash) (share, asked float64) {
 	rate, large := s.customers[customer]
 	if !large {
--- a/coordination/retryschedule/doc.go
+++ b/coordination/retryschedule/doc.go
@@ -1,7 +1,7 @@
 // Package retryschedule decides when the callers of refused requests come back while a service is
 // short of capacity, and admits them when they do.
 //
-// A Schedule, one for each service and router, offers each refused request a time. Reservations
+// A Schedule, one for each service and router, offers refused requests times while there is room. Reservations
 // holds the offered times of all routers, so that a caller may come back at any of them; routers
 // send each other new ones with their load reports. Nothing here reads a clock or does I/O.
 //
@@ -23,7 +23,7 @@
 //     reservation. Routers report which reservations have been used.
 //   - Less urgent requests take all room. A part of each step is kept for the most urgent rank.
 //   - A router is killed. The others know its reservations, except those of its last report.
-//   - The limit falls or ends. Reservations don't depend on it; only new offers do.
+//   - The limit falls or ends. Reservations that were made stay valid; new offers follow the limit.
 //   - A report is damaged or far too large. Entries with impossible times, and those beyond what a
 //     report may have, are ignored; the number of reservations is bounded.
 package retryschedule
--- a/coordination/retryschedule/exchange.go
+++ b/coordination/retryschedule/exchange.go
@@ -23,8 +23,8 @@
 	relayHops = 3
 	// transit is the time that one report is under way and waits for the receiver's tick.
 	transit = 50 * time.Millisecond
-	// usedMark is a Reported.DueIn that takes one byte, and unreservedMark that of a request that
-	// comes back at once. One that comes back in n ms without a reservation has unreservedMark - n.
+	// Negative values of Reported.DueIn: usedMark is a reservation that was used, and unreservedMark-n
+	// a request without a reservation that is expected back in n ms.
 	usedMark       = -1
 	unreservedMark = -2
 )
--- a/coordination/retryschedule/reservations.go
+++ b/coordination/retryschedule/reservations.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// maxReservations bounds the reservations that a router keeps.
+	// maxReservations bounds the refused requests that a router keeps, with or without a reservation.
 	maxReservations = 4096
 	// keepFor is how long a reservation is kept after it is due.
 	keepFor = 2 * time.Second
 	// early is by how much a caller may come back before its reservation is due.
 	early = 100 * time.Millisecond
-	// underWay is by how much later a reservation may be due at a router that has it by reports, as
-	// the time that reports are under way isn't known.
+	// underWay bounds how much later a reservation is due at a router that received it in a report
+	// than at the one that made it: reports state remaining times, without their own transit time.
 	underWay = relayHops * transit
 	// sweepInterval is the time between two searches for expired reservations.
 	sweepInterval = 500 * time.Millisecond
@@ -109,9 +109,9 @@
 	return None, 0
 }
 
-// Consume removes the reservation of a request that is admitted because it is due, or what is known
-// of one that is returning, and queues that for the next report. Until the other routers know, they may each admit one more request of the
-// same content.
+// Consume removes the reservation of a request that is Due, or the record of one that is Returning,
+// and queues the removal for the next report. Until the other routers have it, each may admit one
+// more request of the same content.
 func (r *Reservations) Consume(now time.Duration, digest uint64) { r.use(now, shortDigest(digest), "") }
 
 // use removes the first reservation of a digest that is due. from is the router that reported its
@@ -133,7 +133,7 @@
 	}
 }
 
-// Len returns the number of reservations.
+// Len returns the number of refused requests that are expected back, with or without a reservation.
 func (r *Reservations) Len() int { return r.count }
 
 // sweep removes all reservations that have expired.
--- a/coordination/retryschedule/schedule.go
+++ b/coordination/retryschedule/schedule.go
@@ -12,10 +12,11 @@
 	horizon = 10 * time.Second
 	// steps is the number of entries of a schedule, the current one included.
 	steps = int(horizon/step) + 1
-	// retryPart is the part of the limit that is scheduled. The rest is for new requests.
+	// retryPart is the part of the limit that may be reserved. It leaves most of it to new requests,
+	// which can still be answered in time.
 	retryPart = 0.3
-	// honouredDivisor sets the longest Retry-After that callers honour: their remaining time
-	// divided by it.
+	// honouredDivisor: callers honour a Retry-After up to their remaining time divided by it
+	// (docs/design/overload.md).
 	honouredDivisor = 3
 	// pauseDivisor sets the shortest Retry-After: the objective divided by it.
 	pauseDivisor = 2
@@ -46,7 +47,8 @@
 type Capacity struct {
 	// Limit is the rate limit of all routers together in requests a second, 0 for none.
 	Limit float64
-	// Spare is what new requests leave of the limit, in requests a second.
+	// Spare is what the demand of all ranks but the last leaves of the limit, in requests a second.
+	// The last rank includes refused requests that come back without a reservation.
 	Spare float64
 	// Part is this router's part of all arrivals, from 0 to 1.
 	Part float64
@@ -57,7 +59,7 @@
 	Carried float64
 }
 
-// Reservation says that a request is expected back.
+// Reservation says that a refused request is expected back, and whether it is admitted then.
 type Reservation struct {
 	Digest uint32
 	// Due is when the caller comes back, on this router's clock.
@@ -113,8 +115,8 @@
 
 // roomPerStep returns how many requests may be offered a step.
 //
-// A caller that can't be back within the objective is answered late. It gets only what new requests
-// leave: these can still be answered in time, and would be late in its place.
+// A caller that can't be back within the objective is answered late whenever it is served. It gets at
+// most Capacity.Spare, so that it doesn't displace requests that can still be answered in time.
 func roomPerStep(r Refused, times span, c Capacity) float64 {
 	rate := c.Limit * retryPart
 	if r.Objective > 0 && times.shortest >= r.Objective {
@@ -127,7 +129,7 @@
 	return rate * step.Seconds()
 }
 
-// spare returns what new requests leave of the limit, at most a rate; 0 for what is no number.
+// spare returns Capacity.Spare, at most rate, and 0 for NaN.
 func spare(c Capacity, rate float64) float64 {
 	if !(c.Spare > 0) {
 		return 0
@@ -138,10 +140,9 @@
 // span is the time from now within which a caller may come back.
 type span struct{ shortest, longest time.Duration }
 
-// take takes the first room for one request within a span, and returns when the
-// request is due. If the steps have less room than one request, the request takes all of it and
-// gets a step with the probability of that room, so that the mean number of requests due in each
-// step is what was taken.
+// take takes the first free room within a span, up to one request, and returns when the request is
+// due. If the room taken is less than one request, the request gets a time with that probability, so
+// that the mean number of requests due in each step equals the room taken from it.
 //
 // The reserve in these few steps is rarely enough for a request at a router with a small part. The
 // most urgent rank therefore also takes the reserve of later steps, in return for which others find
@@ -234,7 +235,7 @@
 	s.current = current
 }
 
-// clamp returns a part between 0 and 1, 0 for what is no number.
+// clamp returns part limited to 0 to 1, and 0 for NaN.
 func clamp(part float64) float64 {
 	if !(part > 0) {
 		return 0
--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -48,14 +48,16 @@
 	// part is this router's part of the arrivals at all routers at the last tick, from 0 to 1. Adding
 	// up all routers' counts for each refusal would cost more than refusing.
 	part float64
-	// newDemand is how many requests a second all routers get that weren't refused before.
-	newDemand float64
+	// demandAboveLast is the arrivals a second at all routers in all ranks but the last. Refused
+	// requests that come back without a reservation count as the last rank, so new requests of that
+	// rank are left out with them.
+	demandAboveLast float64
 	// short says whether any router saw the service short of capacity at the last tick.
 	short bool
-	// offered counts this router's reservations by the second in which they are due.
+	// offered counts this router's reservations by the second, since the start, in which they are due.
 	offered map[int64]int
-	// limited says whether the last line was about a limit that came into force, and loggedAt when
-	// it was written. change is the latest change, if unlogged is set.
+	// change is the latest change of the limit, and unlogged says that no line has told of it yet.
+	// limited and loggedAt are what the last line said and when it was written.
 	limited  bool
 	loggedAt time.Duration
 	change   ratelimit.Change
@@ -109,7 +111,7 @@
 		}
 	}
 	return retryschedule.Capacity{
-		Limit: a.limit(now, service), Part: part, Spare: a.limit(now, service) - a.service(service).newDemand,
+		Limit: a.limit(now, service), Part: part, Spare: a.limit(now, service) - a.service(service).demandAboveLast,
 		Known:   retryschedule.KnownAfter(a.reportInterval, a.relays),
 		Carried: retryschedule.CarriedBy(a.reportInterval, a.relays, part, limited),
 	}
@@ -162,7 +164,7 @@
 func (r *Router) observeService(now time.Duration, name protocol.Service) {
 	a, s := r.admission, r.admission.service(name)
 	totals := a.counter.Fleet(now, name)
-	s.newDemand = arrivals(totals) - totals.Arrived[demand.Ranks-1]
+	s.demandAboveLast = arrivals(totals) - totals.Arrived[demand.Ranks-1]
 	s.part, s.short = partOf(a.counter.Own(now, name), totals), a.counter.IsConstrained(now, name)
 	change, changed := s.limiter.Observe(now, totals, r.rateCapacity(name), a.counter.ReportedLimit(now, name))
 	if changed {
--- a/daemon/router/admissionview.go
+++ b/daemon/router/admissionview.go
@@ -25,7 +25,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(body); err != nil {
-		r.log.Debug().Str("event", "metrics-not-written").Err(err).Send()
+		r.log.Debug().Str("event", "admission-not-written").Err(err).Send()
 	}
 }
 
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -16,11 +16,11 @@
 // rankOf returns the rank by which a request is counted.
 func rankOf(job forward.Job) int { return min(max(job.Priority, 0), demand.Ranks-1) }
 
-// refuseByRate counts the first attempt of a request, and returns the rank that it counts for and by
+// admitByRate counts the first attempt of a request, and returns the rank that it counts for and by
 // which figures it is refused for the rate limit of its service, nil if it isn't. A stream that a
 // caller takes up again is never refused: the work that was done for it would be lost. The lock is
 // held.
-func (r *Router) refuseByRate(now time.Duration, job forward.Job) (int, *balance.RateRefusal) {
+func (r *Router) admitByRate(now time.Duration, job forward.Job) (int, *balance.RateRefusal) {
 	a, rank := r.admission, rankOf(job)
 	if a == nil {
 		return rank, nil
@@ -30,7 +30,7 @@
 		a.reservations.Consume(now, job.Digest)
 	}
 	if match == retryschedule.Returning {
-		// It can't be answered in time any more, unlike a new request in its place.
+		// It will be answered late, so it counts as the least urgent.
 		rank = demand.Ranks - 1
 	}
 	a.counter.Arrived(now, job.Service, rank, job.Customer)
@@ -95,6 +95,7 @@
 	if first {
 		limit = limiter.Arrived
 	}
+	// Arrived also counts the request, so it is called even where its result isn't used.
 	own := limit(now, job.Customer)
 	if r.admission.limit(now, job.Service) > 0 {
 		return limiter.AdmittedLimit(now)
@@ -125,10 +126,10 @@
 	}
 }
 
-// noteRejection takes back the admission of a request that an upstream has rejected. The lock is
-// held.
+// noteRejection takes back the admission of a first attempt that an upstream has rejected, in the
+// request's own rank; its customer's count keeps it. The lock is held.
 func (r *Router) noteRejection(now time.Duration, job forward.Job, head dialect.Answer) {
-	if r.admission != nil && head.NotRun && len(job.Tried) == 0 {
+	if r.admission != nil && job.Service != "" && head.NotRun && len(job.Tried) == 0 {
 		r.admission.counter.Rejected(now, job.Service, rankOf(job))
 	}
 }
@@ -168,6 +169,7 @@
 		Digest: job.Digest, Rank: rankOf(job), Objective: job.Route.Objective, Remaining: job.Remaining,
 	}
 	available := a.retryCapacity(now, job.Service)
+	// A part of 0 offers no room: the request gets a Retry-After and no reservation.
 	if job.Unreserved {
 		available.Part = 0
 	}
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -47,7 +47,7 @@
 	now, first, rank := r.now(), job.Attempts == 0 && len(job.Tried) == 0, rankOf(job)
 	if first {
 		var refusal *balance.RateRefusal
-		if rank, refusal = r.refuseByRate(now, job); refusal != nil {
+		if rank, refusal = r.admitByRate(now, job); refusal != nil {
 			return balance.Choice{Reason: balance.ReasonNoCapacity, RateLimited: refusal}
 		}
 	}
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -113,7 +113,7 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pace is how long work takes there now, in percent of the usual time.
+	// Pace is how long work takes there now, in percent of the usual time: 200 is half the usual speed.
 	Pace int
 }
 
--- a/tool/admission.go
+++ b/tool/admission.go
@@ -75,7 +75,7 @@
 
 // writeAdmission writes the services one after the other.
 func writeAdmission(w io.Writer, view admissionview.View) {
-	printRow(w, fmt.Sprintf("as router %s knows it; rates in requests a second of all routers that report; %d reservations known",
+	printRow(w, fmt.Sprintf("as router %s knows it; rates in requests a second of all routers that report; %d refused requests expected back",
 		view.Router, view.Reservations))
 	printRow(w)
 	printRow(w, "SERVICE", "STATE", "ROUTERS", "SLOTS", "IN FLIGHT", "LIMIT", "FREE", "IN TIME", "LATE")
--- a/transport/admissionview/view.go
+++ b/transport/admissionview/view.go
@@ -12,7 +12,8 @@
 	// Enabled says whether admission is switched on in the router's settings. The rest is empty if it
 	// isn't.
 	Enabled bool `json:"enabled"`
-	// Reservations is the number of reservations of all routers and services that this one knows.
+	// Reservations is the number of refused requests of all routers and services that this one
+	// expects back, with or without a reservation.
 	Reservations int       `json:"reservations"`
 	Services     []Service `json:"services"`
 }
@@ -62,8 +63,8 @@
 	Arrived  float64 `json:"arrived"`
 	Admitted float64 `json:"admitted"`
 	Refused  float64 `json:"refused"`
-	// Share is how much of its demand the limit in force admits now. It is above what has been
-	// admitted lately where that was too little.
+	// Share is how many of its requests a second are admitted by the limit in force. Admitted is the
+	// average of about the last second, so the two differ while the limit changes.
 	Share float64 `json:"share"`
 }
 
