--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -69,9 +69,9 @@
 	departures map[departure]time.Time
 	violations []string
 	counts     map[string]int
-	// surgeMu is held during a surge, and surges counts them.
+	// surgeMu is held during a surge.
 	surgeMu sync.Mutex
-	surges  int
+	surges  surgeState
 	// accepted is the highest version of a table that a disk VM has accepted.
 	accepted uint64
 	// emptied is the data centre that may get no new request any more, "" for none.
@@ -86,6 +86,8 @@
 	// requests of each router's callers.
 	withoutPath map[*process]bool
 	servedBy    map[callersOf]served
+	// servedIn counts the same in slices of time.
+	servedIn map[servedSlice]served
 	// fragileUntil is until when desks are fragile. judgesOverload says that routers without a path
 	// must serve as often as others also while fragile desks refuse half of all requests.
 	fragileUntil   time.Time
@@ -110,7 +112,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, seed: seed, folder: t.TempDir(), ports: freePorts(t), random: rand.New(rand.NewPCG(seed, 1)),
-		runs: map[string]*run{}, builds: builds{newest: firstBuild}, servedBy: map[callersOf]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, budgets: map[protocol.Service]*sentTo{}, concentration: &concentration{}, quit: make(chan struct{}), lastFault: time.Now(),
+		runs: map[string]*run{}, builds: builds{newest: firstBuild}, servedBy: map[callersOf]served{}, servedIn: map[servedSlice]served{}, senders: map[string]sender{}, departures: map[departure]time.Time{}, counts: map[string]int{}, budgets: map[protocol.Service]*sentTo{}, concentration: &concentration{}, quit: make(chan struct{}), lastFault: time.Now(),
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for n := 1; n <= diskVMCount; n++ {
--- a/soak/paths_test.go
+++ b/soak/paths_test.go
@@ -95,9 +95,9 @@
 	}
 	h.setPaths(cut, h.intN(2) == 0)
 	time.Sleep(learnPathWithin)
-	from, before := time.Now(), h.servedCounts()
+	from, before, surges := time.Now(), h.servedCounts(), h.surgeState()
 	time.Sleep(pathLostFor - learnPathWithin)
-	after := h.servedCounts()
+	to, after := time.Now(), h.servedCounts()
 	h.setPaths(nil, false)
 	for _, p := range h.routers {
 		if p.disturbedSince(from.Add(-learnPathWithin)) {
@@ -109,6 +109,10 @@
 		h.count("lost paths beside fragile desks not judged")
 		return
 	}
+	if surges.running || h.surgeState() != surges {
+		h.checkServedInSurge(cut, from, to)
+		return
+	}
 	h.checkServed(cut, before, after)
 }
 
@@ -148,6 +152,13 @@
 		counted.served++
 	}
 	h.servedBy[by] = counted
+	slice := servedSlice{by, time.Now().UnixNano() / int64(sliceLength)}
+	in := h.servedIn[slice]
+	in.sent++
+	if ok {
+		in.served++
+	}
+	h.servedIn[slice] = in
 }
 
 // servedCounts returns the counts of all callers.
--- a/soak/surge_test.go
+++ b/soak/surge_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"endiveplank/platform"
@@ -27,10 +28,10 @@
 	defer h.surgeMu.Unlock()
 	h.setDesksSlow(true)
 	defer h.setDesksSlow(false)
-	h.surges++
+	number := h.surgeState().begun
 	until := time.Now().Add(surgeFor)
 	for i := range surgeCallers {
-		c := &caller{harness: h, name: fmt.Sprintf("surge-%d-%d", h.surges, i), path: "/once/", until: until}
+		c := &caller{harness: h, name: fmt.Sprintf("surge-%d-%d", number, i), path: "/once/", until: until}
 		h.done.Go(c.run)
 	}
 	time.Sleep(surgeFor)
@@ -38,14 +39,31 @@
 
 func (h *harness) setDesksSlow(slow bool) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, u := range h.upstreams {
+	h.surges.running = slow
+	if slow {
+		h.surges.begun++
+	}
+	upstreams := slices.Clone(h.upstreams)
+	h.mu.Unlock()
+	for _, u := range upstreams {
 		if u.service == deskService {
 			u.setSlow(slow)
 		}
 	}
 }
 
+// surgeState says whether a surge runs, and how many have begun.
+type surgeState struct {
+	running bool
+	begun   int
+}
+
+func (h *harness) surgeState() surgeState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.surges
+}
+
 // setSlow gives the upstream slots and a queue, or ends that.
 func (u *upstream) setSlow(slow bool) {
 	u.mu.Lock()
