Limits: one place for ranks, sums and the time constant; figures are read without counting; tests of three guards

Cause: reading the whole change: the time constant of the counts stood in two packages, the clamp of ranks in three, the sum over ranks in four; figures were read from a copy of the limiter, as its decision counts; a rejection was taken back in another rank than the one it was counted in, and not from its customer; reasons and causes were joined by a bare conversion. Three guards of this work had no test of their own. Change: demand.TimeConstant, RankOf, Sum; Limiter.Inspect and CustomerShare; the rank is in the choice; causeOf. Mostly and DefaultSettings, which nothing but tests used, are gone or in test files.

--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -91,6 +91,9 @@
 	// Build is the version of the upstream's software, as in its roster entry.
 	Build  string
 	Reason Reason
+	// First says that it is for the first attempt of a request, which counts as of Rank.
+	First bool
+	Rank  int
 	// NeedsProxy says that this router has no path to it, so that another router has to send
 	// the request: Proxy at ProxyAddress, "" if there is none.
 	NeedsProxy   bool
--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -55,7 +55,6 @@
 	assert.Equal(t, r.Observe(start, answer(entries[1], load(6, 4, 150))), Used)
 	got := r.Free(start+maxAge, plain)
 	assert.DeepEqual(t, got, Capacity{Upstreams: 3, Known: 2, Slots: 12, Running: 8, Waiting: 4, Effective: 10, Free: -2})
-	assert.Assert(t, got.Mostly())
 	assert.DeepEqual(t, r.Free(start, "other"), Capacity{})
 }
 
--- a/coordination/capacity/reports.go
+++ b/coordination/capacity/reports.go
@@ -281,15 +281,6 @@
 	return Used
 }
 
-// Load returns an upstream's last report. False means that there is none that can be used.
-func (r *Reports) Load(now time.Duration, id protocol.UpstreamID) (Load, bool) {
-	u := r.upstreams[id]
-	if u == nil || !u.usable(now) {
-		return Load{}, false
-	}
-	return Load{ReportedLoad: u.last.load(), Age: max(now-u.last.madeAt, 0)}, true
-}
-
 // usable reports whether the upstream's report counts.
 func (u *upstream) usable(now time.Duration) bool {
 	return u.last.known(now) && !u.credibility.distrusts(now)
@@ -335,7 +326,3 @@
 	c.Effective += r.effective()
 	c.Free += r.free()
 }
-
-// Mostly reports whether most of the service's upstreams are known, so that the sums may stand for
-// the service.
-func (c Capacity) Mostly() bool { return 2*c.Known > c.Upstreams }
--- a/coordination/demand/counter.go
+++ b/coordination/demand/counter.go
@@ -76,7 +76,7 @@
 	}
 	own := c.counts(now, ServiceIDOf(service))
 	weight := own.weight(now)
-	own.arrived[rankIndex(rank)] += weight
+	own.arrived[RankOf(rank)] += weight
 	if known := own.customer(CustomerHashOf(customer)); known != nil {
 		known.arrived += weight
 	}
@@ -86,7 +86,7 @@
 func (c *Counter) Admitted(now time.Duration, service protocol.Service, rank int, customer protocol.CustomerID) {
 	own := c.counts(now, ServiceIDOf(service))
 	weight := own.weight(now)
-	own.admitted[rankIndex(rank)] += weight
+	own.admitted[RankOf(rank)] += weight
 	if known := own.customer(CustomerHashOf(customer)); known != nil {
 		known.admitted += weight
 	}
@@ -104,10 +104,14 @@
 
 // Rejected takes back an admission: an upstream has rejected the request for lack of capacity, and
 // hasn't run it.
-func (c *Counter) Rejected(now time.Duration, service protocol.Service, rank int) {
+func (c *Counter) Rejected(now time.Duration, service protocol.Service, rank int, customer protocol.CustomerID) {
 	own := c.counts(now, ServiceIDOf(service))
-	admitted := &own.admitted[rankIndex(rank)]
-	*admitted = max(*admitted-own.weight(now), 0)
+	weight := own.weight(now)
+	admitted := &own.admitted[RankOf(rank)]
+	*admitted = max(*admitted-weight, 0)
+	if known := own.customer(CustomerHashOf(customer)); known != nil {
+		known.admitted = max(known.admitted-weight, 0)
+	}
 }
 
 // counts returns the router's own counts of a service.
@@ -120,8 +124,8 @@
 	return own
 }
 
-// rankIndex returns the rank that a request counts as.
-func rankIndex(rank int) int { return max(0, min(rank, Ranks-1)) }
+// RankOf returns the rank that a request of a priority counts as.
+func RankOf(priority int) int { return max(0, min(priority, Ranks-1)) }
 
 // NoteConstrained records that this router sees a service short of capacity: a late answer, a
 // refusal for lack of capacity, or a rate limit in force, which is to be noted again for as long
--- a/coordination/demand/counts.go
+++ b/coordination/demand/counts.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// timeConstant is the time constant with which counts decay.
-	timeConstant = time.Second
+	// TimeConstant is the time constant with which counts decay, and so that of the rates in Totals.
+	TimeConstant = time.Second
 	// minCountingTime is the least time that rates are computed for. Within less, a single
 	// request would count as many a second.
-	minCountingTime = timeConstant / 4
+	minCountingTime = TimeConstant / 4
 	// rebaseInterval is how long weights may grow before they are scaled down.
-	rebaseInterval = 10 * timeConstant
+	rebaseInterval = 10 * TimeConstant
 	// leastWeight is the weight, in requests, below which a customer is removed, and
 	// presentWeight that from which it counts as one of the customers.
 	leastWeight   = 0.01
@@ -52,12 +52,12 @@
 	if now-c.base > rebaseInterval {
 		c.rebase(now)
 	}
-	return math.Exp(float64(now-c.base) / float64(timeConstant))
+	return math.Exp(float64(now-c.base) / float64(TimeConstant))
 }
 
 // rebase scales all counts so that an event counts one now, and removes idle customers.
 func (c *counts) rebase(now time.Duration) {
-	scale := math.Exp(-float64(now-c.base) / float64(timeConstant))
+	scale := math.Exp(-float64(now-c.base) / float64(TimeConstant))
 	c.base = now
 	for rank := range Ranks {
 		c.arrived[rank] *= scale
@@ -94,7 +94,7 @@
 		p.arrived[rank] = c.arrived[rank] * perSecond
 		p.admitted[rank] = c.admitted[rank] * perSecond
 	}
-	decay := math.Exp(-float64(now-c.base) / float64(timeConstant))
+	decay := math.Exp(-float64(now-c.base) / float64(TimeConstant))
 	present := func(yield func(CustomerRate) bool) {
 		for hash, customer := range c.customers {
 			if customer.arrived*decay < presentWeight {
@@ -114,7 +114,7 @@
 // rateOf returns the rate for a weight of one, for weights since a time, in requests a second:
 // events older than counting are missing in the sum, and their part is made up for.
 func rateOf(since, counting time.Duration) float64 {
-	decay := math.Exp(-float64(since) / float64(timeConstant))
-	counted := 1 - math.Exp(-float64(max(counting, minCountingTime))/float64(timeConstant))
-	return decay / counted / timeConstant.Seconds()
+	decay := math.Exp(-float64(since) / float64(TimeConstant))
+	counted := 1 - math.Exp(-float64(max(counting, minCountingTime))/float64(TimeConstant))
+	return decay / counted / TimeConstant.Seconds()
 }
--- a/coordination/demand/failures_test.go
+++ b/coordination/demand/failures_test.go
@@ -302,3 +302,24 @@
 		assert.Equal(t, f.routers[f.order[0]].counter.ReportedLimit(f.now, service), 0.0, "%d", i)
 	}
 }
+
+func TestRejectedRequestsAreNotAdmitted(t *testing.T) {
+	// Guards: upstreams reject half of the requests, these count as admitted, and the first limit is
+	// twice what the upstreams complete.
+	c := demand.NewCounter("a")
+	at := time.Minute
+	for range 4000 {
+		at += 5 * time.Millisecond
+		c.Arrived(at, "s", 1, "acme")
+		c.Admitted(at, "s", 1, "acme")
+		if at%(10*time.Millisecond) == 0 {
+			c.Rejected(at, "s", 1, "acme")
+		}
+	}
+	own := c.Own(at, "s")
+	assert.Check(t, math.Abs(own.Arrived[1]-200) < 10, "%.0f arrived", own.Arrived[1])
+	assert.Check(t, math.Abs(own.Admitted[1]-100) < 10, "%.0f admitted", own.Admitted[1])
+	assert.Check(t, math.Abs(own.Customers[0].Admitted-100) < 10, "%.0f of the customer", own.Customers[0].Admitted)
+	c.Rejected(at, "other", 0, "acme")
+	assert.Equal(t, c.Own(at, "other").Admitted[0], 0.0)
+}
--- a/coordination/demand/pack.go
+++ b/coordination/demand/pack.go
@@ -89,7 +89,7 @@
 		p.admitted[rank] = rates[counts.Rates[2*rank+1]]
 	}
 	p.inTime, p.late = rates[counts.Rates[2*Ranks]], rates[counts.Rates[2*Ranks+1]]
-	highest := max(p.allArrived(), sum(p.admitted), p.inTime+p.late)
+	highest := max(p.allArrived(), Sum(p.admitted), p.inTime+p.late)
 	if highest > maxRouterRate*float64(counts.Routers) {
 		return nil, false
 	}
--- a/coordination/demand/part.go
+++ b/coordination/demand/part.go
@@ -140,7 +140,7 @@
 	if len(p.customers) < maxListed || unlisted <= 0 {
 		return CustomerRate{}
 	}
-	mean := CustomerRate{Arrived: p.allArrived(), Admitted: sum(p.admitted)}
+	mean := CustomerRate{Arrived: p.allArrived(), Admitted: Sum(p.admitted)}
 	for _, customer := range p.customers {
 		mean.Arrived -= customer.Arrived
 		mean.Admitted -= customer.Admitted
@@ -152,9 +152,10 @@
 }
 
 // allArrived returns the first attempts of all ranks.
-func (p *part) allArrived() float64 { return sum(p.arrived) }
+func (p *part) allArrived() float64 { return Sum(p.arrived) }
 
-func sum(rates [Ranks]float64) float64 {
+// Sum returns the sum of the ranks' rates.
+func Sum(rates [Ranks]float64) float64 {
 	sum := 0.0
 	for _, rate := range rates {
 		sum += rate
--- a/coordination/ratelimit/admit.go
+++ b/coordination/ratelimit/admit.go
@@ -55,9 +55,7 @@
 		l.pace.adjust(now, 1, 1)
 		return Decision{Admitted: true, Reason: ReasonNoLimit}
 	}
-	rank := min(max(r.Rank, 0), demand.Ranks-1)
-	d := Decision{Limit: l.allowed(), Wait: l.wait()}
-	d.Share, d.Demand = l.shares.of(rank, demand.CustomerHashOf(r.Customer))
+	d := l.Inspect(r)
 	probability := l.pace.adjust(now, d.probability(), l.shares.mean)
 	d.Admitted, d.Reason = decide(d, random < probability, r)
 	if d.Reason == ReasonOverShare && l.shares.isOutlier(demand.CustomerHashOf(r.Customer)) {
@@ -69,6 +67,27 @@
 	return d
 }
 
+// Inspect returns the figures by which a request would be admitted, without admitting or counting it.
+func (l *Limiter) Inspect(r Request) Decision {
+	if l.perSlot == 0 {
+		return Decision{Reason: ReasonNoLimit}
+	}
+	d := Decision{Limit: l.allowed(), Wait: l.wait()}
+	d.Share, d.Demand = l.shares.of(demand.RankOf(r.Rank), demand.CustomerHashOf(r.Customer))
+	return d
+}
+
+// CustomerShare returns how many requests a second of a customer, of all ranks, are admitted by the
+// limit in force.
+func (l *Limiter) CustomerShare(customer demand.CustomerHash) float64 {
+	total := 0.0
+	for rank := range demand.Ranks {
+		share, asked := l.shares.of(rank, customer)
+		total += min(share, asked)
+	}
+	return total
+}
+
 // probability returns the part of the demand that is within the share.
 func (d Decision) probability() float64 {
 	if d.Share >= d.Demand {
--- a/coordination/ratelimit/learn.go
+++ b/coordination/ratelimit/learn.go
@@ -3,13 +3,13 @@
 import (
 	"math"
 	"time"
+
+	"endiveplank/coordination/demand"
 )
 
 const (
 	// decisionInterval is the time between two decisions.
 	decisionInterval = 250 * time.Millisecond
-	// countTimeConstant must equal the time constant with which package demand decays its counts.
-	countTimeConstant = time.Second
 	// loadTimeConstant smooths the requests in flight, which reports tell at different times.
 	loadTimeConstant = 50 * time.Millisecond
 	// takenTimeConstant is that of the load by which a service is judged to be short.
@@ -158,7 +158,7 @@
 // completed returns how many requests a second the upstreams answer.
 func (l *Limiter) completed() float64 {
 	completed := l.totals.InTime + l.totals.Late
-	if admitted := sum(l.totals.Admitted); admitted > 0 {
+	if admitted := demand.Sum(l.totals.Admitted); admitted > 0 {
 		// Answers by which upstreams reject requests count as late, but not as admitted.
 		completed = min(completed, admitted)
 	}
@@ -206,7 +206,7 @@
 
 // liftIfAmple ends the limit once it has been well above the demand for a while.
 func (l *Limiter) liftIfAmple(now time.Duration) (Change, bool) {
-	limit := l.Limit(now)
+	limit := l.Limit()
 	switch {
 	case limit < scarceFactor*l.arrived:
 		l.ample = false
@@ -228,7 +228,7 @@
 	l.allowLoad(now)
 	load, before := l.load.perSlot, l.load.decided
 	l.load.decided = load
-	surging := l.admitted.latest > effectivePart*l.allowed() && l.arrived > effectivePart*sum(l.totals.Arrived)
+	surging := l.admitted.latest > effectivePart*l.allowed() && l.arrived > effectivePart*demand.Sum(l.totals.Arrived)
 	switch {
 	case load > longQueue*l.allowedLoad && load > shrinking*before && !surging:
 		l.perSlot *= cutFactor
@@ -273,7 +273,7 @@
 func (l *Limiter) bound(now time.Duration) {
 	slots := float64(l.capacity.Slots)
 	l.perSlot = min(l.perSlot, unusedFactor*l.arrived/slots)
-	if now-l.load.changedAt > 2*countTimeConstant {
+	if now-l.load.changedAt > 2*demand.TimeConstant {
 		l.perSlot = max(l.perSlot, inTimePart*l.totals.InTime/slots)
 	}
 	l.perSlot = max(l.perSlot, 1/slots)
@@ -291,7 +291,7 @@
 // rescale keeps the part of the demand that is admitted when the counts of many routers leave the
 // sums or join them: the sums are of fewer or more requests then, and the limit is for these.
 func (l *Limiter) rescale(now time.Duration) {
-	m, arrived := &l.membership, sum(l.totals.Arrived)
+	m, arrived := &l.membership, demand.Sum(l.totals.Arrived)
 	if l.totals.Routers > m.last {
 		m.grownAt = now
 	}
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -17,9 +17,6 @@
 	Floor float64
 }
 
-// DefaultSettings returns the usual settings.
-func DefaultSettings() Settings { return Settings{Reserve: 0.05, Floor: 0.3} }
-
 // Capacity is what the upstreams of a service announce, and the load on them.
 type Capacity struct {
 	// Slots is how many requests the ready upstreams run at once, 0 if they don't announce it.
@@ -91,7 +88,7 @@
 
 // Limit returns the learned limit in requests a second over all routers, 0 if there is none. It is
 // what other routers are told; the correction for the requests in flight isn't in it.
-func (l *Limiter) Limit(now time.Duration) float64 { return l.perSlot * float64(l.capacity.Slots) }
+func (l *Limiter) Limit() float64 { return l.perSlot * float64(l.capacity.Slots) }
 
 // allowed returns how many requests a second are admitted by all routers together.
 func (l *Limiter) allowed() float64 {
@@ -114,14 +111,6 @@
 	return max(minCorrectionTime.Seconds(), workPart/l.perSlot)
 }
 
-func sum(rates [demand.Ranks]float64) float64 {
-	total := 0.0
-	for _, rate := range rates {
-		total += rate
-	}
-	return total
-}
-
 // load is a short average of the requests in flight for each slot.
 type load struct {
 	perSlot float64
@@ -161,7 +150,7 @@
 	latest := float64(capacity.InFlight) / float64(capacity.Slots)
 	o.perSlot += weight(now-o.at, loadTimeConstant) * (latest - o.perSlot)
 	o.taken += weight(now-o.at, takenTimeConstant) * (latest - o.taken)
-	o.busy += weight(now-o.at, countTimeConstant) * (min(latest, 1) - o.busy)
+	o.busy += weight(now-o.at, demand.TimeConstant) * (min(latest, 1) - o.busy)
 	o.at = now
 }
 
@@ -191,7 +180,7 @@
 	oldest := t.before[0]
 	t.before = [2]measurement{t.before[1], {rate, now}}
 	t.latest = rate
-	keep := math.Exp(-float64(now-oldest.at) / float64(countTimeConstant))
+	keep := math.Exp(-float64(now-oldest.at) / float64(demand.TimeConstant))
 	if oldest.rate == 0 || rate == 0 || keep > maxTrendKeep {
 		return rate
 	}
@@ -210,14 +199,14 @@
 // latest returns totals with the latest demand.
 func (l *Limiter) latest() demand.Totals {
 	totals := l.totals
-	before := sum(totals.Arrived)
+	before := demand.Sum(totals.Arrived)
 	for rank := range totals.Arrived {
 		totals.Arrived[rank] *= l.trendFactor[rank]
 	}
 	if before == 0 {
 		return totals
 	}
-	factor := sum(totals.Arrived) / before
+	factor := demand.Sum(totals.Arrived) / before
 	totals.Customers = slices.Clone(totals.Customers)
 	for n := range totals.Customers {
 		totals.Customers[n].Arrived *= factor
@@ -237,7 +226,7 @@
 		}
 		l.arrived += latest
 	}
-	l.admitted.observe(now, sum(l.totals.Admitted))
+	l.admitted.observe(now, demand.Sum(l.totals.Admitted))
 }
 
 // answers separates the answers since the last decision from the decaying rates.
@@ -250,10 +239,10 @@
 }
 
 func (a *answers) observe(now time.Duration, totals demand.Totals) {
-	keep := math.Exp(-float64(now-a.at) / float64(countTimeConstant))
+	keep := math.Exp(-float64(now-a.at) / float64(demand.TimeConstant))
 	inTime := max(totals.InTime-a.inTime*keep, 0)
 	late := max(totals.Late-a.late*keep, 0)
-	a.latest = (inTime + late) * countTimeConstant.Seconds()
+	a.latest = (inTime + late) * demand.TimeConstant.Seconds()
 	if inTime+late > 0 {
 		a.lateShare = late / (inTime + late)
 	}
--- a/coordination/ratelimit/limiter_test.go
+++ b/coordination/ratelimit/limiter_test.go
@@ -35,7 +35,7 @@
 // limited returns a Limiter with a limit of 100 requests a second on 10 slots, and the time.
 func limited(t *testing.T, routers int) (*Limiter, time.Duration) {
 	t.Helper()
-	l := New(DefaultSettings())
+	l := New(usualSettings)
 	now, changes := observe(l, modelStart, 300*time.Millisecond, totalsOf(routers, 200, 100, 90, 10), Capacity{10, 10}, 100)
 	assert.Equal(t, len(changes), 1)
 	assert.Assert(t, changes[0].Limited && changes[0].Adopted)
@@ -48,7 +48,7 @@
 	f.routers = 29
 	with, without := play(f, trouble{}, 1), play(f, trouble{unlimited: true}, 1)
 	assert.Assert(t, slices.Equal(with.seconds, without.seconds))
-	l := New(DefaultSettings())
+	l := New(usualSettings)
 	assert.Equal(t, l.Admit(modelStart, 0.999, Request{Rank: 3}).Reason, ReasonNoLimit)
 }
 
@@ -67,11 +67,11 @@
 func TestSlotsMoveTheLimitAtOnce(t *testing.T) {
 	// Guards: half of the upstreams are lost or added, and the limit stays as it was for seconds.
 	l, now := limited(t, 9)
-	before := l.Limit(now)
+	before := l.Limit()
 	l.Observe(now, totalsOf(9, 200, 100, 90, 10), Capacity{5, 5}, 0)
-	assert.Check(t, math.Abs(l.Limit(now)/before-0.5) < 0.1, "%.0f after %.0f", l.Limit(now), before)
+	assert.Check(t, math.Abs(l.Limit()/before-0.5) < 0.1, "%.0f after %.0f", l.Limit(), before)
 	l.Observe(now, totalsOf(9, 200, 100, 90, 10), Capacity{20, 20}, 0)
-	assert.Check(t, math.Abs(l.Limit(now)/before-2) < 0.4, "%.0f after %.0f", l.Limit(now), before)
+	assert.Check(t, math.Abs(l.Limit()/before-2) < 0.4, "%.0f after %.0f", l.Limit(), before)
 }
 
 func TestARouterThatStartsTakesTheReportedLimit(t *testing.T) {
@@ -81,7 +81,7 @@
 	m := play(f, trouble{demand: 1.8, killed: true}, 1)
 	after := m.routers[0].limitedAt - troubleFrom - 3*time.Second
 	assert.Check(t, after > 0 && after < 500*time.Millisecond, "limited %v after its start", after)
-	l := New(DefaultSettings())
+	l := New(usualSettings)
 	_, changes := observe(l, modelStart, time.Second, totalsOf(9, 200, 200, 200, 0), Capacity{10, 8}, 1000)
 	assert.Equal(t, len(changes), 0, "took a limit that is far above the demand")
 }
@@ -95,7 +95,7 @@
 	now, _ = observe(l, now, 200*time.Millisecond, totalsOf(1, 4, 2, 2, 0), Capacity{10, 1}, 0)
 	assert.Check(t, math.Abs(l.allowed()/4-part) < 0.15, "admits %.2f of its demand, %.2f before", l.allowed()/4, part)
 	now, _ = observe(l, now, time.Second, totalsOf(50, 200, 100, 90, 10), Capacity{10, 12}, 100)
-	assert.Check(t, math.Abs(l.Limit(now)-100) < 25, "limit %.0f after it is back", l.Limit(now))
+	assert.Check(t, math.Abs(l.Limit()-100) < 25, "limit %.0f after it is back", l.Limit())
 }
 
 func TestALimitThatIsTooLowRecovers(t *testing.T) {
@@ -117,7 +117,7 @@
 	// Guards: a limit is cut below what the upstreams answer in time.
 	l, now := limited(t, 9)
 	now, _ = observe(l, now, 10*time.Second, totalsOf(9, 200, 95, 80, 15), Capacity{10, 100}, 0)
-	assert.Check(t, l.Limit(now) >= inTimePart*80, "limit %.0f", l.Limit(now))
+	assert.Check(t, l.Limit() >= inTimePart*80, "limit %.0f", l.Limit())
 }
 
 func TestTheLimitEndsAfterTheSurge(t *testing.T) {
@@ -126,24 +126,24 @@
 	f.routers = 29
 	m := play(f, twice, 1)
 	for _, r := range m.routers {
-		assert.Equal(t, r.limiter.Limit(0), 0.0)
+		assert.Equal(t, r.limiter.Limit(), 0.0)
 	}
 	assert.Equal(t, m.seconds[17].refused, 0.0)
 }
 
 func TestRanksAreServedInOrderAboveTheirFloors(t *testing.T) {
 	// Guards: urgent requests are refused with others, or the least urgent get nothing.
-	s := newShares(DefaultSettings(), 100, totalsOf(9, 400, 0, 0, 0))
+	s := newShares(usualSettings, 100, totalsOf(9, 400, 0, 0, 0))
 	assert.Check(t, s.rank[0] == s.demand[0], "%v of %v", s.rank, s.demand)
 	assert.Check(t, s.rank[1] < s.demand[1] && s.rank[1] > s.rank[2])
 	for rank := range demand.Ranks {
 		assert.Check(t, s.rank[rank] >= 0.3*0.25*s.demand[rank]-1e-9, "rank %d gets %.1f of %.1f", rank, s.rank[rank], s.demand[rank])
 	}
-	assert.Check(t, math.Abs(sum(s.rank)-100) < 1e-6)
+	assert.Check(t, math.Abs(demand.Sum(s.rank)-100) < 1e-6)
 	few := totalsOf(9, 400, 0, 0, 0)
 	few.Arrived[0] = 0
-	s = newShares(DefaultSettings(), 100, few)
-	assert.Check(t, sum(s.rank) <= 95+1e-6, "the reserve is given away: %.1f", sum(s.rank))
+	s = newShares(usualSettings, 100, few)
+	assert.Check(t, demand.Sum(s.rank) <= 95+1e-6, "the reserve is given away: %.1f", demand.Sum(s.rank))
 }
 
 func TestCustomersHaveMaxMinShares(t *testing.T) {
@@ -151,7 +151,7 @@
 	totals := totalsOf(9, 200, 0, 0, 0)
 	totals.Customers = []demand.CustomerRate{{Customer: 1, Arrived: 90}, {Customer: 2, Arrived: 70}}
 	totals.RestArrived = 40
-	s := newShares(DefaultSettings(), 100, totals)
+	s := newShares(usualSettings, 100, totals)
 	share := func(customer demand.CustomerHash) float64 {
 		got, asked := s.of(1, customer)
 		return got / asked
@@ -166,7 +166,7 @@
 	totals := totalsOf(9, 150, 0, 0, 0)
 	totals.Customers = []demand.CustomerRate{{Customer: 1, Arrived: 90}, {Customer: 2, Arrived: 15}}
 	totals.RestArrived = 45
-	s := newShares(DefaultSettings(), 100, totals)
+	s := newShares(usualSettings, 100, totals)
 	for rank := range demand.Ranks {
 		for _, customer := range []demand.CustomerHash{2, 3} {
 			got, asked := s.of(rank, customer)
@@ -221,3 +221,32 @@
 	assert.Check(t, math.Abs(mean-plainMean) < 0.5)
 	assert.Check(t, variance < 0.8*plainVariance)
 }
+
+func TestABurstBelowTheCapacityBeginsNoLimit(t *testing.T) {
+	// Guards: a burst makes many answers late at two thirds of what the upstreams complete, and a
+	// limit at the rate of before refuses requests that could be answered in time.
+	const slots, work = 18, 0.033
+	burst := totalsOf(9, 390, 390, 230, 160)
+	l := New(usualSettings)
+	now, changes := observe(l, modelStart, 3*time.Second, totalsOf(9, 390, 390, 390, 0), Capacity{slots, 12}, 0)
+	assert.Equal(t, len(changes), 0)
+	_, changes = observe(l, now, 500*time.Millisecond, burst, Capacity{slots, 44}, 0)
+	assert.Equal(t, len(changes), 0, "limited at %.0f of %.0f", 390.0, slots/work)
+
+	// The same answers at a demand that fills the slots all the time are a lack of capacity.
+	l = New(usualSettings)
+	_, changes = observe(l, modelStart, 3*time.Second, totalsOf(9, 600, 540, 300, 240), Capacity{slots, 44}, 0)
+	assert.Assert(t, len(changes) > 0 && changes[0].Limited)
+}
+
+func TestTheFiguresOfARequestAreReadWithoutCountingIt(t *testing.T) {
+	// Guards: looking at the figures, as operators do, changes what is admitted next.
+	l, now := limited(t, 9)
+	looked, _ := limited(t, 9)
+	for n := range 200 {
+		at, request := now+time.Duration(n)*time.Millisecond, Request{Rank: n % 3}
+		looked.Inspect(request)
+		looked.CustomerShare(1)
+		assert.Equal(t, looked.Admit(at, 0.5, request), l.Admit(at, 0.5, request))
+	}
+}
--- a/coordination/ratelimit/model_test.go
+++ b/coordination/ratelimit/model_test.go
@@ -201,7 +201,7 @@
 }
 
 func (m *model) newRouter(at time.Duration) *modelRouter {
-	return &modelRouter{limiter: New(DefaultSettings()), schedule: retryschedule.NewSchedule(retryschedule.Settings{Reserve: DefaultSettings().Reserve}), flight: make([]int, len(m.servers)), constrainedAt: -time.Hour, startedAt: at, own: counts{at: at}}
+	return &modelRouter{limiter: New(usualSettings), schedule: retryschedule.NewSchedule(retryschedule.Settings{Reserve: usualSettings.Reserve}), flight: make([]int, len(m.servers)), constrainedAt: -time.Hour, startedAt: at, own: counts{at: at}}
 }
 
 // interval is the time between two reports of a router.
@@ -364,8 +364,8 @@
 	r := m.routers[a.router]
 	m.digest++
 	capacity := retryschedule.Capacity{
-		Limit: r.limiter.Limit(modelStart + at),
-		Part:  sum(m.ownCounts(at, r).arrived) / max(sum(r.limiter.totals.Arrived), 1),
+		Limit: r.limiter.Limit(),
+		Part:  demand.Sum(m.ownCounts(at, r).arrived) / max(demand.Sum(r.limiter.totals.Arrived), 1),
 		Known: retryschedule.KnownAfter(m.interval(), m.fleet.routers >= 100),
 	}
 	refused := retryschedule.Refused{Digest: m.digest, Rank: a.rank, Objective: m.objective, Remaining: remaining}
--- a/coordination/ratelimit/pace.go
+++ b/coordination/ratelimit/pace.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"endiveplank/coordination/demand"
 )
 
 const (
@@ -40,10 +42,10 @@
 	if passed <= 0 {
 		return
 	}
-	keep := math.Exp(-float64(passed) / float64(countTimeConstant))
+	keep := math.Exp(-float64(passed) / float64(demand.TimeConstant))
 	if p.mean > 0 {
 		part := p.probability / p.mean * mean
-		p.credit = min(p.credit+p.arrived*part*(1-keep)*countTimeConstant.Seconds(), paceDepth)
+		p.credit = min(p.credit+p.arrived*part*(1-keep)*demand.TimeConstant.Seconds(), paceDepth)
 	}
 	p.arrived, p.probability, p.mean = p.arrived*keep, p.probability*keep, p.mean*keep
 }
--- a/coordination/ratelimit/servers_test.go
+++ b/coordination/ratelimit/servers_test.go
@@ -148,7 +148,7 @@
 	c.add(&r.own, 1/(1-math.Exp(-max((at-r.startedAt).Seconds(), 0.2))))
 	c.inFlight, c.routers, c.at = inFlight(r), 1, at
 	c.limit, c.limited = 0, 0
-	if limit := r.limiter.Limit(modelStart + at); limit > 0 {
+	if limit := r.limiter.Limit(); limit > 0 {
 		c.limit, c.limited = limit, 1
 	}
 	return c
@@ -176,7 +176,7 @@
 		}
 	}
 	r.limiter.Observe(modelStart+at, m.totals(c), capacity, reported)
-	if r.limiter.Limit(modelStart+at) > 0 {
+	if r.limiter.Limit() > 0 {
 		r.constrainedAt = at
 		if m.firstLimit == 0 && at > troubleFrom {
 			m.firstLimit = at
--- a/coordination/ratelimit/shares.go
+++ b/coordination/ratelimit/shares.go
@@ -50,10 +50,7 @@
 
 // newShares divides a limit.
 func newShares(settings Settings, limit float64, totals demand.Totals) shares {
-	s := shares{customers: map[demand.CustomerHash]float64{}}
-	for _, arrived := range totals.Arrived {
-		s.sum += arrived
-	}
+	s := shares{customers: map[demand.CustomerHash]float64{}, sum: demand.Sum(totals.Arrived)}
 	for _, c := range totals.Customers {
 		s.customers[c.Customer] += c.Arrived
 	}
--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -99,7 +99,7 @@
 	if a == nil || a.services[service] == nil {
 		return 0
 	}
-	return a.services[service].limiter.Limit(now)
+	return a.services[service].limiter.Limit()
 }
 
 // retryCapacity returns the capacity for retries of a service.
@@ -164,13 +164,13 @@
 func (r *Router) observeService(now time.Duration, name protocol.Service) {
 	a, s := r.admission, r.admission.service(name)
 	totals := a.counter.Fleet(now, name)
-	s.demandAboveLast = arrivals(totals) - totals.Arrived[demand.Ranks-1]
+	s.demandAboveLast = demand.Sum(totals.Arrived) - totals.Arrived[demand.Ranks-1]
 	s.part, s.short = partOf(a.counter.Own(now, name), totals), a.counter.IsConstrained(now, name)
 	change, changed := s.limiter.Observe(now, totals, r.rateCapacity(name), a.counter.ReportedLimit(now, name))
 	if changed {
 		s.change, s.unlogged = change, true
 	}
-	limit := s.limiter.Limit(now)
+	limit := s.limiter.Limit()
 	a.counter.SetLimit(name, limit)
 	if limit > 0 {
 		a.counter.NoteConstrained(now, name)
@@ -181,20 +181,11 @@
 
 // partOf returns a router's part of the arrivals at all routers, from 0 to 1.
 func partOf(own, all demand.Totals) float64 {
-	sum := arrivals(all)
+	sum := demand.Sum(all.Arrived)
 	if sum == 0 {
 		return 0
 	}
-	return min(arrivals(own)/sum, 1)
-}
-
-// arrivals returns the first attempts a second of all ranks.
-func arrivals(totals demand.Totals) float64 {
-	sum := 0.0
-	for _, arrived := range totals.Arrived {
-		sum += arrived
-	}
-	return sum
+	return min(demand.Sum(own.Arrived)/sum, 1)
 }
 
 // rateCapacity returns what a service's upstreams announce, and their load. The lock is held.
--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -222,6 +222,33 @@
 	r.kill()
 }
 
+func TestCallersThatComeBackWithoutAReservationAreTheLeastUrgent(t *testing.T) {
+	// Guards: a refused caller comes back too late to be answered in time, and takes the place of a
+	// new request that could be; or a request without a body is taken for another caller's.
+	r := startChoosing(t, direct.Admission{Enabled: true, Floor: 0.3})
+	r.stopTicking()
+	totals := demand.Totals{Routers: 1, Arrived: [demand.Ranks]float64{0, 0, 1000, 1000}}
+	_, changed := r.router.admission.service("s").limiter.Observe(stoppedAt+time.Minute, totals, ratelimit.Capacity{Slots: 72, InFlight: 72}, 1)
+	assert.Assert(t, changed)
+	refusedAs := func(digest uint64, hasBody bool) int {
+		job := forward.Job{
+			Service: "s", Route: &r.router.Table().Table().Routes[1], Priority: 2, Remaining: 3 * time.Second, Digest: digest, HasBody: hasBody,
+		}
+		choice := r.router.Choose(t.Context(), job)
+		for ; choice.ID != ""; choice = r.router.Choose(t.Context(), job) {
+			r.router.AttemptEnded(job, choice, balance.Served)
+		}
+		offer, _ := r.router.ScheduleRetry(job)
+		assert.Assert(t, !offer.Reserved)
+		return choice.RateLimited.Rank
+	}
+	assert.Equal(t, refusedAs(1, true), 2)
+	assert.Equal(t, refusedAs(1, true), demand.Ranks-1)
+	assert.Equal(t, refusedAs(2, false), 2)
+	assert.Equal(t, refusedAs(2, false), 2)
+	r.kill()
+}
+
 func TestACustomerThatSendsTooMuchIsRefusedAlone(t *testing.T) {
 	// Guards: one customer sends six times its usual rate, and others, which would fit without it, are
 	// refused or late because of it.
--- a/daemon/router/admissionview.go
+++ b/daemon/router/admissionview.go
@@ -66,7 +66,7 @@
 	at := r.balancer.Capacity(name)
 	view := admissionview.Service{
 		Service: string(name), Short: a.counter.IsConstrained(now, name), Routers: totals.Routers,
-		Slots: at.Slots, InFlight: at.InFlight, Limit: s.limiter.Limit(now), InTime: totals.InTime, Late: totals.Late,
+		Slots: at.Slots, InFlight: at.InFlight, Limit: s.limiter.Limit(), InTime: totals.InTime, Late: totals.Late,
 		RestCustomers: totals.RestCustomers, RestArrived: totals.RestArrived, Customers: []admissionview.Customer{},
 		Due: make([]int, dueSeconds),
 	}
@@ -81,7 +81,7 @@
 		view.Free = max(view.Limit-admitted, 0)
 	}
 	for _, rate := range totals.Customers {
-		view.Customers = append(view.Customers, customerView(now, s.limiter, rate, names))
+		view.Customers = append(view.Customers, customerView(s.limiter, rate, names))
 	}
 	for i := range view.Due {
 		view.Due[i] = s.offered[int64(now/time.Second)+int64(i)]
@@ -94,9 +94,7 @@
 const noCustomer = "(no customer)"
 
 // customerView returns the demand of a customer.
-func customerView(
-	now time.Duration, limiter *ratelimit.Limiter, rate demand.CustomerRate, names customersByHash,
-) admissionview.Customer {
+func customerView(limiter *ratelimit.Limiter, rate demand.CustomerRate, names customersByHash) admissionview.Customer {
 	name, known := names[rate.Customer]
 	view := admissionview.Customer{
 		Customer: string(name), Arrived: rate.Arrived, Admitted: rate.Admitted,
@@ -105,27 +103,15 @@
 	switch {
 	case !known:
 		view.Customer = fmt.Sprintf("#%08x", uint32(rate.Customer))
-		return view
 	case name == "":
 		view.Customer = noCustomer
 	}
-	if limiter.Limit(now) > 0 {
-		view.Share = min(shareOf(now, limiter, name), rate.Arrived)
+	if limiter.Limit() > 0 {
+		view.Share = min(limiter.CustomerShare(rate.Customer), rate.Arrived)
 	}
 	return view
 }
 
-// shareOf returns how many requests a second of a customer are admitted by the limit in force, of all
-// ranks.
-func shareOf(now time.Duration, limiter *ratelimit.Limiter, customer protocol.CustomerID) float64 {
-	share := 0.0
-	for rank := range demand.Ranks {
-		decision := inspect(now, limiter, ratelimit.Request{Rank: rank, Customer: customer})
-		share += min(decision.Share, decision.Demand)
-	}
-	return share
-}
-
 // reportedView returns what the upstreams of a service report, nil if that isn't used.
 func (a *admission) reportedView(now time.Duration, service protocol.Service) *admissionview.Reported {
 	if a.reports == nil {
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -14,7 +14,7 @@
 )
 
 // rankOf returns the rank by which a request is counted.
-func rankOf(job forward.Job) int { return min(max(job.Priority, 0), demand.Ranks-1) }
+func rankOf(job forward.Job) int { return demand.RankOf(job.Priority) }
 
 // admitByRate counts the first attempt of a request, and returns the rank that it counts for and by
 // which figures it is refused for the rate limit of its service, nil if it isn't. A stream that a
@@ -37,19 +37,9 @@
 	if job.TakenUp || a.limit(now, job.Service) == 0 {
 		return rank, nil
 	}
-	request := ratelimit.Request{
-		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
-	}
-	limiter, cause := a.service(job.Service).limiter, balance.CauseEarly
-	var decision ratelimit.Decision
-	if match == retryschedule.Early {
-		decision = inspect(now, limiter, request)
-	} else {
-		decision = limiter.Admit(now, r.random.Float64(), request)
-		cause = balance.RateCause(decision.Reason)
-	}
-	if decision.Admitted && cause != balance.CauseEarly {
-		r.metrics.countReservationKept(request.Reserved)
+	decision, cause := r.decideByRate(now, job, rank, match)
+	if cause == "" {
+		r.metrics.countReservationKept(match == retryschedule.Due)
 		return rank, nil
 	}
 	r.metrics.countRateRefusal(rank)
@@ -69,11 +59,31 @@
 	return match
 }
 
-// inspect returns the figures of a decision about a request that isn't admitted by it. The limiter
-// counts what it admits, so a copy of it decides.
-func inspect(now time.Duration, limiter *ratelimit.Limiter, request ratelimit.Request) ratelimit.Decision {
-	unused := *limiter
-	return unused.Admit(now, 0, request)
+// decideByRate returns the decision about a request and why it is refused, "" if it is admitted. A
+// request that comes before its reservation is due is refused, and the limiter doesn't count it.
+func (r *Router) decideByRate(now time.Duration, job forward.Job, rank int, match retryschedule.Match) (ratelimit.Decision, balance.RateCause) {
+	limiter := r.admission.service(job.Service).limiter
+	request := ratelimit.Request{
+		Rank: rank, Customer: job.Customer, Remaining: job.Remaining, Reserved: match == retryschedule.Due,
+	}
+	if match == retryschedule.Early {
+		return limiter.Inspect(request), balance.CauseEarly
+	}
+	decision := limiter.Admit(now, r.random.Float64(), request)
+	return decision, causeOf(decision)
+}
+
+// causeOf returns why a decision refuses a request, "" if it admits it.
+func causeOf(decision ratelimit.Decision) balance.RateCause {
+	switch {
+	case decision.Admitted:
+		return ""
+	case decision.Reason == ratelimit.ReasonTooLate:
+		return balance.CauseWait
+	case decision.Reason == ratelimit.ReasonOutlier:
+		return balance.CauseOutlier
+	}
+	return balance.CauseShare
 }
 
 // slowness returns how many times as long as usual work takes on an upstream by its own reports, nil
@@ -103,13 +113,12 @@
 	return own
 }
 
-// noteChoice counts a first attempt that was admitted, for a rank, and a request that found no
-// capacity. The lock is held.
-func (r *Router) noteChoice(now time.Duration, job forward.Job, first bool, rank int, choice balance.Choice) {
+// noteChoice counts a first attempt that was admitted, and a request that found no capacity. The lock is held.
+func (r *Router) noteChoice(now time.Duration, job forward.Job, choice balance.Choice) {
 	switch {
 	case r.admission == nil:
-	case first && choice.ID != "":
-		r.admission.counter.Admitted(now, job.Service, rank, job.Customer)
+	case choice.First && choice.ID != "":
+		r.admission.counter.Admitted(now, job.Service, choice.Rank, job.Customer)
 	case choice.Reason == balance.ReasonNoCapacity:
 		r.noteShort(now, job.Service)
 	}
@@ -126,11 +135,11 @@
 	}
 }
 
-// noteRejection takes back the admission of a first attempt that an upstream has rejected, in the
-// request's own rank; its customer's count keeps it. The lock is held.
-func (r *Router) noteRejection(now time.Duration, job forward.Job, head dialect.Answer) {
-	if r.admission != nil && job.Service != "" && head.NotRun && len(job.Tried) == 0 {
-		r.admission.counter.Rejected(now, job.Service, rankOf(job))
+// noteRejection takes back the admission of a first attempt that an upstream has rejected. The lock is
+// held.
+func (r *Router) noteRejection(now time.Duration, job forward.Job, choice balance.Choice, head dialect.Answer) {
+	if r.admission != nil && choice.First && head.NotRun {
+		r.admission.counter.Rejected(now, job.Service, choice.Rank, job.Customer)
 	}
 }
 
--- a/daemon/router/fleet.go
+++ b/daemon/router/fleet.go
@@ -77,7 +77,8 @@
 	if first && choice.ID != "" {
 		r.limiter(job.Service).Admitted(now)
 	}
-	r.noteChoice(now, job, first, rank, choice)
+	choice.First, choice.Rank = first, rank
+	r.noteChoice(now, job, choice)
 	return choice
 }
 
@@ -158,7 +159,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.noteFragility(now, choice, head)
-	r.noteRejection(now, job, head)
+	r.noteRejection(now, job, choice, head)
 	r.noteReportedLoad(now, job, choice, head, took)
 	if head.RetryAfter <= 0 && !head.Leaving {
 		return
--- a/daemon/router/metrics.go
+++ b/daemon/router/metrics.go
@@ -173,7 +173,7 @@
 		return
 	}
 	for service, s := range r.admission.services {
-		r.metrics.set("admission_limit."+string(service), int64(s.limiter.Limit(r.now())))
+		r.metrics.set("admission_limit."+string(service), int64(s.limiter.Limit()))
 	}
 }
 
