--- a/coordination/ratelimit/limiter_test.go
+++ b/coordination/ratelimit/limiter_test.go
@@ -94,7 +94,7 @@
 	now, _ = observe(l, now, 200*time.Millisecond, totalsOf(20, 80, 40, 36, 4), Capacity{10, 10}, 100)
 	now, _ = observe(l, now, 200*time.Millisecond, totalsOf(1, 4, 2, 2, 0), Capacity{10, 1}, 0)
 	assert.Check(t, math.Abs(l.allowed()/4-part) < 0.15, "admits %.2f of its demand, %.2f before", l.allowed()/4, part)
-	now, _ = observe(l, now, time.Second, totalsOf(50, 200, 100, 90, 10), Capacity{10, 12}, 100)
+	_, _ = observe(l, now, time.Second, totalsOf(50, 200, 100, 90, 10), Capacity{10, 12}, 100)
 	assert.Check(t, math.Abs(l.Limit()-100) < 25, "limit %.0f after it is back", l.Limit())
 }
 
@@ -116,7 +116,7 @@
 func TestTheLimitStaysAboveWhatIsInTime(t *testing.T) {
 	// Guards: a limit is cut below what the upstreams answer in time.
 	l, now := limited(t, 9)
-	now, _ = observe(l, now, 10*time.Second, totalsOf(9, 200, 95, 80, 15), Capacity{10, 100}, 0)
+	_, _ = observe(l, now, 10*time.Second, totalsOf(9, 200, 95, 80, 15), Capacity{10, 100}, 0)
 	assert.Check(t, l.Limit() >= inTimePart*80, "limit %.0f", l.Limit())
 }
 
