Rate limit: counts that join or leave the sums are no change of the demand

Cause: the demand of a rank is judged by its rate and the change of it in the last half second. When the first reports of two other routers joined the sums, the rate tripled, and the change was taken for a surge: a demand of 320 requests a second where 160 were sent. Ranks got too small shares for half a second, slots stayed free, the limit rose to 188 with a capacity of 100, and came down over two seconds, in which urgent requests were refused as all others.

Ruled out: queues of the upstreams (no answer was late), isolation, a limit that ended in between (the log has one begin and no end).

Change: a trend is used only between measurements of the same number of routers.

Red test: TestRoutersThatJoinOrLeaveTheSumsAreNoChangeOfTheDemand (1194 of 600, 56 of 133, 40 of 100 before).

--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -168,20 +168,23 @@
 	latest float64
 }
 
-// measurement is a rate at a time.
+// measurement is a rate at a time, summed over a number of routers.
 type measurement struct {
-	rate float64
-	at   time.Duration
+	rate    float64
+	at      time.Duration
+	routers int
 }
 
-// observe takes the decaying rate and returns an estimate of the latest rate. It differs from the
-// decaying one only as far as their difference is statistically significant.
-func (t *trend) observe(now time.Duration, rate float64) float64 {
+// observe takes the decaying rate, summed over a number of routers, and returns an estimate of the
+// latest rate. It differs from the decaying one only as far as their difference is statistically
+// significant, and not while the measurements are of different numbers of routers: what joins or
+// leaves the sum is no change of the rate.
+func (t *trend) observe(now time.Duration, rate float64, routers int) float64 {
 	oldest := t.before[0]
-	t.before = [2]measurement{t.before[1], {rate, now}}
+	t.before = [2]measurement{t.before[1], {rate, now, routers}}
 	t.latest = rate
 	keep := math.Exp(-float64(now-oldest.at) / float64(demand.TimeConstant))
-	if oldest.rate == 0 || rate == 0 || keep > maxTrendKeep {
+	if oldest.routers != routers || oldest.rate == 0 || rate == 0 || keep > maxTrendKeep {
 		return rate
 	}
 	t.latest = max(rate-keep*oldest.rate, 0) / (1 - keep)
@@ -219,14 +222,14 @@
 func (l *Limiter) observeDemand(now time.Duration) {
 	l.arrived = 0
 	for rank, arrived := range l.totals.Arrived {
-		latest := l.trends[rank].observe(now, arrived)
+		latest := l.trends[rank].observe(now, arrived, l.totals.Routers)
 		l.trendFactor[rank] = 1
 		if arrived > 0 {
 			l.trendFactor[rank] = latest / arrived
 		}
 		l.arrived += latest
 	}
-	l.admitted.observe(now, demand.Sum(l.totals.Admitted))
+	l.admitted.observe(now, demand.Sum(l.totals.Admitted), l.totals.Routers)
 }
 
 // answers separates the answers since the last decision from the decaying rates.
--- a/coordination/ratelimit/limiter_test.go
+++ b/coordination/ratelimit/limiter_test.go
@@ -131,6 +131,33 @@
 	assert.Equal(t, m.seconds[17].refused, 0.0)
 }
 
+func TestRoutersThatJoinOrLeaveTheSumsAreNoChangeOfTheDemand(t *testing.T) {
+	// Guards: the counts of other routers join the sums, that is taken for a surge, and less than the
+	// upstreams can do is admitted; or they leave, and urgent requests don't get what they ask for.
+	for name, test := range map[string]struct{ before, after int }{
+		"the first reports arrive": {1, 3},
+		"a router is started":      {28, 29},
+		"a router is killed":       {3, 2},
+		"half of them are cut off": {30, 15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := limited(t, test.before)
+			of := func(routers int) demand.Totals {
+				n := float64(routers) / float64(test.before)
+				return totalsOf(routers, 200*n, 100*n, 90*n, 10*n)
+			}
+			now, _ = observe(l, now, 2*time.Second, of(test.before), Capacity{10, 10}, 0)
+			joined := of(test.after)
+			asked := demand.Sum(joined.Arrived)
+			for range 40 {
+				now, _ = observe(l, now, tick, joined, Capacity{10, 10}, 0)
+				latest := demand.Sum(l.latest().Arrived)
+				assert.Assert(t, math.Abs(latest/asked-1) < 0.1, "%.0f, %.0f are asked for", latest, asked)
+			}
+		})
+	}
+}
+
 func TestRanksAreServedInOrderAboveTheirFloors(t *testing.T) {
 	// Guards: urgent requests are refused with others, or the least urgent get nothing.
 	s := newShares(usualSettings, 100, totalsOf(9, 400, 0, 0, 0))
