Balance: upstreams without a path are used while the others are at the load limit

Ruled out: proxies that refuse (few proxied attempts at all); another rate limit or share than the others have (shares alike within a tenth at the same times).

Change: if too few of the reachable upstreams are below the load limit, the others are candidates too; requests to them go through a proxy.

Red test: TestUnreachableUpstreamsAreUsedWhileTheOthersHaveNoCapacity (refused before).

--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -208,6 +208,18 @@
 	if limit <= 0 {
 		return c.any()
 	}
+	enough = c.setLimit(limit)
+	if !enough && c.reachableOnly {
+		// Other routers may reach those that this one can't open connections to.
+		c.reachableOnly = false
+		enough = c.setLimit(limit)
+	}
+	return enough
+}
+
+// setLimit leaves out upstreams whose load has reached a limit, and reports whether enough are left.
+func (c *candidates) setLimit(limit int) bool {
+	c.limit = 0
 	before := c.count()
 	c.limit = limit
 	left := c.count()
--- a/coordination/balance/reach_test.go
+++ b/coordination/balance/reach_test.go
@@ -46,6 +46,27 @@
 	assert.Equal(t, b.poolOf("s").unreachable, 1)
 }
 
+func TestUnreachableUpstreamsAreUsedWhileTheOthersHaveNoCapacity(t *testing.T) {
+	// Guards: a router that can't reach one of two upstreams refuses requests while the other one is at
+	// the load limit, although other routers could send them to the idle one.
+	b := newBalancer(2)
+	b.SetReachable("u01", false)
+	limited := plain()
+	limited.LoadLimit = 3
+	for range 3 {
+		choice := b.Pick(now, seeded(), limited)
+		assert.Equal(t, choice.ID, protocol.UpstreamID("u00"))
+		b.Started(choice.ID)
+	}
+	for range 3 {
+		choice := b.Pick(now, seeded(), limited)
+		assert.Equal(t, choice.ID, protocol.UpstreamID("u01"))
+		assert.Assert(t, choice.NeedsProxy)
+		b.Started(choice.ID)
+	}
+	assert.Equal(t, b.Pick(now, seeded(), limited).Reason, ReasonNoCapacity)
+}
+
 func TestIsolatedRouterChoosesAsBefore(t *testing.T) {
 	// Guards: an isolated router sends prompts to other engines than those that have them cached.
 	b := newBalancer(12)
