Admission: no router's own load limit is below what the rate limit allows

With lost paths and surges alone, a router refused all requests for three seconds: its own load limit was 4, the upstreams' mean load 5 to 9, while the others had limits of 12 to 18 and kept them there. A router without answers learns no other limit.

Cause: each router learns its load limit from its own late answers, while the rate limit, learned from the counts of all, regulates the load of all upstreams to several requests a slot. A router whose own limit is below that load gets nothing through.

Ruled out: its share of the rate limit (as large as the others'), proxies, lost reports (it knew their loads).

Change: while a rate limit is in force, the load limit is at least the load that it allows, on upstreams of the fewest slots that any of them announces. Without a rate limit nothing changes.

Red test: TestARouterWithALowLoadLimitOfItsOwnGetsItsPartOfARateLimit (no-room at limit 4 before).

--- a/coordination/balance/capacity.go
+++ b/coordination/balance/capacity.go
@@ -11,6 +11,24 @@
 	InFlight int
 }
 
+// LeastSlots returns the least number of slots that any of a service's upstreams announces, of those
+// that accept requests and aren't evacuated. It is 0 if one of them announces none.
+func (b *Balancer) LeastSlots(service protocol.Service) int {
+	least := 0
+	for _, u := range b.poolOf(service).ready {
+		if b.evacuated[u.entry.DataCentre] {
+			continue
+		}
+		if u.entry.Slots == 0 {
+			return 0
+		}
+		if least == 0 || u.entry.Slots < least {
+			least = u.entry.Slots
+		}
+	}
+	return least
+}
+
 // Capacity returns the capacity of a service's upstreams that accept requests and aren't
 // evacuated.
 func (b *Balancer) Capacity(service protocol.Service) Capacity {
--- a/coordination/balance/capacity_test.go
+++ b/coordination/balance/capacity_test.go
@@ -33,15 +33,19 @@
 			b.Started(id)
 		}
 		b.SetEvacuated([]protocol.DataCentre{protocol.DataCentre(rune('x' + random.IntN(3)))})
-		want := Capacity{}
+		want, least := Capacity{}, 0
 		for id, e := range entries {
 			if e.State == roster.Ready && !b.evacuated[e.DataCentre] {
 				load, _ := b.Load(id)
 				want.Slots += e.Slots
 				want.InFlight += load
+				if least == 0 || e.Slots < least {
+					least = e.Slots
+				}
 			}
 		}
 		assert.Equal(t, b.Capacity("s"), want)
+		assert.Equal(t, b.LeastSlots("s"), least)
 	}
 }
 
@@ -52,6 +56,7 @@
 		{ID: "u1", Service: "s", State: roster.Ready, Slots: 6}, {ID: "u2", Service: "s", State: roster.Ready},
 	})
 	assert.Equal(t, b.Capacity("s").Slots, 0)
+	assert.Equal(t, b.LeastSlots("s"), 0)
 	b.ApplyLoadReport(time.Second, "r2", LoadReport{Upstreams: []UpstreamLoad{{ID: ShortIDOf("u1"), InFlight: 3}}})
 	assert.Equal(t, b.Capacity("s").InFlight, 3)
 	b.SetRoster([]roster.Entry{{ID: "u1", Service: "s", State: roster.Ready, Slots: 6}})
--- a/coordination/loadlimit/limiter.go
+++ b/coordination/loadlimit/limiter.go
@@ -29,8 +29,12 @@
 }
 
 // AdmittedLimit returns the load from which on upstreams don't get a request that is within its
-// customer's share of a rate limit that all routers keep together. It counts no request.
-func (l *Limiter) AdmittedLimit(now time.Duration) int { return withHeadroom(l.curve.Limit(now)) }
+// customer's share of a rate limit that all routers keep together. It counts no request. allowed is
+// the load that the rate limit allows, 0 if that isn't known. A router whose own limit is lower would
+// get no requests through while the others keep the upstreams above it, and so learn no higher one.
+func (l *Limiter) AdmittedLimit(now time.Duration, allowed int) int {
+	return withHeadroom(max(l.curve.Limit(now), allowed))
+}
 
 // Admitted records that a request got an upstream.
 func (l *Limiter) Admitted(now time.Duration) { l.shares.Admitted(now) }
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -90,6 +90,15 @@
 // what other routers are told; the correction for the requests in flight isn't in it.
 func (l *Limiter) Limit() float64 { return l.perSlot * float64(l.capacity.Slots) }
 
+// AllowedLoad returns how many requests may be in flight for each slot, 0 if there is no limit or the
+// counts of the other routers aren't known.
+func (l *Limiter) AllowedLoad() float64 {
+	if l.perSlot == 0 || l.membership.alone {
+		return 0
+	}
+	return l.allowedLoad
+}
+
 // allowed returns how many requests a second are admitted by all routers together.
 func (l *Limiter) allowed() float64 {
 	return l.perSlot * float64(l.capacity.Slots) * (1 + l.correction())
--- a/daemon/router/admission.go
+++ b/daemon/router/admission.go
@@ -52,6 +52,9 @@
 	// requests that come back without a reservation count as the last rank, so new requests of that
 	// rank are left out with them.
 	demandAboveLast float64
+	// allowedLoad is the load of an upstream that the rate limit allowed at the last tick, 0 if there was
+	// none or it isn't known.
+	allowedLoad int
 	// short says whether any router saw the service short of capacity at the last tick.
 	short bool
 	// offered counts this router's reservations by the second, since the start, in which they are due.
@@ -171,6 +174,7 @@
 		s.change, s.unlogged = change, true
 	}
 	limit := s.limiter.Limit()
+	s.noteAllowedLoad(r.balancer.LeastSlots(name))
 	a.counter.SetLimit(name, limit)
 	if limit > 0 {
 		a.counter.NoteConstrained(now, name)
@@ -179,6 +183,11 @@
 	r.logRateLimit(now, name, s)
 }
 
+// noteAllowedLoad takes the load that the rate limit allows on upstreams of at least so many slots.
+func (s *limitedService) noteAllowedLoad(slots int) {
+	s.allowedLoad = int(math.Ceil(s.limiter.AllowedLoad() * float64(slots)))
+}
+
 // partOf returns a router's part of the arrivals at all routers, from 0 to 1.
 func partOf(own, all demand.Totals) float64 {
 	sum := demand.Sum(all.Arrived)
--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -222,6 +222,36 @@
 	r.kill()
 }
 
+func TestARouterWithALowLoadLimitOfItsOwnGetsItsPartOfARateLimit(t *testing.T) {
+	// Guards: a router has seen late answers at a low load, the others keep the upstreams above it while
+	// a rate limit is in force, and it refuses all requests for seconds.
+	r := startChoosing(t, direct.Admission{Enabled: true, Floor: 0.3})
+	r.stopTicking()
+	limited := demand.Totals{Routers: 3, Arrived: [demand.Ranks]float64{1000, 0, 0, 0}}
+	const reported = 900.0
+	limiter := r.router.admission.service("s").limiter
+	_, changed := limiter.Observe(stoppedAt+time.Minute, limited, ratelimit.Capacity{Slots: 72, InFlight: 72}, reported)
+	assert.Assert(t, changed)
+	own := r.router.limiter("s")
+	for range 500 {
+		own.Record(stoppedAt, 4, false)
+		own.Record(stoppedAt, 1, true)
+	}
+	assert.Assert(t, own.Limit(stoppedAt) <= 4, "%d", own.Limit(stoppedAt))
+	r.router.mu.Lock()
+	defer r.router.mu.Unlock()
+	r.router.admission.service("s").noteAllowedLoad(r.router.balancer.LeastSlots("s"))
+	for _, id := range []protocol.UpstreamID{"u0", "u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8", "u9", "u10", "u11"} {
+		for range 8 {
+			r.router.balancer.Started(id)
+		}
+	}
+	job := forward.Job{Service: "s", Route: &r.router.Table().Table().Routes[1], Remaining: 3 * time.Second}
+	limit := r.router.loadLimit(stoppedAt, job, true)
+	choice := r.router.balancer.Pick(stoppedAt, r.router.random, balance.Request{Service: "s", LoadLimit: limit})
+	assert.Assert(t, choice.ID != "", "%s, limit %d", choice.Reason, limit)
+}
+
 func TestCallersThatComeBackWithoutAReservationAreTheLeastUrgent(t *testing.T) {
 	// Guards: a refused caller comes back too late to be answered in time, and takes the place of a
 	// new request that could be; or a request without a body is taken for another caller's.
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -108,7 +108,7 @@
 	// Arrived also counts the request, so it is called even where its result isn't used.
 	own := limit(now, job.Customer)
 	if r.admission.limit(now, job.Service) > 0 {
-		return limiter.AdmittedLimit(now)
+		return limiter.AdmittedLimit(now, r.admission.services[job.Service].allowedLoad)
 	}
 	return own
 }
