Admission: load limits of single requests are spread while a rate limit is in force

Cause: with one limit for all requests of a router, a small difference between the routers' limits decides who gets all of an upstream's free places. Both routers had the same share of the rate limit.

Ruled out: proxies and lost paths (the router that was served had no path either).

Change: each request's load limit is drawn within a quarter around the service's, if a rate limit is in force. Without one nothing changes.

--- a/daemon/router/admission_test.go
+++ b/daemon/router/admission_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/demand"
+	"endiveplank/coordination/loadlimit"
 	"endiveplank/coordination/ratelimit"
 	"endiveplank/protocol"
 	"endiveplank/settings/direct"
@@ -252,6 +255,24 @@
 	assert.Assert(t, choice.ID != "", "%s, limit %d", choice.Reason, limit)
 }
 
+func TestLoadLimitsOfRequestsAreSpread(t *testing.T) {
+	// Guards: the others' limit is a little higher, they keep the upstreams' load there, and a router gets
+	// no request through; or the spread changes the mean of the limits.
+	random, sum, aboveOthers := rand.New(rand.NewPCG(1, 2)), 0, 0
+	const limit, othersLimit, draws = 15, 17, 10_000
+	for range draws {
+		drawn := spread(limit, random.Float64())
+		sum += drawn
+		if drawn > othersLimit {
+			aboveOthers++
+		}
+	}
+	assert.Assert(t, aboveOthers > draws/10, "%d", aboveOthers)
+	assert.Assert(t, math.Abs(float64(sum)/draws-limit) < 0.1)
+	assert.Equal(t, spread(loadlimit.Unlimited, 0.5), loadlimit.Unlimited)
+	assert.Equal(t, spread(1, 0), 1)
+}
+
 func TestCallersThatComeBackWithoutAReservationAreTheLeastUrgent(t *testing.T) {
 	// Guards: a refused caller comes back too late to be answered in time, and takes the place of a
 	// new request that could be; or a request without a body is taken for another caller's.
--- a/daemon/router/admit.go
+++ b/daemon/router/admit.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"endiveplank/coordination/balance"
 	"endiveplank/coordination/capacity"
 	"endiveplank/coordination/demand"
+	"endiveplank/coordination/loadlimit"
 	"endiveplank/coordination/ratelimit"
 	"endiveplank/coordination/retryschedule"
 	"endiveplank/protocol"
@@ -98,7 +100,7 @@
 
 // loadLimit returns the load from which on upstreams don't get a request that was never sent. While
 // a rate limit is in force it has its headroom for all requests, as customers' shares are judged
-// over all routers. The lock is held.
+// over all routers, and it is spread. The lock is held.
 func (r *Router) loadLimit(now time.Duration, job forward.Job, first bool) int {
 	limiter := r.limiter(job.Service)
 	limit := limiter.LimitFor
@@ -108,7 +110,7 @@
 	// Arrived also counts the request, so it is called even where its result isn't used.
 	own := limit(now, job.Customer)
 	if r.admission.limit(now, job.Service) > 0 {
-		return limiter.AdmittedLimit(now, r.admission.services[job.Service].allowedLoad)
+		return spread(limiter.AdmittedLimit(now, r.admission.services[job.Service].allowedLoad), r.random.Float64())
 	}
 	return own
 }
@@ -192,3 +194,15 @@
 	}
 	return forward.RetryOffer{After: offer.RetryAfter, Reserved: offer.Reserved}, true
 }
+
+// loadSpread is by what part of a load limit the limits of single requests differ from it at most.
+const loadSpread = 0.25
+
+// spread returns the load limit of a request, which is drawn around the service's. With the same limit
+// for all requests, routers whose limit is a little lower than the others' would get none through.
+func spread(limit int, random float64) int {
+	if limit == loadlimit.Unlimited {
+		return limit
+	}
+	return max(1, int(math.Round(float64(limit)*(1+loadSpread*(2*random-1)))))
+}
