Balance: upstreams that all failed together are tried again once one of them serves

Cause: an upstream that fails often gets no requests until its failures have decayed, or it has served enough. While all fail, requests go to all of them. The first ones to serve again are the only ones that don't fail often, and get all requests; the others get none, so that their failures count until they have decayed: after some thirty failures that takes five seconds.

Change: once an upstream serves again after all of its service failed often, the failures of the others are reduced to one. Two more eject them as before.

--- a/coordination/balance/candidates.go
+++ b/coordination/balance/candidates.go
@@ -70,6 +70,7 @@
 	}
 	c.reachableOnly = b.prefersReachable(c.pool)
 	if c.any() {
+		c.pool.endCommonFailure(now)
 		return c
 	}
 	if c.reachableOnly = false; c.any() || c.throttled {
@@ -78,12 +79,40 @@
 		return c
 	}
 	if c.class = untried; c.any() || !r.AllowTried {
+		c.noteCommonFailure()
 		return c
 	}
 	c.class = tried
 	return c
 }
 
+// noteCommonFailure records that all upstreams that may take a request which was never sent fail often.
+func (c *candidates) noteCommonFailure() {
+	if len(c.request.Tried) > 0 || !c.any() {
+		return
+	}
+	for u := range c.all() {
+		if !u.health.failsOften(c.now) {
+			return
+		}
+	}
+	c.pool.allFail = true
+}
+
+// endCommonFailure reduces the failures of all upstreams once one of them serves requests again after
+// all had failed: a failure that they had in common says little about those that haven't been tried
+// since. Otherwise the first ones to recover would get all requests for as long as the failures of the
+// others count, which without requests is some seconds.
+func (p *pool) endCommonFailure(now time.Duration) {
+	if !p.allFail {
+		return
+	}
+	p.allFail = false
+	for _, u := range p.ready {
+		u.health.forgive(now)
+	}
+}
+
 // countCold returns how many upstreams the request isn't admitted to.
 func (c *candidates) countCold() int {
 	if c.request.Admits == nil {
--- a/coordination/balance/health.go
+++ b/coordination/balance/health.go
@@ -51,6 +51,9 @@
 	// starts to fail requests as soon as they arrive, it has few in flight, looks idle,
 	// and would attract nearly all requests.
 	maxFailureRate = 0.4
+	// forgivenFailures is what is left of the failures of an upstream after all of its service failed:
+	// two more eject it.
+	forgivenFailures = 1.0
 	// minBackoff is how long an upstream to which no router's connection could be made gets no
 	// request, until one request tries it again. It doubles up to maxBackoff.
 	minBackoff = 400 * time.Millisecond
@@ -127,6 +130,12 @@
 	return h.failed > maxFailureRate*(h.failed+h.served)
 }
 
+// forgive reduces the failures to what doesn't eject the upstream, and few more do.
+func (h *health) forgive(now time.Duration) {
+	h.decay(now)
+	h.failed = min(h.failed, forgivenFailures)
+}
+
 // negligibleFailures is the weighted number of failures below which an upstream counts as
 // one that hasn't failed.
 const negligibleFailures = 0.001
