--- a/coordination/throttle/fleet_test.go
+++ b/coordination/throttle/fleet_test.go
@@ -31,6 +31,8 @@
 	unlimited bool
 	// losesPaths says that the first router has no path to the servers between pathsLost and pathsBack.
 	losesPaths bool
+	// lowered says that the limits of the first router are cut to a tenth at pathsLost.
+	lowered bool
 }
 
 // The times of a fleetRun.
@@ -52,6 +54,7 @@
 	reports
 	told
 	expires
+	lowers
 )
 
 // fleetEvent is something that happens in a simulation.
@@ -115,6 +118,7 @@
 	}
 	m.events.Push(0, fleetEvent{kind: arrives})
 	m.events.Push(time.Second, fleetEvent{kind: expires})
+	m.events.Push(pathsLost, fleetEvent{kind: lowers})
 	for next, any := m.events.Next(); any && next < fleetEnd; next, any = m.events.Next() {
 		at, e := m.events.Pop()
 		m.step(at, e)
@@ -138,6 +142,13 @@
 		m.report(at, e.router)
 	case told:
 		m.throttles[e.router].Told(start+at, e.refusal)
+	case lowers:
+		for _, u := range m.throttles[0].upstreams {
+			if m.lowered {
+				u.limit = max(u.limit/10, minRate)
+				u.ceiling = u.limit
+			}
+		}
 	case expires:
 		for _, throttle := range m.throttles {
 			throttle.Expire(start+at, func(protocol.UpstreamID) (protocol.Service, bool) { return fragileServer, true })
--- a/coordination/throttle/fleetpaths_test.go
+++ b/coordination/throttle/fleetpaths_test.go
@@ -58,3 +58,22 @@
 		})
 	}
 }
+
+// Guards: routers raise and cut their limits by factors, so that one whose limits are low stays low for
+// as long as the overload lasts.
+func TestLowLimitsBecomeLikeThoseOfTheOthers(t *testing.T) {
+	for _, fleet := range overloadedFleets() {
+		t.Run(fmt.Sprintf("%d routers, %d servers, room %d", fleet.routers, fleet.servers, fleet.room), func(t *testing.T) {
+			fleet.lowered = true
+			var asked, served routerCounts
+			for seed := range uint64(3) {
+				m := fleet.play(seed)
+				assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "seed %d: %d servers fell over", seed, m.falls)
+				asked.add(m.paths.asked)
+				served.add(m.paths.served)
+			}
+			t.Logf("served %d of %d requests of the router, %d of %d of the others", served.lost, asked.lost, served.others, asked.others)
+			assert.Check(t, 3*served.lost*asked.others >= 2*served.others*asked.lost, "the router is served less than two thirds as often")
+		})
+	}
+}
