Soak: finding a connection's router takes no lock

Cause, by the stacks: the harness closes a proxy with its lock held, and the proxy waits for the connections that are being identified.

Change: an atomic flag for each router, and an atomic count.

--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -87,7 +88,7 @@
 	withoutPath map[*process]bool
 	servedBy    map[callersOf]served
 	// refusedLate counts connections of routers without a path that were closed too late.
-	refusedLate int
+	refusedLate atomic.Int64
 	// servedIn counts the same in slices of time.
 	servedIn map[servedSlice]served
 	// fragileUntil is until when desks are fragile. judgesOverload says that routers without a path
--- a/soak/paths_test.go
+++ b/soak/paths_test.go
@@ -52,22 +52,14 @@
 }
 
 // noteIdentified counts connections of routers without a path that aren't closed as soon as they must
-// be, which happens while the processors are busy.
+// be, which happens while the processors are busy. It takes no lock: a proxy is closed with the
+// harness locked, and waits for this.
 func (h *harness) noteIdentified(router *process, took time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.withoutPath[router] && took > refusedWithin {
-		h.refusedLate++
+	if router.withoutPath.Load() && took > refusedWithin {
+		h.refusedLate.Add(1)
 	}
 }
 
-// refusalsLate returns how many connections were closed too late.
-func (h *harness) refusalsLate() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.refusedLate
-}
-
 // requireSocketInode ends the test if the system doesn't tell the inodes of sockets: no router would
 // lose its paths then, and nothing would be judged.
 func requireSocketInode(t *testing.T) {
@@ -123,7 +115,7 @@
 	for _, n := range h.perm(routerCount)[:1+h.intN(routerCount-1)] {
 		cut[h.routers[n]] = true
 	}
-	refusedLate := h.refusalsLate()
+	refusedLate := h.refusedLate.Load()
 	h.setPaths(cut, h.intN(2) == 0)
 	time.Sleep(learnPathWithin)
 	from, before, surges := time.Now(), h.servedCounts(), h.surgeState()
@@ -136,7 +128,7 @@
 			return
 		}
 	}
-	if h.refusalsLate()-refusedLate > maxFailed {
+	if h.refusedLate.Load()-refusedLate > maxFailed {
 		h.count("lost paths refused too late not judged")
 		return
 	}
@@ -155,6 +147,9 @@
 func (h *harness) setPaths(cut map[*process]bool, open bool) {
 	h.mu.Lock()
 	h.withoutPath = cut
+	for _, p := range h.routers {
+		p.withoutPath.Store(cut[p])
+	}
 	upstreams := append([]*upstream(nil), h.upstreams...)
 	h.mu.Unlock()
 	for _, u := range upstreams {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,6 +41,8 @@
 
 // process is one endiveplankd of the fleet. Faults stop it and start it again.
 type process struct {
+	// withoutPath says that this router has lost its paths to all upstreams.
+	withoutPath atomic.Bool
 	harness  *harness
 	settings direct.Settings
 	file     string
