--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -43,9 +43,9 @@
 type process struct {
 	// withoutPath says that this router has lost its paths to all upstreams.
 	withoutPath atomic.Bool
-	harness  *harness
-	settings direct.Settings
-	file     string
+	harness     *harness
+	settings    direct.Settings
+	file        string
 	// proxy forwards the connections that other processes of the fleet open to it.
 	proxy *relay.Relay
 	// routersProxy forwards those that routers without a path open to a router; nil for disk VMs.
