--- a/coordination/balance/commonfailure.go
+++ b/coordination/balance/commonfailure.go
@@ -21,10 +21,10 @@
 	p.allFail = any
 }
 
-// endCommonFailure reduces the failures of all upstreams of a pool once one has served a request after
-// all had failed. A failure that they had in common says little about those
-// that haven't been tried since. Without this the first ones to recover would get all requests for as
-// long as the failures of the others count, which without requests is some seconds.
+// endCommonFailure reduces the failures of all upstreams of a pool. It is called once one has served a
+// request after all had failed: a failure that they had in common says little about those that haven't
+// been tried since. Otherwise the first ones to recover would get all requests for as long as the
+// failures of the others count, which without requests is some seconds.
 func (p *pool) endCommonFailure(now time.Duration) {
 	p.allFail = false
 	for _, u := range p.ready {
--- a/coordination/balance/doc.go
+++ b/coordination/balance/doc.go
@@ -39,6 +39,11 @@
 //     others do.
 //   - All routers restart while the engines run on, and no router knows which engine has
 //     which prefix cached. Disk VMs keep a record of it.
+//   - All upstreams of a service fail for some seconds. The first ones to serve again get all
+//     requests, as the others have no chance to show that they serve. The failures of all are
+//     reduced with the first answer.
+//   - The upstreams that this router reaches are at the load limit, and it refuses requests while
+//     others that only other routers reach are idle. It sends requests to these through a proxy.
 //   - Nearly all upstreams fail, because of the network or of a request. Outlier
 //     detection never ejects all upstreams.
 package balance
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -203,7 +203,8 @@
 }
 
 // sameRouters reports whether sums over two numbers of routers can be compared. A difference of one in
-// twenty changes a rate less than chance does; a rolling restart of a large fleet has one all the time.
+// twenty is allowed, as a rolling restart of a large fleet always has a small one: it changes the latest
+// rate by a fifth at most.
 func sameRouters(x, y int) bool { return 20*max(x-y, y-x) <= max(x, y) }
 
 // significant shrinks a difference towards 0, the more the larger its variance by chance is.
--- a/coordination/throttle/fleetpaths_test.go
+++ b/coordination/throttle/fleetpaths_test.go
@@ -16,7 +16,7 @@
 )
 
 // routerCounts counts requests after pathsBack: of the first router, and of the others.
-type routerCounts struct{ lost, others int }
+type routerCounts struct{ first, others int }
 
 // pathCounts counts the requests of callers and those that were served.
 type pathCounts struct{ asked, served routerCounts }
@@ -25,14 +25,14 @@
 	switch {
 	case at < pathsBack || !inOverload(at):
 	case router == 0:
-		c.lost++
+		c.first++
 	default:
 		c.others++
 	}
 }
 
 func (c *routerCounts) add(other routerCounts) {
-	c.lost += other.lost
+	c.first += other.first
 	c.others += other.others
 }
 
@@ -41,22 +41,29 @@
 	return m.losesPaths && router == 0 && at >= pathsLost && at < pathsBack
 }
 
+// checkServedAlike plays a fleet with some seeds, and checks that the first router is served at least two
+// thirds as often as the others, and that few servers fall over.
+func checkServedAlike(t *testing.T, fleet fleetRun) {
+	t.Helper()
+	t.Run(fmt.Sprintf("%d routers, %d servers, room %d", fleet.routers, fleet.servers, fleet.room), func(t *testing.T) {
+		var asked, served routerCounts
+		for seed := range uint64(3) {
+			m := fleet.play(seed)
+			assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "seed %d: %d servers fell over", seed, m.falls)
+			asked.add(m.paths.asked)
+			served.add(m.paths.served)
+		}
+		t.Logf("served %d of %d requests of the router, %d of %d of the others", served.first, asked.first, served.others, asked.others)
+		assert.Check(t, 3*served.first*asked.others >= 2*served.others*asked.first, "the router is served less than two thirds as often")
+	})
+}
+
 // Guards: a router that has lost its paths cuts its limits to almost nothing meanwhile, and is served
 // less than the others for long after its paths are back.
 func TestLimitsOfARouterSurviveTheLossOfItsPaths(t *testing.T) {
 	for _, fleet := range overloadedFleets()[:3] {
-		t.Run(fmt.Sprintf("%d routers, %d servers, room %d", fleet.routers, fleet.servers, fleet.room), func(t *testing.T) {
-			fleet.losesPaths = true
-			var asked, served routerCounts
-			for seed := range uint64(3) {
-				m := fleet.play(seed)
-				assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "seed %d: %d servers fell over", seed, m.falls)
-				asked.add(m.paths.asked)
-				served.add(m.paths.served)
-			}
-			t.Logf("served %d of %d requests of the router, %d of %d of the others", served.lost, asked.lost, served.others, asked.others)
-			assert.Check(t, 3*served.lost*asked.others >= 2*served.others*asked.lost, "the router is served less than two thirds as often")
-		})
+		fleet.losesPaths = true
+		checkServedAlike(t, fleet)
 	}
 }
 
@@ -64,17 +71,7 @@
 // as long as the overload lasts.
 func TestLowLimitsBecomeLikeThoseOfTheOthers(t *testing.T) {
 	for _, fleet := range overloadedFleets() {
-		t.Run(fmt.Sprintf("%d routers, %d servers, room %d", fleet.routers, fleet.servers, fleet.room), func(t *testing.T) {
-			fleet.lowered = true
-			var asked, served routerCounts
-			for seed := range uint64(3) {
-				m := fleet.play(seed)
-				assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "seed %d: %d servers fell over", seed, m.falls)
-				asked.add(m.paths.asked)
-				served.add(m.paths.served)
-			}
-			t.Logf("served %d of %d requests of the router, %d of %d of the others", served.lost, asked.lost, served.others, asked.others)
-			assert.Check(t, 3*served.lost*asked.others >= 2*served.others*asked.lost, "the router is served less than two thirds as often")
-		})
+		fleet.lowered = true
+		checkServedAlike(t, fleet)
 	}
 }
