--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*play){
 	"refused": playRefused,
 	"left":    playLeft,
+	"lost":    playLost,
 }
 
 func main() {
