--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -24,6 +24,7 @@
 	seedCount      = 3
 	firstPort      = 20_000
 	portCount      = 10_000
+	lastHost       = 40
 	startUpTimeout = 30 * time.Second
 )
 
@@ -97,11 +98,11 @@
 		first := firstPort + rand.IntN(portCount)
 		free := true
 		for port := first; port < first+count; port++ {
-			for _, host := range []string{"0.0.0.0", "127.0.0.1"} {
-				listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+			for host := range lastHost + 1 {
+				listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", max(host, 1), port))
 				if err != nil {
 					free = false
-					continue
+					break
 				}
 				_ = listener.Close()
 			}
