Promises: whether a request may have run is derived from what was sent

Cause: that a request may have run was noted by single exits of an attempt: by handleFailure when the deadline had passed, and by mayRetry, which isn't reached once isOver has found the deadline passed. Every other end of an attempt that met the deadline in between was taken for not run.

Evidence: TestNoEndOfAnAttemptThatWasSentIsRefusedAsNotRun plays 20 ends of an attempt (silence in the head, in a body with a length, in chunks, without either, in and before a stream's first event, in an error, no signature, a promise without attestation, another request's answer, no HTTP, a proxy's loss), plain and as a stream, through a proxy or not, and with the deadline passing just after the attempt.

Change: an attempt counts as sent from its start, and as not sent or attested only where the exchange, the proxy or the upstream says so. Outcome.mayHaveRun is derived from the attempts, so an exit that notes nothing is answered 504 or 502. The three verdicts of an attempt become a bool. The request's log line says of each attempt whether it may have run.

--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -271,8 +271,6 @@
 	deadline  time.Time
 	context   context.Context
 
-	// mayHaveRun means that an attempt was sent and may have run.
-	mayHaveRun bool
 	// retryTaken means that the retry for the next attempt has already been taken
 	// from the retry budget.
 	retryTaken bool
--- a/transport/forward/harness_test.go
+++ b/transport/forward/harness_test.go
@@ -35,8 +35,10 @@
 	warmingUp   bool
 	chosen      int
 	inFlight    int
-	results     []balance.Result
-	crashed     int
+	// endDelay is how long AttemptEnded takes.
+	endDelay time.Duration
+	results  []balance.Result
+	crashed  int
 	// overdueAfter is the silence after which an answer is overdue, 0 for the longest.
 	overdueAfter        time.Duration
 	overdueCount, begun int
@@ -127,6 +129,7 @@
 }
 
 func (f *fakeFleet) AttemptEnded(_ Job, _ balance.Choice, result balance.Result) {
+	time.Sleep(f.endDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.inFlight--
@@ -238,6 +241,7 @@
 			route("once", func(*routing.Route) {}),
 			route("idem", func(r *routing.Route) { r.Repeat = routing.Idempotent }),
 			route("quick", func(r *routing.Route) { r.Timeout, r.Objective = 100*time.Millisecond, 100*time.Millisecond }),
+			route("brief", func(r *routing.Route) { r.Timeout, r.Stream = 100*time.Millisecond, true }),
 			route("stream", func(r *routing.Route) { r.Stream = true }),
 			route("resume", func(r *routing.Route) { r.Stream, r.Resumable = true, true }),
 			route("open", func(r *routing.Route) { r.Public = true }),
--- a/transport/forward/outcome.go
+++ b/transport/forward/outcome.go
@@ -53,8 +53,11 @@
 	Result balance.Result
 	Status int
 	Reused bool
-	Sent   bool
-	Cause  string
+	// Sent is true unless it is certain that no byte reached an upstream.
+	Sent bool
+	// AttestedNotRun means that the upstream attests that it didn't run the request.
+	AttestedNotRun bool
+	Cause          string
 	// RetryAfter is the time for which the upstream wants no further requests, 0 for none.
 	RetryAfter time.Duration
 	// Rejected means that the upstream didn't run the request for lack of capacity.
@@ -69,6 +72,10 @@
 	Took       time.Duration
 }
 
+// mayHaveRun reports whether an upstream may have run the request in this attempt. It is derived
+// from what was sent and attested alone, so that it holds by whichever way the attempt ended.
+func (a *AttemptOutcome) mayHaveRun() bool { return a.Sent && !a.AttestedNotRun }
+
 // reportedResult returns the result to report for the upstream. A late answer was
 // reported when it became overdue, so its failure isn't reported a second time.
 func (a *AttemptOutcome) reportedResult() balance.Result {
@@ -82,7 +89,7 @@
 func (a AttemptOutcome) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("upstream", string(a.Choice.ID)).Str("build", a.Choice.Build).Str("why", string(a.Choice.Reason)).
 		Int("load", a.Choice.Load).Float64("mean", a.Choice.Mean).
-		Stringer("result", a.Result).Int("status", a.Status).Bool("sent", a.Sent).Bool("reused", a.Reused).
+		Stringer("result", a.Result).Int("status", a.Status).Bool("sent", a.Sent).Bool("may_have_run", a.mayHaveRun()).Bool("reused", a.Reused).
 		Float64("ms", a.Took.Seconds()*1000)
 	if a.Late {
 		e.Bool("late", true)
@@ -129,6 +136,11 @@
 	return o.LocalReply || o.Aborted || o.Status >= 500 || len(o.Attempts) > 1
 }
 
+// mayHaveRun reports whether an upstream may have run the request in any attempt.
+func (o *Outcome) mayHaveRun() bool {
+	return slices.ContainsFunc(o.Attempts, func(a AttemptOutcome) bool { return a.mayHaveRun() })
+}
+
 // broke reports whether an upstream broke an attempt off.
 func (o *Outcome) broke() bool {
 	return slices.ContainsFunc(o.Attempts, func(a AttemptOutcome) bool { return a.Result == balance.Broken })
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -25,16 +25,17 @@
 )
 
 // relayPlain relays a plain answer. An answer of less than maxBufferedAnswer bytes is
-// read completely before the caller gets the head.
-func (f *forwarding) relayPlain(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
+// read completely before the caller gets the head. It returns whether the caller has its answer.
+func (f *forwarding) relayPlain(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) bool {
 	data := make([]byte, 0, max(min(answer.Length, maxBufferedAnswer), 0))
 	data, err := readUpTo(answer, data, maxBufferedAnswer)
 	complete := errors.Is(err, io.EOF)
 	if err != nil && !complete {
-		return f.answerBroken(err, choice, outcome)
+		f.answerBroken(err, choice, outcome)
+		return false
 	}
-	if v, final := f.checkStatus(answer, outcome); !final {
-		return v
+	if !f.checkStatus(answer, outcome) {
+		return false
 	}
 	f.copyHeader(answer)
 	if complete && f.request.Method != http.MethodHead {
@@ -48,7 +49,7 @@
 	if answer.Status < http.StatusMultipleChoices {
 		f.noteCompleted(answer)
 	}
-	return answered
+	return true
 }
 
 // noteCompleted tells the fleet that an answer has come completely. Of one that ends with its
@@ -60,24 +61,24 @@
 }
 
 // checkStatus decides whether an upstream's answer may be the caller's, by its
-// status. If not, it returns false and the verdict on the attempt.
-func (f *forwarding) checkStatus(answer *exchange.Answer, outcome *AttemptOutcome) (verdict, bool) {
+// status.
+func (f *forwarding) checkStatus(answer *exchange.Answer, outcome *AttemptOutcome) bool {
 	outcome.Result = balance.Served
 	if answer.Status < http.StatusInternalServerError && !promisesNotRun(answer.Status) {
-		return answered, true
+		return true
 	}
 	outcome.Result = balance.Failed
 	if promisesNotRun(answer.Status) {
 		outcome.Cause = fmt.Sprintf("status %d without the attestation that the request didn't run", answer.Status)
-		return unknown, false
+		return false
 	}
 	outcome.ServerError = true
 	// The error goes to the caller unless another attempt may follow.
 	if !f.job.LastAttempt() && f.handler.options.Fleet.TakeRetry(f.job) {
 		f.retryTaken = true
-		return unknown, false
+		return false
 	}
-	return answered, true
+	return true
 }
 
 // relayRest relays the rest of a large answer.
@@ -100,17 +101,16 @@
 // answerBroken records an answer that broke off after its head. Unless the request is
 // over, or the watchdog ended it because the upstream was silent, that counts as a crash of
 // the upstream.
-func (f *forwarding) answerBroken(err error, choice balance.Choice, outcome *AttemptOutcome) verdict {
+func (f *forwarding) answerBroken(err error, choice balance.Choice, outcome *AttemptOutcome) {
 	outcome.Cause = err.Error()
 	if f.context.Err() != nil {
 		outcome.Result = balance.Abandoned
-		return unknown
+		return
 	}
 	outcome.Result = brokenResult(choice)
 	if choice.Proxy == "" && !f.watchdog.hasCancelled() {
 		f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
 	}
-	return unknown
 }
 
 // brokenResult returns the result of an attempt whose answer broke off. A proxy reports itself
--- a/transport/forward/proxied.go
+++ b/transport/forward/proxied.go
@@ -23,19 +23,8 @@
 	return f.handler.options.ProxyPool.Send(ctx, choice.ProxyAddress, request, f.answeredID)
 }
 
-// handleProxyFailure records an attempt of which the proxy passed on no answer. A proxy that
-// took the request may have sent it.
-func (f *forwarding) handleProxyFailure(choice balance.Choice, outcome *AttemptOutcome) verdict {
-	f.handler.options.Fleet.ProxyEnded(choice.Proxy, false)
-	outcome.Result = balance.Abandoned
-	if outcome.Sent {
-		return unknown
-	}
-	return notRun
-}
-
 // handleRefusal records an attempt that the proxy refused.
-func (f *forwarding) handleRefusal(refusal peerproxy.Refusal, choice balance.Choice, outcome *AttemptOutcome) verdict {
+func (f *forwarding) handleRefusal(refusal peerproxy.Refusal, choice balance.Choice, outcome *AttemptOutcome) {
 	outcome.Cause = "proxy: " + string(refusal)
 	outcome.Sent = refusal == peerproxy.RefusalLost
 	f.handler.options.Fleet.ProxyEnded(choice.Proxy, !refusal.OfProxy())
@@ -48,10 +37,6 @@
 		// The proxy has reported what it says about the upstream.
 		outcome.Result = balance.Abandoned
 	}
-	if outcome.Sent {
-		return unknown
-	}
-	return notRun
 }
 
 // unsentAttempts returns how many attempts sent nothing: over this router's own connections,
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -66,7 +66,7 @@
 	switch {
 	case f.stream.started:
 		f.abort(reason)
-	case f.mayHaveRun:
+	case f.outcome.mayHaveRun():
 		f.refuse(http.StatusBadGateway, reason, 0)
 	default:
 		f.refuse(http.StatusServiceUnavailable, reason, after)
@@ -76,7 +76,7 @@
 // giveUpForCapacity is giveUp for a request that finds no capacity. While its service has a rate
 // limit in force, the caller gets the time at which there is capacity for it, instead of after.
 func (f *forwarding) giveUpForCapacity(reason string, after time.Duration) {
-	if f.stream.started || f.mayHaveRun {
+	if f.stream.started || f.outcome.mayHaveRun() {
 		f.giveUp(reason, after)
 		return
 	}
@@ -131,7 +131,7 @@
 	switch {
 	case f.stream.started:
 		f.abort("time-up")
-	case f.mayHaveRun:
+	case f.outcome.mayHaveRun():
 		f.refuse(http.StatusGatewayTimeout, "time-up", 0)
 	default:
 		f.refuse(http.StatusServiceUnavailable, "time-up", retryAfterFull)
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -19,19 +19,6 @@
 	"endiveplank/transport/tracing"
 )
 
-// verdict says whether an attempt ran, which decides what may follow it.
-type verdict uint8
-
-const (
-	// answered: the caller has its answer, or has disconnected.
-	answered verdict = iota + 1
-	// notRun: the attempt certainly didn't run, so another one can't run the request
-	// twice.
-	notRun
-	// unknown: the attempt may have run.
-	unknown
-)
-
 // run makes attempts until the request is answered or no other attempt may follow.
 func (f *forwarding) run() {
 	fleet := f.handler.options.Fleet
@@ -55,20 +42,20 @@
 			f.refuseNoUpstream(choice)
 			return
 		}
-		last := f.tryUpstream(choice)
-		if last == answered || f.isOver() {
+		if f.tryUpstream(choice) || f.isOver() {
 			return
 		}
-		if !f.mayRetry(last, f.outcome.Attempts[len(f.outcome.Attempts)-1]) {
+		if !f.mayRetry(f.outcome.Attempts[len(f.outcome.Attempts)-1]) {
 			return
 		}
 	}
 }
 
-// tryUpstream makes one attempt. The deferred function records its end also when the
-// attempt ends the caller's connection by a panic, which unwinds the whole request.
-func (f *forwarding) tryUpstream(choice balance.Choice) verdict {
-	outcome := AttemptOutcome{Choice: choice, Result: balance.Abandoned}
+// tryUpstream makes one attempt and returns whether the caller has its answer. The deferred
+// function records its end also when the attempt ends the caller's connection by a panic,
+// which unwinds the whole request.
+func (f *forwarding) tryUpstream(choice balance.Choice) bool {
+	outcome := AttemptOutcome{Choice: choice, Result: balance.Abandoned, Sent: true}
 	began := time.Now()
 	defer func() {
 		outcome.Took = time.Since(began)
@@ -138,10 +125,7 @@
 // fail at once. Without these limits, a request that may run only once could run twice,
 // and a storm of retries could overload the remaining upstreams. An attempt that was
 // never sent put no load on an upstream, so it takes nothing from the retry budget.
-func (f *forwarding) mayRetry(last verdict, outcome AttemptOutcome) bool {
-	if last == unknown {
-		f.mayHaveRun = true
-	}
+func (f *forwarding) mayRetry(outcome AttemptOutcome) bool {
 	if !outcome.Sent {
 		return f.mayRetryUnsent(outcome)
 	}
@@ -151,7 +135,7 @@
 	}
 	quarantined := f.handler.options.Fleet.QuarantinedFor(f.job)
 	switch {
-	case last == unknown && !f.job.Route.MayRepeat():
+	case outcome.mayHaveRun() && !f.job.Route.MayRepeat():
 		f.giveUp("outcome-unknown", 0)
 	case len(f.job.Tried) >= max(f.job.Route.MaxAttempts, 1):
 		f.giveUpAfter(outcome, "attempts-spent")
@@ -226,8 +210,9 @@
 	f.handler.options.Fleet.StreamBegan(f.job, choice)
 }
 
-// attempt sends the request to one upstream and relays its answer to the caller.
-func (f *forwarding) attempt(choice balance.Choice, outcome *AttemptOutcome) verdict {
+// attempt sends the request to one upstream and relays its answer to the caller. It returns
+// whether the caller has its answer.
+func (f *forwarding) attempt(choice balance.Choice, outcome *AttemptOutcome) bool {
 	header := f.request.Header.Clone()
 	exchange.RemoveHopByHop(header)
 	attempt := dialect.Attempt{Upstream: choice.ID, Remaining: f.remaining(), Priority: f.job.Priority, LastEventID: f.stream.lastID, CopyFrom: choice.CopyFrom}
@@ -255,14 +240,15 @@
 	began := time.Now()
 	answer, err := f.send(ctx, choice, request)
 	if err != nil {
-		return f.handleFailure(err, choice, outcome)
+		f.handleFailure(err, choice, outcome)
+		return false
 	}
 	defer answer.Close()
 	if refusal := peerproxy.ReadRefusal(answer.Header); choice.Proxy != "" && refusal != "" {
-		return f.handleRefusal(refusal, choice, outcome)
+		f.handleRefusal(refusal, choice, outcome)
+		return false
 	}
 	f.noteReached(choice, answer)
-	outcome.Sent = true
 	outcome.Reused = answer.Reused
 	outcome.Status = answer.Status
 	outcome.FirstAfter = time.Since(began)
@@ -300,7 +286,7 @@
 }
 
 // handleFailure records an attempt that failed before the head of an answer came.
-func (f *forwarding) handleFailure(err error, choice balance.Choice, outcome *AttemptOutcome) verdict {
+func (f *forwarding) handleFailure(err error, choice balance.Choice, outcome *AttemptOutcome) {
 	var failure *exchange.Failure
 	if !errors.As(err, &failure) {
 		panic("forward: invariant broken: an exchange fails with a Failure")
@@ -308,28 +294,21 @@
 	outcome.Sent = failure.Sent
 	outcome.Reused = failure.Reused
 	outcome.Cause = failure.Error()
-	if f.context.Err() != nil {
+	switch {
+	case f.context.Err() != nil || errors.Is(err, exchange.ErrNotSent):
 		outcome.Result = balance.Abandoned
-		f.mayHaveRun = f.mayHaveRun || failure.Sent
-		return unknown
-	}
-	if errors.Is(err, exchange.ErrNotSent) {
+	case choice.Proxy != "":
 		outcome.Result = balance.Abandoned
-		return notRun
-	}
-	if choice.Proxy != "" {
-		return f.handleProxyFailure(choice, outcome)
-	}
-	if !failure.Sent {
+		f.handler.options.Fleet.ProxyEnded(choice.Proxy, false)
+	case !failure.Sent:
 		outcome.Result = balance.NoPath
-		return notRun
-	}
-	outcome.Result = balance.Broken
-	if !f.watchdog.isLate() {
-		// An upstream whose answer was only overdue hasn't crashed.
-		f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
+	default:
+		outcome.Result = balance.Broken
+		if !f.watchdog.isLate() {
+			// An upstream whose answer was only overdue hasn't crashed.
+			f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
+		}
 	}
-	return unknown
 }
 
 // brokenBy describes the request to the fleet, after an upstream has broken it off.
@@ -342,8 +321,8 @@
 }
 
 // handleAnswer decides by the head of an answer whether it counts, and relays it to
-// the caller if so.
-func (f *forwarding) handleAnswer(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
+// the caller if so. It returns whether the caller has its answer.
+func (f *forwarding) handleAnswer(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) bool {
 	head := f.handler.options.Dialect.ReadAnswer(answer.Status, answer.Header)
 	outcome.RetryAfter = head.RetryAfter
 	if !head.Misdirected {
@@ -351,17 +330,18 @@
 	}
 	switch {
 	case head.NotRun || head.Misdirected:
+		outcome.AttestedNotRun = true
 		drain(answer)
 		outcome.Result = balance.Refused
 		if !head.Misdirected {
 			outcome.Rejected = true
 			f.timing.refused()
 		}
-		return notRun
+		return false
 	case answer.Status < http.StatusMultipleChoices && !head.Signed:
 		outcome.Result = balance.Failed
 		outcome.Cause = fmt.Sprintf("status %d without the upstream's signature", answer.Status)
-		return unknown
+		return false
 	}
 	if answer.Status < http.StatusMultipleChoices {
 		f.handler.options.Fleet.AnswerBegan(f.job, choice, outcome.FirstAfter)
@@ -372,7 +352,7 @@
 	case f.stream.started:
 		outcome.Result = balance.Failed
 		outcome.Cause = fmt.Sprintf("status %d instead of the rest of the stream", answer.Status)
-		return unknown
+		return false
 	}
 	return f.relayPlain(answer, choice, outcome)
 }
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -50,8 +50,8 @@
 //
 // The head goes to the caller together with the first event. If the upstream fails
 // before that, the caller has received nothing, and another upstream may be tried if
-// the route allows it.
-func (f *forwarding) relayStream(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) verdict {
+// the route allows it. It returns whether the caller has its answer.
+func (f *forwarding) relayStream(answer *exchange.Answer, choice balance.Choice, outcome *AttemptOutcome) bool {
 	reader := bufio.NewReaderSize(readerOf(answer), streamBufferBytes)
 	for {
 		next, err := readEvent(reader)
@@ -59,7 +59,8 @@
 		case err == nil:
 			f.progress()
 			if err := f.checkOrder(next); err != nil {
-				return f.streamBroken(err, choice, outcome)
+				f.streamBroken(err, choice, outcome)
+				return false
 			}
 			f.noteBegan(choice)
 			f.relayEvent(answer, next)
@@ -67,27 +68,28 @@
 				f.flush()
 			}
 		case errors.Is(err, io.EOF) && answer.Unframed && f.answeringSince.IsZero():
-			return f.streamBroken(errNoEvent, choice, outcome)
+			f.streamBroken(errNoEvent, choice, outcome)
+			return false
 		case errors.Is(err, io.EOF):
 			f.startStream(answer)
 			f.flush()
 			outcome.Result = balance.Served
 			f.noteCompleted(answer)
-			return answered
+			return true
 		default:
-			return f.streamBroken(err, choice, outcome)
+			f.streamBroken(err, choice, outcome)
+			return false
 		}
 	}
 }
 
 // streamBroken records a stream that broke off. If the caller has part of it and the
 // route allows no other attempt, it ends the caller's connection.
-func (f *forwarding) streamBroken(err error, choice balance.Choice, outcome *AttemptOutcome) verdict {
-	v := f.answerBroken(err, choice, outcome)
+func (f *forwarding) streamBroken(err error, choice balance.Choice, outcome *AttemptOutcome) {
+	f.answerBroken(err, choice, outcome)
 	if f.stream.started && !f.job.Route.MayRepeat() && f.context.Err() == nil {
 		f.abort("stream-broke-off")
 	}
-	return v
 }
 
 // checkOrder returns an error if an event's id isn't greater than that of the event
