Relay fleet: the end of an attempt says whether it may have run

No path was found that forgets it (reading all callers of attemptFailed; while an attempt is open, outcome() answers unknown anyway), so no caller was told anything wrong.

Change: attemptFailed takes what the end says, so that no caller can leave it out. Tests of coordination/node pass as before; nothing is measured.

--- a/coordination/node/deadlines.go
+++ b/coordination/node/deadlines.go
@@ -93,7 +93,6 @@
 			return
 		}
 		n.cancelAttempt(e)
-		e.mayHaveRun = true
-		n.attemptFailed(now, e, reason.OwnerLost)
+		n.attemptFailed(now, e, protocol.UnknownRun, reason.OwnerLost)
 	}
 }
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -219,8 +219,7 @@
 // can't complete the answer.
 func (n *Node) chunkMissing(now time.Duration, e *entryRequest) {
 	n.cancelAttempt(e)
-	e.mayHaveRun = true
-	n.attemptFailed(now, e, reason.UpstreamFailed)
+	n.attemptFailed(now, e, protocol.UnknownRun, reason.UpstreamFailed)
 }
 
 // handlePeerEnd ends an attempt: either the answer is complete, or the attempt
@@ -240,15 +239,13 @@
 		n.finishEntry(now, e, reason.Completed)
 		return
 	}
-	if in.End.Outcome != protocol.NotRun {
-		e.mayHaveRun = true
-	}
-	n.attemptFailed(now, e, reason.Code(in.End.Reason))
+	n.attemptFailed(now, e, in.End.Outcome, reason.Code(in.End.Reason))
 }
 
 // attemptFailed handles a failed attempt and decides whether another attempt
-// follows, and when.
-func (n *Node) attemptFailed(now time.Duration, e *entryRequest, why reason.Code) {
+// follows, and when. ran says whether an upstream ran the attempt.
+func (n *Node) attemptFailed(now time.Duration, e *entryRequest, ran protocol.RunOutcome, why reason.Code) {
+	e.mayHaveRun = e.mayHaveRun || ran != protocol.NotRun
 	e.failures++
 	e.phase = phaseWaiting
 	n.emit(Event{Request: e.request.ID, Attempt: e.attempt, Customer: e.customer.ID, Upstream: e.upstream.ID, Kind: "attempt-failed", Reason: why})
@@ -489,7 +486,6 @@
 			n.orderOwnerLost(now, e)
 			continue
 		}
-		e.mayHaveRun = true
-		n.attemptFailed(now, e, reason.OwnerLost)
+		n.attemptFailed(now, e, protocol.UnknownRun, reason.OwnerLost)
 	}
 }
