Departures: an upstream is answered once its notice outlives the losses that are borne

What callers saw: an upstream said that it leaves and was answered 200.

Cause: Leave and Announce answered as soon as the notice was in this process's memory. It went to others with the next tick, up to 50 ms later, and to the disk up to 2 s later. An acknowledged notice isn't sent again.

Ruled out: that the push alone was late. With the tick's push at once, the answer still leaves before any other process has the notice. Copies in memory alone bear the loss of as many VMs, not a loss of power of all of them. Consensus: needs a leader, orders what needs no order, and a release of thousands of upstreams would stand in the log before tables.

Change: a notice is confirmed once one disk VM more than may be lost has it on disk (three of five, two of three; a majority if that is less). It is pushed at once; the other disk VMs acknowledge changes that hold notices behind their write. Notices that the saved roster lacks have a file of their own. If too few have it in 0.8 s, or too few disk VMs are in touch, the upstream gets 503 and asks elsewhere; the notice counts all the same. A confirmed notice that is repeated costs nothing more. Each one has a log line, departure, and a counter.

--- a/coordination/control/announcements.go
+++ b/coordination/control/announcements.go
@@ -94,7 +94,8 @@
 	if !f.CanTakeHeartbeats(now) {
 		return false, 0, false
 	}
-	if f.roster.ConfirmUnchanged(now, e) {
+	repeats := e.State == roster.Ready || f.roster.IsDepartureConfirmed(e.ID)
+	if repeats && f.roster.ConfirmUnchanged(now, e) {
 		return true, 0, false
 	}
 	f.roster.RecordAnnouncement(now, e)
--- a/coordination/control/lists.go
+++ b/coordination/control/lists.go
@@ -135,18 +135,10 @@
 // HandleChanges merges changes from a disk VM or a relay. It acknowledges those from a
 // disk VM and relays them if it says so.
 func (f *Follower) HandleChanges(now time.Duration, from protocol.RouterID, c Changes) []Message {
-	entries, err := c.all()
-	if err != nil {
-		f.events = append(f.events, Event{Kind: EventListUnreadable, Peer: from})
+	entries, read := f.mergeChanges(now, from, c)
+	if !read || c.Number == 0 {
 		return nil
 	}
-	for _, e := range entries {
-		f.roster.Merge(now, e)
-	}
-	if c.Number == 0 {
-		return nil
-	}
-	f.heardFrom(now, from)
 	messages := []Message{{To: from, Body: ChangesAck{Number: c.Number}}}
 	if f.relay != nil && c.PassOn {
 		f.relay.PassOnChanges(entries)
@@ -155,6 +147,23 @@
 	return messages
 }
 
+// mergeChanges merges changes into the roster and returns them. False means that they couldn't be
+// read.
+func (f *Follower) mergeChanges(now time.Duration, from protocol.RouterID, c Changes) ([]roster.Entry, bool) {
+	entries, err := c.all()
+	if err != nil {
+		f.events = append(f.events, Event{Kind: EventListUnreadable, Peer: from})
+		return nil, false
+	}
+	for _, e := range entries {
+		f.roster.Merge(now, e)
+	}
+	if c.Number != 0 {
+		f.heardFrom(now, from)
+	}
+	return entries, true
+}
+
 // namesOutside returns the upstreams in the parts of the roster that aren't in buckets.
 func (f *Follower) namesOutside(buckets roster.Buckets) []protocol.UpstreamID {
 	var names []protocol.UpstreamID
--- a/coordination/control/publisher.go
+++ b/coordination/control/publisher.go
@@ -112,6 +112,11 @@
 	previous []*document.Document
 	// changed are the upstreams whose change has to be sent to the followers.
 	changed changedUpstreams
+	// departures are the notices of upstreams that leave which aren't confirmed yet. self is this
+	// VM, and losses is how many disk VMs may be lost at once.
+	departures map[protocol.UpstreamID]*departure
+	self       protocol.RouterID
+	losses     int
 	// link counts everything that this VM sends. bulk limits the part of it that tables
 	// and lists use, and waiting holds the requests that wait for capacity.
 	link      tokenBucket
@@ -149,6 +154,7 @@
 		quarantines:  crashes.NewList(),
 		roster:       r,
 		followers:    map[protocol.RouterID]*follower{},
+		departures:   map[protocol.UpstreamID]*departure{},
 		listeners:    map[protocol.DataCentre]*listeners{},
 		restarts:     restarts{known: map[protocol.UpstreamID]incarnation{}},
 		tableChanges: map[document.Digest]document.Change{},
@@ -179,6 +185,12 @@
 	}
 }
 
+// isDiskVM reports whether consensus names a disk VM.
+func (p *Publisher) isDiskVM(id protocol.RouterID) bool {
+	_, found := slices.BinarySearch(p.diskVMs, id)
+	return found
+}
+
 // Restore offers the table that was in force before this VM restarted to routers that
 // have none, until SetDocument says which table is in force.
 //
--- a/coordination/control/pushes.go
+++ b/coordination/control/pushes.go
@@ -74,13 +74,16 @@
 	}
 }
 
-// acknowledge drops the changes whose last message has this number.
-func (u *unacked) acknowledge(number uint64) {
+// acknowledge drops the changes whose last message has this number, and returns their upstreams.
+func (u *unacked) acknowledge(number uint64) []protocol.UpstreamID {
+	var ids []protocol.UpstreamID
 	for id, lastMessage := range u.lastMessage {
 		if lastMessage == number {
 			delete(u.lastMessage, id)
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
 
 // changedUpstreams are the upstreams whose changes have to be sent to the followers.
@@ -313,7 +316,12 @@
 
 // HandleChangesAck processes a follower's acknowledgement.
 func (p *Publisher) HandleChangesAck(from protocol.RouterID, ack ChangesAck) {
-	if f := p.followers[from]; f != nil {
-		f.unacked.acknowledge(ack.Number)
+	f := p.followers[from]
+	if f == nil {
+		return
+	}
+	ids := f.unacked.acknowledge(ack.Number)
+	if !f.watch.Router {
+		p.noteHolder(from, ids)
 	}
 }
--- a/coordination/control/startup_test.go
+++ b/coordination/control/startup_test.go
@@ -344,7 +344,7 @@
 			v.vm.roster.Refresh(w.now, heartbeat)
 		}
 	case Announcements:
-		ack, _ := v.vm.publisher.HandleAnnouncements(w.now, from.id, m)
+		ack, _, _ := v.vm.publisher.HandleAnnouncements(w.now, from.id, m)
 		w.send(v, []Message{ack})
 	case AnnouncementsAck:
 		for _, c := range v.waiting[m.Number] {
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -94,7 +94,7 @@
 			for _, e := range body.Entries {
 				w.mergeAtVMs(e)
 			}
-			ack, _ := w.vms[message.To].publisher.HandleAnnouncements(w.now, from, body)
+			ack, _, _ := w.vms[message.To].publisher.HandleAnnouncements(w.now, from, body)
 			w.deliver(message.To, []Message{ack})
 		case Heartbeats:
 			for _, heartbeat := range body.Upstreams {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -108,6 +108,8 @@
 	digest uint64
 	// coldUntil is when the upstream's cold time ends.
 	coldUntil time.Duration
+	// departureConfirmed says that enough disk VMs have on disk that the upstream leaves.
+	departureConfirmed bool
 }
 
 // Settings of a Roster.
@@ -295,6 +297,9 @@
 		known = &record{bucket: bucketOf(e.ID)}
 		r.records[e.ID] = known
 	}
+	if e.State == Ready || e.StartedAt != known.StartedAt {
+		known.departureConfirmed = false
+	}
 	known.Entry = e
 	known.coldUntil = now + e.ColdFor
 	known.lastHeard = now
@@ -334,6 +339,27 @@
 	return r.Merge(now, e)
 }
 
+// IsLeaving reports whether the newest incarnation of an upstream drains or has left.
+func (r *Roster) IsLeaving(id protocol.UpstreamID) bool {
+	known := r.records[id]
+	return known != nil && known.State != Ready
+}
+
+// ConfirmDeparture records that enough disk VMs have on disk that an incarnation of an upstream
+// leaves.
+func (r *Roster) ConfirmDeparture(id protocol.UpstreamID, startedAt int64) {
+	if known := r.records[id]; known != nil && known.StartedAt == startedAt && known.State != Ready {
+		known.departureConfirmed = true
+	}
+}
+
+// IsDepartureConfirmed reports whether enough disk VMs are known to have on disk that an upstream
+// leaves.
+func (r *Roster) IsDepartureConfirmed(id protocol.UpstreamID) bool {
+	known := r.records[id]
+	return known != nil && known.departureConfirmed
+}
+
 // Heartbeat tells other VMs that an upstream still announces itself, without the
 // whole entry.
 type Heartbeat struct {
--- a/daemon/diskvm/builds.go
+++ b/daemon/diskvm/builds.go
@@ -44,7 +44,7 @@
 	b.queued, b.queuedAt = b.set.Size(), now
 	pairs := b.set.Pairs()
 	vm.log.Info().Str("event", "builds").Int("builds", len(pairs)).Send()
-	vm.saved.builds.queue(codec.Marshal(pairs))
+	vm.saved.builds.queue(codec.Marshal(pairs), func() { vm.buildsWritten(pairs) })
 }
 
 // changedEntries returns the entries that have changed since the last call, now and then all. The
@@ -60,13 +60,8 @@
 	return vm.roster.Entries()
 }
 
-// buildsWritten records that the builds in a file's content are on disk, so that this disk VM may
-// tell of them.
-func (vm *VM) buildsWritten(content []byte) {
-	var pairs []builds.Pair
-	if err := codec.Unmarshal(content, &pairs); err != nil {
-		panic("diskvm: invariant broken: what was encoded can be decoded: " + err.Error())
-	}
+// buildsWritten records that builds are on disk, so that this disk VM may tell of them.
+func (vm *VM) buildsWritten(pairs []builds.Pair) {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	vm.builds.set.MarkSaved(pairs)
--- a/daemon/diskvm/builds_test.go
+++ b/daemon/diskvm/builds_test.go
@@ -1,6 +1,7 @@
 package diskvm
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -22,7 +23,7 @@
 	// no such build.
 	f := newFleet(t, 1)
 	for n, version := range []string{"v1", "v2"} {
-		f.vms[1].Announce(roster.Entry{
+		f.vms[1].Announce(context.Background(), roster.Entry{
 			ID: "u", Service: "s", Address: fmt.Sprint("10.0.0.1:", n+1), Build: version, State: roster.Ready, Sequence: uint64(n + 1),
 		})
 		f.eventually("the build is on disk", func() bool { return len(f.vms[1].tellsOf().Pairs) == n+1 })
@@ -37,7 +38,7 @@
 	// Guards: a disk VM has told of a build, loses its disk, and counts at once for a majority that
 	// tells of another build alone.
 	f := newFleet(t, 1)
-	f.vms[1].Announce(roster.Entry{ID: "u", Service: "s", Address: "10.0.0.1:1", Build: "v1", State: roster.Ready, Sequence: 1})
+	f.vms[1].Announce(context.Background(), roster.Entry{ID: "u", Service: "s", Address: "10.0.0.1:1", Build: "v1", State: roster.Ready, Sequence: 1})
 	f.eventually("the build is on disk", func() bool { return len(f.vms[1].tellsOf().Pairs) == 1 })
 	f.wipe(1)
 	told := f.vms[1].tellsOf()
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -67,7 +67,7 @@
 	q := &vm.quarantines
 	if digest := q.list.Digest(); digest != q.savedDigest {
 		q.savedDigest = digest
-		vm.saved.quarantines.queue(codec.Marshal(q.list.Quarantines(now)))
+		vm.saved.quarantines.queue(codec.Marshal(q.list.Quarantines(now)), nil)
 	}
 }
 
--- a/daemon/diskvm/diskvm_test.go
+++ b/daemon/diskvm/diskvm_test.go
@@ -343,7 +343,7 @@
 	// or routers would refuse callers until it announces itself again.
 	f := newFleet(t, 3)
 	e := roster.Entry{ID: "u1", Service: "s", Address: "10.0.0.1:80", State: roster.Ready, StartedAt: 5, Sequence: 1}
-	f.vms[1].Announce(e)
+	f.vms[1].Announce(context.Background(), e)
 	known := func(i int) bool {
 		f.vms[i].mu.Lock()
 		defer f.vms[i].mu.Unlock()
@@ -373,7 +373,7 @@
 	restored := f.vms[3].publisher.CacheHolders().Newest(f.vms[3].now())
 	f.vms[3].mu.Unlock()
 	assert.DeepEqual(t, restored, holders)
-	f.vms[2].Leave("u1", 0, 0)
+	f.vms[2].Leave(context.Background(), "u1", 0, 0)
 	f.eventually("all know that it has left", func() bool { return !known(1) && !known(2) && !known(3) })
 }
 
--- a/daemon/diskvm/metrics.go
+++ b/daemon/diskvm/metrics.go
@@ -14,6 +14,7 @@
 var metricLabels = map[string]string{
 	"table_puts_total":         "outcome",
 	"evacuation_orders_total":  "outcome",
+	"departures_total":         "outcome",
 	"peer_bytes_sent_total":    "kind",
 	"peer_messages_sent_total": "kind",
 }
--- a/daemon/diskvm/savedstate.go
+++ b/daemon/diskvm/savedstate.go
@@ -12,6 +12,7 @@
 	"endiveplank/coordination/document"
 	"endiveplank/coordination/evacuation"
 	"endiveplank/coordination/roster"
+	"endiveplank/protocol"
 	"endiveplank/protocol/codec"
 	"endiveplank/state/cachefile"
 	"endiveplank/state/disk"
@@ -48,6 +49,7 @@
 	cacheHoldersFolder = "keepers"
 	buildsFolder       = "builds"
 	quarantinesFolder  = "quarantines"
+	departuresFolder   = "departures"
 )
 
 // savedState is what a disk VM knew before its restart. It offers that to routers until it
@@ -60,23 +62,32 @@
 // consensus has its own log, and operators read the table only from a leader that a quorum
 // has confirmed.
 type savedState struct {
-	roster, table, cacheHolders, builds, quarantines *savedFile
+	roster, table, cacheHolders, builds, quarantines, departures *savedFile
 	// queuedAt is when the roster and the cache holders were last queued for writing.
 	queuedAt time.Duration
-	// encoded is the roster with encodedDigest, as it was encoded at encodedAt.
-	encoded       []byte
-	encodedDigest uint64
-	encodedAt     time.Duration
+	// encoded is the roster with encodedDigest, as it was encoded at encodedAt. It has the notices
+	// of upstreams that leave up to the revision encodedUnsaved.
+	encoded        []byte
+	encodedDigest  uint64
+	encodedAt      time.Duration
+	encodedUnsaved uint64
 }
 
 // savedFile is one file and the content to write to it next.
 type savedFile struct {
-	name    string
-	disk    *disk.OS
-	maxAge  time.Duration
-	pending chan []byte
-	// written is called with what was written, if it isn't nil.
-	written func(content []byte)
+	name   string
+	disk   *disk.OS
+	maxAge time.Duration
+	// interval is the least time between two writes.
+	interval time.Duration
+	pending  chan savedContent
+}
+
+// savedContent is what is to be written to a file. written is called once it is on disk, if it
+// isn't nil.
+type savedContent struct {
+	bytes   []byte
+	written func()
 }
 
 // openSavedFile opens the folder of one file. It returns the errors of the disk.
@@ -85,17 +96,17 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "open the folder %s in %q", name, dataFolder)
 	}
-	return &savedFile{name: name, disk: folder, maxAge: maxAge, pending: make(chan []byte, 1)}, nil
+	return &savedFile{name: name, disk: folder, maxAge: maxAge, interval: minWriteInterval, pending: make(chan savedContent, 1)}, nil
 }
 
-// queue passes content to the writer. It replaces content that the writer hasn't begun to
-// write.
-func (f *savedFile) queue(content []byte) {
+// queue passes content to the writer, which calls written, unless it is nil, once the content is on
+// disk. It replaces content that the writer hasn't begun to write.
+func (f *savedFile) queue(content []byte, written func()) {
 	select {
 	case <-f.pending:
 	default:
 	}
-	f.pending <- content
+	f.pending <- savedContent{bytes: content, written: written}
 }
 
 // openSavedState opens the files. It returns the errors of the disk.
@@ -117,12 +128,16 @@
 	if s.quarantines, err = openSavedFile(dataFolder, quarantinesFolder, quarantinesMaxAge); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
+	if s.departures, err = openSavedFile(dataFolder, departuresFolder, rosterMaxAge); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	s.departures.interval = departureWriteInterval
 	return s, nil
 }
 
 // all returns the files that are open.
 func (s *savedState) all() []*savedFile {
-	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders, s.builds, s.quarantines}, func(f *savedFile) bool { return f == nil })
+	return slices.DeleteFunc([]*savedFile{s.roster, s.table, s.cacheHolders, s.builds, s.quarantines, s.departures}, func(f *savedFile) bool { return f == nil })
 }
 
 // close closes the folders.
@@ -142,12 +157,14 @@
 	Evacuations []evacuation.Record `msgpack:"z,omitempty"`
 }
 
-// restore loads what was saved before the start: the roster, the table, the cache holders,
-// the builds and the quarantines.
+// restore loads what was saved before the start.
 func (vm *VM) restore() {
 	if content, found := vm.readSaved(vm.saved.roster); found {
 		vm.restoreRoster(content)
 	}
+	if content, found := vm.readSaved(vm.saved.departures); found {
+		vm.restoreDepartures(content)
+	}
 	if content, found := vm.readSaved(vm.saved.table); found {
 		vm.restoreTable(content)
 	}
@@ -160,7 +177,6 @@
 	if content, found := vm.readSaved(vm.saved.quarantines); found {
 		vm.restoreQuarantines(content)
 	}
-	vm.saved.builds.written = vm.buildsWritten
 }
 
 // readSaved returns a file's content, if there is any that isn't too old.
@@ -218,18 +234,23 @@
 		return
 	}
 	vm.saved.queuedAt = now
-	vm.saved.roster.queue(vm.encodedRoster(now))
-	vm.saved.cacheHolders.queue(codec.MarshalArrays(vm.publisher.CacheHolders().Entries(now)))
+	content, revision := vm.encodedRoster(now)
+	vm.saved.roster.queue(content, func() {
+		vm.departuresWritten(func() []protocol.UpstreamID { return vm.departures.unsaved.RosterSaved(revision) })
+	})
+	vm.saved.cacheHolders.queue(codec.MarshalArrays(vm.publisher.CacheHolders().Entries(now)), nil)
 }
 
-// encodedRoster returns the content of the roster's file.
-func (vm *VM) encodedRoster(now time.Duration) []byte {
+// encodedRoster returns the content of the roster's file, and up to which revision it has the notices
+// of upstreams that leave.
+func (vm *VM) encodedRoster(now time.Duration) (content []byte, unsaved uint64) {
 	digest := vm.roster.Digest()
 	if digest != vm.saved.encodedDigest || now-vm.saved.encodedAt >= encodeInterval {
 		vm.saved.encoded = codec.Marshal(vm.roster.Aged(now, vm.roster.Entries()))
 		vm.saved.encodedDigest, vm.saved.encodedAt = digest, now
+		vm.saved.encodedUnsaved = vm.departures.unsaved.Revision()
 	}
-	return vm.saved.encoded
+	return vm.saved.encoded, vm.saved.encodedUnsaved
 }
 
 // saveTable queues the table in force, nil if there is none, for writing with the
@@ -239,7 +260,7 @@
 		return
 	}
 	saved := savedTable{Version: d.Version, Body: document.Compress(d.Body), Evacuations: vm.publisher.Evacuations()}
-	vm.saved.table.queue(codec.Marshal(saved))
+	vm.saved.table.queue(codec.Marshal(saved), nil)
 }
 
 // writeSaved writes one file whenever content is queued. It runs in its own goroutine, so
@@ -252,19 +273,19 @@
 		case <-vm.quit:
 			return
 		case content := <-f.pending:
-			err := cachefile.Write(f.disk, time.Now(), content)
+			err := cachefile.Write(f.disk, time.Now(), content.bytes)
 			if err != nil && !failed {
 				vm.log.Warn().Str("event", "not-written").Str("what", f.name).Err(err).Send()
 			}
 			failed = err != nil
-			if err == nil && f.written != nil {
-				f.written(content)
+			if err == nil && content.written != nil {
+				content.written()
 			}
 		}
 		select {
 		case <-vm.quit:
 			return
-		case <-time.After(minWriteInterval):
+		case <-time.After(f.interval):
 		}
 	}
 }
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -77,6 +77,7 @@
 	follower     *control.Follower
 	builds       listedBuilds
 	quarantines  quarantines
+	departures   departures
 	expiredAt    time.Duration
 	published    *document.Document
 	loggedLeader protocol.RouterID
@@ -99,11 +100,13 @@
 		incarnation: options.Random.Uint64(), started: time.Now(),
 		folder: folder, machine: diskstate.NewMachine(), registry: metrics.NewRegistry(),
 		calls: newCalls(options.Random.Uint64()), roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()}, quarantines: newQuarantines(),
-		quit: make(chan struct{}),
+		departures: departures{unsaved: roster.NewUnsaved(rosterMaxAge)},
+		quit:       make(chan struct{}),
 	}
 	self := options.Settings.Self()
 	vm.publisher = control.NewPublisher(vm.roster, options.Settings.LinkRate())
 	vm.publisher.SetFirstPush(options.Random.Uint64())
+	vm.publisher.SetDurability(self, options.Settings.DiskLosses)
 	vm.publisher.SetQuarantines(vm.quarantines.list)
 	vm.saved, err = openSavedState(options.Settings.DataFolder)
 	if err != nil {
@@ -171,12 +174,14 @@
 	vm.noteBuilds(now)
 	vm.tickQuarantines(now)
 	vm.saveRosterAndCacheHolders(now)
+	vm.tickDepartures(now)
 	vm.fabric.SendAll(vm.publisher.PushChanges(now))
 	vm.fabric.SendAll(vm.publisher.SendWaiting(now))
 	vm.fabric.SendAll(vm.publisher.ShareCacheHolders(now, vm.options.Settings.Self()))
 	if now-vm.expiredAt >= expireInterval {
 		vm.expiredAt = now
 		vm.quarantines.list.Expire(now)
+		vm.publisher.ExpireDepartures()
 		for _, id := range vm.roster.Expire(now) {
 			vm.log.Warn().Str("event", "upstream-silent").Str("upstream", string(id)).Msg("no announcement for a long time, removed from the list")
 		}
@@ -260,13 +265,9 @@
 	case control.Status:
 		vm.fabric.SendAll(vm.follower.HandleStatus(now, from, m))
 	case control.Changes:
-		vm.fabric.SendAll(vm.follower.HandleChanges(now, from, m))
+		vm.handleChanges(now, from, m)
 	case control.Announcements:
-		ack, changed := vm.publisher.HandleAnnouncements(now, from, m)
-		for _, id := range changed {
-			vm.logUpstream(id)
-		}
-		vm.fabric.Send(ack.To, ack.Body)
+		vm.handleAnnouncements(now, from, m)
 	case balance.CacheHolderList:
 		vm.publisher.HandleCacheHolders(now, from, m)
 	case builds.Read:
@@ -277,6 +278,7 @@
 		vm.quarantines.parts.HandleSound(now, m)
 	case control.ChangesAck:
 		vm.publisher.HandleChangesAck(from, m)
+		vm.endDepartureWaits(now)
 	case control.List:
 		vm.follower.HandleList(now, from, m)
 	case control.Heartbeats:
--- a/daemon/router/crashing_test.go
+++ b/daemon/router/crashing_test.go
@@ -115,7 +115,7 @@
 	e.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	e.fleet.t.Cleanup(func() { _ = server.Close() })
-	e.fleet.vm.Announce(roster.Entry{
+	e.fleet.vm.Announce(context.Background(), roster.Entry{
 		ID: e.id, Service: "s", Address: e.address, State: roster.Ready, StartedAt: time.Now().UnixMilli(), Sequence: 1,
 	})
 }
@@ -327,7 +327,7 @@
 	f.vm.Stop()
 	f.startDiskVM()
 	for _, e := range f.engines {
-		f.vm.Announce(roster.Entry{ID: e.id, Service: "s", Address: e.address, State: roster.Ready, StartedAt: time.Now().UnixMilli(), Sequence: 1})
+		f.vm.Announce(context.Background(), roster.Entry{ID: e.id, Service: "s", Address: e.address, State: roster.Ready, StartedAt: time.Now().UnixMilli(), Sequence: 1})
 	}
 	for i := range f.routers {
 		f.routers[i] = f.startRouter(i)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -407,6 +407,7 @@
 		r.follower.HandleWatch(now, from, m)
 		r.fabric.SendAll(r.relay.Due(now))
 	case control.AnnouncementsAck:
+		r.follower.HandleAnnouncementsAck(m.Number)
 		r.announcements.ack(m.Number)
 	case balance.LoadReport:
 		r.applyLoadReport(now, from, m)
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -50,7 +50,7 @@
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	if !vm.dropAnnouncements {
-		ack, _ := vm.publisher.HandleAnnouncements(time.Since(vm.started), from, announced)
+		ack, _, _ := vm.publisher.HandleAnnouncements(time.Since(vm.started), from, announced)
 		vm.fabric.SendAll([]control.Message{ack})
 	}
 }
