Bytes without end: what is read from a peer is bounded in size

What users would see: an upstream in trouble never ends a status line or a header line, and the router that asked it grows by a gigabyte in two seconds and is killed, with all its callers. Endless fields, interim answers, lines or bodies are read until the deadline.

Cause: http.ReadResponse reads a head of any length; only its callers in net/http's client bound it, and package exchange is none. What came behind the head was bounded in time alone.

Change: package bounded. A head with its interim answers may have 32 KiB (64 between routers), an event 256 KiB (before 1 MiB: a router that gets such events in 85 streams would hold 170 MB), a body 64 MiB. The connection is closed, the attempt's cause says what was too long, and the upstream counts as failed, not as crashed: such answers would quarantine their requests' content. All HTTP servers bound headers at 64 KiB (the default is 1 MiB a connection).

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -43,6 +43,8 @@
 	// controlReadTimeout that for the whole request, of an operator or upstream.
 	controlHeaderTimeout = 3 * time.Second
 	controlReadTimeout   = 10 * time.Second
+	// maxControlHeaderBytes bounds the header of a call of an operator or upstream.
+	maxControlHeaderBytes = 64 << 10
 	// shutdownTimeout limits how long a stopping disk VM waits for calls in
 	// flight, which take less than a second.
 	shutdownTimeout = time.Second
@@ -219,7 +221,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen at %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout, MaxHeaderBytes: maxControlHeaderBytes}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -169,6 +169,9 @@
 	// CachedTokens is the number of prompt tokens that the engine reported as
 	// taken from its cache.
 	CachedTokens int
+	// TooLong means that the call was ended here because the upstream sent more bytes than are
+	// accepted.
+	TooLong bool
 }
 
 // UpstreamAnnounced is an upstream's announcement, received from the upstream
--- a/coordination/node/relay.go
+++ b/coordination/node/relay.go
@@ -118,7 +118,7 @@
 		n.dispatchEnded(now, target, r, in)
 		return
 	}
-	if !in.Complete && target.isEngine() && in.Status == 0 {
+	if !in.Complete && target.isEngine() && in.Status == 0 && !in.TooLong {
 		n.suspendBrokenCall(now, target, r, in)
 		return
 	}
@@ -158,7 +158,10 @@
 }
 
 func failedReason(in UpstreamEnd) reason.Code {
-	if in.Status != 0 {
+	switch {
+	case in.TooLong:
+		return reason.AnswerTooLong
+	case in.Status != 0:
 		return reason.UpstreamRefused
 	}
 	return reason.UpstreamFailed
--- a/coordination/reason/reason.go
+++ b/coordination/reason/reason.go
@@ -92,6 +92,8 @@
 	UpstreamStalled Code = "upstream_stalled"
 	// UpstreamRefused: the upstream answered with an error status.
 	UpstreamRefused Code = "upstream_refused"
+	// AnswerTooLong: the upstream sent more bytes than are accepted.
+	AnswerTooLong Code = "answer_too_long"
 	// UpstreamSilent: the upstream's announcements stopped.
 	UpstreamSilent Code = "upstream_silent"
 	// OwnerLost: the owning router can't be reached.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -251,8 +251,9 @@
 func (d *Daemon) listenAll() error {
 	prefix := string(d.settings.RouterID) + "-" + strconv.FormatInt(d.startedAt.UnixMilli(), 36)
 	callersServer := callers.New(d.runner, d.settings.Callers, prefix, d.tracer).Server()
-	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: requestTimeout * 5}
-	adminServer := &http.Server{Handler: d.admin, ReadTimeout: requestTimeout * 30}
+	limits := d.settings.Callers
+	upstreamsServer := &http.Server{Handler: announce.New(d.runner), ReadTimeout: requestTimeout * 5, MaxHeaderBytes: limits.MaxHeaderBytes}
+	adminServer := &http.Server{Handler: d.admin, ReadTimeout: requestTimeout * 30, MaxHeaderBytes: limits.MaxHeaderBytes}
 	for _, item := range []struct {
 		address string
 		server  *http.Server
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -151,7 +151,7 @@
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
 		proxies:      reach.NewProxies(),
-		proxyPool:    exchange.NewPool(exchange.Options{MaxIdle: proxyIdle}),
+		proxyPool:    exchange.NewPool(exchange.Options{MaxIdle: proxyIdle, MaxHeadBytes: maxProxyHeadBytes}),
 		times:        answertime.New(),
 		windows:      map[protocol.Service]*retry.Window{},
 		limiters:     map[protocol.Service]*loadlimit.Limiter{},
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/transport/admissionview"
+	"endiveplank/transport/bounded"
 )
 
 const (
@@ -25,6 +26,9 @@
 	announcementIdleTimeout = 12 * time.Second
 	// maxHeaderBytes bounds the size of a caller's header.
 	maxHeaderBytes = 64 << 10
+	// maxProxyHeadBytes bounds the headers of requests and answers between routers, which have
+	// fields of their own besides those of the caller or the upstream.
+	maxProxyHeadBytes = 2 * bounded.MaxHeadBytes
 	// shutdownMargin is how long before the end of the grace period the router cuts
 	// the requests that are still in flight, so that the process ends by itself
 	// before it is killed.
@@ -49,7 +53,7 @@
 		Handler: http.HandlerFunc(r.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: r.countCaller,
 	}
-	r.servers.readiness = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	r.servers.readiness = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	if err := r.startServerOn(r.servers.callers, listen.Callers, r.listenForCallers); err != nil {
 		return err
 	}
@@ -58,13 +62,13 @@
 	}
 	if listen.Announcements != "" {
 		handler := r.options.AnnouncementHandler(r.handleAnnouncement, r.countRefusedAnnouncement)
-		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdleTimeout}
+		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 		if err := r.startServer(r.servers.announcements, listen.Announcements); err != nil {
 			return err
 		}
 	}
 	if r.routersListen != "" {
-		r.servers.routers = &http.Server{Handler: r.proxied, ReadHeaderTimeout: headerTimeout, IdleTimeout: headerTimeout}
+		r.servers.routers = &http.Server{Handler: r.proxied, ReadHeaderTimeout: headerTimeout, IdleTimeout: headerTimeout, MaxHeaderBytes: maxProxyHeadBytes}
 		if err := r.startServer(r.servers.routers, r.routersListen); err != nil {
 			return err
 		}
@@ -72,7 +76,7 @@
 	if listen.Metrics == "" {
 		return nil
 	}
-	r.servers.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	r.servers.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return r.startServer(r.servers.metrics, listen.Metrics)
 }
 
--- a/loadgen/attempt.go
+++ b/loadgen/attempt.go
@@ -16,6 +16,7 @@
 	"endiveplank/protocol/chat"
 	"endiveplank/standin/answer"
 	"endiveplank/standin/desk"
+	"endiveplank/transport/bounded"
 )
 
 // maxErrorBody is the most that is read of an error response, in bytes.
@@ -95,7 +96,7 @@
 // readOrder compares the answer to an order with the one that the order desk
 // gives for this key and body.
 func (g *attemptResult) readOrder(body io.Reader, order *trace.Order) {
-	text, err := io.ReadAll(body)
+	text, err := bounded.ReadAll(body, "the answer to an order")
 	if err != nil {
 		g.verdict, g.retry = cut, true
 		return
@@ -111,14 +112,15 @@
 func (g *attemptResult) readStream(body io.Reader, request chat.Request, began time.Time) {
 	var text strings.Builder
 	last := began
-	lines := bufio.NewReader(body)
+	lines := bufio.NewScanner(bounded.NewLimitedReader(body, bounded.MaxBodyBytes, "the stream"))
+	lines.Buffer(nil, bounded.MaxEventBytes)
+	lines.Split(splitWholeLines)
 	for {
-		line, err := lines.ReadString('\n')
-		if err != nil {
+		if !lines.Scan() {
 			g.verdict = cut
 			return
 		}
-		data, found := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "data:")
+		data, found := strings.CutPrefix(lines.Text(), "data:")
 		if !found {
 			continue
 		}
@@ -136,6 +138,15 @@
 	}
 }
 
+// splitWholeLines is bufio.ScanLines except that it drops a last line without a line end, which the
+// target hasn't finished.
+func splitWholeLines(data []byte, atEnd bool) (int, []byte, error) {
+	if atEnd && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEnd)
+}
+
 // readChunk appends the text of one event and counts its tokens. It returns false
 // for an error in the stream.
 func (g *attemptResult) readChunk(data string, text *strings.Builder) bool {
--- a/loadgen/engines.go
+++ b/loadgen/engines.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/standin/engine"
+	"endiveplank/transport/bounded"
 )
 
 // pollTimeout is the timeout of one read of an engine's counters.
@@ -204,5 +205,5 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("get %s: status %d", url, response.StatusCode)
 	}
-	return eris.Wrapf(json.NewDecoder(response.Body).Decode(target), "decode %s", url)
+	return eris.Wrapf(json.NewDecoder(bounded.NewLimitedReader(response.Body, bounded.MaxReplyBytes, "the answer")).Decode(target), "decode %s", url)
 }
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -33,6 +33,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/loadgen/trace"
+	"endiveplank/transport/bounded"
 )
 
 // Names of phases: requests go to the engines directly, or through the fleet.
@@ -161,6 +162,8 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: options.MaxInFlight,
 		DisableCompression:  true,
+		// The default is 10 MB for each connection.
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}
 	return &runner{
 		options:  options,
--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -19,6 +19,8 @@
 //   - The end of an answer without a length is the end of its connection, and a
 //     connection that was reset looks the same to a careless reader. Only a clean
 //     close counts as the end of the answer.
+//   - The upstream sends bytes without end in a head or a body. Both are bounded in size
+//     (package bounded), and so is what comes in one chunk's line or in trailers (net/http).
 //   - The upstream answers before it has read the body, and goes on reading. Either
 //     the rest of the body is sent, or the connection is dropped.
 //   - The upstream, or the network path to it, disappears without closing the
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/protocol"
+	"endiveplank/transport/bounded"
 )
 
 const (
@@ -128,12 +129,13 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := readHead(c, request, r.ID, idOf)
+	response, err := p.readHead(c, request, r.ID, idOf)
 	if err != nil {
 		return nil, err
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Body:     bounded.NewLimitedReader(response.Body, bounded.MaxBodyBytes, "the answer's body"),
 		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Reused:   c.reused, pool: p, address: address, conn: c, response: response, written: written,
 	}, nil
@@ -188,9 +190,11 @@
 
 // readHead reads the head of the answer. It skips answers that repeat another
 // request's ID, because nobody waits for them any more.
-func readHead(c *conn, request *http.Request, id protocol.RequestID, idOf func(http.Header) protocol.RequestID) (*http.Response, error) {
+func (p *Pool) readHead(c *conn, request *http.Request, id protocol.RequestID, idOf func(http.Header) protocol.RequestID) (*http.Response, error) {
 	for range maxStrayAnswers {
+		c.source.Limit(p.options.MaxHeadBytes, "the answer's head")
 		response, err := readResponse(c, request)
+		c.source.Unlimit()
 		if err != nil {
 			return nil, err
 		}
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"endiveplank/transport/bounded"
 )
 
 const (
@@ -27,6 +29,8 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	// source is what reader reads from; it bounds the heads of answers.
+	source *bounded.Reader
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleTimeout is how long the connection may stay idle.
@@ -44,6 +48,8 @@
 	// MaxIdle bounds how long an idle connection is kept, also if the upstream allows more; 0
 	// stands for no bound of its own.
 	MaxIdle time.Duration
+	// MaxHeadBytes bounds the head of an answer; 0 stands for bounded.MaxHeadBytes.
+	MaxHeadBytes int64
 }
 
 // Pool keeps idle connections to upstreams for reuse. It is safe for concurrent use.
@@ -62,6 +68,9 @@
 	if options.Dial == nil {
 		options.Dial = dial
 	}
+	if options.MaxHeadBytes == 0 {
+		options.MaxHeadBytes = bounded.MaxHeadBytes
+	}
 	return &Pool{options: options, idle: map[string][]*conn{}}
 }
 
@@ -123,9 +132,11 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
+	source := bounded.NewReader(opened)
 	return &conn{
 		Conn:        opened,
-		reader:      bufio.NewReaderSize(opened, bufferBytes),
+		source:      source,
+		reader:      bufio.NewReaderSize(source, bufferBytes),
 		writer:      bufio.NewWriterSize(opened, bufferBytes),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
 )
 
@@ -91,7 +92,7 @@
 			return
 		}
 		if err != nil {
-			outcome.Result = brokenResult(outcome.Choice)
+			outcome.Result = brokenResult(outcome.Choice, err)
 			outcome.Cause = err.Error()
 			f.abort("answer-broke-off")
 		}
@@ -99,24 +100,28 @@
 }
 
 // answerBroken records an answer that broke off after its head. Unless the request is
-// over, or the watchdog ended it because the upstream was silent, that counts as a crash of
-// the upstream.
+// over, or this router ended it because the upstream was silent or sent too much, that counts as a
+// crash of the upstream.
 func (f *forwarding) answerBroken(err error, choice balance.Choice, outcome *AttemptOutcome) {
 	outcome.Cause = err.Error()
 	if f.context.Err() != nil {
 		outcome.Result = balance.Abandoned
 		return
 	}
-	outcome.Result = brokenResult(choice)
-	if choice.Proxy == "" && !f.watchdog.hasCancelled() {
+	outcome.Result = brokenResult(choice, err)
+	if outcome.Result == balance.Broken && !f.watchdog.hasCancelled() {
 		f.handler.options.Fleet.UpstreamCrashed(f.brokenBy(choice))
 	}
 }
 
 // brokenResult returns the result of an attempt whose answer broke off. A proxy reports itself
-// what that says about the upstream.
-func brokenResult(choice balance.Choice) balance.Result {
-	if choice.Proxy != "" {
+// what that says about the upstream. An answer that this router ended, as it was too long, is a
+// wrong one and tells nothing about the path.
+func brokenResult(choice balance.Choice, err error) balance.Result {
+	switch {
+	case errors.Is(err, bounded.ErrTooLong):
+		return balance.Failed
+	case choice.Proxy != "":
 		return balance.Abandoned
 	}
 	return balance.Broken
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -14,6 +14,7 @@
 	"endiveplank/coordination/routing"
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
 	"endiveplank/transport/peerproxy"
 	"endiveplank/transport/tracing"
@@ -302,6 +303,8 @@
 		f.handler.options.Fleet.ProxyEnded(choice.Proxy, false)
 	case !failure.Sent:
 		outcome.Result = balance.NoPath
+	case errors.Is(err, bounded.ErrTooLong):
+		outcome.Result = balance.Failed
 	default:
 		outcome.Result = balance.Broken
 		if !f.watchdog.isLate() {
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -9,13 +9,13 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"endiveplank/coordination/balance"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
 )
 
-// maxEventBytes is the largest event accepted from an upstream.
-const maxEventBytes = 1 << 20
-
 // streamBufferBytes is how much of a stream is read at once: a few dozen events.
 const streamBufferBytes = 4 << 10
 
@@ -26,8 +26,8 @@
 // how a crash of the upstream looks.
 var errNoEvent = errors.New("forward: the stream ended without an event")
 
-// errEventTooLong means that an event is longer than maxEventBytes.
-var errEventTooLong = fmt.Errorf("forward: an event of the stream is longer than %d bytes", maxEventBytes)
+// errEventTooLong means that an event is longer than bounded.MaxEventBytes.
+var errEventTooLong = eris.Wrapf(bounded.ErrTooLong, "forward: an event of the stream has more than %d bytes", bounded.MaxEventBytes)
 
 // errEventOrder means that the ids of a stream's events don't increase.
 var errEventOrder = errors.New("forward: an event's id isn't greater than that of the event before it")
@@ -144,7 +144,7 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
+		if len(e.raw) > bounded.MaxEventBytes {
 			return e, errEventTooLong
 		}
 		switch {
--- a/transport/peerproxy/handler.go
+++ b/transport/peerproxy/handler.go
@@ -12,6 +12,7 @@
 
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
 	"endiveplank/transport/tracing"
 )
@@ -213,23 +214,28 @@
 		panic("peerproxy: invariant broken: an exchange fails with a Failure")
 	}
 	p.cause = err.Error()
-	gone := p.request.Context().Err() != nil
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
 		p.refuse(RefusalUnwanted)
 	case !failure.Sent:
-		if !gone {
+		if p.request.Context().Err() == nil {
 			p.handler.options.Fleet.ProxyConnected(p.target, false)
 		}
 		p.refuse(RefusalUnreachable)
 	default:
-		if !gone {
-			p.handler.options.Fleet.ProxyBroke(p.target, p.prompt.SharedParts())
-		}
+		p.noteBroken(err, p.prompt.SharedParts())
 		p.refuse(RefusalLost)
 	}
 }
 
+// noteBroken records that the upstream broke off, unless this router did: as the other router has
+// gone, or as the answer was too long.
+func (p *proxied) noteBroken(err error, parts []uint64) {
+	if p.request.Context().Err() == nil && !errors.Is(err, bounded.ErrTooLong) {
+		p.handler.options.Fleet.ProxyBroke(p.target, parts)
+	}
+}
+
 // refuse answers that there is no answer of the upstream, and why.
 func (p *proxied) refuse(refusal Refusal) {
 	p.refusal = refusal
@@ -270,9 +276,7 @@
 		}
 		if err != nil {
 			p.cause = err.Error()
-			if p.request.Context().Err() == nil {
-				p.handler.options.Fleet.ProxyBroke(p.target, p.unansweredParts(passed))
-			}
+			p.noteBroken(err, p.unansweredParts(passed))
 			p.abort()
 		}
 	}
--- a/transport/peerproxy/handler_test.go
+++ b/transport/peerproxy/handler_test.go
@@ -16,6 +16,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/protocol/dialect/dialecttest"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
 )
 
@@ -314,3 +315,31 @@
 	assert.DeepEqual(t, read, target)
 	assert.Equal(t, len(header), 0)
 }
+
+// Guards: an upstream that sends a head or a body without end counts as crashed, and the other router
+// gets the part for the whole.
+func TestAnswerWithoutEndIsLostAndNoCrash(t *testing.T) {
+	endless := func(first, more string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			connection, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer func() { _ = connection.Close() }()
+			block := strings.Repeat(more, 4<<10)
+			for _, err := io.WriteString(connection, first); err == nil; {
+				_, err = io.WriteString(connection, block)
+			}
+		}
+	}
+	s := newProxyServer(t, endless("HTTP/1.1 200 OK\r\n", "A: b\r\n"))
+	assert.Equal(t, s.refused(), RefusalLost)
+	assert.Equal(t, s.brokeCount(), 0)
+
+	s = newProxyServer(t, endless("HTTP/1.1 200 OK\r\n\r\n", "xxxx"))
+	response := s.send(t.Context())
+	n, err := io.Copy(io.Discard, response.Body)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, n <= bounded.MaxBodyBytes)
+	assert.Equal(t, s.brokeCount(), 0)
+}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -23,6 +23,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -37,14 +38,13 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
+	"endiveplank/transport/bounded"
 	"endiveplank/transport/tracing"
 )
 
 const (
 	// dialTimeout bounds a connection attempt to an upstream.
 	dialTimeout = time.Second
-	// maxEventBytes is the largest server-sent event accepted.
-	maxEventBytes = 1 << 20
 	// bodyChunkBytes is how much of a plain answer goes into one chunk.
 	bodyChunkBytes = 64 << 10
 	// statusServerError is the lowest status that means that the engine failed.
@@ -76,7 +76,8 @@
 			DialContext:       dialer.DialContext,
 			DisableKeepAlives: true,
 			// Bodies are relayed unchanged.
-			DisableCompression: true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		},
 		calls: map[fleet.Attempt]context.CancelFunc{},
 	}
@@ -155,20 +156,27 @@
 	response, err := c.transport.RoundTrip(request)
 	end.Sent = connected.Load()
 	if err != nil {
+		end.TooLong = isHeadTooLong(err)
 		return end
 	}
 	defer response.Body.Close()
+	body := bounded.NewLimitedReader(response.Body, bounded.MaxBodyBytes, "the answer's body")
 	end.Status = response.StatusCode
 	end.RetryAfter = retryAfter(response)
 	if call.Place.Model != "" && response.StatusCode >= statusServerError {
 		return end
 	}
-	relay := &answerRelay{sink: c.sink, call: call, response: response, index: call.Place.ResumeAt}
+	relay := &answerRelay{sink: c.sink, call: call, response: response, body: body, index: call.Place.ResumeAt}
 	end.Complete = relay.relay()
+	end.TooLong = relay.tooLong
 	end.CachedTokens = relay.cachedTokens
 	return end
 }
 
+// isHeadTooLong reports whether a call failed because of the length of the answer's head. net/http
+// has no type for that error.
+func isHeadTooLong(err error) bool { return strings.Contains(err.Error(), "response headers exceeded") }
+
 // retryAfter returns the Retry-After of an upstream that is too busy, 0 if it sends none. The
 // other form of the header, a date, isn't used by upstreams.
 func retryAfter(response *http.Response) time.Duration {
@@ -207,9 +215,12 @@
 	sink         Sink
 	call         node.CallUpstream
 	response     *http.Response
+	body         io.Reader
 	index        int
 	headSent     bool
 	cachedTokens int
+	// tooLong means that the upstream sent more bytes than are accepted.
+	tooLong bool
 }
 
 // relay relays the answer and reports whether it is complete.
@@ -227,8 +238,8 @@
 // relayEvents makes a chunk of each server-sent event. The answer is complete if its
 // last event is the done marker.
 func (a *answerRelay) relayEvents() bool {
-	scanner := bufio.NewScanner(a.response.Body)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	scanner := bufio.NewScanner(a.body)
+	scanner.Buffer(make([]byte, 0, 4<<10), bounded.MaxEventBytes)
 	scanner.Split(splitCompleteLines)
 	for scanner.Scan() {
 		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
@@ -241,9 +252,15 @@
 		a.recordUsage(data)
 		a.sendChunk(bytes.Clone(data))
 	}
+	a.noteTooLong(scanner.Err())
 	return false
 }
 
+// noteTooLong records whether the answer couldn't be read because of its length.
+func (a *answerRelay) noteTooLong(err error) {
+	a.tooLong = errors.Is(err, bounded.ErrTooLong) || errors.Is(err, bufio.ErrTooLong)
+}
+
 // doneLine is the line of the done marker.
 var doneLine = []byte("data: " + chat.DoneMarker)
 
@@ -283,7 +300,7 @@
 func (a *answerRelay) relayBody() bool {
 	for {
 		buffer := make([]byte, bodyChunkBytes)
-		n, err := io.ReadFull(a.response.Body, buffer)
+		n, err := io.ReadFull(a.body, buffer)
 		if n > 0 || (err == io.EOF && !a.headSent) {
 			a.recordUsage(buffer[:n])
 			a.sendChunk(buffer[:n])
@@ -292,6 +309,7 @@
 			return a.isBodyComplete(err)
 		}
 		if err != nil {
+			a.noteTooLong(err)
 			return false
 		}
 	}
@@ -305,7 +323,7 @@
 		return true
 	}
 	var one [1]byte
-	_, again := a.response.Body.Read(one[:])
+	_, again := a.body.Read(one[:])
 	return again == io.EOF
 }
 
