Soak: answers that stop midway or never end, and disk VMs lost after a notice

Neither was played: faulty stand-ins broke their answers off, and upstreams that leave told that again and again to any disk VM.

Change: an upstream answers some requests with 17 kinds of answers that stop midway until the caller closes, or never end; one says once, to one disk VM, that it leaves, and that disk VM is killed as soon as it has acknowledged it. Both are among all faults and in a run of their own. At the end no process may have held more than 284 MB, the memory of the smallest VM.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -82,6 +82,8 @@
 	{"kill two routers", (*harness).killRouters},
 	{"crash engines by a part of prompts", (*harness).crashEnginesByPart},
 	{"hand most connections to one router", (*harness).concentrate},
+	{"make an upstream answer badly", func(h *harness) { h.withRandomUpstream((*upstream).answerBadly) }},
+	{"lose the disk VM that an upstream told that it leaves", (*harness).loseDiskVMAfterNotice},
 	{"stop an upstream that only its answers announce", func(h *harness) {
 		h.withRandomUpstream(func(u *upstream) {
 			h.startUpstream(u.service)
@@ -101,6 +103,26 @@
 	return true
 })
 
+// badAnswerFaults are answers that stop midway or never end, and what makes routers forget requests or
+// send them through others.
+var badAnswerFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "make an upstream answer badly", "kill a router", "stop a router", "reload a router", "lose paths", "reset an upstream's connections":
+		return false
+	}
+	return true
+})
+
+// departureFaults are upstreams that leave, and what makes disk VMs and routers forget that.
+var departureFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	switch f.name {
+	case "lose the disk VM that an upstream told that it leaves", "drain an upstream", "kill a disk VM", "kill a router", "reload a router",
+		"kill all disk VMs", "crash an upstream":
+		return false
+	}
+	return true
+})
+
 // pathFaults are the faults by which routers lose their paths and upstreams become fragile, and
 // those of single upstreams and disk VMs that may come at the same time.
 var pathFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,7 @@
 	}
 	h.checkLastEvacuation()
 	h.checkTakenUp()
+	h.checkMemory()
 	h.checkBudget(time.Since(began))
 }
 
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -45,6 +45,8 @@
 	draining time.Time // when the upstream started to leave, or zero
 	ended    bool
 	faulty   bool // about a third of the requests fail
+	bad      bool // some answers stop midway or never end
+	silent   bool // it announces itself no more
 	busy     bool // all requests are refused with a Retry-After
 	leaving  bool // answers say that the upstream leaves, its announcements don't
 	refusals []*refusal
@@ -79,7 +81,9 @@
 // announceLoop announces the upstream until it stops.
 func (u *upstream) announceLoop() {
 	for {
-		u.announce()
+		if !u.isSilent() {
+			u.announce()
+		}
 		select {
 		case <-u.quit:
 			return
@@ -88,6 +92,12 @@
 	}
 }
 
+func (u *upstream) isSilent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.silent
+}
+
 // announce sends an announcement to one disk VM, or to another one if it doesn't
 // accept it. It reports whether one accepted it.
 func (u *upstream) announce() bool {
@@ -186,6 +196,10 @@
 	if u.failOnRequest(r, id) {
 		return
 	}
+	if bad, drawn := u.drawBadAnswer(); drawn {
+		u.sendBadly(w, id, bad)
+		return
+	}
 	crashes := u.crashes(r, id)
 	platform.WriteAnswer(w.Header(), dialect.Answer{ID: request, Leaving: leaving, Fragile: u.fragileCount()}, string(u.id)+"."+id)
 	if crashes {
