--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -28,7 +28,7 @@
 	maxHeaderBytes = 64 << 10
 	// maxProxyHeadBytes bounds the headers of requests and answers between routers, which have
 	// fields of their own besides those of the caller or the upstream.
-	maxProxyHeadBytes = 2 * bounded.MaxHeadBytes
+	maxProxyHeadBytes = 2 * max(maxHeaderBytes, bounded.MaxHeadBytes)
 	// shutdownMargin is how long before the end of the grace period the router cuts
 	// the requests that are still in flight, so that the process ends by itself
 	// before it is killed.
