Quarantines: silence of routers is no answer

What callers would see: one part of prompts crashes engine after engine, and instead of the requests with that part all requests for streams are refused, for ten minutes.

Cause: a disk VM asks routers which suspect parts they have seen answered, and waits 0.25 s. No answer counted as 'none': a disk VM that was suspended just then, or whose questions or answers are held up, quarantined the first part of all prompts, which is in each crash, beside the one that crashes engines.

Evidence: TestSilenceOfRoutersIsNoAnswer, where all answers are lost for a while: before, parts 1 and 100 (the first of a quarter of all prompts) are quarantined after four crashes; after, none until routers are heard, and then the right one alone, for 20 seeds.

Change: questions are numbered, routers always answer, and a part is judged once at least half of the routers that were asked have answered since it had enough crashes. Too few answers: the question goes out again after 0.5 s. The same in the relay fleet. Routers of the build before answer only what they have seen; while less than half of a fleet is upgraded, new parts wait.

Ruled out: a longer wait, which moves the time at which silence counts.

--- a/coordination/crashes/answered.go
+++ b/coordination/crashes/answered.go
@@ -6,12 +6,16 @@
 
 // Suspects asks routers which of these parts of prompts they have seen answered.
 type Suspects struct {
-	Parts []uint64 `msgpack:"p"`
+	// Number identifies the question among the sender's, and is repeated in answers. It is 0 if the
+	// sender needs no answer that names no part.
+	Number uint64   `msgpack:"n,omitempty"`
+	Parts  []uint64 `msgpack:"p"`
 }
 
 // Sound tells a disk VM which parts were in prompts that were answered completely.
 type Sound struct {
-	Parts []SoundPart `msgpack:"p"`
+	Number uint64      `msgpack:"n,omitempty"`
+	Parts  []SoundPart `msgpack:"p"`
 }
 
 // SoundPart is a part and how long ago, in milliseconds, a prompt with it was last answered.
@@ -56,13 +60,13 @@
 	}
 }
 
-// Reply answers Suspects. False means that none of the parts was answered here.
+// Reply answers Suspects. False means that no answer is needed: none of the parts was answered here.
 func (a *Answered) Reply(now time.Duration, s Suspects) (Sound, bool) {
-	var reply Sound
+	reply := Sound{Number: s.Number}
 	for _, part := range s.Parts {
 		if last, known := a.last[part]; known {
 			reply.Parts = append(reply.Parts, SoundPart{Key: part, AgoMS: (now - last).Milliseconds()})
 		}
 	}
-	return reply, len(reply.Parts) > 0
+	return reply, s.Number != 0 || len(reply.Parts) > 0
 }
--- a/coordination/crashes/detector.go
+++ b/coordination/crashes/detector.go
@@ -24,9 +24,12 @@
 	// askAfter is how many crashes make a part a suspect, of which routers are asked.
 	askAfter = 2
 	// askInterval is the least time between two questions, and replyTime how long routers may
-	// take to answer one.
-	askInterval = 100 * time.Millisecond
-	replyTime   = 250 * time.Millisecond
+	// take to answer one. A question that too few have answered is asked again after askAgainAfter.
+	askInterval   = 100 * time.Millisecond
+	replyTime     = 250 * time.Millisecond
+	askAgainAfter = 500 * time.Millisecond
+	// maxQuestions bounds the questions to which answers may still come.
+	maxQuestions = 16
 	// crashWindow is how long a crash counts, and lateReport how much later than others a
 	// router may report it.
 	crashWindow = time.Hour
@@ -73,21 +76,45 @@
 	// asked is when routers were asked about a part, and askedAt when about any.
 	asked   map[uint64]askedPart
 	askedAt time.Duration
+	// questions are the last ones, and lastNumber is the number of the newest.
+	questions  []question
+	lastNumber uint64
 	// changed says that there is something new to go by, and replyBy is when routers have had
-	// time to answer, 0 if none were asked.
+	// time to answer or are asked again, 0 if none were asked.
 	changed bool
 	replyBy time.Duration
 }
 
+// question is one that routers were asked.
+type question struct {
+	number uint64
+	at     time.Duration
+	parts  []uint64
+}
+
 // askedPart is when routers were asked about a part: for the first time since it has enough
-// crashes, and for the last time.
+// crashes, and for the last time. heard are those that have answered since the first time, of some
+// routers that were asked the last time.
 type askedPart struct {
 	first, last time.Duration
+	heard       map[protocol.RouterID]struct{}
+	routers     int
 }
 
-// NewDetector returns a detector that adds what it finds to the list.
-func NewDetector(list *List) *Detector {
-	return &Detector{list: list, sound: map[uint64]time.Duration{}, asked: map[uint64]askedPart{}}
+// isJudged reports whether at least half of the routers have said whether the part was answered.
+//
+// It guards against this failure: a disk VM that has just been suspended, or whose connections to
+// routers are silent, takes the lack of answers for one. The first part of all prompts is in each
+// crash, so it would be quarantined beside the one that crashes engines, and everybody refused.
+func (a askedPart) isJudged(now time.Duration) bool {
+	return now-a.first >= replyTime && 2*len(a.heard) >= a.routers
+}
+
+// NewDetector returns a detector that adds what it finds to the list. Its questions have the numbers
+// after lastNumber, which differs by much between processes: an answer to a former one answers none
+// of them.
+func NewDetector(list *List, lastNumber uint64) *Detector {
+	return &Detector{list: list, lastNumber: lastNumber, sound: map[uint64]time.Duration{}, asked: map[uint64]askedPart{}}
 }
 
 // Report takes a router's report.
@@ -128,7 +155,8 @@
 }
 
 // HandleSound takes a router's answer.
-func (d *Detector) HandleSound(now time.Duration, s Sound) {
+func (d *Detector) HandleSound(now time.Duration, from protocol.RouterID, s Sound) {
+	d.noteHeard(from, s.Number)
 	for _, part := range s.Parts {
 		if _, asked := d.asked[part.Key]; !asked {
 			continue
@@ -141,6 +169,20 @@
 	}
 }
 
+// noteHeard records that a router has answered a question.
+func (d *Detector) noteHeard(from protocol.RouterID, number uint64) {
+	at := slices.IndexFunc(d.questions, func(q question) bool { return q.number == number })
+	if at < 0 {
+		return
+	}
+	for _, part := range d.questions[at].parts {
+		if asked, any := d.asked[part]; any && d.questions[at].at >= asked.first {
+			asked.heard[from] = struct{}{}
+			d.changed = true
+		}
+	}
+}
+
 // suspectPart is a part that several crashes have in common.
 type suspectPart struct {
 	part  uint64
@@ -152,8 +194,8 @@
 	answered             bool
 }
 
-// Tick returns the question to send to routers, if there is one, and the parts that are
-// quarantined now.
+// Tick returns the question to send to routers, if there is one, and the parts that are quarantined
+// now. NoteAsked must be called once the question was sent.
 func (d *Detector) Tick(now time.Duration) (ask *Suspects, found []Quarantine) {
 	replied := d.replyBy > 0 && now >= d.replyBy
 	if !d.changed && !replied {
@@ -180,6 +222,15 @@
 	return d.question(now, suspects), found
 }
 
+// NoteAsked records how many routers a question was sent to.
+func (d *Detector) NoteAsked(ask Suspects, routers int) {
+	for _, part := range ask.Parts {
+		asked := d.asked[part]
+		asked.routers = routers
+		d.asked[part] = asked
+	}
+}
+
 // suspects returns the parts that have at least askAfter crashes in common, or enough to be
 // quarantined, those with most crashes first. Crashes before the last answer of a part don't count
 // for it.
@@ -246,7 +297,7 @@
 	var worst []suspectPart
 	for _, s := range suspects {
 		asked, any := d.asked[s.part]
-		if !s.enough || !any || asked.first < s.reached || now-asked.first < replyTime {
+		if !s.enough || !any || asked.first < s.reached || !asked.isJudged(now) {
 			continue
 		}
 		if len(worst) > 0 && (s.count < worst[0].count || s.answered && !worst[0].answered) {
@@ -275,7 +326,8 @@
 	})
 }
 
-// question returns the suspects that routers haven't been asked about since their last crash.
+// question returns the suspects that routers haven't been asked about since their last crash, or
+// that too few of them have answered for.
 func (d *Detector) question(now time.Duration, suspects []suspectPart) *Suspects {
 	d.forgetOthers(suspects)
 	if d.askedAt > 0 && now-d.askedAt < askInterval {
@@ -285,7 +337,11 @@
 	var ask Suspects
 	for _, s := range suspects {
 		asked, any := d.asked[s.part]
-		if any && asked.last >= s.last {
+		unjudged := s.enough && !asked.isJudged(now)
+		if any && asked.last >= s.last && !(unjudged && now-asked.last >= askAgainAfter) {
+			if unjudged {
+				d.lookAgainAt(asked.last + askAgainAfter)
+			}
 			continue
 		}
 		if len(ask.Parts) == maxAsked {
@@ -294,6 +350,7 @@
 		ask.Parts = append(ask.Parts, s.part)
 		if !any || s.enough && asked.first < s.reached {
 			asked.first = now
+			asked.heard = map[protocol.RouterID]struct{}{}
 		}
 		asked.last = now
 		d.asked[s.part] = asked
@@ -302,9 +359,20 @@
 		return nil
 	}
 	d.askedAt, d.replyBy = now, now+replyTime
+	d.lastNumber++
+	ask.Number = d.lastNumber
+	d.questions = append(d.questions, question{number: ask.Number, at: now, parts: ask.Parts})
+	d.questions = d.questions[max(len(d.questions)-maxQuestions, 0):]
 	return &ask
 }
 
+// lookAgainAt makes Tick decide again at a time, or earlier.
+func (d *Detector) lookAgainAt(at time.Duration) {
+	if d.replyBy == 0 || at < d.replyBy {
+		d.replyBy = at
+	}
+}
+
 // forgetOthers drops what is known of parts that aren't in any crash.
 func (d *Detector) forgetOthers(suspects []suspectPart) {
 	maps.DeleteFunc(d.asked, func(part uint64, _ askedPart) bool {
--- a/coordination/crashes/detector_test.go
+++ b/coordination/crashes/detector_test.go
@@ -27,6 +27,8 @@
 	crashes    int
 	attempts   uint64
 	found      []Quarantine
+	// silent says that no answer of a router arrives.
+	silent bool
 }
 
 const (
@@ -36,7 +38,7 @@
 
 func newWorld(seed uint64, routers, engines int) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 9)), list: NewList(), starts: make([]int64, engines)}
-	w.detector = NewDetector(w.list)
+	w.detector = NewDetector(w.list, seed)
 	for range routers {
 		w.routers = append(w.routers, NewAnswered())
 	}
@@ -59,12 +61,13 @@
 	if ask == nil {
 		return
 	}
-	for _, r := range w.routers {
-		if w.random.IntN(20) == 0 {
+	w.detector.NoteAsked(*ask, len(w.routers))
+	for i, r := range w.routers {
+		if w.silent || w.random.IntN(20) == 0 {
 			continue
 		}
 		if sound, any := r.Reply(w.now, *ask); any {
-			w.detector.HandleSound(w.now, sound)
+			w.detector.HandleSound(w.now, protocol.RouterID(fmt.Sprint("r", i)), sound)
 		}
 	}
 }
@@ -174,6 +177,31 @@
 	}
 }
 
+// Guards: a disk VM whose questions or whose routers' answers are held up takes that for an answer,
+// and quarantines the first part of all prompts beside the one that crashes engines.
+func TestSilenceOfRoutersIsNoAnswer(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 9, 12)
+		w.silent = true
+		for w.crashes < 8 {
+			w.crash(w.random.IntN(12), 2, 40, firstKey, culprit)
+			for range 20 {
+				w.serve(40)
+				w.serve(40)
+				w.tick()
+			}
+			assert.Equal(t, w.list.Len(), 0, "seed %d: %v after %d crashes", seed, w.found, w.crashes)
+		}
+		w.silent = false
+		for range 40 {
+			w.serve(40)
+			w.tick()
+		}
+		assert.Assert(t, w.quarantined(culprit), "seed %d", seed)
+		assert.Equal(t, w.list.Len(), 1, "seed %d: %v", seed, w.found)
+	}
+}
+
 // Guards: a part that nobody has ever seen answered always comes with the one that crashes engines,
 // and neither is found as they can't be told apart.
 func TestPartsThatCantBeToldApartAreQuarantinedAfterFourCrashes(t *testing.T) {
--- a/coordination/node/crashparts.go
+++ b/coordination/node/crashparts.go
@@ -34,9 +34,9 @@
 	readAt    time.Duration
 }
 
-func newCrashParts() crashParts {
+func newCrashParts(incarnation uint32) crashParts {
 	list := crashes.NewList()
-	return crashParts{list: list, answered: crashes.NewAnswered(), detector: crashes.NewDetector(list), readsLeft: maxQuarantinesReads}
+	return crashParts{list: list, answered: crashes.NewAnswered(), detector: crashes.NewDetector(list, uint64(incarnation)<<32), readsLeft: maxQuarantinesReads}
 }
 
 // left returns how much longer prompts with one of these parts are refused, 0 if they aren't.
@@ -109,7 +109,9 @@
 	if ask == nil {
 		return
 	}
-	for _, id := range sample(n.config.Random, slices.Clone(n.view.Routers), crashes.MaxAskedRouters) {
+	routers := sample(n.config.Random, slices.Clone(n.view.Routers), crashes.MaxAskedRouters)
+	n.crashParts.detector.NoteAsked(*ask, len(routers))
+	for _, id := range routers {
 		n.send(id, *ask)
 	}
 }
--- a/coordination/node/inputs.go
+++ b/coordination/node/inputs.go
@@ -124,7 +124,10 @@
 		From     protocol.RouterID
 		Suspects crashes.Suspects
 	}
-	PeerSound struct{ Sound crashes.Sound }
+	PeerSound struct {
+		From  protocol.RouterID
+		Sound crashes.Sound
+	}
 )
 
 // PeerPartQuarantine says that a part of prompts is quarantined.
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -153,7 +153,7 @@
 		limitHome:    limits.NewHome(limits.DefaultConfig(), nil),
 		budget:       retry.New(retry.DefaultConfig()),
 		quarantine:   quarantine.New(quarantine.DefaultConfig()),
-		crashParts:   newCrashParts(),
+		crashParts:   newCrashParts(config.Incarnation),
 
 		orderGate:   engineorders.NewGate(),
 		activity:    map[protocol.UpstreamID]*engineActivity{},
@@ -239,7 +239,7 @@
 	case PeerSuspects:
 		n.handleSuspects(now, in)
 	case PeerSound:
-		n.crashParts.detector.HandleSound(now, in.Sound)
+		n.crashParts.detector.HandleSound(now, in.From, in.Sound)
 	case PeerPartQuarantine:
 		n.mergePartQuarantines(now, []crashes.Quarantine{in.Quarantine})
 	case PeerQuarantinesRead:
@@ -361,7 +361,7 @@
 	case crashes.Suspects:
 		return PeerSuspects{From: from, Suspects: message}
 	case crashes.Sound:
-		return PeerSound{Sound: message}
+		return PeerSound{From: from, Sound: message}
 	case QuarantinesRead:
 		return PeerQuarantinesRead{From: from}
 	case Quarantines:
--- a/daemon/diskvm/crashes.go
+++ b/daemon/diskvm/crashes.go
@@ -19,9 +19,9 @@
 	savedDigest uint64
 }
 
-func newQuarantines() quarantines {
+func newQuarantines(lastQuestion uint64) quarantines {
 	list := crashes.NewList()
-	return quarantines{list: list, contents: crashes.New(crashes.DefaultSettings()), parts: crashes.NewDetector(list)}
+	return quarantines{list: list, contents: crashes.New(crashes.DefaultSettings()), parts: crashes.NewDetector(list, lastQuestion)}
 }
 
 // handleCrash takes a router's report. The lock is held.
@@ -39,7 +39,9 @@
 	ask, found := vm.quarantines.parts.Tick(now)
 	vm.publishQuarantines(now, found)
 	if ask != nil {
-		vm.fabric.SendEach(vm.someRouters(now), *ask)
+		routers := vm.someRouters(now)
+		vm.quarantines.parts.NoteAsked(*ask, len(routers))
+		vm.fabric.SendEach(routers, *ask)
 	}
 	vm.saveQuarantines(now)
 }
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -99,7 +99,7 @@
 		options: options, settings: options.Settings, log: options.Log,
 		incarnation: options.Random.Uint64(), started: time.Now(),
 		folder: folder, machine: diskstate.NewMachine(), registry: metrics.NewRegistry(),
-		calls: newCalls(options.Random.Uint64()), roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()}, quarantines: newQuarantines(),
+		calls: newCalls(options.Random.Uint64()), roster: roster.New(roster.DefaultSettings()), builds: listedBuilds{set: builds.NewSet()}, quarantines: newQuarantines(options.Random.Uint64()),
 		departures: departures{unsaved: roster.NewUnsaved(rosterMaxAge)},
 		quit:       make(chan struct{}),
 	}
@@ -275,7 +275,7 @@
 	case crashes.Crash:
 		vm.handleCrash(now, m)
 	case crashes.Sound:
-		vm.quarantines.parts.HandleSound(now, m)
+		vm.quarantines.parts.HandleSound(now, from, m)
 	case control.ChangesAck:
 		vm.publisher.HandleChangesAck(from, m)
 		vm.endDepartureWaits(now)
--- a/daemon/gossip_test.go
+++ b/daemon/gossip_test.go
@@ -101,7 +101,7 @@
 	}{
 		wire.KindCrash:            {crash, node.PeerCrash{Crash: crash}},
 		wire.KindSuspects:         {suspects, node.PeerSuspects{From: "r2", Suspects: suspects}},
-		wire.KindSound:            {sound, node.PeerSound{Sound: sound}},
+		wire.KindSound:            {sound, node.PeerSound{From: "r2", Sound: sound}},
 		wire.KindQuarantinesRead:  {node.QuarantinesRead{}, node.PeerQuarantinesRead{From: "r2"}},
 		wire.KindQuarantinesReply: {known, node.PeerQuarantines{Quarantines: known}},
 	} {
