Peer: an acknowledgement is written without its lock

Seen by reading in the review, no case: acker.send held its lock while it wrote for up to a second. Whoever sends frames to that peer takes the lock, and Mesh.Send waits for that: a peer that reads nothing held up all messages of a process, those about upstreams that leave and quarantines too.

How often peers are that slow isn't known.

Change: the bytes are taken with the lock and written without. Writes of one connection don't interleave, and an older acknowledgement behind a newer one changes nothing. A write that fails closes the connection, as a part of a frame can't be followed by another.

--- a/transport/peer/accept.go
+++ b/transport/peer/accept.go
@@ -234,15 +234,27 @@
 	}
 }
 
+// send sends the acknowledgement. It writes without the lock, because the peer may not read, and
+// whoever sends it frames takes the lock. After a part of a frame nothing else can be read.
 func (a *acker) send() {
+	raw := a.take()
+	if len(raw) == 0 {
+		return
+	}
+	_ = a.connection.SetWriteDeadline(time.Now().Add(dialTimeout))
+	if _, err := a.connection.Write(raw); err != nil {
+		_ = a.connection.Close()
+	}
+}
+
+// take returns the encoded acknowledgement, nothing if none is due.
+func (a *acker) take() []byte {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stopped || a.timer == nil {
-		return
+		return nil
 	}
-	raw := a.append(nil)
-	_ = a.connection.SetWriteDeadline(time.Now().Add(dialTimeout))
-	_, _ = a.connection.Write(raw)
+	return a.append(nil)
 }
 
 // append appends the acknowledgement to encoded frames. The caller holds the lock.
