Throttle: a cut leaves a router with a low limit what it has saved up

What callers would see: a fragile service is overloaded in a fleet of many routers, and less than half of what its servers can do is used.

Cause: each cut took away what a router had saved up for its next request, so that routers don't send at once after the pause. Cuts come whenever all routers together are refused a part of what the upstream bears, about once a second. A router whose limit is below a request a second starts anew each time and sends nothing for long, and what isn't sent doesn't raise its limit either.

--- a/coordination/throttle/fleetpaths_test.go
+++ b/coordination/throttle/fleetpaths_test.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// Guards: in a fleet of many routers, each of which may send less than a request a second to an
+// upstream, cuts come before any of them has saved up for one, and half of the capacity is unused.
+func TestRoutersWithLowLimitsSendBetweenCuts(t *testing.T) {
+	for _, fleet := range overloadedFleets()[3:] {
+		for seed := range uint64(3) {
+			m := fleet.play(seed)
+			assert.Check(t, 2*m.served > m.capacity(), "%d routers, seed %d: served %d of %d", fleet.routers, seed, m.served, m.capacity())
+			assert.Check(t, float64(m.falls) <= 2+float64(fleet.servers)/10, "%d servers fell over", m.falls)
+		}
+	}
+}
+
 // Guards: routers raise and cut their limits by factors, so that one whose limits are low stays low for
 // as long as the overload lasts.
 func TestLowLimitsBecomeLikeThoseOfTheOthers(t *testing.T) {
--- a/coordination/throttle/throttle.go
+++ b/coordination/throttle/throttle.go
@@ -214,7 +214,10 @@
 	return true
 }
 
-// cut sets the limit below what the upstream serves.
+// cut sets the limit below what the upstream serves. Of what a router has saved up for its next
+// request nothing is left, so that routers don't send at once after the pause. One that may send less
+// than a request in a window keeps it: cuts come as often as all routers are refused, and it would
+// never send any.
 func (u *upstream) cut(now time.Duration) {
 	served := u.served.perSecond(now)
 	if u.limited {
@@ -223,7 +226,9 @@
 	}
 	u.limit = max(cutTo*served, minRate)
 	u.limited = true
-	u.tokens = 0
+	if u.limit*window.Seconds() >= 1 {
+		u.tokens = 0
+	}
 	u.resumeAt = now + settleTime
 	u.raisedAt = u.resumeAt
 }
