Exchange: the tests of bytes without end say what they guard against

Their lines told what was seen before the change, which the commit of the change has. Comments alone; nothing is run for it but the formatter and vet.

--- a/transport/exchange/endless_test.go
+++ b/transport/exchange/endless_test.go
@@ -48,9 +48,8 @@
 // has 284 MB at least, and serves some hundred requests at a time.
 const maxRequestMemory = 1 << 20
 
-// Guards: an upstream never ends a status line, a header line, its fields or its interim answers.
-// Before the head was bounded, a request read until its deadline, and its process grew by a gigabyte
-// in two seconds.
+// Guards: an upstream never ends a status line, a header line, its fields or its interim answers, and
+// the process that reads them runs out of memory.
 func TestHeadWithoutEndIsBounded(t *testing.T) {
 	for name, c := range map[string]*endlessConn{
 		"no HTTP":             {more: "x"},
@@ -83,8 +82,8 @@
 	}
 }
 
-// Guards: an upstream never ends a body, a chunk's line or the trailers. A body that is passed on as
-// it comes was read until the deadline.
+// Guards: an upstream never ends a body, a chunk's line or the trailers, and they are read until the
+// deadline.
 func TestBodyWithoutEndIsBounded(t *testing.T) {
 	chunked := okHead + "Transfer-Encoding: chunked\r\n\r\n"
 	for name, c := range map[string]*endlessConn{
