Departures: comments that a newcomer can follow

Read as a newcomer: which number of disks is asked for in a small fleet, what is counted for a confirmed notice, and when the function is called that says what is new on disk. Comments alone.

--- a/coordination/control/departures.go
+++ b/coordination/control/departures.go
@@ -24,9 +24,8 @@
 	p.self, p.losses = self, losses
 }
 
-// requiredHolders returns on how many disk VMs a notice has to be on disk. As few disk VMs bear
-// fewer losses than the settings say, and a change of the table is confirmed by a majority of them,
-// no more are required than that.
+// requiredHolders returns on how many disk VMs a notice has to be on disk: on one more than may be
+// lost. A fleet with fewer disk VMs than these losses ask for needs a majority, as for a table.
 func (p *Publisher) requiredHolders() int {
 	if count := len(p.diskVMs); count > 0 {
 		return min(p.losses, (count-1)/2) + 1
@@ -64,8 +63,8 @@
 	return true
 }
 
-// DepartureHolders returns on how many disk VMs a notice that isn't confirmed yet is known to be on
-// disk, and on how many it has to be.
+// DepartureHolders returns on how many disk VMs a notice is known to be on disk, and on how many it
+// has to be. A confirmed one is on as many as that.
 func (p *Publisher) DepartureHolders(id protocol.UpstreamID) (holders, required int) {
 	required = p.requiredHolders()
 	if d := p.departures[id]; d != nil {
--- a/daemon/diskvm/departures.go
+++ b/daemon/diskvm/departures.go
@@ -54,7 +54,7 @@
 	message  control.Message
 }
 
-// outcomes of an upstream's notice that it leaves.
+// Outcomes of an upstream's notice that it leaves.
 const (
 	departureConfirmed   = "confirmed"
 	departureUnconfirmed = "unconfirmed"
@@ -196,8 +196,9 @@
 	})
 }
 
-// departuresWritten records that notices are on this VM's disk. written returns those for which that
-// is new.
+// departuresWritten records that notices are on this VM's disk, sends the acknowledgements that waited
+// for it, and ends the waits of those that are confirmed by it. written is called with the lock held
+// and returns the upstreams whose notices weren't on disk before.
 func (vm *VM) departuresWritten(written func() []protocol.UpstreamID) {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
