Clients: budgets for connections, memory and processor time on all listeners of direct fleets

What callers saw: beside clients that hold legal bodies short of their end (in one piece, in small pieces, in chunks), a router passed the 284 MB of its VM within seconds and was killed. Beside one-byte chunks, heads of thousands of short fields, requests sent ahead at a path without a route, or more idle connections than descriptors, ordinary callers were hardly served, though the router lived on.

Cause: each of these takes a resource before anyone has decided to give it. Bodies were counted once they had been read. Connections were bounded by refusing new ones, so that idle ones kept ordinary callers out; other listeners had no bound. What is refused was read and answered as fast as it came: the connections that cost the time kept it, and the overload shedder, which measures only that work waits, reset ordinary callers' new connections.

Ruled out: limits of each connection alone, as they refuse single requests that the table allows; closing costly connections, as clients come back at once and a new connection costs more than one that waits.

Change: package coordination/intake decides, apart from I/O, which connections are closed when there are as many as there may be, which requests may hold how many bytes, and how long a connection waits that has used much without being served. transport/limited puts that in force on each listener. Sizes are shares of the VM's memory, processor and descriptors (settings processor.share and descriptors.limit). A connection is accepted once a byte has come; the kernel's buffers are bounded; an accept lets go first what is ready to run. docs/design/clients.md has the budgets and what was weighed.

Open here: answers that aren't read, the fleet's own connections, and the relay fleet's listeners.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -24,6 +23,7 @@
 	"endiveplank/daemon/router"
 	"endiveplank/platform"
 	"endiveplank/settings/direct"
+	"endiveplank/transport/limited"
 	"endiveplank/transport/tracing"
 )
 
@@ -43,6 +43,13 @@
 	// controlReadTimeout that for the whole request, of an operator or upstream.
 	controlHeaderTimeout = 3 * time.Second
 	controlReadTimeout   = 10 * time.Second
+	// controlWriteTimeout limits the time from the header to the end of the answer, which may be a
+	// whole table.
+	controlWriteTimeout = 20 * time.Second
+	// controlDescriptorShare and metricsDescriptorShare are the shares of a disk VM's file
+	// descriptors that the connections of these listeners may have.
+	controlDescriptorShare = 0.4
+	metricsDescriptorShare = 0.01
 	// maxControlHeaderBytes bounds the header of a call of an operator or upstream.
 	maxControlHeaderBytes = 64 << 10
 	// shutdownTimeout limits how long a stopping disk VM waits for calls in
@@ -191,6 +198,7 @@
 type diskVM struct {
 	*diskvm.VM
 	log     zerolog.Logger
+	limits  *limited.Budgets
 	servers []*http.Server
 }
 
@@ -200,31 +208,32 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &diskVM{VM: vm, log: logs.log}
-	if err := d.serve(settings.Listen.Control, platform.NewControlHandler(vm, logs.log)); err != nil {
+	d := &diskVM{VM: vm, log: logs.log, limits: limited.New(limited.Options{MemoryBytes: settings.Memory.LimitBytes(), Processor: settings.Processor.Share, Descriptors: settings.Descriptors.Limit})}
+	if err := d.serve(settings.Listen.Control, platform.NewControlHandler(vm, logs.log), controlDescriptorShare); err != nil {
 		d.Stop()
 		return nil, err
 	}
 	if settings.Listen.Metrics == "" {
 		return d, nil
 	}
-	if err := d.serve(settings.Listen.Metrics, http.HandlerFunc(vm.ServeMetrics)); err != nil {
+	if err := d.serve(settings.Listen.Metrics, http.HandlerFunc(vm.ServeMetrics), metricsDescriptorShare); err != nil {
 		d.Stop()
 		return nil, err
 	}
 	return d, nil
 }
 
-// serve starts an HTTP server at address.
-func (d *diskVM) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+// serve starts an HTTP server at address, whose connections may have a share of the descriptors.
+func (d *diskVM) serve(address string, handler http.Handler, share float64) error {
+	listener, err := limited.Open(address)
 	if err != nil {
 		return eris.Wrapf(err, "listen at %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout, MaxHeaderBytes: maxControlHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout, WriteTimeout: controlWriteTimeout, MaxHeaderBytes: maxControlHeaderBytes}
 	d.servers = append(d.servers, server)
+	bounded := d.limits.Listen(listener, server, share)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Send()
 		}
 	}()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -36,6 +36,7 @@
 	"endiveplank/settings/direct"
 	"endiveplank/transport/exchange"
 	"endiveplank/transport/forward"
+	"endiveplank/transport/limited"
 	"endiveplank/transport/peerproxy"
 	"endiveplank/transport/tracing"
 )
@@ -86,6 +87,8 @@
 	table         atomic.Pointer[routing.Index]
 	servers       servers
 	callers       callerConnections
+	// limits are what callers and all other clients together may take of the process.
+	limits *limited.Budgets
 	// announcements are those that wait for a disk VM's acknowledgement.
 	announcements pendingAnnouncements
 	metrics       *instruments
@@ -147,6 +150,7 @@
 		roster:       roster.New(roster.DefaultSettings()),
 		crashes:      newCrashState(),
 		callers:      callerConnections{shedder: overload.NewShedder()},
+		limits:       limited.New(limited.Options{MemoryBytes: options.Settings.Memory.LimitBytes(), Processor: options.Settings.Processor.Share, Descriptors: options.Settings.Descriptors.Limit}),
 		builds:       newStreamBuilds(),
 		paths:        reach.NewPaths(),
 		throttle:     throttle.New(),
@@ -158,7 +162,6 @@
 		loggedLimits: map[protocol.Service]bool{},
 		quit:         make(chan struct{}),
 	}
-	r.callers.most.Store(maxCallerConnections())
 	self := options.Settings.Self()
 	r.routersListen = options.Settings.RoutersListen()
 	r.proxyNeededAt = -proxyNeededFor
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -11,11 +11,15 @@
 
 	"endiveplank/transport/admissionview"
 	"endiveplank/transport/bounded"
+	"endiveplank/transport/limited"
 )
 
 const (
 	// headerTimeout is the most time that a caller may take to send its header.
 	headerTimeout = 5 * time.Second
+	// writeTimeout is how long a client may take to read a short answer. Answers of upstreams have
+	// the time that is left to their requests.
+	writeTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection may be idle. Callers reuse
 	// connections that have been idle for a while, and reusing one that the router
 	// has just closed costs them a request. It is therefore far above the timeouts
@@ -45,39 +49,55 @@
 	metrics *http.Server
 }
 
+// Shares of the process's file descriptors that the connections of each listener may have. Requests
+// of callers and of other routers need another one each for their upstreams.
+const (
+	callerDescriptorShare       = 0.5
+	announcementDescriptorShare = 0.1
+	routerDescriptorShare       = 0.1
+	probeDescriptorShare        = 0.01
+)
+
 // serve starts the HTTP servers. It returns an error if an address can't be listened
 // at.
 func (r *Router) serve() error {
 	listen := r.options.Settings.Listen
 	r.servers.callers = &http.Server{
-		Handler: http.HandlerFunc(r.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: r.countCaller,
+		Handler: http.HandlerFunc(r.serveCaller), ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	r.servers.readiness = &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	if err := r.startServerOn(r.servers.callers, listen.Callers, r.listenForCallers); err != nil {
+	callers, err := r.startServer(r.servers.callers, listen.Callers, callerDescriptorShare, r.listenForCallers)
+	if err != nil {
 		return err
 	}
-	if err := r.startServer(r.servers.readiness, listen.Readiness); err != nil {
+	r.callers.listener = callers
+	r.servers.readiness = newServer(http.HandlerFunc(r.serveReadiness))
+	if _, err := r.startServer(r.servers.readiness, listen.Readiness, probeDescriptorShare, nil); err != nil {
 		return err
 	}
 	if listen.Announcements != "" {
-		handler := r.options.AnnouncementHandler(r.handleAnnouncement, r.countRefusedAnnouncement)
-		r.servers.announcements = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: announcementIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-		if err := r.startServer(r.servers.announcements, listen.Announcements); err != nil {
+		r.servers.announcements = newServer(r.options.AnnouncementHandler(r.handleAnnouncement, r.countRefusedAnnouncement))
+		r.servers.announcements.IdleTimeout = announcementIdleTimeout
+		if _, err := r.startServer(r.servers.announcements, listen.Announcements, announcementDescriptorShare, nil); err != nil {
 			return err
 		}
 	}
 	if r.routersListen != "" {
 		r.servers.routers = &http.Server{Handler: r.proxied, ReadHeaderTimeout: headerTimeout, IdleTimeout: headerTimeout, MaxHeaderBytes: maxProxyHeadBytes}
-		if err := r.startServer(r.servers.routers, r.routersListen); err != nil {
+		if _, err := r.startServer(r.servers.routers, r.routersListen, routerDescriptorShare, nil); err != nil {
 			return err
 		}
 	}
 	if listen.Metrics == "" {
 		return nil
 	}
-	r.servers.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return r.startServer(r.servers.metrics, listen.Metrics)
+	r.servers.metrics = newServer(r.metricsHandler())
+	_, err = r.startServer(r.servers.metrics, listen.Metrics, probeDescriptorShare, nil)
+	return err
+}
+
+// newServer returns a server whose answers are short.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // metricsHandler serves the metrics at any path but admissionview.Path.
@@ -88,24 +108,23 @@
 	return paths
 }
 
-// startServer listens at an address and serves it in the background.
-func (r *Router) startServer(server *http.Server, address string) error {
-	return r.startServerOn(server, address, func(listener net.Listener) net.Listener { return listener })
-}
-
-// startServerOn is startServer with a listener that is wrapped.
-func (r *Router) startServerOn(server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
-	listener, err := net.Listen("tcp", address)
+// startServer listens at an address, whose connections may have a share of the file descriptors, and
+// serves it in the background. wrap wraps the listener, nil for no wrapper.
+func (r *Router) startServer(server *http.Server, address string, share float64, wrap func(net.Listener) net.Listener) (*limited.Listener, error) {
+	listener, err := limited.Open(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen at %s", address)
+		return nil, eris.Wrapf(err, "listen at %s", address)
+	}
+	if wrap != nil {
+		listener = wrap(listener)
 	}
-	listener = wrap(listener)
+	bounded := r.limits.Listen(listener, server, share)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Send()
 		}
 	}()
-	return nil
+	return bounded, nil
 }
 
 // serveCaller handles a caller's request. While the router is stopping, it closes each
--- a/settings/direct/settings.go
+++ b/settings/direct/settings.go
@@ -55,11 +55,13 @@
 	// PrefixCache says how engines' caches of prompts' prefixes are used.
 	PrefixCache PrefixCache `json:"prefix_cache"`
 	// Admission decides about requests while demand for a service exceeds its capacity.
-	Admission Admission `json:"admission"`
-	Stop      Stop      `json:"stop"`
-	Log       Log       `json:"log"`
-	Memory    Memory    `json:"memory"`
-	Link      Link      `json:"link"`
+	Admission   Admission   `json:"admission"`
+	Stop        Stop        `json:"stop"`
+	Log         Log         `json:"log"`
+	Memory      Memory      `json:"memory"`
+	Processor   Processor   `json:"processor"`
+	Descriptors Descriptors `json:"descriptors"`
+	Link        Link        `json:"link"`
 	// Traces selects where a router exports its spans.
 	Traces settings.Traces `json:"traces"`
 }
@@ -187,6 +189,21 @@
 	LimitMB float64 `json:"limit_mb"`
 }
 
+// LimitBytes returns LimitMB in bytes.
+func (m Memory) LimitBytes() int64 { return int64(m.LimitMB * (1 << 20)) }
+
+// Processor describes the VM's processor.
+type Processor struct {
+	// Share is the share of a processor that the process has; above 1 for several processors.
+	Share float64 `json:"share"`
+}
+
+// Descriptors limits the open files and connections of the process.
+type Descriptors struct {
+	// Limit is the platform's limit; 0 for that of the process.
+	Limit int `json:"limit"`
+}
+
 // Link describes the VM's network link.
 type Link struct {
 	// Mbps is the rate of the link in megabits per second.
@@ -226,6 +243,7 @@
 		Stop:        Stop{UnreadyMS: 2500, GraceMS: 8000},
 		Log:         Log{Level: "info", LinesPerSecond: 100},
 		Memory:      Memory{LimitMB: 256},
+		Processor:   Processor{Share: 0.4},
 		Link:        Link{Mbps: 1000},
 		Traces:      settings.DefaultTraces(),
 	}
--- /dev/null
+++ b/soak/clients/clients_test.go
@@ -0,0 +1,126 @@
+package clients
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	all     = flag.Bool("clients.all", false, "play each kind of client at every listener and path")
+	seed    = flag.Int("clients.seed", 1, "selects the listener and path of each kind of client, if not all are played")
+	seconds = flag.Int("clients.seconds", 3, "how long each kind of client is played, in seconds")
+)
+
+const (
+	// leastServed is the share of ordinary requests that must be served beside clients that don't
+	// behave.
+	leastServed = 0.9
+	// calmWithin is how long after these have gone a single request must be served.
+	calmWithin = 5 * time.Second
+)
+
+// target is a listener and a path at which clients arrive.
+type target struct {
+	name string
+	// at returns the address of the listener.
+	at   func(*fleet) string
+	path string
+}
+
+// callersTargets are the callers' listener at all sorts of paths.
+var callersTargets = []target{
+	{"route", callersOf, ordinaryPath},
+	{"big answers", callersOf, bigPath},
+	{"no route", callersOf, noRoutePath},
+	{"ready path", callersOf, readyPath},
+}
+
+func callersOf(f *fleet) string { return f.listen(f.router).Callers }
+
+// otherTargets are all other listeners of a fleet whose routers send to upstreams.
+var otherTargets = []target{
+	{"readiness", func(f *fleet) string { return f.listen(f.router).Readiness }, readyPath},
+	{"announcements", func(f *fleet) string { return f.listen(f.router).Announcements }, "/instances/m"},
+	{"routers", func(f *fleet) string { return f.listen(f.router).Routers }, ordinaryPath},
+	{"router metrics", func(f *fleet) string { return f.listen(f.router).Metrics }, "/metrics"},
+	{"router peers", func(f *fleet) string { return f.listen(f.router).Peers }, "/"},
+	{"control", func(f *fleet) string { return f.listen(f.diskVM).Control }, "/config"},
+	{"disk VM metrics", func(f *fleet) string { return f.listen(f.diskVM).Metrics }, "/metrics"},
+	{"disk VM peers", func(f *fleet) string { return f.listen(f.diskVM).Peers }, "/"},
+}
+
+// Guards: clients that don't behave make a router pass its memory, end or hang, or keep it from
+// serving ordinary callers.
+func TestCallersAreServedBesideClientsThatDoNotBehave(t *testing.T) { playAll(t, callersTargets) }
+
+// Guards: the same by way of the listeners that aren't meant for callers.
+func TestCallersAreServedBesideClientsAtOtherListeners(t *testing.T) { playAll(t, otherTargets) }
+
+// playAll plays each kind of client at one target or at all.
+func playAll(t *testing.T, targets []target) {
+	for i, to := range targets {
+		for j, k := range kinds {
+			if *all || (j+*seed)%len(targets) == i {
+				t.Run(to.name+"/"+k.name, func(t *testing.T) { play(t, startFleet(t), to, k) })
+			}
+		}
+	}
+}
+
+// play plays a kind of client beside ordinary callers, and checks that the processes stay within their
+// VMs, that the callers are served, and that single requests are served once the clients have gone.
+func play(t *testing.T, f *fleet, to target, k kind) {
+	callers := startOrdinary(callersOf(f))
+	clients := startCrowd(k, to.at(f), to.path, time.Duration(*seconds)*time.Second)
+	notReady := f.probe(clients.until)
+	share, slow := callers.stop()
+	clients.done.Wait()
+	calm := f.servedWithin(calmWithin)
+	var used string
+	for _, p := range []*process{f.router, f.diskVM} {
+		peak, why := p.verdict()
+		used += ", " + peak
+		assert.Check(t, why == "", "%s: %s", p.name, why)
+	}
+	t.Logf("served %.2f of %d, slowest percent %d ms%s, unready probes %d, failures %v", share, callers.sent, slow.Milliseconds(), used, notReady, callers.failures)
+	assert.Check(t, share >= leastServed, "%.2f of the ordinary requests are served", share)
+	assert.Check(t, calm, "no single request is served %s after the clients have gone", calmWithin)
+	assert.Check(t, notReady <= 1, "%d probes in a row of the balancer found the router not ready", notReady)
+}
+
+// probe asks every second whether the router is ready, until a time. It returns the most probes in a
+// row that it failed.
+func (f *fleet) probe(until time.Time) int {
+	most, inRow := 0, 0
+	for time.Now().Before(until) {
+		began := time.Now()
+		if get(f.listen(f.router).Readiness, readyPath, time.Second) == http.StatusOK {
+			inRow = 0
+		} else {
+			inRow++
+		}
+		most = max(most, inRow)
+		time.Sleep(time.Second - time.Since(began))
+	}
+	return most
+}
+
+// servedWithin reports whether a single request of the largest size that the table allows is served
+// within a time.
+func (f *fleet) servedWithin(timeout time.Duration) bool {
+	c := &caller{ordinary: &ordinary{at: callersOf(f)}, name: "single"}
+	defer c.disconnect()
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		c.number++
+		if c.attempt(fmt.Sprintf("single-%d", c.number), time.Now().Add(callerDeadline)) == "" {
+			return true
+		}
+		c.disconnect()
+	}
+	return false
+}
--- a/transport/callers/callers.go
+++ b/transport/callers/callers.go
@@ -293,7 +293,7 @@
 
 // resetAndClose closes a TCP connection with a reset (RST) instead of a FIN.
 func resetAndClose(connection net.Conn) {
-	if tcp, ok := connection.(*net.TCPConn); ok {
+	if tcp, ok := connection.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = connection.Close()
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -18,6 +18,7 @@
 	"endiveplank/protocol"
 	"endiveplank/protocol/dialect"
 	"endiveplank/transport/exchange"
+	"endiveplank/transport/limited"
 	"endiveplank/transport/tracing"
 )
 
@@ -369,6 +370,9 @@
 	case errors.As(err, &tooLarge):
 		f.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
+	case errors.Is(err, limited.ErrNoRoom):
+		f.refuse(http.StatusServiceUnavailable, "bodies-fill-memory", retryAfterFull)
+		return false
 	case err != nil:
 		// The caller's connection ended before its body was complete.
 		f.outcome.Reason = "caller-broke-off"
--- a/transport/shedding/shedding.go
+++ b/transport/shedding/shedding.go
@@ -4,7 +4,10 @@
 // and opens a connection to another router at once.
 package shedding
 
-import "net"
+import (
+	"net"
+	"runtime"
+)
 
 // Listener is a listener that resets some of the connections that it accepts.
 type Listener struct {
@@ -21,6 +24,8 @@
 			return connection, err
 		}
 		reset(connection)
+		// What is ready to run on open connections goes first.
+		runtime.Gosched()
 	}
 }
 
