Clients: answers that aren't read give way to those that others wait for

What callers saw: 500 clients ask for answers of 4 MB and read nothing. A router used 312 MB of its VM's 284 and was killed; with the kernel's buffers bounded it lived, and ordinary callers got 503 no-room, as the unread answers had the upstreams' room until their write deadlines.

Cause: each unread answer held 64 KB and an upstream's slot, and nobody had decided that it may.

Ruled out: not counting such requests as load, as the upstream may still be sending; a shorter write deadline for all, as an answer that is ready is delivered, also late, while nobody needs what it holds.

A request that finds no room at the upstreams ends the connections that haven't taken their answers for a quarter of a second.

--- a/coordination/intake/connections.go
+++ b/coordination/intake/connections.go
@@ -32,6 +32,12 @@
 	Since time.Duration
 }
 
+// IsUnread reports whether the client hasn't taken its answer for so long that the connection may be
+// closed, if others need what its request holds.
+func (c Connection) IsUnread(now time.Duration) bool {
+	return c.Stage == Unread && now-c.Since >= youngUnread
+}
+
 // closeShare is the share of the connections that is closed at once when no further one can be opened.
 const closeShare = 1.0 / 64
 
@@ -40,7 +46,7 @@
 func Victims(now time.Duration, open []Connection) []int {
 	var candidates []int
 	for i, c := range open {
-		if c.Stage == Busy || c.Stage == Unread && now-c.Since < youngUnread {
+		if c.Stage == Busy || c.Stage == Unread && !c.IsUnread(now) {
 			continue
 		}
 		candidates = append(candidates, i)
--- a/transport/forward/plain.go
+++ b/transport/forward/plain.go
@@ -13,6 +13,7 @@
 	"endiveplank/coordination/balance"
 	"endiveplank/transport/bounded"
 	"endiveplank/transport/exchange"
+	"endiveplank/transport/limited"
 )
 
 const (
@@ -38,6 +39,10 @@
 	if !f.checkStatus(answer, outcome) {
 		return false
 	}
+	if !limited.HoldAnswer(f.request.Context(), len(data)) {
+		// The caller must not take what it gets for the end of an answer.
+		f.abort("answers-fill-memory")
+	}
 	f.copyHeader(answer)
 	if complete && f.request.Method != http.MethodHead {
 		f.writer.Header().Set("Content-Length", strconv.Itoa(len(data)))
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endiveplank/coordination/balance"
+	"endiveplank/transport/limited"
 )
 
 // Retry-After values by the cause of the refusal.
@@ -80,6 +81,7 @@
 		f.giveUp(reason, after)
 		return
 	}
+	limited.CloseUnread(f.request.Context())
 	f.job.Remaining = f.remaining()
 	if offer, limited := f.handler.options.Fleet.ScheduleRetry(f.job); limited {
 		f.outcome.Offer = &offer
--- a/transport/limited/listener.go
+++ b/transport/limited/listener.go
@@ -129,6 +129,34 @@
 	return chosen
 }
 
+// CloseUnread closes the connections of the request's listener whose clients don't take their answers,
+// as another request finds no room at the upstreams: theirs have it.
+func CloseUnread(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	for _, victim := range c.listener.unread() {
+		victim.reset()
+	}
+}
+
+// unread returns the connections whose clients don't take their answers.
+func (l *Listener) unread() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budgets.mu.Lock()
+	defer l.budgets.mu.Unlock()
+	var found []*conn
+	for c := range l.open {
+		if c.state().IsUnread(l.budgets.now()) {
+			found = append(found, c)
+		}
+	}
+	l.budgets.counts.Closed += int64(len(found))
+	return found
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
