Intake: large bodies that are served cost nothing in the end

What a caller saw: a single legal body of 4 MB in chunks of 64 KB took 2.0 s on a calm router, longer than many deadlines; a head of the largest size with thousands of fields behind it 0.2 s.

Cause: any body in chunks was charged as if each chunk had one byte, and a request that is served got back a millisecond whatever its size. So a legal body used up the budget of what isn't served.

Change: lines in a body are charged one by one, as a chunk has two, and a request that is served gets back what the bytes of its body cost in large pieces. Small pieces and one-byte chunks still cost.

--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -163,8 +163,8 @@
 	const processor, lasts = 0.4, 20 * time.Second
 	for name, charge := range map[string]func(*Work, time.Duration, *Worker) time.Duration{
 		"requests ahead":  func(w *Work, now time.Duration, c *Worker) time.Duration { return w.Request(now, c) },
-		"one-byte chunks": func(w *Work, now time.Duration, c *Worker) time.Duration { return w.Read(now, c, 4096, 0, true) },
-		"many fields":     func(w *Work, now time.Duration, c *Worker) time.Duration { return w.Read(now, c, 4096, 700, false) },
+		"one-byte chunks": func(w *Work, now time.Duration, c *Worker) time.Duration { return w.ReadBody(now, c, 4096, 1365) },
+		"many fields":     func(w *Work, now time.Duration, c *Worker) time.Duration { return w.ReadHead(now, c, 4096, 700) },
 	} {
 		for _, crowd := range []int{1, 8, 64, 500} {
 			t.Run(fmt.Sprintf("%s of %d", name, crowd), func(t *testing.T) {
@@ -177,7 +177,7 @@
 					if random.IntN(50) == 0 {
 						caller := &callers[random.IntN(len(callers))]
 						caller.act(w, now, func() time.Duration {
-							return w.Read(now, &caller.worker, 700, 8, false) + w.Request(now, &caller.worker)
+							return w.ReadHead(now, &caller.worker, 700, 8) + w.Request(now, &caller.worker)
 						})
 						w.Served(&caller.worker)
 					}
@@ -202,7 +202,19 @@
 	w, c := NewWork(0.4), &Worker{}
 	w.Connection(0, c)
 	for range 4 {
-		assert.Equal(t, w.Read(0, c, 4096, 1000, false), time.Duration(0))
+		assert.Equal(t, w.ReadHead(0, c, 4096, 1000), time.Duration(0))
 	}
 	assert.Equal(t, w.Request(0, c), time.Duration(0))
 }
+
+// Guards: a caller whose large bodies are served waits, however many it sends.
+func TestLargeBodiesThatAreServedDoNotWait(t *testing.T) {
+	w, c := NewWork(0.4), &Worker{}
+	for n := range 100 {
+		now := time.Duration(n) * 50 * time.Millisecond
+		for range 1024 {
+			assert.Equal(t, w.ReadBody(now, c, 4096, 16), time.Duration(0))
+		}
+		w.Served(c)
+	}
+}
--- a/coordination/intake/work.go
+++ b/coordination/intake/work.go
@@ -9,11 +9,11 @@
 	connectionCost = 150 * time.Microsecond
 	requestCost    = 80 * time.Microsecond
 	lineCost       = 4 * time.Microsecond
-	// readCost is the time to read what has come on a connection and kilobyteCost that for each
-	// kilobyte; chunkedCost is kilobyteCost for a body in chunks, which may have a byte each.
-	readCost     = 8 * time.Microsecond
-	kilobyteCost = 5 * time.Microsecond
-	chunkedCost  = 20 * time.Microsecond
+	// readCost is the time to read what has come on a connection, and kilobyteCost that for each
+	// kilobyte. chunkLineCost is that for each line in a body, as a chunk has two.
+	readCost      = 8 * time.Microsecond
+	kilobyteCost  = 5 * time.Microsecond
+	chunkLineCost = 60 * time.Nanosecond
 )
 
 const (
@@ -21,9 +21,11 @@
 	workShare = 0.1
 	// workBurst is how much of it may be used at once.
 	workBurst = 40 * time.Millisecond
-	// servedCredit is how much of its cost is forgiven to a request that is served. The cost of an
-	// ordinary request is below it.
-	servedCredit = time.Millisecond
+	// servedCredit is how much of its cost is forgiven to a request that is served, and kilobyteCredit
+	// how much for each kilobyte of its body. The cost of an ordinary request is below that, and that
+	// of a large body that comes in large pieces.
+	servedCredit   = time.Millisecond
+	kilobyteCredit = 8 * time.Microsecond
 	// quantum is how much a connection may use before it waits, and firstQuantum that of one on which
 	// no request was served yet.
 	quantum      = 2 * time.Millisecond
@@ -46,7 +48,9 @@
 
 // Worker is the account of one connection.
 type Worker struct {
-	owed   time.Duration
+	owed time.Duration
+	// body is how many bytes of its request's body have come.
+	body   int
 	served bool
 }
 
@@ -55,14 +59,22 @@
 	return &Work{rate: workShare * processor, level: workBurst}
 }
 
-// Read charges a connection for bytes that were read from it, outside a body with the lines among
-// them. It returns how long to wait before these are handled.
-func (w *Work) Read(now time.Duration, c *Worker, bytes, lines int, chunked bool) time.Duration {
-	perKilobyte := kilobyteCost
-	if chunked {
-		perKilobyte = chunkedCost
-	}
-	return w.charge(now, c, readCost+time.Duration(bytes)*perKilobyte/1024+time.Duration(lines)*lineCost)
+// ReadHead charges a connection for a part of a head, with the lines in it. It returns how long to
+// wait before that is handled.
+func (w *Work) ReadHead(now time.Duration, c *Worker, bytes, lines int) time.Duration {
+	return w.charge(now, c, readCost+kilobytes(bytes, kilobyteCost)+time.Duration(lines)*lineCost)
+}
+
+// ReadBody charges a connection for a part of a body, with the lines in it. It returns how long to
+// wait before that is handled.
+func (w *Work) ReadBody(now time.Duration, c *Worker, bytes, lines int) time.Duration {
+	c.body += bytes
+	return w.charge(now, c, readCost+kilobytes(bytes, kilobyteCost)+time.Duration(lines)*chunkLineCost)
+}
+
+// kilobytes returns the time for a number of bytes.
+func kilobytes(bytes int, perKilobyte time.Duration) time.Duration {
+	return time.Duration(bytes) * perKilobyte / 1024
 }
 
 // Connection charges a new connection.
@@ -77,8 +89,9 @@
 
 // Served says that a request of a connection was served.
 func (w *Work) Served(c *Worker) {
-	credit := min(c.owed, servedCredit)
+	credit := min(c.owed, servedCredit+kilobytes(c.body, kilobyteCredit))
 	c.owed -= credit
+	c.body = 0
 	c.served = true
 	w.level = min(w.level+credit, workBurst)
 }
--- a/transport/limited/conn.go
+++ b/transport/limited/conn.go
@@ -31,8 +31,8 @@
 
 	stage intake.Stage
 	since time.Duration
-	// inHead says that what comes belongs to a head, and chunked that it belongs to a body in chunks.
-	inHead, chunked bool
+	// inHead says that what comes belongs to a head.
+	inHead bool
 	// closing says that the connection is being closed and takes no further request.
 	closing            bool
 	worker             intake.Worker
@@ -75,15 +75,16 @@
 func (c *conn) charge(data []byte) (wait time.Duration, held int64) {
 	c.budgets.mu.Lock()
 	defer c.budgets.mu.Unlock()
-	lines := 0
-	if c.inHead {
-		lines = bytes.Count(data, []byte{'\n'})
-		held = int64(len(data)*headByteBytes + lines*headLineBytes)
-	}
+	now := c.budgets.now()
+	lines := bytes.Count(data, []byte{'\n'})
 	if c.stage == intake.Idle {
-		c.stage, c.since = intake.Incomplete, c.budgets.now()
+		c.stage, c.since = intake.Incomplete, now
+	}
+	if !c.inHead {
+		return c.budgets.work.ReadBody(now, &c.worker, len(data), lines), 0
 	}
-	return c.budgets.work.Read(c.budgets.now(), &c.worker, len(data), lines, c.chunked), held
+	held = int64(len(data)*headByteBytes + lines*headLineBytes)
+	return c.budgets.work.ReadHead(now, &c.worker, len(data), lines), held
 }
 
 // pause waits for a time, or until the connection is closed.
--- a/transport/limited/handler.go
+++ b/transport/limited/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"endiveplank/coordination/intake"
@@ -55,7 +54,6 @@
 		return 0, false
 	}
 	c.inHead = false
-	c.chunked = slices.Contains(r.TransferEncoding, "chunked")
 	c.budgets.heads.Settle(&c.head)
 	if r.Body == http.NoBody {
 		c.stage = intake.Busy
@@ -77,7 +75,7 @@
 	defer c.budgets.mu.Unlock()
 	c.release()
 	c.head, c.body, c.answer = intake.Holding{}, intake.Holding{}, intake.Holding{}
-	c.inHead, c.chunked = true, false
+	c.inHead = true
 	if !w.served {
 		c.stage = intake.Incomplete
 		return
@@ -108,6 +106,8 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.conn.bodyRead()
+		// It fails only if the connection has ended.
+		_ = b.conn.Conn.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
