Forward: a body that stops half-way ends with its request's time

What was seen: a body held one byte short of its end kept its connection and its memory for as long as the client liked; the route's timeout began to count only once the body was there.

Cause: the read of a body had no deadline.

Change: it ends at the caller's deadline or the route's timeout, the earlier one, with 408 body-overdue: the request hasn't run, which 408 promises. A body that arrives in time is served as before.

--- a/soak/clients/clients_test.go
+++ b/soak/clients/clients_test.go
@@ -1,8 +1,10 @@
 package clients
 
 import (
+	"bufio"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -124,3 +126,61 @@
 	}
 	return false
 }
+
+// single is a single request that is as large as the table allows, or comes as slowly as it may.
+type single struct {
+	name string
+	send func(*client) bool
+	// status is the answer's.
+	status int
+}
+
+// singles are such requests.
+var singles = []single{
+	{"a body in one piece", func(c *client) bool {
+		return c.send(c.head("POST", lengthOf(maxBodyBytes))) && c.sendBody(maxBodyBytes)
+	}, http.StatusOK},
+	{"a body in chunks", func(c *client) bool {
+		sent := c.send(c.head("POST", chunked))
+		for range maxBodyBytes / blockBytes {
+			sent = sent && c.send(fmt.Sprintf("%x\r\n", blockBytes)) && c.sendBody(blockBytes) && c.send("\r\n")
+		}
+		return sent && c.send("0\r\n\r\n")
+	}, http.StatusOK},
+	{"a body in one-byte chunks", func(c *client) bool {
+		sent := c.send(c.head("POST", chunked))
+		for range 50 {
+			sent = sent && c.send(oneByteChunks)
+		}
+		return sent && c.send("0\r\n\r\n")
+	}, http.StatusOK},
+	{"a head of many fields", func(c *client) bool { return c.send(c.head("GET", fieldsText)) }, http.StatusOK},
+	{"a body that takes most of its time", func(c *client) bool {
+		sent := c.send(c.head("POST", lengthOf(20)))
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			sent = sent && c.sendBody(1)
+		}
+		return sent
+	}, http.StatusOK},
+	{"a body that never ends", func(c *client) bool { return c.send(c.head("POST", lengthOf(1000))) && c.sendBody(999) }, http.StatusRequestTimeout},
+}
+
+// Guards: a limit refuses single requests that the table allows, or a body that stops half-way holds
+// its connection for good.
+func TestSingleRequestsAtTheLimitsAreServed(t *testing.T) {
+	f := startFleet(t)
+	for _, s := range singles {
+		t.Run(s.name, func(t *testing.T) {
+			conn, err := net.DialTimeout("tcp", callersOf(f), time.Second)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			c := &client{Conn: conn, path: ordinaryPath, block: make([]byte, blockBytes)}
+			assert.Assert(t, s.send(c))
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, answer.StatusCode, s.status)
+		})
+	}
+}
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -354,6 +355,15 @@
 	return min(remaining, timeout)
 }
 
+// limitReading ends the read of a body at the request's deadline. A caller that holds its body would
+// otherwise hold its connection as well.
+func (f *forwarding) limitReading() {
+	if f.request.Body != http.NoBody {
+		// It fails only if the connection has ended, or for a reader without deadlines.
+		_ = f.controller.SetReadDeadline(f.arrived.Add(f.timeout))
+	}
+}
+
 // readBody reads the complete body into memory, because a retry sends it again.
 func (f *forwarding) readBody(limits routing.Limits) bool {
 	maxBytes := int64(limits.MaxBodyBytes)
@@ -364,6 +374,7 @@
 		f.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
 	}
+	f.limitReading()
 	body, err := io.ReadAll(http.MaxBytesReader(f.writer, f.request.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -373,6 +384,9 @@
 	case errors.Is(err, limited.ErrNoRoom):
 		f.refuse(http.StatusServiceUnavailable, "bodies-fill-memory", retryAfterFull)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.refuse(http.StatusRequestTimeout, "body-overdue", 0)
+		return false
 	case err != nil:
 		// The caller's connection ended before its body was complete.
 		f.outcome.Reason = "caller-broke-off"
