Peer: strangers' connections are bounded, and a short one of descriptors doesn't end the listener

What was seen: connections that send nothing at the listener for the fleet's own processes are each kept for a second, in any number. When they have taken all descriptors, Accept fails, and the loop returned on any error: that process took no connection of another one until its restart, without a line in its log.

Cause: the loop told the mesh's own end from no other error, and nothing bounded how many connections it holds.

Change: the loop ends with its listener alone, logs other errors and goes on after 20 ms. There may be as many connections as a share of the descriptors allows (0.2 at a router, 0.4 at a disk VM). Beyond that the oldest whose dialer hasn't said who it is is closed for a new one.

Left: a stranger that says it is a process of the fleet is believed where there are no certificates.

--- a/cmd/endiveplankd/direct.go
+++ b/cmd/endiveplankd/direct.go
@@ -204,11 +204,12 @@
 
 // startDiskVM starts a disk VM and its HTTP servers for control and metrics.
 func startDiskVM(logs loggers, settings direct.Settings, random *rand.Rand) (process, error) {
-	vm, err := diskvm.New(diskvm.Options{Settings: settings, CheckTable: platform.CheckTable, Log: logs.log, Random: random})
+	limits := limited.New(limited.Options{MemoryBytes: settings.Memory.LimitBytes(), Processor: settings.Processor.Share, Descriptors: settings.Descriptors.Limit})
+	vm, err := diskvm.New(diskvm.Options{Settings: settings, Limits: limits, CheckTable: platform.CheckTable, Log: logs.log, Random: random})
 	if err != nil {
 		return nil, err
 	}
-	d := &diskVM{VM: vm, log: logs.log, limits: limited.New(limited.Options{MemoryBytes: settings.Memory.LimitBytes(), Processor: settings.Processor.Share, Descriptors: settings.Descriptors.Limit})}
+	d := &diskVM{VM: vm, log: logs.log, limits: limits}
 	if err := d.serve(settings.Listen.Control, platform.NewControlHandler(vm, logs.log), controlDescriptorShare); err != nil {
 		d.Stop()
 		return nil, err
--- a/daemon/diskvm/metrics.go
+++ b/daemon/diskvm/metrics.go
@@ -45,6 +45,7 @@
 // updateGauges sets the gauges to their current values.
 func (vm *VM) updateGauges() {
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, vm.registry).Update(value) }
+	vm.options.Limits.SetGauges(set)
 	if member := vm.member.Load(); member != nil {
 		status := member.Status()
 		leads := int64(0)
--- a/daemon/diskvm/vm.go
+++ b/daemon/diskvm/vm.go
@@ -27,6 +27,7 @@
 	"endiveplank/settings/direct"
 	"endiveplank/state/disk"
 	"endiveplank/state/replica"
+	"endiveplank/transport/limited"
 )
 
 const (
@@ -40,6 +41,8 @@
 
 // Options configure a VM.
 type Options struct {
+	// Limits are what all clients together may take of the process.
+	Limits   *limited.Budgets
 	Settings direct.Settings
 	// CheckTable returns an error if a table that an operator sends is invalid.
 	CheckTable func(version uint64, body []byte) error
@@ -88,6 +91,10 @@
 	done sync.WaitGroup
 }
 
+// peerDescriptorShare is the share of the file descriptors that the connections of the fleet's other
+// processes may have.
+const peerDescriptorShare = 0.4
+
 // New opens the data folder and starts the VM. It returns the errors of the data folder and
 // of the listener.
 func New(options Options) (*VM, error) {
@@ -118,7 +125,7 @@
 	vm.follower.SetQuarantines(vm.quarantines.list)
 	vm.fabric = fabric.New(fabric.Options{
 		Self: self, Listen: options.Settings.PeersListen(), DataCentre: options.Settings.DataCentre, Incarnation: vm.incarnation,
-		Receiver: vm, Log: options.Log,
+		Receiver: vm, MaxConnections: options.Limits.Connections(peerDescriptorShare), Log: options.Log,
 	})
 	if err := vm.fabric.Listen(); err != nil {
 		vm.closeFolders()
--- a/daemon/fabric/fabric.go
+++ b/daemon/fabric/fabric.go
@@ -65,7 +65,9 @@
 	DataCentre  protocol.DataCentre
 	Incarnation uint64
 	Receiver    Receiver
-	Log         zerolog.Logger
+	// MaxConnections bounds the connections that other processes have opened, 0 for no bound.
+	MaxConnections int
+	Log            zerolog.Logger
 }
 
 // New returns a Fabric that takes no messages before Listen is called.
@@ -85,6 +87,7 @@
 		Handler:      f,
 		Log:          options.Log,
 		Duplex:       true,
+		MaxAccepted:  options.MaxConnections,
 	})
 	return f
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -190,7 +190,7 @@
 	})
 	r.fabric = fabric.New(fabric.Options{
 		Self: self, Listen: options.Settings.PeersListen(), DataCentre: options.Settings.DataCentre, Incarnation: options.Random.Uint64(),
-		Receiver: r, Log: options.Log,
+		Receiver: r, MaxConnections: r.limits.Connections(peerDescriptorShare), Log: options.Log,
 	})
 	if err := r.fabric.Listen(); err != nil {
 		return nil, err
--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -55,6 +55,7 @@
 	callerDescriptorShare       = 0.5
 	announcementDescriptorShare = 0.1
 	routerDescriptorShare       = 0.1
+	peerDescriptorShare         = 0.2
 	probeDescriptorShare        = 0.01
 )
 
--- a/soak/clients/clients_test.go
+++ b/soak/clients/clients_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"endiveplank/platform"
 )
 
 var (
@@ -79,7 +81,7 @@
 func play(t *testing.T, f *fleet, to target, k kind) {
 	callers := startOrdinary(callersOf(f))
 	clients := startCrowd(k, to.at(f), to.path, time.Duration(*seconds)*time.Second)
-	notReady := f.probe(clients.until)
+	notReady, unread := f.probe(clients.until)
 	share, slow := callers.stop()
 	clients.done.Wait()
 	calm := f.servedWithin(calmWithin)
@@ -89,27 +91,35 @@
 		used += ", " + peak
 		assert.Check(t, why == "", "%s: %s", p.name, why)
 	}
-	t.Logf("served %.2f of %d, slowest percent %d ms%s, unready probes %d, failures %v", share, callers.sent, slow.Milliseconds(), used, notReady, callers.failures)
+	t.Logf("served %.2f of %d, slowest percent %d ms%s, unready probes %d, tables unread %d, failures %v", share, callers.sent, slow.Milliseconds(), used, notReady, unread, callers.failures)
 	assert.Check(t, share >= leastServed, "%.2f of the ordinary requests are served", share)
 	assert.Check(t, calm, "no single request is served %s after the clients have gone", calmWithin)
 	assert.Check(t, notReady <= 1, "%d probes in a row of the balancer found the router not ready", notReady)
+	assert.Check(t, unread <= 1, "%d reads in a row of the table were not answered", unread)
 }
 
-// probe asks every second whether the router is ready, until a time. It returns the most probes in a
-// row that it failed.
-func (f *fleet) probe(until time.Time) int {
-	most, inRow := 0, 0
+// probe asks every second whether the router is ready, and reads the table as an operator, until a
+// time. It returns the most of each in a row that failed.
+func (f *fleet) probe(until time.Time) (notReady, unread int) {
+	var ready, read inRow
 	for time.Now().Before(until) {
 		began := time.Now()
-		if get(f.listen(f.router).Readiness, readyPath, time.Second) == http.StatusOK {
-			inRow = 0
-		} else {
-			inRow++
-		}
-		most = max(most, inRow)
+		ready.note(get(f.listen(f.router).Readiness, readyPath, time.Second) == http.StatusOK)
+		read.note(f.callDiskVM(http.MethodGet, platform.TablePath, nil))
 		time.Sleep(time.Second - time.Since(began))
 	}
-	return most
+	return ready.most, read.most
+}
+
+// inRow counts failures in a row.
+type inRow struct{ now, most int }
+
+func (r *inRow) note(succeeded bool) {
+	r.now++
+	if succeeded {
+		r.now = 0
+	}
+	r.most = max(r.most, r.now)
 }
 
 // servedWithin reports whether a single request of the largest size that the table allows is served
--- a/transport/limited/budgets.go
+++ b/transport/limited/budgets.go
@@ -90,8 +90,11 @@
 }
 
 // Connections returns how many connections a listener may have open that may use a share of the
-// descriptors.
+// descriptors. Without budgets there is no bound, and it returns 0.
 func (b *Budgets) Connections(share float64) int {
+	if b == nil {
+		return 0
+	}
 	byMemory := connectionShare * float64(b.options.MemoryBytes) / connectionBytes
 	return max(int(min(share*float64(b.options.Descriptors), byMemory)), 1)
 }
@@ -107,6 +110,9 @@
 
 // SetGauges sets the gauges of the totals.
 func (b *Budgets) SetGauges(set func(name string, value int64)) {
+	if b == nil {
+		return
+	}
 	counts := b.Counts()
 	set("client_connections_closed_total", counts.Closed)
 	set("client_connections_refused_total", counts.TurnedAway)
--- a/transport/peer/accept.go
+++ b/transport/peer/accept.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -70,26 +72,69 @@
 	m.sequenceOf(peer).lastSent = number
 }
 
+// acceptLoop accepts connections until the mesh is closed. It goes on after an error: when a process
+// has no descriptor left, no connection can be accepted until others have ended.
 func (m *Mesh) acceptLoop() {
 	defer m.done.Done()
 	for {
+		// While strangers connect without end, what is ready to run goes first.
+		runtime.Gosched()
 		connection, err := m.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		m.mu.Lock()
-		if m.closed {
-			m.mu.Unlock()
+		if err != nil {
+			m.options.Log.Warn().Err(err).Msg("peer: connection not accepted")
+			select {
+			case <-m.quit:
+				return
+			case <-time.After(acceptRetryDelay):
+			}
+			continue
+		}
+		if !m.addInbound(connection) {
 			_ = connection.Close()
-			return
+			continue
 		}
-		m.accepted[connection] = struct{}{}
-		m.done.Add(1)
-		m.mu.Unlock()
 		go m.serveInbound(connection)
 	}
 }
 
+// addInbound records an accepted connection. If there are as many as there may be, the oldest one
+// whose dialer hasn't said who it is is closed for it. It returns false if there is none or the mesh
+// is closed.
+func (m *Mesh) addInbound(connection net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	if most := m.options.MaxAccepted; most > 0 && len(m.accepted) >= most {
+		oldest := m.oldestUnknown()
+		if oldest == nil {
+			m.counts.RefusedInbound++
+			return false
+		}
+		delete(m.accepted, oldest)
+		_ = oldest.Close()
+	}
+	m.accepted[connection] = acceptedConn{since: time.Now()}
+	m.done.Add(1)
+	return true
+}
+
+// oldestUnknown returns the connection that has waited longest for its dialer's Hello, nil for none.
+// The caller holds the mesh's lock.
+func (m *Mesh) oldestUnknown() net.Conn {
+	var oldest net.Conn
+	for connection, state := range m.accepted {
+		if !state.known && (oldest == nil || state.since.Before(m.accepted[oldest].since)) {
+			oldest = connection
+		}
+	}
+	return oldest
+}
+
 // serveInbound reads frames from one accepted connection until it ends.
 func (m *Mesh) serveInbound(connection net.Conn) {
 	defer m.done.Done()
@@ -100,6 +145,10 @@
 		return
 	}
 	m.mu.Lock()
+	if state, open := m.accepted[connection]; open {
+		state.known = true
+		m.accepted[connection] = state
+	}
 	sequence := m.sequenceOf(hello.From)
 	if hello.Address != "" {
 		m.addresses[hello.From] = hello.Address
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -64,6 +64,8 @@
 	// a peer that was never reached.
 	shortConnectTimeout  = 100 * time.Millisecond
 	shortConnectAttempts = 10
+	// acceptRetryDelay is how long to wait after a connection couldn't be accepted.
+	acceptRetryDelay = 20 * time.Millisecond
 	// redialDelay is the minimum time between the starts of two attempts. It keeps
 	// a link to a failed peer from dialling in a busy loop.
 	redialDelay = 100 * time.Millisecond
@@ -108,6 +110,8 @@
 	LostAfter time.Duration
 	Handler   Handler
 	Log       zerolog.Logger
+	// MaxAccepted bounds the connections that other processes have dialled, 0 for no bound.
+	MaxAccepted int
 	// Duplex lets unreliable frames go over a connection that the peer has dialled,
 	// if there is one. Every process of a fleet must have the same value.
 	Duplex bool
@@ -122,7 +126,7 @@
 	links        map[protocol.RouterID]*link
 	addresses    map[protocol.RouterID]string
 	sequences    map[protocol.RouterID]*sequenceState
-	accepted     map[net.Conn]struct{}
+	accepted     map[net.Conn]acceptedConn
 	inbounds     map[protocol.RouterID]*inbound
 	watchStarted bool
 	quit         chan struct{}
@@ -131,6 +135,13 @@
 	counts       Counts
 }
 
+// acceptedConn is the state of a connection that another process has dialled.
+type acceptedConn struct {
+	since time.Time
+	// known says that the dialer has said who it is.
+	known bool
+}
+
 // Counts are totals since the process started, for metrics.
 type Counts struct {
 	BytesSent  map[wire.Kind]uint64
@@ -151,7 +162,7 @@
 		links:     map[protocol.RouterID]*link{},
 		addresses: map[protocol.RouterID]string{},
 		sequences: map[protocol.RouterID]*sequenceState{},
-		accepted:  map[net.Conn]struct{}{},
+		accepted:  map[net.Conn]acceptedConn{},
 		inbounds:  map[protocol.RouterID]*inbound{},
 		quit:      make(chan struct{}),
 		counts: Counts{
@@ -170,10 +181,15 @@
 	if m.options.ServerTLS != nil {
 		listener = tls.NewListener(listener, m.options.ServerTLS)
 	}
+	m.serve(listener)
+	return nil
+}
+
+// serve accepts connections from a listener.
+func (m *Mesh) serve(listener net.Listener) {
 	m.listener = listener
 	m.done.Add(1)
 	go m.acceptLoop()
-	return nil
 }
 
 // SetAddress sets the address at which a peer listens. It may be called again when
