Forward: one budget for bodies

Cause: bodies were counted twice, once read against a constant of 24 MB that knew no VM, and since the budgets of clients also as they come, against a share of the VM's memory. Two guards of the same failure.

Change: the constant and its counter are gone; what the request holds is given back when its handler ends, as before. transport/forward's tests pass; the cases of bodies in soak/clients were measured with both.

--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -186,9 +186,6 @@
 const (
 	// defaultMaxBodyBytes is the largest accepted body if the table sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// maxBufferedBodyBytes bounds the bodies of all requests in flight together: a
-	// tenth of the memory of the smallest VM in use.
-	maxBufferedBodyBytes = 24 << 20
 	// defaultTimeout applies to routes and callers that set no timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -211,9 +208,8 @@
 
 // Handler is the http.Handler for callers.
 type Handler struct {
-	options       Options
-	bufferedBytes atomic.Int64
-	active        atomic.Int64
+	options Options
+	active  atomic.Int64
 }
 
 // New returns a handler.
@@ -234,7 +230,6 @@
 	if !f.admit() {
 		return
 	}
-	defer h.bufferedBytes.Add(-f.bodyBytes)
 	deadline := f.arrived.Add(f.timeout)
 	f.limitWriting(deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
@@ -264,14 +259,13 @@
 	request    *http.Request
 	arrived    time.Time
 
-	call      dialect.Call
-	job       Job
-	customer  *routing.Customer
-	body      []byte
-	bodyBytes int64
-	timeout   time.Duration
-	deadline  time.Time
-	context   context.Context
+	call     dialect.Call
+	job      Job
+	customer *routing.Customer
+	body     []byte
+	timeout  time.Duration
+	deadline time.Time
+	context  context.Context
 
 	// retryTaken means that the retry for the next attempt has already been taken
 	// from the retry budget.
@@ -393,12 +387,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	f.body = body
-	f.bodyBytes = int64(len(body))
-	if f.handler.bufferedBytes.Add(f.bodyBytes) > maxBufferedBodyBytes {
-		f.handler.bufferedBytes.Add(-f.bodyBytes)
-		f.refuse(http.StatusServiceUnavailable, "bodies-fill-memory", retryAfterFull)
-		return false
-	}
 	f.job.Digest, f.job.HasBody = f.digest(), len(f.body) > 0
 	return true
 }
