Soak: clients that don't behave connect among the other faults

Ninety connections to one router for two seconds: idle ones, one byte, a body short of its end, one-byte chunks, a thousand requests ahead at a path without a route, a head of 2,000 fields that never ends.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -84,6 +84,7 @@
 	{"hand most connections to one router", (*harness).concentrate},
 	{"make an upstream answer badly", func(h *harness) { h.withRandomUpstream((*upstream).answerBadly) }},
 	{"lose the disk VM that an upstream told that it leaves", (*harness).loseDiskVMAfterNotice},
+	{"connect clients that do not behave", (*harness).misbehave},
 	{"stop an upstream that only its answers announce", func(h *harness) {
 		h.withRandomUpstream(func(u *upstream) {
 			h.startUpstream(u.service)
