Intake: nobody gives way in vain, and all that give way are reset

Cause: Memory took victims one by one until the newcomer fit or none was left. If it didn't fit all the same, small requests had given way for nothing; the driver didn't reset their connections then, so that what they had sent stayed in memory without being counted. Found by reading.

Change: the victims are chosen first, and give way only if they make enough room. TestNobodyGivesWayInVain fails before (1 gave way). The tests of transport/limited guard the driver on real sockets: requests that give way are reset, what is held is given back, connections without a request give way; these pass on the former code too.

--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -218,3 +218,19 @@
 		w.Served(c)
 	}
 }
+
+// Guards: a large body that finds no room all the same ends small ones that are on their way.
+func TestNobodyGivesWayInVain(t *testing.T) {
+	m := NewMemory(10 << 20)
+	complete, small, large := &Holding{}, &Holding{}, &Holding{}
+	granted, _ := m.Take(0, complete, 9<<20)
+	assert.Assert(t, granted)
+	m.Settle(complete)
+	granted, _ = m.Take(0, small, 1000)
+	assert.Assert(t, granted)
+	granted, evicted := m.Take(time.Second, large, 1<<20)
+	assert.Assert(t, !granted)
+	assert.Equal(t, len(evicted), 0)
+	granted, _ = m.Take(2*time.Second, small, 1000)
+	assert.Assert(t, granted)
+}
--- a/coordination/intake/memory.go
+++ b/coordination/intake/memory.go
@@ -1,6 +1,10 @@
 package intake
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxFreeShare is the share of the free bytes that one request may hold. The more is held, the
 // smaller a request has to be to get any, so that large requests never take the room that small
@@ -32,7 +36,7 @@
 func (m *Memory) Used() int64 { return m.used }
 
 // Take lets a request hold n further bytes. It returns false if it may not, and the requests that
-// give way for it: the driver closes their connections.
+// give way for it: the driver closes their connections. Nobody gives way if that isn't enough.
 func (m *Memory) Take(now time.Duration, h *Holding, n int64) (granted bool, evicted []*Holding) {
 	if h.evicted {
 		return false, nil
@@ -41,42 +45,65 @@
 		h.since = now
 		m.holdings[h] = struct{}{}
 	}
-	for !m.fits(h, n) {
-		victim := m.victim(now, h, n)
-		if victim == nil {
-			return false, evicted
-		}
+	evicted, granted = m.makeRoom(now, h, n)
+	if !granted {
+		return false, nil
+	}
+	for _, victim := range evicted {
 		m.evict(victim)
-		evicted = append(evicted, victim)
 	}
 	h.bytes += n
 	m.used += n
 	return true, evicted
 }
 
-// fits reports whether a request may hold n further bytes. Alone it may hold all.
-func (m *Memory) fits(h *Holding, n int64) bool {
-	free := m.limit - (m.used - h.bytes)
+// makeRoom returns the requests that have to give way so that h may hold n further bytes: those that
+// have held the most bytes for the longest time, if that is more than h has then. It returns false if
+// there isn't enough room without them.
+func (m *Memory) makeRoom(now time.Duration, h *Holding, n int64) (victims []*Holding, enough bool) {
+	used := m.used
+	if m.fits(used, h, n) {
+		return nil, true
+	}
+	candidates := m.heldLonger(now, h, n)
+	for i, victim := range candidates {
+		used -= victim.bytes
+		if m.fits(used, h, n) {
+			return candidates[:i+1], true
+		}
+	}
+	return nil, false
+}
+
+// fits reports whether a request may hold n further bytes while used bytes are held. Alone it may hold
+// all.
+func (m *Memory) fits(used int64, h *Holding, n int64) bool {
+	free := m.limit - (used - h.bytes)
 	if free == m.limit {
 		return h.bytes+n <= free
 	}
 	return float64(h.bytes+n) <= maxFreeShare*float64(free)
 }
 
-// victim returns the request that has held the most bytes for the longest time, if that is more than
-// h has with n further bytes.
-func (m *Memory) victim(now time.Duration, h *Holding, n int64) *Holding {
-	var victim *Holding
-	most := float64(h.bytes+n) * (now - h.since).Seconds()
+// heldLonger returns the requests that aren't complete and have held more bytes for a longer time than
+// h with n further bytes, the greatest holder first.
+func (m *Memory) heldLonger(now time.Duration, h *Holding, n int64) []*Holding {
+	own := float64(h.bytes+n) * (now - h.since).Seconds()
+	var longer []*Holding
 	for other := range m.holdings {
-		if other == h || other.settled {
-			continue
-		}
-		if held := float64(other.bytes) * (now - other.since).Seconds(); held > most {
-			victim, most = other, held
+		if other != h && !other.settled && other.byteSeconds(now) > own {
+			longer = append(longer, other)
 		}
 	}
-	return victim
+	slices.SortFunc(longer, func(a, b *Holding) int {
+		return cmp.Compare(b.byteSeconds(now), a.byteSeconds(now))
+	})
+	return longer
+}
+
+// byteSeconds returns for how long the request has held how many bytes.
+func (h *Holding) byteSeconds(now time.Duration) float64 {
+	return float64(h.bytes) * (now - h.since).Seconds()
 }
 
 // evict takes all bytes from a request.
--- a/transport/limited/budgets.go
+++ b/transport/limited/budgets.go
@@ -130,17 +130,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	granted, evicted := from.Take(b.now(), h, n)
+	for _, victim := range evicted {
+		b.counts.NoRoom++
+		go b.owners[victim].reset()
+		delete(b.owners, victim)
+	}
 	if !granted {
 		b.counts.NoRoom++
 		return false
 	}
 	b.owners[h] = c
-	for _, victim := range evicted {
-		b.counts.NoRoom++
-		owner := b.owners[victim]
-		delete(b.owners, victim)
-		go owner.reset()
-	}
 	return true
 }
 
