Forward: an overdue body is answered also after ten seconds

Cause: short answers have ten seconds from the header on to be written. A request whose body is overdue later than that, as its caller waits for fifteen, had its 408 fail. Found by reading; a test would take as long.

--- a/soak/clients/kinds_test.go
+++ b/soak/clients/kinds_test.go
@@ -131,6 +131,9 @@
 // oneByteChunks are chunks of a byte each.
 var oneByteChunks = strings.Repeat("1\r\na\r\n", 2000)
 
+// manyMessages is a chat of the largest size, of messages of a few bytes.
+var manyMessages = `{"model":"m1","messages":[{}` + strings.Repeat(",{}", (maxBodyBytes-100)/3) + "]}"
+
 // kinds are the clients that the users have seen.
 var kinds = []kind{
 	{"bodies in one piece", 64, func(c *client) {
@@ -246,4 +249,8 @@
 			c.hold()
 		}
 	}},
+	{"bodies of many small parts", 16, func(c *client) {
+		for c.send(c.head("POST", lengthOf(len(manyMessages)))+manyMessages) && c.answered() {
+		}
+	}},
 }
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -379,6 +379,7 @@
 		f.refuse(http.StatusServiceUnavailable, "bodies-fill-memory", retryAfterFull)
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.limitWriting(time.Now())
 		f.refuse(http.StatusRequestTimeout, "body-overdue", 0)
 		return false
 	case err != nil:
