--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -55,7 +55,6 @@
 // held is a request of the load tests of Memory.
 type held struct {
 	holding Holding
-	size    int64
 	taken   int64
 }
 
