strict: a reset that a write has noticed isn't the end of an answer

Cause: the kernel reports a reset once, to the first call that asks. While an upload is being written, that is the blocked write; the next read finds the end of the bytes and no error, just as after a clean close. exchange reads such an answer to its io.EOF, and so does net/http's Transport in the relay fleet.

Ruled out: waiting for the upload before the end is believed (a server may end its direction and read on, slowly); taking every end during an upload for a reset (early answers are legal; a server that closes with unread bytes sends its own end first and a reset behind it).

Change: strict.Conn, below both fleets' readers, so for forwarding, streams taken up again, the way over another router, probes of routers and the relay fleet's calls. At the end of the bytes it asks the kernel whether the connection is still open in one direction; if not, a write that was under way returns at once, and any error but EPIPE, which the kernel keeps for a reset behind the peer's own end, makes the end a reset.

--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -18,7 +18,7 @@
 //     ID that it repeats, and skipped.
 //   - The end of an answer without a length is the end of its connection, and a
 //     connection that was reset looks the same to a careless reader. Only a clean
-//     close counts as the end of the answer.
+//     close counts as the end of the answer (package strict).
 //   - The upstream sends bytes without end in a head or a body. Both are bounded in size
 //     (package bounded), and so is what comes in one chunk's line or in trailers (net/http).
 //   - The upstream answers before it has read the body, and goes on reading. Either
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"endiveplank/transport/bounded"
+	"endiveplank/transport/strict"
 )
 
 const (
@@ -132,12 +133,13 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	source := bounded.NewReader(opened)
+	checked := strict.NewConn(opened)
+	source := bounded.NewReader(checked)
 	return &conn{
 		Conn:        opened,
 		source:      source,
 		reader:      bufio.NewReaderSize(source, bufferBytes),
-		writer:      bufio.NewWriterSize(opened, bufferBytes),
+		writer:      bufio.NewWriterSize(checked, bufferBytes),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -39,6 +39,7 @@
 	"endiveplank/protocol/chat"
 	"endiveplank/protocol/fleet"
 	"endiveplank/transport/bounded"
+	"endiveplank/transport/strict"
 	"endiveplank/transport/tracing"
 )
 
@@ -68,12 +69,11 @@
 // New returns a client that reports to sink and makes spans with tracer, which
 // may be nil.
 func New(sink Sink, tracer *tracing.Tracer) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		sink:   sink,
 		tracer: tracer,
 		transport: &http.Transport{
-			DialContext:       dialer.DialContext,
+			DialContext:       strict.Dialer(&net.Dialer{Timeout: dialTimeout}),
 			DisableKeepAlives: true,
 			// Bodies are relayed unchanged.
 			DisableCompression:     true,
