strict: a head that isn't HTTP is no answer

Callers got an answer whose body wasn't the server's where a name in the head held a blank ("Transfer-Encoding : chunked": the chunks' own lines came with the body; "Content-Length : 4": everything until the connection's end), and an answer without the line where the blank stood elsewhere.

Cause: net/http reads a status of three digits without a lower bound, and keeps names with blanks as names of their own, which are no Content-Length to it and which it leaves out when it writes. Control bytes in a name or value it refuses: that held before, the test stays.

Ruled out: a check in handleAnswer alone (streams taken up, other routers' proxies and the relay fleet read heads elsewhere); 600 to 999, which RFC 9110 has treated as 5xx, are passed on unchanged as before; folded lines are one value, as before.

Change: strict.CheckHead and CheckInterimHead, called by exchange for every head, and by strict.Transport for everything that comes over net/http's client: calls, reports, orders and copies of the relay fleet, the operators' tool. A look at interim answers takes net/http's bound on them off, so the Transport counts their bytes itself; TestAnswerWithoutEndEndsTheCall showed that.

The load tool and the stand-ins keep net/http's client: they measure.

--- a/tool/admission.go
+++ b/tool/admission.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return view, &Failure{Status: ExitUsage, What: err.Error()}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return view, unreachableRouter(err)
 	}
--- a/tool/client.go
+++ b/tool/client.go
@@ -9,8 +9,12 @@
 	"net/http"
 
 	"endiveplank/transport/admin"
+	"endiveplank/transport/strict"
 )
 
+// httpClient makes all calls.
+var httpClient = strict.NewClient()
+
 // maxResponseBytes is the most that is read of a response body.
 const maxResponseBytes = 64 << 20
 
@@ -28,7 +32,7 @@
 	if err != nil {
 		return 0, &Failure{Status: ExitUsage, What: err.Error()}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return 0, noResponse(method, err)
 	}
--- a/tool/evacuation.go
+++ b/tool/evacuation.go
@@ -56,7 +56,7 @@
 	if address == "" {
 		return platform.Operator{}, &Failure{Status: ExitUsage, What: "no control address", Next: "set --control to the IP:port of any disk VM"}
 	}
-	return platform.Operator{Address: address, Client: http.DefaultClient}, nil
+	return platform.Operator{Address: address, Client: httpClient}, nil
 }
 
 // printEvacuations prints what a disk VM lists.
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -17,6 +18,7 @@
 
 	"endiveplank/protocol"
 	"endiveplank/transport/bounded"
+	"endiveplank/transport/strict"
 )
 
 const (
@@ -216,15 +218,23 @@
 			return nil, classifyReadError(err)
 		}
 		interim := response.StatusCode >= 100 && response.StatusCode < 200
+		if err := checkHead(response, interim); err != nil {
+			return nil, fmt.Errorf("%w: %w", errNotHTTP, err)
+		}
 		if !interim {
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errNotHTTP
-		}
 	}
 }
 
+// checkHead checks the head of an answer or of an interim answer.
+func checkHead(response *http.Response, interim bool) error {
+	if interim {
+		return strict.CheckInterimHead(response.StatusCode, textproto.MIMEHeader(response.Header))
+	}
+	return strict.CheckHead(response)
+}
+
 // classifyReadError returns errNotHTTP if the bytes read aren't an HTTP answer, and
 // the error itself if the connection broke.
 func classifyReadError(err error) error {
--- a/transport/strict/conn.go
+++ b/transport/strict/conn.go
@@ -1,7 +1,6 @@
 package strict
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -31,17 +30,6 @@
 // NewConn returns a Conn for an open connection.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
-// Dialer returns a function that opens connections as a dialer does, for the DialContext of net/http.
-func Dialer(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(conn), nil
-	}
-}
-
 // Write implements io.Writer.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.writing.Lock()
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -59,7 +59,7 @@
 type Client struct {
 	sink      Sink
 	tracer    *tracing.Tracer
-	transport *http.Transport
+	transport *strict.Transport
 
 	mu      sync.Mutex
 	calls   map[fleet.Attempt]context.CancelFunc
@@ -69,16 +69,16 @@
 // New returns a client that reports to sink and makes spans with tracer, which
 // may be nil.
 func New(sink Sink, tracer *tracing.Tracer) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		sink:   sink,
 		tracer: tracer,
-		transport: &http.Transport{
-			DialContext:       strict.Dialer(&net.Dialer{Timeout: dialTimeout}),
+		transport: strict.NewTransport(&http.Transport{
+			DialContext:       dialer.DialContext,
 			DisableKeepAlives: true,
 			// Bodies are relayed unchanged.
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
-		},
+			DisableCompression: true,
+		}),
 		calls: map[fleet.Attempt]context.CancelFunc{},
 	}
 }
@@ -174,8 +174,10 @@
 }
 
 // isHeadTooLong reports whether a call failed because of the length of the answer's head. net/http
-// has no type for that error.
-func isHeadTooLong(err error) bool { return strings.Contains(err.Error(), "response headers exceeded") }
+// has no type for its own error.
+func isHeadTooLong(err error) bool {
+	return errors.Is(err, bounded.ErrTooLong) || strings.Contains(err.Error(), "response headers exceeded")
+}
 
 // retryAfter returns the Retry-After of an upstream that is too busy, 0 if it sends none. The
 // other form of the header, a date, isn't used by upstreams.
