router: a test of take-ups after all routers were lost beside two builds

Here this held before: a router that starts with nothing asks a majority of the disk VMs for all builds that were listed in the last five minutes, which they keep on disk, and refuses the take-up where there are several.

Tests: two builds serve, the old one left with the routers, the new one came with them, one followed the other; every stream is taken up at a restarted router.

--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -34,6 +34,7 @@
 
 // diskVM is the part of a disk VM that answers a router's watches.
 type diskVM struct {
+	address   protocol.RouterID
 	fabric    *fabric.Fabric
 	started   time.Time
 	mu        sync.Mutex
@@ -72,25 +73,30 @@
 // startDiskVMListing starts a disk VM that lists the given upstreams and has a table of version 7.
 func startDiskVMListing(t *testing.T, address string, entries []roster.Entry) *diskVM {
 	t.Helper()
+	vm := &diskVM{announceAddresses: map[protocol.RouterID]string{}, started: time.Now(), address: protocol.RouterID(address), builds: builds.NewSet()}
+	vm.list(entries)
+	vm.fabric = fabric.New(fabric.Options{
+		Self: protocol.RouterID(address), Listen: address, Incarnation: 1, Receiver: vm, Log: zerolog.Nop(),
+	})
+	assert.NilError(t, vm.fabric.Listen())
+	t.Cleanup(vm.fabric.Close)
+	return vm
+}
+
+// list replaces the listed upstreams while no router watches. Builds that were listed before still count
+// as lately listed.
+func (vm *diskVM) list(entries []roster.Entry) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
 	known := roster.New(roster.DefaultSettings())
 	for _, e := range entries {
 		known.Merge(0, e)
-	}
-	vm := &diskVM{
-		announceAddresses: map[protocol.RouterID]string{}, started: time.Now(), publisher: control.NewPublisher(known, linkRate), builds: builds.NewSet(),
-	}
-	for _, e := range entries {
 		vm.builds.Restore(0, []builds.Pair{{Service: e.Service, Build: e.Build}})
 	}
+	vm.publisher = control.NewPublisher(known, linkRate)
 	table := document.New(7, []byte("a table"))
 	vm.publisher.SetDocument(0, table, document.MakeChange(nil, table))
-	vm.publisher.SetDiskVMs([]protocol.RouterID{protocol.RouterID(address)})
-	vm.fabric = fabric.New(fabric.Options{
-		Self: protocol.RouterID(address), Listen: address, Incarnation: 1, Receiver: vm, Log: zerolog.Nop(),
-	})
-	assert.NilError(t, vm.fabric.Listen())
-	t.Cleanup(vm.fabric.Close)
-	return vm
+	vm.publisher.SetDiskVMs([]protocol.RouterID{vm.address})
 }
 
 // Receive implements fabric.Receiver.
