forward: a request whose deadline is after a planned stop's end isn't sent on any more

Cause: a router takes requests for stop.unready_ms, and then net/http's Shutdown ends idle connections only. A request whose head came before and whose body came later was read to its end and sent on, however little of the grace was left.

Ruled out: refusing everything from the signal on (the balancer sends callers for two seconds more, and most are answered in time); refusing everything late (a request that ends before the stop does is served).

Change: Handler.EndAt, called when the unready time is over: a request whose deadline is after the end is refused at once, 503 "stopping", before or after its body is read.

--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -170,8 +170,9 @@
 }
 
 // Stop shuts the router down gracefully. The router reports that it isn't ready, serves
-// callers until the load balancer has noticed, and ends once the last answer is sent, or
-// shortly before the end of the grace period. Stop reports whether all answers were sent.
+// callers until the load balancer has noticed, from then on those whose deadline is before its
+// end, and ends once the last answer is sent, or shortly before the end of the grace period. Stop
+// reports whether all answers were sent.
 func (r *Router) Stop() bool {
 	began := time.Now()
 	r.stopping.Store(true)
@@ -181,7 +182,9 @@
 	r.mu.Unlock()
 	r.log.Info().Str("event", "stopping").Int("active", r.handler.Active()).Send()
 	time.Sleep(stop.Unready())
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(stop.Grace()-shutdownMargin))
+	end := began.Add(stop.Grace() - shutdownMargin)
+	r.handler.EndAt(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := r.servers.callers.Shutdown(ctx)
 	if proxiedErr := r.stopProxying(ctx); err == nil {
--- /dev/null
+++ b/daemon/router/stopping_test.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lateCaller is a caller whose connection was open before its router's planned stop.
+type lateCaller struct {
+	t    *testing.T
+	conn net.Conn
+}
+
+func (r *rig) connect() lateCaller {
+	conn, err := net.Dial("tcp", r.settings.Listen.Callers)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return lateCaller{r.t, conn}
+}
+
+// send writes bytes.
+func (c lateCaller) send(text string) {
+	_, err := io.WriteString(c.conn, text)
+	assert.Check(c.t, err)
+}
+
+// status reads the answer and returns its status, 0 if the connection ends without one.
+func (c lateCaller) status() int {
+	assert.NilError(c.t, c.conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+	answer, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.ReadAll(answer.Body); err != nil {
+		return 0
+	}
+	return answer.StatusCode
+}
+
+// firstLine begins a request, and restOfHead returns what follows it for a caller who waits for some time.
+const firstLine = "POST /x HTTP/1.1\r\n"
+
+func restOfHead(wait time.Duration, bodyBytes int) string {
+	return fmt.Sprintf("Host: h\r\nT-Id: 7\r\nT-Left: %d\r\nContent-Length: %d\r\n\r\n", wait.Milliseconds(), bodyBytes)
+}
+
+// The times of a stop in these tests.
+const (
+	testUnready = 500 * time.Millisecond
+	testGrace   = 4 * time.Second
+	// longWait and shortWait are how long callers wait whose answer may come after the end of the
+	// grace period, and whose answer can't.
+	longWait  = 5 * time.Second
+	shortWait = 3 * time.Second
+)
+
+// Guards: the rest of a request comes late in the grace period of a planned stop, and it is sent on though it can't be answered before the end, and is cut
+// without an answer though it may run only once.
+func TestLateRequestInAPlannedStopIsRefusedAndNotSentOn(t *testing.T) {
+	r, diskAddress := newStoppingRig(t)
+	release, received := make(chan struct{}), make(chan struct{}, 10)
+	startDiskVM(t, diskAddress, startUpstream(t, release, received))
+	r.eventually("the router is ready", r.ready)
+	slow, long, short := r.connect(), r.connect(), r.connect()
+	slow.send(firstLine)
+	long.send(firstLine + restOfHead(longWait, len("halfhalf")) + "half")
+	short.send(firstLine + restOfHead(shortWait, len("halfhalf")) + "half")
+	began := time.Now()
+	stopped := make(chan bool, 1)
+	go func() { stopped <- r.router.Stop() }()
+	time.Sleep(testUnready + 500*time.Millisecond)
+
+	sent := time.Now()
+	slow.send(restOfHead(longWait, 0))
+	long.send("half")
+	assert.Check(t, long.status() == http.StatusServiceUnavailable)
+	assert.Check(t, slow.status() == 0, "its connection ends before its head is read")
+	assert.Check(t, time.Since(sent) < time.Second, "refused after %s", time.Since(sent))
+	assert.Check(t, len(received) == 0, "an upstream got a request that can't be answered any more")
+
+	close(release)
+	short.send("half")
+	assert.Check(t, short.status() == http.StatusOK, "a request that ends before the stop does is served")
+	assert.Check(t, <-stopped)
+	assert.Check(t, time.Since(began) < testGrace)
+}
+
+// newStoppingRig is newRig with the times of these tests.
+func newStoppingRig(t *testing.T) (*rig, string) {
+	peers := freePort(t)
+	r := startRig(t, "127.0.0.1", peers, func(options *Options) {
+		options.Settings.Stop.UnreadyMS = float64(testUnready.Milliseconds())
+		options.Settings.Stop.GraceMS = float64(testGrace.Milliseconds())
+	})
+	return r, fmt.Sprintf("127.0.0.2:%d", peers)
+}
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -210,6 +210,8 @@
 type Handler struct {
 	options Options
 	active  atomic.Int64
+	// endAt is when a planned stop ends, nil while none is in its last part.
+	endAt atomic.Pointer[time.Time]
 }
 
 // New returns a handler.
@@ -227,7 +229,7 @@
 	f := &forwarding{handler: h, writer: w, request: r, arrived: time.Now()}
 	f.controller = http.NewResponseController(w)
 	defer f.report()
-	if !f.admit() {
+	if !f.admit() || f.refuseIfLate() {
 		return
 	}
 	deadline := f.arrived.Add(f.timeout)
@@ -311,7 +313,7 @@
 		return false
 	}
 	f.timeout = requestTimeout(call.Remaining, route.Timeout)
-	return f.readBody(index.Table().Limits)
+	return !f.refuseIfLate() && f.readBody(index.Table().Limits)
 }
 
 // identify finds the customer by the request's key and sets the priority. It refuses
