forward: what is in flight at the end of a planned stop is answered

Cause: the router let the process end with them; nothing ended the requests themselves before.

Change: the handler's end ends each request's context 200 ms before connections are cut. A request that may have run gets 502, one that was never sent 503, both with the reason "stopping"; a stream that has begun is cut, as an end would look complete. They are counted in answers-cut, and the process still reports that it cut something.

--- a/daemon/router/serve.go
+++ b/daemon/router/serve.go
@@ -37,6 +37,8 @@
 	// the requests that are still in flight, so that the process ends by itself
 	// before it is killed.
 	shutdownMargin = 400 * time.Millisecond
+	// answerMargin is how long before that the requests in flight are answered.
+	answerMargin = 200 * time.Millisecond
 )
 
 // servers are the router's HTTP servers.
@@ -171,8 +173,8 @@
 
 // Stop shuts the router down gracefully. The router reports that it isn't ready, serves
 // callers until the load balancer has noticed, from then on those whose deadline is before its
-// end, and ends once the last answer is sent, or shortly before the end of the grace period. Stop
-// reports whether all answers were sent.
+// end, and ends once the last answer is sent, or shortly before the end of the grace period, when it
+// answers the requests that are left. Stop reports whether all answers of upstreams were sent.
 func (r *Router) Stop() bool {
 	began := time.Now()
 	r.stopping.Store(true)
@@ -183,15 +185,17 @@
 	r.log.Info().Str("event", "stopping").Int("active", r.handler.Active()).Send()
 	time.Sleep(stop.Unready())
 	end := began.Add(stop.Grace() - shutdownMargin)
-	r.handler.EndAt(end)
+	r.handler.EndAt(end.Add(-answerMargin))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := r.servers.callers.Shutdown(ctx)
 	if proxiedErr := r.stopProxying(ctx); err == nil {
 		err = proxiedErr
 	}
-	if err != nil {
-		r.log.Error().Str("event", "answers-cut").Int("active", r.handler.Active()).Int("proxied", r.proxied.Active()).Err(err).Send()
+	unfinished := r.handler.Unfinished()
+	if err != nil || unfinished > 0 {
+		r.log.Error().Str("event", "answers-cut").Int("active", r.handler.Active()).Int("proxied", r.proxied.Active()).
+			Int("unfinished", unfinished).Err(err).Send()
 	}
 	close(r.quit)
 	r.done.Wait()
@@ -201,7 +205,7 @@
 	r.closeServers()
 	r.closeTracer(began.Add(stop.Grace()))
 	r.log.Info().Str("event", "stopped").Dur("took_ms", time.Since(began)).Send()
-	return err == nil
+	return err == nil && unfinished == 0
 }
 
 // closeServers closes what still listens after the last answer.
--- a/daemon/router/stopping_test.go
+++ b/daemon/router/stopping_test.go
@@ -92,6 +92,26 @@
 	assert.Check(t, time.Since(began) < testGrace)
 }
 
+// Guards: requests that are still in flight at the end of the grace period end with a closed connection
+// and not with an answer.
+func TestRequestsInFlightAtTheEndOfAPlannedStopAreAnswered(t *testing.T) {
+	r, diskAddress := newStoppingRig(t)
+	release, received := make(chan struct{}), make(chan struct{}, 10)
+	defer close(release)
+	startDiskVM(t, diskAddress, startUpstream(t, release, received))
+	r.eventually("the router is ready", r.ready)
+	caller := r.connect()
+	caller.send(firstLine + restOfHead(2*testGrace, 0))
+	<-received
+	began := time.Now()
+	stopped := make(chan bool, 1)
+	go func() { stopped <- r.router.Stop() }()
+	assert.Check(t, caller.status() == http.StatusBadGateway, "it may have run")
+	assert.Check(t, time.Since(began) < testGrace)
+	assert.Check(t, time.Since(began) > testGrace/2, "it is cut before the end")
+	assert.Check(t, !<-stopped, "a request was cut")
+}
+
 // newStoppingRig is newRig with the times of these tests.
 func newStoppingRig(t *testing.T) (*rig, string) {
 	peers := freePort(t)
--- a/transport/forward/handler.go
+++ b/transport/forward/handler.go
@@ -210,13 +210,19 @@
 type Handler struct {
 	options Options
 	active  atomic.Int64
-	// endAt is when a planned stop ends, nil while none is in its last part.
-	endAt atomic.Pointer[time.Time]
+	// endAt is when a planned stop ends, nil while none is in its last part. ended ends then, by end, and
+	// unfinished counts the requests that this ended.
+	endAt      atomic.Pointer[time.Time]
+	ended      context.Context
+	end        context.CancelFunc
+	unfinished atomic.Int64
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options}
+	h := &Handler{options: options}
+	h.ended, h.end = context.WithCancel(context.Background())
+	return h
 }
 
 // Active returns the number of requests in flight.
@@ -236,6 +242,7 @@
 	f.limitWriting(deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ended, cancel)()
 	f.context = ctx
 	f.deadline = deadline
 	f.run()
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -25,6 +25,9 @@
 	retryAfterNoUpstream = time.Second
 )
 
+// reasonStopping: the router is about to end, as planned.
+const reasonStopping = "stopping"
+
 // refusalBody is the body of the answers that this router makes itself.
 type refusalBody struct {
 	Error  string `json:"error"`
--- a/transport/forward/run.go
+++ b/transport/forward/run.go
@@ -101,8 +101,8 @@
 	return outcome.reportedResult()
 }
 
-// isOver reports whether the caller has disconnected or the deadline has passed. It
-// answers the caller if the deadline has passed.
+// isOver reports whether the caller has disconnected, the deadline has passed, or the router's planned
+// end has come. It answers the caller in the last two cases.
 func (f *forwarding) isOver() bool {
 	switch {
 	case f.request.Context().Err() != nil:
@@ -112,6 +112,9 @@
 			f.abort("caller-gone")
 		}
 		return true
+	case f.context.Err() != nil && f.hasEnded():
+		f.answerEnd()
+		return true
 	case f.context.Err() != nil:
 		f.answerTimeout()
 		return true
