--- a/soak/badanswers_test.go
+++ b/soak/badanswers_test.go
@@ -43,7 +43,8 @@
 	endlessChunk = "7fffffffffff\r\n"
 )
 
-// badAnswers stop midway, which takes until the caller's timeout, or never end. All bodies are framed:
+// badAnswers stop midway, which takes until the caller's timeout, never end, or have a head that isn't
+// HTTP. All bodies are framed:
 // the end of a connection, which other faults bring about, must not complete one.
 var badAnswers = []badAnswer{
 	{name: "nothing", bare: true},
@@ -63,6 +64,10 @@
 	{name: "chunk extension without end", head: chunkedHead + "5;", more: "x"},
 	{name: "trailers without end", head: chunkedHead + "0\r\n", more: "A: b\r\n"},
 	{name: "body without end", service: deskService, head: chunkedHead + endlessChunk, more: "x"},
+	{name: "status 000", bare: true, head: "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n"},
+	{name: "blank in a name", head: "Odd Name: 1\r\nContent-Length: 0\r\n\r\n"},
+	{name: "blank behind the length's name", head: "Content-Length : 4\r\n\r\nfuel"},
+	{name: "blank behind the encoding's name", head: "Transfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nfuel\r\n0\r\n\r\n"},
 }
 
 // answerBadly makes the upstream answer some requests badly for a while.
