--- a/transport/peerproxy/early_test.go
+++ b/transport/peerproxy/early_test.go
@@ -38,3 +38,20 @@
 		})
 	}
 }
+
+// Guards: a proxy passes an answer on whose head isn't HTTP.
+func TestAnswerWithABrokenHeadIsLost(t *testing.T) {
+	for name, raw := range stricttest.BrokenHeads() {
+		t.Run(name, func(t *testing.T) {
+			s := newProxyServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, raw) // fails if the proxy has closed
+				_ = conn.Close()
+			})
+			assert.Equal(t, s.refused(), RefusalLost)
+		})
+	}
+}
