--- a/transport/upstream/early_test.go
+++ b/transport/upstream/early_test.go
@@ -19,7 +19,7 @@
 	for name, tc := range map[string]struct {
 		ending   stricttest.Ending
 		complete bool
-	}{"reset": {stricttest.Reset, false}, "half closed": {stricttest.HalfClose, true}} {
+	}{"reset": {stricttest.Reset, false}, "half closed": {stricttest.HalfClose, true}, "closed, then reset": {stricttest.CloseUnread, true}} {
 		t.Run(name, func(t *testing.T) {
 			for range 10 {
 				sink := &recordingSink{ended: make(chan node.UpstreamEnd, 1)}
