forward: answers that the end of a planned stop cuts midway are counted too

A stopping router counts what its end has ended in answers-cut and its exit status. Requests without a first byte and streams were counted, a large plain answer that was being passed on wasn't where net/http's Shutdown saw all connections closed in time. Abort counts now, where the end is the reason.

--- a/daemon/router/stopping_test.go
+++ b/daemon/router/stopping_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,23 +95,47 @@
 }
 
 // Guards: requests that are still in flight at the end of the grace period end with a closed connection
-// and not with an answer.
+// and not with an answer; or the process tells that it has cut nothing.
 func TestRequestsInFlightAtTheEndOfAPlannedStopAreAnswered(t *testing.T) {
-	r, diskAddress := newStoppingRig(t)
-	release, received := make(chan struct{}), make(chan struct{}, 10)
-	defer close(release)
-	startDiskVM(t, diskAddress, startUpstream(t, release, received))
-	r.eventually("the router is ready", r.ready)
-	caller := r.connect()
-	caller.send(firstLine + restOfHead(2*testGrace, 0))
-	<-received
-	began := time.Now()
-	stopped := make(chan bool, 1)
-	go func() { stopped <- r.router.Stop() }()
-	assert.Check(t, caller.status() == http.StatusBadGateway, "it may have run")
-	assert.Check(t, time.Since(began) < testGrace)
-	assert.Check(t, time.Since(began) > testGrace/2, "it is cut before the end")
-	assert.Check(t, !<-stopped, "a request was cut")
+	const largeAnswer = 1 << 20
+	for name, tc := range map[string]struct {
+		first  int
+		status int
+	}{"no byte": {0, http.StatusBadGateway}, "a part of a large answer": {largeAnswer, 0}} {
+		t.Run(name, func(t *testing.T) {
+			r, diskAddress := newStoppingRig(t)
+			received := make(chan struct{}, 1)
+			startDiskVM(t, diskAddress, startStalling(t, tc.first, received))
+			r.eventually("the router is ready", r.ready)
+			caller := r.connect()
+			caller.send(firstLine + restOfHead(2*testGrace, 0))
+			<-received
+			began := time.Now()
+			stopped := make(chan bool, 1)
+			go func() { stopped <- r.router.Stop() }()
+			assert.Check(t, caller.status() == tc.status)
+			assert.Check(t, time.Since(began) < testGrace)
+			assert.Check(t, time.Since(began) > testGrace/2, "it is cut before the end")
+			assert.Check(t, !<-stopped, "a request was cut")
+		})
+	}
+}
+
+// startStalling starts an upstream that sends the first bytes of an answer, and no more until the router
+// closes.
+func startStalling(t *testing.T, first int, received chan<- struct{}) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("T-Id", "7")
+		w.Header().Set("T-Signed", "yes")
+		if first > 0 {
+			_, _ = w.Write(make([]byte, first))
+			_ = http.NewResponseController(w).Flush()
+		}
+		received <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
 }
 
 // newStoppingRig is newRig with the times of these tests.
--- a/transport/forward/refuse.go
+++ b/transport/forward/refuse.go
@@ -148,6 +148,7 @@
 func (f *forwarding) abort(reason string) {
 	f.outcome.Reason = reason
 	f.outcome.Aborted = true
+	f.noteCut()
 	panic(http.ErrAbortHandler)
 }
 
--- a/transport/forward/stopping.go
+++ b/transport/forward/stopping.go
@@ -14,7 +14,7 @@
 	time.AfterFunc(time.Until(at), h.end)
 }
 
-// Unfinished returns how many requests the end of a planned stop has ended.
+// Unfinished returns how many requests the end of a planned stop has ended before their answers were whole.
 func (h *Handler) Unfinished() int { return int(h.unfinished.Load()) }
 
 // refuseIfLate refuses a request that may not be answered before the router's planned end. It returns
@@ -33,6 +33,15 @@
 
 // answerEnd answers a request that the router's planned end has ended.
 func (f *forwarding) answerEnd() {
-	f.handler.unfinished.Add(1)
+	if !f.stream.started {
+		f.handler.unfinished.Add(1)
+	}
 	f.giveUp(reasonStopping, 0)
 }
+
+// noteCut counts an answer that is cut, if the router's planned end is the reason.
+func (f *forwarding) noteCut() {
+	if f.handler.ended.Err() != nil && !f.outcome.CallerGone {
+		f.handler.unfinished.Add(1)
+	}
+}
